--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: JSON out, seeded."""
--- /dev/null
+++ b/cleatlink/core/data.py
@@ -0,0 +1,224 @@
+"""The vocabulary: immutable named tuples which every other module speaks.
+
+Times are seconds. A field that ends in ``_s`` is a duration, ``deadline`` and
+``at`` are readings of the caller's monotonic clock. Sizes that end in
+``_tokens`` are counted in tokens of the model that is asked.
+"""
+
+from collections.abc import Mapping
+from enum import StrEnum
+from typing import NamedTuple
+
+from cleatlink.core.errors import ErrorKind
+from cleatlink.core.labels import Selector
+
+__all__ = [
+    "CallRule",
+    "Configuration",
+    "DataCentre",
+    "Endpoint",
+    "Fleet",
+    "Instance",
+    "KvHandle",
+    "Limits",
+    "LoadReport",
+    "Objective",
+    "Placement",
+    "Pool",
+    "Ran",
+    "Refusal",
+    "Request",
+    "RequestClass",
+    "Role",
+    "Service",
+    "ServiceKind",
+]
+
+
+class Role(StrEnum):
+    """What an endpoint does in a request."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+    BOTH = "both"
+    PLAIN = "plain"
+
+
+class ServiceKind(StrEnum):
+    """How a service is spoken to."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+class Ran(StrEnum):
+    """What is known about whether a request ran at an endpoint."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class DataCentre(NamedTuple):
+    """A data centre (zone) with the labels that operators gave it."""
+
+    name: str
+    region: str
+    labels: Mapping[str, str]
+
+
+class Pool(NamedTuple):
+    """A set of endpoints of one service with one starting role."""
+
+    name: str
+    service: str
+    role: Role
+    labels: Mapping[str, str]
+    checks_fences: bool
+
+
+class CallRule(NamedTuple):
+    """Calls of a plain service which may not be repeated.
+
+    ``method`` is a method name or ``*``; ``path`` is a glob over the path
+    below the service's name.
+    """
+
+    method: str
+    path: str
+
+
+class Service(NamedTuple):
+    """Something that callers ask by name: models or a plain service."""
+
+    name: str
+    kind: ServiceKind
+    models: tuple[str, ...]
+    unrepeatable: tuple[CallRule, ...]
+
+
+class RequestClass(NamedTuple):
+    """A class of requests: where it may run, how urgent it is, its targets."""
+
+    name: str
+    service: str
+    priority: int
+    ttft_target_s: float
+    token_target_s: float
+    deadline_s: float
+    max_wait_s: float
+    selector: Selector
+
+
+class Limits(NamedTuple):
+    """Bounds that every entry instance enforces."""
+
+    body_bytes: int
+    prompt_tokens: int
+    output_tokens: int
+    requests_in_flight: int
+    max_attempts: int
+    retry_share: float
+
+
+class Objective(NamedTuple):
+    """The weight of goodput against wasted prefill; the two add up to one."""
+
+    goodput: float
+    wasted_prefill: float
+
+
+class Configuration(NamedTuple):
+    """One accepted configuration; ``revision`` orders configurations."""
+
+    revision: int
+    digest: str
+    data_centres: Mapping[str, DataCentre]
+    services: Mapping[str, Service]
+    pools: Mapping[str, Pool]
+    classes: Mapping[str, RequestClass]
+    endpoint_labels: Mapping[str, Mapping[str, str]]
+    limits: Limits
+    objective: Objective
+
+
+class Endpoint(NamedTuple):
+    """An endpoint (back end) from the instance list."""
+
+    name: str
+    address: str
+    data_centre: str
+    pool: str
+    leaving: bool = False
+
+
+class Instance(NamedTuple):
+    """An entry instance (machine) of the system from the instance list."""
+
+    name: str
+    peer_address: str
+    data_centre: str
+    leaving: bool = False
+
+
+class Fleet(NamedTuple):
+    """The instance list as last read; ``revision`` orders the lists."""
+
+    revision: int
+    endpoints: tuple[Endpoint, ...]
+    instances: tuple[Instance, ...]
+
+
+class LoadReport(NamedTuple):
+    """What an endpoint says of itself, some time ago."""
+
+    endpoint: str
+    incarnation: str
+    role: Role
+    slots: int
+    running: int
+    waiting_tokens: int
+    memory_tokens: int
+    memory_free_tokens: int
+    leaving: bool
+    prefill_tokens_per_s: float
+
+
+class Request(NamedTuple):
+    """A classified request, before it is placed."""
+
+    name: str
+    organisation: str
+    service: str
+    model: str
+    request_class: str
+    prompt_tokens: int
+    max_output_tokens: int
+    prefix_hash: int
+    deadline: float
+    repeatable: bool = True
+
+
+class KvHandle(NamedTuple):
+    """Where a prefill's result waits for the decode that imports it."""
+
+    engine: str
+    host: str
+    port: int
+    blocks: tuple[int, ...]
+
+
+class Placement(NamedTuple):
+    """Where a request goes, and why; ``prefill`` is ``decode`` if one serves."""
+
+    prefill: Endpoint
+    decode: Endpoint
+    reason: str
+
+
+class Refusal(NamedTuple):
+    """Why a request gets no answer; the kind's table row gives the rest."""
+
+    kind: ErrorKind
+    detail: str
+    retry_after_s: float | None = None
--- /dev/null
+++ b/cleatlink/routing/__init__.py
@@ -0,0 +1,23 @@
+"""Routing: the fleet as believed, and placements on it; no I/O."""
+
+from cleatlink.routing.place import (
+    Context,
+    place_call,
+    place_request,
+    release_request,
+    reserve_request,
+)
+from cleatlink.routing.prefix import hash_prefix, rank_names
+from cleatlink.routing.view import FleetView, Reservation
+
+__all__ = [
+    "Context",
+    "FleetView",
+    "Reservation",
+    "hash_prefix",
+    "place_call",
+    "place_request",
+    "rank_names",
+    "release_request",
+    "reserve_request",
+]
--- /dev/null
+++ b/cleatlink/routing/view.py
@@ -0,0 +1,197 @@
+"""What one instance believes of the fleet: list, reports, own placements, leaving.
+
+Everything here is soft, dated and rebuilt from nothing. Two rules protect the
+promises: an endpoint gets work only while its own report is fresh, and the
+earliest word that it is leaving wins over every later report that lags.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from cleatlink.core.data import Configuration, Endpoint, Fleet, LoadReport, Pool, Role
+from cleatlink.core.labels import match
+
+__all__ = ["CONFIRM_S", "EndpointLoad", "FleetView", "Reservation", "endpoint_labels"]
+
+# An endpoint whose own report is older than this may have left unseen.
+CONFIRM_S = 4.0
+# Reports lag: after a first-hand word of leaving, a report may still say otherwise.
+LEAVING_HOLD_S = 10.0
+
+
+class Reservation(NamedTuple):
+    """Work placed by this instance that reports may not show yet."""
+
+    endpoint: str
+    prefill_tokens: int
+    memory_tokens: int
+    at: float
+
+
+class EndpointLoad(NamedTuple):
+    """An endpoint's load: its last report plus what was placed since."""
+
+    endpoint: Endpoint
+    running: int
+    slots: int
+    waiting_tokens: int
+    free_tokens: int
+    prefill_tokens_per_s: float
+
+    @property
+    def wait_s(self) -> float:
+        """Seconds of prefill that stand before a new prompt."""
+        return self.waiting_tokens / self.prefill_tokens_per_s
+
+    @property
+    def busy(self) -> float:
+        """Share of the decode slots in use."""
+        return self.running / max(1, self.slots)
+
+
+class FleetView:
+    """The mutable view; every method takes the time as an argument."""
+
+    def __init__(self) -> None:
+        self._fleet = Fleet(0, (), ())
+        self._configuration: Configuration | None = None
+        self._reports: dict[str, tuple[LoadReport, float]] = {}
+        self._leaving_until: dict[str, float] = {}
+        self._heard_leaving_until: dict[str, float] = {}
+        self._reservations: dict[str, Reservation] = {}
+        self._eligible: dict[tuple[str, Role], tuple[Endpoint, ...]] = {}
+
+    @property
+    def fleet(self) -> Fleet:
+        """The instance list in use."""
+        return self._fleet
+
+    @property
+    def reservations(self) -> Mapping[str, Reservation]:
+        """Own placements in progress, by request and role."""
+        return self._reservations
+
+    def endpoint(self, name: str) -> Endpoint | None:
+        """Give an endpoint of the instance list by its name."""
+        return next((item for item in self._fleet.endpoints if item.name == name), None)
+
+    def set_fleet(self, fleet: Fleet) -> bool:
+        """Take an instance list if it is newer than the one in use."""
+        if fleet.revision <= self._fleet.revision:
+            return False
+        self._fleet = fleet
+        self._eligible.clear()
+        names = {endpoint.name for endpoint in fleet.endpoints}
+        for name in [name for name in self._reports if name not in names]:
+            del self._reports[name]
+        return True
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Use a newly adopted configuration."""
+        self._configuration = configuration
+        self._eligible.clear()
+
+    def report(self, report: LoadReport, now: float) -> None:
+        """Take an endpoint's own load report."""
+        self._reports[report.endpoint] = (report, now)
+        if report.leaving:
+            self.mark_leaving(report.endpoint, now)
+
+    def mark_leaving(self, name: str, now: float) -> None:
+        """Note an endpoint's own word that it is leaving."""
+        self._leaving_until[name] = now + LEAVING_HOLD_S
+
+    def hear_leaving(self, name: str, now: float) -> None:
+        """Note a peer's word that an endpoint is leaving.
+
+        It is kept apart and not passed on: two instances that repeat each
+        other's word would keep an endpoint that came back out for ever.
+        """
+        self._heard_leaving_until[name] = now + LEAVING_HOLD_S
+
+    def leaving(self, now: float) -> tuple[str, ...]:
+        """Names of endpoints that said themselves that they are leaving."""
+        return tuple(name for name, until in self._leaving_until.items() if now < until)
+
+    def reserve(self, key: str, reservation: Reservation) -> None:
+        """Count work placed on an endpoint until it is released."""
+        self._reservations[key] = reservation
+
+    def release(self, key: str) -> None:
+        """Forget a reservation; unknown keys are fine."""
+        self._reservations.pop(key, None)
+
+    def usable(self, endpoint: Endpoint, now: float) -> bool:
+        """Tell whether an endpoint may get new work now."""
+        name = endpoint.name
+        if endpoint.leaving or now < self._leaving_until.get(name, 0.0):
+            return False
+        if now < self._heard_leaving_until.get(name, 0.0):
+            return False
+        report = self._reports.get(endpoint.name)
+        return report is not None and now - report[1] <= CONFIRM_S
+
+    def candidates(self, request_class: str, role: Role, now: float) -> list[Endpoint]:
+        """Endpoints that a class may use in a role now."""
+        key = (request_class, role)
+        if key not in self._eligible:
+            self._eligible[key] = self._select(request_class, role)
+        return [endpoint for endpoint in self._eligible[key] if self.usable(endpoint, now)]
+
+    def load(self, endpoint: Endpoint) -> EndpointLoad:
+        """Give an endpoint's report plus own placements that it does not show."""
+        report, at = self._reports[endpoint.name]
+        newer = [
+            item
+            for item in self._reservations.values()
+            if item.endpoint == endpoint.name and item.at >= at
+        ]
+        return EndpointLoad(
+            endpoint,
+            report.running + sum(1 for item in newer if item.memory_tokens),
+            report.slots,
+            report.waiting_tokens + sum(item.prefill_tokens for item in newer),
+            report.memory_free_tokens - sum(item.memory_tokens for item in newer),
+            report.prefill_tokens_per_s,
+        )
+
+    def _select(self, request_class: str, role: Role) -> tuple[Endpoint, ...]:
+        configuration = self._configuration
+        if configuration is None or request_class not in configuration.classes:
+            return ()
+        wanted = configuration.classes[request_class]
+        return tuple(
+            endpoint
+            for endpoint in self._fleet.endpoints
+            if _serves(configuration.pools.get(endpoint.pool), wanted.service, role)
+            and match(wanted.selector, endpoint_labels(configuration, endpoint))
+        )
+
+
+def endpoint_labels(configuration: Configuration, endpoint: Endpoint) -> dict[str, str]:
+    """Give an endpoint's labels; the nearest giver of a label wins.
+
+    The order is data centre, pool, endpoint. The names that the instance list
+    gives (``dc``, ``pool``, ``endpoint``) and the region come last and can't be
+    overridden, so that a selector on them means what it says.
+    """
+    labels: dict[str, str] = {}
+    data_centre = configuration.data_centres.get(endpoint.data_centre)
+    if data_centre is not None:
+        labels.update(data_centre.labels)
+        labels["region"] = data_centre.region
+    pool = configuration.pools.get(endpoint.pool)
+    if pool is not None:
+        labels.update(pool.labels)
+    labels.update(configuration.endpoint_labels.get(endpoint.name, {}))
+    labels.update(dc=endpoint.data_centre, pool=endpoint.pool, endpoint=endpoint.name)
+    if data_centre is not None:
+        labels["region"] = data_centre.region
+    return labels
+
+
+def _serves(pool: Pool | None, service: str, role: Role) -> bool:
+    """Tell whether a pool serves a service in a role."""
+    if pool is None or pool.service != service:
+        return False
+    return pool.role is role or (pool.role is Role.BOTH and role in (Role.PREFILL, Role.DECODE))
--- /dev/null
+++ b/cleatlink/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Thin commands over the library."""
--- /dev/null
+++ b/cleatlink/scripts/main.py
@@ -0,0 +1,125 @@
+"""The ``cleatlink`` command."""
+
+import json
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+import trio
+
+from cleatlink.config import load_configuration
+from cleatlink.core.errors import ConfigurationError
+from cleatlink.serving import Address, Entry, Settings, check_settings, parse_address
+from cleatlink.serving.logs import write_logs
+
+__all__ = ["main"]
+
+
+class AddressType(click.ParamType[Address]):
+    """An IP number and a port."""
+
+    name = "IP:PORT"
+
+    def convert(
+        self, value: object, param: click.Parameter | None, ctx: click.Context | None
+    ) -> Address:
+        """Convert a flag's text."""
+        if isinstance(value, Address):
+            return value
+        try:
+            return parse_address(str(value))
+        except ConfigurationError as error:
+            self.fail(str(error), param, ctx)
+
+
+_ADDRESS = AddressType()
+
+
+@click.group(context_settings={"auto_envvar_prefix": "CLEATLINK", "show_default": True})
+@click.version_option(package_name=None, version="0.1.0")
+def main() -> None:
+    """Route inference requests over separate prefill and decode pools.
+
+    Each flag can also be given as an environment variable, such as
+    CLEATLINK_ENTRY_NAME for --name of the command entry.
+    """
+
+
+@main.command()
+@click.option("--name", required=True, help="Name of this instance in the instance list.")
+@click.option("--data-centre", required=True, help="Data centre in which it runs.")
+@click.option("--listen", type=_ADDRESS, default="127.0.0.1:8000", help="Callers' address.")
+@click.option("--peer-listen", type=_ADDRESS, default="127.0.0.1:8001", help="Peers' address.")
+@click.option("--platform", type=_ADDRESS, default=None, help="Address of the platform's service.")
+@click.option(
+    "--peer", "peers", type=_ADDRESS, multiple=True, help="A peer to ask when the platform is out."
+)
+@click.option("--seed", type=int, default=None, help="Seed of random choices; else the time.")
+@click.option("--poll-s", default=1.0, help="Seconds between two load reports of an endpoint.")
+@click.option("--connect-timeout-s", default=1.0, help="Seconds to reach an endpoint.")
+@click.option("--prefill-timeout-s", default=30.0, help="Seconds for a prefill to be done.")
+@click.option("--stall-timeout-s", default=2.0, help="Seconds without a token until a resume.")
+def entry(peers: tuple[Address, ...], seed: int | None, **flags: Any) -> None:
+    """Run an entry instance until SIGTERM; then finish all work and exit with 0.
+
+    Prints one line of JSON with its addresses once it listens.
+    """
+    incarnation = int(time.time() * 1000)
+    settings = Settings(
+        peers=peers,
+        seed=incarnation if seed is None else seed,
+        incarnation=incarnation,
+        **flags,
+    )
+    faults = check_settings(settings)
+    if faults:
+        raise click.UsageError("; ".join(faults))
+    write_logs()
+    trio.run(_run_entry, settings)
+
+
+async def _run_entry(settings: Settings) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        instance = Entry(settings)
+        async with trio.open_nursery() as nursery:
+            callers, peers = await instance.start(nursery)
+            click.echo(json.dumps({"address": str(callers), "peer_address": str(peers)}))
+            async for _ in signals:
+                break
+            await instance.stop()
+            nursery.cancel_scope.cancel()
+        with trio.CancelScope(shield=True):
+            await instance.close()
+
+
+@main.group()
+def config() -> None:
+    """Work with configurations."""
+
+
+@config.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="Print data instead of lines.")
+def check(file: Path, as_json: bool) -> None:
+    """Check a configuration file; print every fault and exit with 1 if there is one."""
+    try:
+        text = file.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise click.ClickException(f"{file} can't be read: {error}") from None
+    configuration, faults = load_configuration(text)
+    if as_json:
+        rows = [fault._asdict() for fault in faults]
+        click.echo(json.dumps({"valid": configuration is not None, "faults": rows}))
+    else:
+        for fault in faults:
+            click.echo(f"{file}: {fault}", err=True)
+        if configuration is not None:
+            click.echo(f"{file}: valid; {len(configuration.classes)} classes")
+    sys.exit(0 if configuration is not None else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/cleatlink/serving/callers.py
@@ -0,0 +1,440 @@
+"""Callers' side: the HTTP app, as a row of filters from request to answer.
+
+classify -> admit -> place and attempt (the flight) -> relay -> settle. Each
+filter refuses with one kind of error; ``_refuse`` counts it and answers.
+"""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, NamedTuple
+
+import eliot
+import msgspec
+import trio
+from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, Scope
+from quart import Response, request
+from quart.wrappers.response import IterableBody
+from quart_trio import QuartTrio
+from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
+
+from cleatlink.core.data import Configuration, Refusal, ServiceKind
+from cleatlink.core.errors import ANSWERS, ErrorKind, RequestError
+from cleatlink.request import find_home, is_repeatable, parse_key_time
+from cleatlink.request.classify import (
+    KEY_HEADER,
+    Arrival,
+    ModelOrder,
+    classify_call,
+    classify_model,
+)
+from cleatlink.serving.calls import CallFlight, CallOrder, run_keyed_call
+from cleatlink.serving.endpoints import PlainAnswer
+from cleatlink.serving.flight import (
+    Finished,
+    FlightParts,
+    ModelFlight,
+    Refused,
+    Tokens,
+    join_text,
+)
+from cleatlink.serving.metrics import Metrics
+from cleatlink.serving.peers import Peers
+
+__all__ = ["CallerApp", "CallerParts", "build_caller_app"]
+
+_BODY_TIMEOUT_S = 10.0
+# The most that any configuration may allow.
+_MAX_BODY_BYTES = 64_000_000
+_FLIGHT = "cleatlink.flight"
+_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+_DONE_EVENT = b"data: [DONE]\n\n"
+
+
+class CallerParts(NamedTuple):
+    """What the callers' side needs of the instance.
+
+    Attributes:
+        configuration: Gives the configuration in force.
+        admit: Gives a refusal while this instance takes no new work.
+        enter: Counts a request in.
+        leave: Counts a request out.
+        flight_parts: What flights share.
+        peers: This instance among the others.
+        metrics: The instance's counters.
+        nursery: Runs what must end although its caller has gone.
+        describe: Describes the instance for ``/status``.
+    """
+
+    configuration: Callable[[], Configuration | None]
+    admit: Callable[[], Refusal | None]
+    enter: Callable[[], str]
+    leave: Callable[[], None]
+    flight_parts: Callable[[], FlightParts]
+    peers: Peers
+    metrics: Metrics
+    nursery: trio.Nursery
+    describe: Callable[[], dict[str, object]]
+
+
+class CallerApp(QuartTrio):
+    """The app; whatever happens to a connection, its flight is closed."""
+
+    async def __call__(
+        self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        """Serve one connection's request."""
+        flights: list[_Guard] = []
+        scope[_FLIGHT] = flights  # type: ignore[literal-required]
+        try:
+            await super().__call__(scope, receive, send)
+        finally:
+            for guard in flights:
+                guard.close()
+                await guard.flight.close_stream()
+
+
+class _Guard:
+    """Counts a flight in and out exactly once."""
+
+    def __init__(self, flight: ModelFlight, leave: Callable[[], None]) -> None:
+        self.flight = flight
+        self._leave = leave
+        self._closed = False
+
+    def close(self) -> None:
+        """Close the flight; safe to call twice."""
+        if not self._closed:
+            self._closed = True
+            self.flight.close()
+            self._leave()
+
+
+def build_caller_app(parts: CallerParts) -> CallerApp:
+    """Build the app that callers reach."""
+    app = CallerApp("cleatlink")
+    app.config["MAX_CONTENT_LENGTH"] = _MAX_BODY_BYTES
+    app.config["RESPONSE_TIMEOUT"] = None
+    _add_model_routes(app, parts)
+    _add_service_routes(app, parts)
+    _add_status_routes(app, parts)
+    _add_error_handlers(app, parts)
+    return app
+
+
+def _add_model_routes(app: CallerApp, parts: CallerParts) -> None:
+    @app.post("/v1/chat/completions")
+    async def chat() -> Response:
+        return await _serve_model(parts, chat=True)
+
+    @app.post("/v1/completions")
+    async def completions() -> Response:
+        return await _serve_model(parts, chat=False)
+
+    @app.get("/v1/models")
+    async def models() -> Response:
+        configuration = parts.configuration()
+        services = configuration.services.values() if configuration else ()
+        data = [
+            {"id": model, "object": "model", "created": 0, "owned_by": service.name}
+            for service in services
+            if service.kind is ServiceKind.MODEL
+            for model in service.models
+        ]
+        return _json({"object": "list", "data": data})
+
+
+def _add_service_routes(app: CallerApp, parts: CallerParts) -> None:
+    @app.route("/services/<name>/", defaults={"path": ""}, methods=_METHODS)
+    @app.route("/services/<name>/<path:path>", methods=_METHODS)
+    async def call(name: str, path: str) -> Response:
+        return await _serve_call(parts, name, f"/{path}")
+
+
+def _add_status_routes(app: CallerApp, parts: CallerParts) -> None:
+    @app.get("/healthz")
+    async def health() -> Response:
+        return _json({"healthy": True})
+
+    @app.get("/readyz")
+    async def ready() -> Response:
+        refusal = parts.admit()
+        body = {"ready": refusal is None, "reason": refusal.kind.value if refusal else None}
+        return _json(body, 200 if refusal is None else 503)
+
+    @app.get("/metrics")
+    async def metrics() -> Response:
+        content, headers = parts.metrics.render()
+        return Response(content, headers=headers)
+
+    @app.get("/status")
+    async def status() -> Response:
+        return _json(parts.describe())
+
+
+def _add_error_handlers(app: CallerApp, parts: CallerParts) -> None:
+    @app.errorhandler(RequestError)
+    async def request_error(error: RequestError) -> Response:
+        return _refuse(parts, Refusal(error.kind, error.detail))
+
+    @app.errorhandler(RequestEntityTooLarge)
+    async def too_large(error: RequestEntityTooLarge) -> Response:
+        return _refuse(parts, Refusal(ErrorKind.TOO_LARGE, "body is too large"))
+
+    @app.errorhandler(HTTPException)
+    async def http_error(error: HTTPException) -> Response:
+        kind = ErrorKind.NOT_FOUND if error.code in (404, 405) else ErrorKind.BAD_REQUEST
+        return _refuse(parts, Refusal(kind, error.name))
+
+    @app.errorhandler(Exception)
+    async def internal(error: Exception) -> Response:
+        eliot.write_traceback()
+        return _refuse(parts, Refusal(ErrorKind.INTERNAL, "internal error"))
+
+
+async def _serve_model(parts: CallerParts, chat: bool) -> Response:
+    """Pass a model request through the filters."""
+    arrived = trio.current_time()
+    configuration = _admit(parts)
+    raw = await _read_body(configuration.limits.body_bytes)
+    name = parts.enter()
+    guard: _Guard | None = None
+    try:
+        order = classify_model(raw, chat, Arrival(name, _headers(), arrived), configuration)
+        guard = _Guard(ModelFlight(order, parts.flight_parts()), parts.leave)
+    finally:
+        if guard is None:
+            parts.leave()
+    request.scope[_FLIGHT].append(guard)  # type: ignore[literal-required]
+    parts.metrics.count_request(order.request.request_class)
+    with eliot.start_action(action_type="request: model", request=name):
+        answer = _Relay(guard, order, parts, arrived)
+        return await (answer.stream() if order.stream else answer.whole())
+
+
+class _Relay:
+    """Passes one flight's answer on to the caller and settles it."""
+
+    def __init__(
+        self, guard: _Guard, order: ModelOrder, parts: CallerParts, arrived: float
+    ) -> None:
+        self._guard = guard
+        self._flight = guard.flight
+        self._order = order
+        self._parts = parts
+        self._arrived = arrived
+        self._first_at = 0.0
+
+    async def stream(self) -> Response:
+        """Answer as server-sent events, once the first token is there."""
+        first = await self._next()
+        if isinstance(first, Refused):
+            return self._refused(first.refusal)
+        response = Response(IterableBody(self._events(first)), content_type="text/event-stream")
+        response.headers["Cache-Control"] = "no-cache"
+        response.headers["X-Request-Id"] = self._order.request.name
+        response.timeout = None
+        return response
+
+    async def whole(self) -> Response:
+        """Answer with one JSON document."""
+        while True:
+            output = await self._next()
+            if isinstance(output, Refused):
+                return self._refused(output.refusal)
+            if isinstance(output, Finished):
+                break
+        self._settle()
+        response = _json(_join_answer(self._order, self._flight.relayed))
+        response.headers["X-Request-Id"] = self._order.request.name
+        return response
+
+    async def _events(self, first: Tokens | Finished) -> AsyncIterator[bytes]:
+        output: Tokens | Finished | Refused = first
+        while isinstance(output, Tokens):
+            yield b"".join(b"id: %d\ndata: %b\n\n" % event for event in output.events)
+            output = await self._next()
+        if isinstance(output, Refused):
+            self._guard.close()
+            yield b"data: %b\n\n" % msgspec.json.encode(_error_body(self._parts, output.refusal))
+            return
+        self._settle()
+        yield _DONE_EVENT
+
+    async def _next(self) -> Tokens | Finished | Refused:
+        output = await self._flight.advance()
+        if not self._first_at:
+            self._first_at = trio.current_time()
+        return output
+
+    def _refused(self, refusal: Refusal) -> Response:
+        self._guard.close()
+        return _refuse(self._parts, refusal)
+
+    def _settle(self) -> None:
+        """Count the answer, and whether both latency targets were met."""
+        self._guard.close()
+        request_class = self._order.request_class
+        tokens = len(self._flight.relayed)
+        ttft_s = self._first_at - self._arrived
+        token_s = (trio.current_time() - self._first_at) / max(1, tokens - 1)
+        good = ttft_s <= request_class.ttft_target_s and token_s <= request_class.token_target_s
+        self._parts.metrics.count_answer(request_class.name, tokens, good)
+
+
+async def _serve_call(parts: CallerParts, service_name: str, path: str) -> Response:
+    """Pass a plain service's call through the filters."""
+    arrived = trio.current_time()
+    configuration = _admit(parts)
+    body = await _read_body(configuration.limits.body_bytes)
+    headers = _headers()
+    name = parts.enter()
+    try:
+        request_, request_class, service = classify_call(
+            service_name, Arrival(name, headers, arrived), configuration
+        )
+        parts.metrics.count_request(request_class.name)
+        repeatable = is_repeatable(service.unrepeatable, request.method, path)
+        query = request.query_string.decode("latin-1")
+        target = f"{path}?{query}" if query else path
+        order = CallOrder(
+            request_, request_class, repeatable, request.method, target, headers, body
+        )
+        result = await _run_call(parts, order, configuration)
+    finally:
+        parts.leave()
+    if isinstance(result, Refusal):
+        return _refuse(parts, result)
+    parts.metrics.count_answer(request_class.name, 0, True)
+    response = Response(result.body, status=result.status, headers=dict(result.headers))
+    response.headers["X-Request-Id"] = name
+    return response
+
+
+async def _run_call(
+    parts: CallerParts, order: CallOrder, configuration: Configuration
+) -> PlainAnswer | Refusal:
+    """Run a call; one with a key and that may not be repeated goes to the key's owner."""
+    key = order.headers.get(KEY_HEADER)
+    flight_parts = parts.flight_parts()
+    if key is None or order.repeatable:
+        return await CallFlight(order, flight_parts).run()
+    home = find_home(key, configuration.data_centres)
+    if parse_key_time(key) is None or home is None:
+        detail = f"{KEY_HEADER} must be a UUIDv7, or data-centre:UUIDv7"
+        return Refusal(ErrorKind.BAD_REQUEST, detail)
+    return await _run_to_the_end(
+        parts, lambda: run_keyed_call(order, key, home, flight_parts, parts.peers)
+    )
+
+
+async def _run_to_the_end(
+    parts: CallerParts, run: Callable[[], Awaitable[PlainAnswer | Refusal]]
+) -> PlainAnswer | Refusal:
+    """Run a keyed call also when its caller goes, so that its outcome is known."""
+    results: list[PlainAnswer | Refusal] = []
+    done = trio.Event()
+
+    async def work() -> None:
+        try:
+            results.append(await run())
+        finally:
+            done.set()
+            parts.leave()
+
+    parts.enter()
+    parts.nursery.start_soon(work)
+    await done.wait()
+    return results[0]
+
+
+def _admit(parts: CallerParts) -> Configuration:
+    """Refuse early, while nothing has been spent on the request."""
+    refusal = parts.admit()
+    if refusal is not None:
+        raise RequestError(refusal.kind, refusal.detail)
+    configuration = parts.configuration()
+    assert configuration is not None, "an instance without configuration is not ready"
+    return configuration
+
+
+async def _read_body(limit: int) -> bytes:
+    """Read the body, but no more and no longer than is allowed."""
+    body = bytearray()
+    try:
+        with trio.fail_after(_BODY_TIMEOUT_S):
+            async for part in request.body:
+                body += part
+                if len(body) > limit:
+                    raise RequestError(ErrorKind.TOO_LARGE, f"body has more than {limit} bytes")
+    except trio.TooSlowError:
+        detail = f"body did not arrive in {_BODY_TIMEOUT_S:g} s"
+        raise RequestError(ErrorKind.SLOW_SENDER, detail) from None
+    return bytes(body)
+
+
+def _headers() -> dict[str, str]:
+    return {name.lower(): value for name, value in request.headers.items()}
+
+
+def _refuse(parts: CallerParts, refusal: Refusal) -> Response:
+    """Answer with an error; the table says how."""
+    answer = ANSWERS[refusal.kind]
+    response = _json(_error_body(parts, refusal), answer.status)
+    response.headers["X-Ran"] = answer.ran
+    retry_after_s = _retry_after_s(refusal)
+    if retry_after_s is not None:
+        # The header knows whole seconds only; the body has the exact number.
+        response.headers["Retry-After"] = str(max(1, round(retry_after_s)))
+    return response
+
+
+def _error_body(parts: CallerParts, refusal: Refusal) -> dict[str, Any]:
+    parts.metrics.count_refusal(refusal.kind)
+    answer = ANSWERS[refusal.kind]
+    return {
+        "error": {
+            "message": refusal.detail,
+            "type": "invalid_request_error" if answer.status < 500 else "server_error",
+            "code": refusal.kind.value,
+            "param": None,
+            "ran": answer.ran,
+            "retry_after_s": _retry_after_s(refusal),
+        }
+    }
+
+
+def _retry_after_s(refusal: Refusal) -> float | None:
+    if refusal.retry_after_s is not None:
+        return refusal.retry_after_s
+    return ANSWERS[refusal.kind].retry_after_s
+
+
+def _join_answer(order: ModelOrder, events: list[bytes]) -> dict[str, Any]:
+    """Join a stream's events into the whole-answer form."""
+    text = join_text(events, order.chat)
+    last = msgspec.json.decode(events[-1]) if events else {"choices": [{}]}
+    choice: dict[str, Any] = {
+        "index": 0,
+        "finish_reason": last["choices"][0].get("finish_reason"),
+        "logprobs": None,
+    }
+    if order.chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    prompt_tokens = order.request.prompt_tokens
+    return {
+        "id": order.request.name,
+        "object": "chat.completion" if order.chat else "text_completion",
+        "created": last.get("created", 0),
+        "model": order.request.model,
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": len(events),
+            "total_tokens": prompt_tokens + len(events),
+        },
+    }
+
+
+def _json(value: object, status: int = 200) -> Response:
+    return Response(msgspec.json.encode(value), status=status, content_type="application/json")
--- /dev/null
+++ b/cleatlink/serving/flight.py
@@ -0,0 +1,319 @@
+"""Drives one model request: carries out the machine's actions against endpoints.
+
+The flight runs in the task that serves the caller. Whoever serves must call
+``close`` in every case: it is plain code without a wait, so that it also works
+where the task was cancelled because the caller has gone.
+"""
+
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+import trio
+
+from cleatlink.core.data import Endpoint, KvHandle, Limits, Placement, Refusal
+from cleatlink.core.errors import (
+    EndpointError,
+    EndpointRefusedError,
+    EndpointUnreachableError,
+    ErrorKind,
+    StreamBrokenError,
+)
+from cleatlink.request.budget import RetryBudget
+from cleatlink.request.classify import ModelOrder
+from cleatlink.request.events import (
+    Action,
+    Broken,
+    CallerGone,
+    Cancel,
+    Cause,
+    DeadlinePassed,
+    Decode,
+    Event,
+    Failed,
+    Finish,
+    Opened,
+    Place,
+    Placed,
+    Prefill,
+    PrefillDone,
+    Read,
+    Received,
+    Refuse,
+    Relay,
+    Resume,
+    Retried,
+    Unplaced,
+    Wasted,
+)
+from cleatlink.request.machine import ModelMachine
+from cleatlink.routing import Context, FleetView, place_request, release_request, reserve_request
+from cleatlink.serving.cancels import Canceller
+from cleatlink.serving.endpoints import EndpointClient, EventStream, Order
+from cleatlink.serving.metrics import Metrics
+from cleatlink.serving.news import News
+
+__all__ = ["Finished", "FlightParts", "ModelFlight", "Output", "Refused", "Tokens"]
+
+# A place older than this was found before a pause of this process.
+_PLACE_LIFETIME_S = 1.0
+_OPEN_TIMEOUT_S = 5.0
+_WORTH_WAITING = frozenset({ErrorKind.NO_ROOM, ErrorKind.NO_ENDPOINT})
+
+
+class Tokens(NamedTuple):
+    """Events to pass on, each with its position."""
+
+    events: list[tuple[int, bytes]]
+
+
+class Finished(NamedTuple):
+    """The answer is whole."""
+
+
+class Refused(NamedTuple):
+    """The request was given up."""
+
+    refusal: Refusal
+
+
+Output = Tokens | Finished | Refused
+SendNote = Callable[[str, int, tuple[str, ...], float], None]
+
+
+class FlightParts(NamedTuple):
+    """What every flight of an instance shares.
+
+    Attributes:
+        data_centre: Where this instance runs.
+        client: Speaks to endpoints.
+        canceller: Sends cancels in the background.
+        view: What is known of the fleet.
+        news: Wakes when the view changed.
+        metrics: The instance's counters.
+        budget: The instance's retry budget.
+        limits: Limits of the configuration in force.
+        rng: The seeded generator.
+        send_note: Tells peers of a request in flight.
+        drop_note: Tells peers that a request is over.
+        prefill_timeout_s: Seconds for a prefill.
+        stall_timeout_s: Seconds without a token.
+    """
+
+    data_centre: str
+    client: EndpointClient
+    canceller: Canceller
+    view: FleetView
+    news: News
+    metrics: Metrics
+    budget: RetryBudget
+    limits: Limits
+    rng: random.Random
+    send_note: SendNote
+    drop_note: Callable[[str], None]
+    prefill_timeout_s: float
+    stall_timeout_s: float
+
+
+class ModelFlight:
+    """One model request on its way."""
+
+    def __init__(self, order: ModelOrder, parts: FlightParts) -> None:
+        self._order = order
+        self._request = order.request
+        self._parts = parts
+        self._machine = ModelMachine(order.request.name, parts.limits, parts.budget)
+        self._actions: deque[Action] = deque(self._machine.start())
+        self._stream: EventStream | None = None
+        self._relayed: list[bytes] = []
+        self._placed_at = 0.0
+        self._noted = False
+        self._closed = False
+
+    @property
+    def relayed(self) -> list[bytes]:
+        """Data of every event passed on so far."""
+        return self._relayed
+
+    @property
+    def attempts(self) -> int:
+        """Attempts made so far."""
+        return self._machine.attempt + 1
+
+    async def advance(self) -> Output:
+        """Go on until there is something for the caller."""
+        out: list[tuple[int, bytes]] = []
+        while True:
+            action = self._actions[0]
+            if isinstance(action, Read) and out and not self._has_waiting():
+                return Tokens(out)
+            self._actions.popleft()
+            match action:
+                case Relay(position, data):
+                    self._relayed.append(data)
+                    out.append((position, data))
+                case Finish() | Refuse() if out:
+                    self._actions.appendleft(action)
+                    return Tokens(out)
+                case Finish():
+                    return Finished()
+                case Refuse(refusal):
+                    return Refused(refusal)
+                case _:
+                    await self._perform(action)
+
+    def close(self) -> None:
+        """Tear down, whatever the state; safe to call twice."""
+        if self._closed:
+            return
+        self._closed = True
+        for action in [*self._actions, *self._machine.handle(CallerGone())]:
+            if isinstance(action, Cancel | Wasted):
+                self._count(action)
+        release_request(self._parts.view, self._request)
+        self._parts.news.spread()
+        if self._noted:
+            self._parts.drop_note(self._request.name)
+
+    async def close_stream(self) -> None:
+        """Close the connection that is read, if one is open."""
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            with trio.CancelScope(shield=True, deadline=trio.current_time() + 1.0):
+                await stream.close()
+
+    def _has_waiting(self) -> bool:
+        return self._stream is not None and self._stream.has_waiting
+
+    async def _perform(self, action: Action) -> None:
+        """Carry one action out; what comes of it goes to the machine."""
+        if isinstance(action, Cancel | Wasted | Retried):
+            self._count(action)
+            return
+        event: Event = DeadlinePassed()
+        with trio.move_on_at(self._request.deadline):
+            event = await self._ask(action)
+        self._actions.extend(self._machine.handle(event))
+
+    async def _ask(self, action: Action) -> Event:
+        match action:
+            case Place(excluded):
+                return await self._place(excluded)
+            case Prefill():
+                return await self._prefill(action)
+            case Decode():
+                return await self._decode(action)
+            case Resume():
+                return await self._resume(action)
+            case Read(attempt):
+                return await self._read(attempt)
+        raise AssertionError(f"not an action to wait for: {action}")
+
+    def _count(self, action: Action) -> None:
+        match action:
+            case Cancel(endpoint, attempt):
+                self._parts.canceller.cancel(endpoint.address, self._request.name, attempt)
+            case Wasted():
+                self._parts.metrics.count_wasted(self._request.prompt_tokens)
+            case Retried(reason):
+                self._parts.metrics.count_retry(reason)
+
+    async def _place(self, excluded: frozenset[str]) -> Event:
+        """Find a place, waiting for room as long as the class allows."""
+        release_request(self._parts.view, self._request)
+        request_class = self._order.request_class
+        give_up_at = trio.current_time() + request_class.max_wait_s
+        while True:
+            now = trio.current_time()
+            context = Context(self._parts.data_centre, excluded, now, self._parts.rng)
+            found = place_request(self._request, request_class, self._parts.view, context)
+            if isinstance(found, Placement):
+                reserve_request(self._parts.view, self._request, found, now)
+                self._placed_at = now
+                return Placed(found)
+            if found.kind not in _WORTH_WAITING or now >= give_up_at:
+                return Unplaced(found)
+            with trio.move_on_at(give_up_at):
+                await self._parts.news.wait()
+
+    async def _prefill(self, action: Prefill) -> Event:
+        placement, attempt = action.placement, action.attempt
+        self._send_note(attempt, placement)
+        if trio.current_time() - self._placed_at > _PLACE_LIFETIME_S:
+            return Failed(attempt, placement.prefill, Cause.UNREACHABLE)
+        self._parts.metrics.count_prefill(self._request.prompt_tokens)
+        order = self._make_order(placement.prefill, attempt, action.position)
+        try:
+            with trio.fail_after(self._parts.prefill_timeout_s):
+                kv = await self._parts.client.prefill(order)
+        except (EndpointError, trio.TooSlowError) as error:
+            return self._fail(attempt, placement.prefill, error)
+        return PrefillDone(attempt, kv)
+
+    async def _decode(self, action: Decode) -> Event:
+        order = self._make_order(action.placement.decode, action.attempt, action.position)
+        return await self._open(order, action.kv)
+
+    async def _resume(self, action: Resume) -> Event:
+        return await self._open(self._make_order(action.endpoint, action.attempt, action.position))
+
+    async def _open(self, order: Order, kv: KvHandle | None = None) -> Event:
+        """Open a stream: a new decode with KV, else the running one again."""
+        await self.close_stream()
+        client = self._parts.client
+        try:
+            with trio.fail_after(_OPEN_TIMEOUT_S):
+                if kv is None:
+                    self._stream = await client.resume(order)
+                else:
+                    self._stream = await client.decode(order, kv)
+        except (EndpointError, trio.TooSlowError) as error:
+            return self._fail(order.attempt, order.endpoint, error)
+        return Opened(order.attempt)
+
+    async def _read(self, attempt: int) -> Event:
+        if self._stream is None:
+            return Broken(attempt)
+        try:
+            with trio.fail_after(self._parts.stall_timeout_s):
+                event = await self._stream.read()
+        except (StreamBrokenError, trio.TooSlowError):
+            return Broken(attempt)
+        return Received(attempt, event.owner, event.position, event.data, event.end)
+
+    def _fail(self, attempt: int, endpoint: Endpoint, error: Exception) -> Failed:
+        cause = Cause.UNKNOWN
+        if isinstance(error, EndpointUnreachableError):
+            cause = Cause.UNREACHABLE
+        elif isinstance(error, EndpointRefusedError):
+            cause = Cause.REFUSED
+            if error.leaving:
+                self._parts.view.mark_leaving(endpoint.name, trio.current_time())
+        return Failed(attempt, endpoint, cause)
+
+    def _make_order(self, endpoint: Endpoint, attempt: int, position: int) -> Order:
+        text = join_text(self._relayed, self._order.chat) if position else ""
+        order = self._order
+        return Order(endpoint, self._request.name, attempt, order.body, order.chat, position, text)
+
+    def _send_note(self, attempt: int, placement: Placement) -> None:
+        self._noted = True
+        addresses = (placement.prefill.address, placement.decode.address)
+        left = self._request.deadline - trio.current_time()
+        self._parts.send_note(self._request.name, attempt, addresses, left)
+
+
+def join_text(events: list[bytes], chat: bool) -> str:
+    """Join the text of an answer's events."""
+    return "".join(_event_text(data, chat) for data in events)
+
+
+def _event_text(data: bytes, chat: bool) -> str:
+    try:
+        choice = msgspec.json.decode(data)["choices"][0]
+        text = choice["delta"].get("content") if chat else choice["text"]
+    except (msgspec.MsgspecError, LookupError, TypeError, AttributeError):
+        return ""
+    return text if isinstance(text, str) else ""
--- /dev/null
+++ b/cleatlink/serving/peers.py
@@ -0,0 +1,322 @@
+"""Peers' side: heartbeats, notes on requests in flight, documents, once-only keys.
+
+The pure parts decide; this driver only moves their messages and keeps time.
+"""
+
+import math
+import time
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import httpx
+import msgspec
+import trio
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from cleatlink.members import Heartbeat, Members, Peer, PeerState, State
+from cleatlink.members.view import HEARTBEAT_S
+from cleatlink.request import Claim, ClaimState, KeyRegistry, Note, NoteBook, StoredAnswer
+from cleatlink.routing import FleetView
+from cleatlink.serving.cancels import Canceller
+from cleatlink.serving.datagrams import Datagrams, MessageError, decode_message
+from cleatlink.serving.documents import DocumentStore
+from cleatlink.serving.logs import Log
+from cleatlink.serving.metrics import Metrics
+from cleatlink.serving.platform import Document, DocumentKind
+from cleatlink.serving.settings import Settings
+
+__all__ = ["ClaimOrder", "PeerParts", "Peers", "Settlement"]
+
+_ASK_TIMEOUT_S = 2.0
+_TICK_S = 0.25
+# Work of a dead instance is left alone while as long ago as this nobody was heard.
+_PAUSE_S = 2.0
+
+
+class ClaimOrder(NamedTuple):
+    """A request to run a once-only key."""
+
+    key: str
+    fingerprint: str
+
+
+class Settlement(NamedTuple):
+    """How a granted key ended; no answer says that it surely did not run."""
+
+    key: str
+    answer: StoredAnswer | None
+
+
+class PeerDocuments(NamedTuple):
+    """Both documents as a peer has them."""
+
+    configuration: Document | None
+    instances: Document | None
+
+
+class PeerParts(NamedTuple):
+    """What the peers' side shares with the rest of the instance."""
+
+    settings: Settings
+    view: FleetView
+    store: DocumentStore
+    canceller: Canceller
+    metrics: Metrics
+
+
+class Peers:
+    """This instance among the others."""
+
+    def __init__(self, parts: PeerParts, members: Members) -> None:
+        self._parts = parts
+        self._members = members
+        self._notes = NoteBook()
+        self._keys = KeyRegistry()
+        self._state = State.STARTING
+        self._address = ""
+        self._datagrams: Datagrams | None = None
+        self._unconfirmed: dict[tuple[str, str], Note] = {}
+        self._keepers: dict[str, list[Peer]] = {}
+        self._fetching: set[str] = set()
+        self._client = httpx.AsyncClient(timeout=_ASK_TIMEOUT_S, trust_env=False)
+        self._last_tick = trio.current_time()
+        self._log = Log("peers")
+
+    @property
+    def members(self) -> Members:
+        """The membership as this instance sees it."""
+        return self._members
+
+    @property
+    def state(self) -> State:
+        """What this instance says of itself."""
+        return self._state
+
+    def start(self, nursery: trio.Nursery, address: str, datagrams: Datagrams) -> None:
+        """Beat and listen in a nursery from now on."""
+        self._address = address
+        self._datagrams = datagrams
+        nursery.start_soon(self._beat_always)
+        nursery.start_soon(self._listen_always, nursery)
+        nursery.start_soon(self._watch_always)
+
+    async def close(self) -> None:
+        """Close the connections to peers."""
+        await self._client.aclose()
+        if self._datagrams is not None:
+            self._datagrams.close()
+
+    def set_state(self, state: State) -> None:
+        """Say something else of this instance, and say it at once."""
+        self._state = state
+        self._beat()
+
+    def send_note(
+        self, name: str, attempt: int, endpoints: tuple[str, ...], expires_in_s: float
+    ) -> None:
+        """Tell two peers of a request in flight, before its order leaves."""
+        now = trio.current_time()
+        settings = self._parts.settings
+        note = Note(name, settings.name, settings.incarnation, attempt, endpoints, expires_in_s)
+        if name not in self._keepers:
+            self._keepers[name] = self._members.note_keepers(name, now)
+        for peer in self._keepers[name]:
+            self._unconfirmed[peer.address, name] = note
+            self._send(peer.address, "note", note)
+
+    def drop_note(self, name: str) -> None:
+        """Tell the peers that a request is over."""
+        for peer in self._keepers.pop(name, ()):
+            self._unconfirmed.pop((peer.address, name), None)
+            self._send(peer.address, "drop", name)
+
+    async def claim(self, order: ClaimOrder, home: str) -> Claim:
+        """Ask a key's owner for leave to run it."""
+        owner = self._members.owner(order.key, home, trio.current_time())
+        if owner is None:
+            return Claim(ClaimState.UNKNOWN)
+        if owner.name == self._members.name:
+            return self._claim_here(order)
+        try:
+            data = await self._ask(owner.address, "claim", msgspec.msgpack.encode(order))
+            return msgspec.msgpack.decode(data, type=Claim)
+        except (httpx.HTTPError, msgspec.MsgspecError):
+            return Claim(ClaimState.UNKNOWN)
+
+    async def settle(self, settlement: Settlement, home: str) -> None:
+        """Tell a key's owner how the call ended; a loss leaves it unknown."""
+        owner = self._members.owner(settlement.key, home, trio.current_time())
+        if owner is None:
+            return
+        if owner.name == self._members.name:
+            self._keys.settle(settlement.key, settlement.answer)
+            return
+        try:
+            await self._ask(owner.address, "settle", msgspec.msgpack.encode(settlement))
+        except httpx.HTTPError as error:
+            self._log.say("settlement lost.", key=settlement.key, reason=repr(error))
+
+    async def fetch_documents(self, address: str) -> bool:
+        """Ask a peer for its documents and take those that are newer."""
+        try:
+            response = await self._client.get(f"http://{address}/peer/documents")
+            documents = msgspec.msgpack.decode(response.content, type=PeerDocuments)
+        except (httpx.HTTPError, msgspec.MsgspecError):
+            return False
+        if documents.configuration is not None:
+            self._parts.store.offer(DocumentKind.CONFIG, documents.configuration)
+        if documents.instances is not None:
+            self._parts.store.offer(DocumentKind.INSTANCES, documents.instances)
+        return True
+
+    def build_app(self) -> QuartTrio:
+        """Build the app that peers ask."""
+        app = QuartTrio(__name__)
+
+        @app.get("/peer/documents")
+        async def documents() -> Response:
+            return _pack(self._documents())
+
+        @app.post("/peer/claim")
+        async def claim() -> Response:
+            order = msgspec.msgpack.decode(await request.data, type=ClaimOrder)
+            return _pack(self._claim_here(order))
+
+        @app.post("/peer/settle")
+        async def settle() -> Response:
+            settlement = msgspec.msgpack.decode(await request.data, type=Settlement)
+            self._keys.settle(settlement.key, settlement.answer)
+            return _pack(None)
+
+        @app.errorhandler(msgspec.MsgspecError)
+        async def not_understood(error: Exception) -> Response:
+            return Response(b"", status=400)
+
+        return app
+
+    def _claim_here(self, order: ClaimOrder) -> Claim:
+        now = trio.current_time()
+        since = self._members.owner_since(now)
+        # Keys carry callers' wall-clock times; ownership is kept on the monotonic one.
+        wall_since = time.time() - (now - since)
+        just_woken = now - self._last_tick > _PAUSE_S
+        if just_woken or self._state is State.LEAVING:
+            wall_since = math.inf
+        return self._keys.claim(order.key, order.fingerprint, wall_since, time.time())
+
+    def _documents(self) -> PeerDocuments:
+        published = self._parts.store.adopter.published
+        configuration = Document(*published) if published is not None else None
+        return PeerDocuments(configuration, self._parts.store.fleet)
+
+    async def _ask(self, address: str, path: str, body: bytes) -> bytes:
+        response = await self._client.post(f"http://{address}/peer/{path}", content=body)
+        response.raise_for_status()
+        return response.content
+
+    def _send(self, address: str, kind: str, value: object) -> None:
+        if self._datagrams is not None:
+            self._datagrams.send(address, kind, value)
+
+    def _beat(self) -> None:
+        """Send a heartbeat to every peer, and again the notes not yet confirmed."""
+        now = trio.current_time()
+        settings = self._parts.settings
+        heartbeat = Heartbeat(
+            settings.name,
+            settings.incarnation,
+            settings.data_centre,
+            self._address,
+            self._state,
+            self._parts.store.adopter.revision,
+            self._parts.view.leaving(now),
+            self._members.members_hash(now),
+        )
+        addresses = {peer.address for peer in self._members.peers(now)}
+        addresses |= {str(address) for address in settings.peers}
+        for address in sorted(addresses - {self._address}):
+            self._send(address, "beat", heartbeat)
+        for (address, _), note in self._unconfirmed.items():
+            self._send(address, "note", note)
+
+    async def _beat_always(self) -> None:
+        while True:
+            self._beat()
+            await trio.sleep(HEARTBEAT_S)
+
+    async def _listen_always(self, nursery: trio.Nursery) -> None:
+        assert self._datagrams is not None
+        while True:
+            data, sender = await self._datagrams.receive()
+            try:
+                kind, value = decode_message(data)
+            except MessageError:
+                self._parts.metrics.count_peer_message("not_understood")
+                continue
+            self._parts.metrics.count_peer_message(kind)
+            self._take(kind, value, sender, nursery)
+
+    def _take(self, kind: str, value: object, sender: str, nursery: trio.Nursery) -> None:
+        now = trio.current_time()
+        match value:
+            case Heartbeat():
+                self._take_heartbeat(value, now, nursery)
+            case Note():
+                self._notes.put(value, now)
+                self._send(sender, "ack", value.request)
+            case str() if kind == "ack":
+                self._unconfirmed.pop((sender, value), None)
+            case str():
+                self._notes.drop(value)
+
+    def _take_heartbeat(self, heartbeat: Heartbeat, now: float, nursery: trio.Nursery) -> None:
+        if not self._members.hear(heartbeat, now):
+            return
+        self._notes.declare_alive(heartbeat.name, heartbeat.incarnation)
+        for name in heartbeat.leaving:
+            self._parts.view.hear_leaving(name, now)
+        newer = heartbeat.revision > self._parts.store.adopter.highest_seen
+        if newer and heartbeat.peer_address not in self._fetching:
+            nursery.start_soon(self._fetch, heartbeat.peer_address)
+
+    async def _fetch(self, address: str) -> None:
+        self._fetching.add(address)
+        try:
+            await self.fetch_documents(address)
+        finally:
+            self._fetching.discard(address)
+
+    async def _watch_always(self) -> None:
+        """Notice deaths, and cancel what the dead left behind after a grace."""
+        while True:
+            await trio.sleep(_TICK_S)
+            now = trio.current_time()
+            paused = now - self._last_tick > _PAUSE_S
+            self._last_tick = now
+            if paused:
+                # Silence during an own pause says nothing of the others.
+                self._members.forgive_silence(now)
+                continue
+            for name, incarnation in self._members.take_dead(now):
+                self._log.say("peer is dead.", peer=name)
+                self._notes.declare_dead(name, incarnation, now)
+            for orphan in self._notes.take_due(now):
+                self._parts.canceller.cancel(orphan.address, orphan.request, orphan.attempt)
+
+    def describe(self) -> Mapping[str, object]:
+        """Describe the peers as this instance sees them."""
+        now = trio.current_time()
+        return {
+            "name": self._members.name,
+            "state": self._state.value,
+            "peers": {peer.name: peer.state.value for peer in self._members.peers(now)},
+            "notes": len(self._notes),
+            "suspects": [
+                peer.name for peer in self._members.peers(now) if peer.state is not PeerState.ALIVE
+            ],
+        }
+
+
+def _pack(value: object) -> Response:
+    return Response(msgspec.msgpack.encode(value), content_type="application/msgpack")
--- /dev/null
+++ b/cleatlink/serving/platform.py
@@ -0,0 +1,121 @@
+"""Platform's side: configuration and instance list, read and watched only."""
+
+from abc import ABC, abstractmethod
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+import httpx
+import msgspec
+
+from cleatlink.core.data import Endpoint, Fleet, Instance
+from cleatlink.core.errors import PlatformError
+from cleatlink.serving.settings import Address
+
+__all__ = ["Document", "DocumentKind", "HttpPlatform", "Platform", "read_fleet"]
+
+WATCH_S = 10.0
+_READ_TIMEOUT_S = 2.0
+
+
+class DocumentKind(StrEnum):
+    """What the platform publishes."""
+
+    CONFIG = "config"
+    INSTANCES = "instances"
+
+
+class Document(NamedTuple):
+    """One revision of a published document."""
+
+    revision: int
+    value: Any
+
+
+class Platform(ABC):
+    """What the router asks of the platform."""
+
+    @abstractmethod
+    async def read(self, kind: DocumentKind) -> Document | None:
+        """Read the newest revision that the platform gives.
+
+        Raises:
+            PlatformError: It did not answer as documented.
+        """
+
+    @abstractmethod
+    async def watch(self, kind: DocumentKind, after: int) -> Document | None:
+        """Wait for a revision above ``after``; None when the watch ran out.
+
+        Raises:
+            PlatformError: It did not answer as documented.
+        """
+
+
+class HttpPlatform(Platform):
+    """The platform's service over HTTP: ``/v1/config`` and ``/v1/instances``."""
+
+    def __init__(self, address: Address) -> None:
+        self._base = f"http://{address}/v1"
+        self._client = httpx.AsyncClient(trust_env=False)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    async def read(self, kind: DocumentKind) -> Document | None:
+        """Read the newest revision."""
+        return await self._get(f"{self._base}/{kind}", _READ_TIMEOUT_S)
+
+    async def watch(self, kind: DocumentKind, after: int) -> Document | None:
+        """Wait for a revision above ``after``."""
+        url = f"{self._base}/{kind}?after={after}&wait={WATCH_S}"
+        return await self._get(url, WATCH_S + _READ_TIMEOUT_S)
+
+    async def _get(self, url: str, timeout_s: float) -> Document | None:
+        try:
+            response = await self._client.get(url, timeout=timeout_s)
+        except httpx.HTTPError as error:
+            raise PlatformError(repr(error)) from error
+        if response.status_code == httpx.codes.NO_CONTENT:
+            return None
+        if response.status_code != httpx.codes.OK:
+            raise PlatformError(f"status {response.status_code}")
+        try:
+            data = msgspec.json.decode(response.content)
+            return Document(int(data["revision"]), data["value"])
+        except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as error:
+            raise PlatformError(f"not understood: {error!r}") from error
+
+
+def read_fleet(document: Document) -> Fleet:
+    """Read an instance list.
+
+    Raises:
+        PlatformError: It has not the documented form.
+    """
+    try:
+        value = document.value
+        endpoints = tuple(_read_endpoint(item) for item in value["endpoints"])
+        instances = tuple(_read_instance(item) for item in value["instances"])
+    except (KeyError, TypeError, AttributeError) as error:
+        raise PlatformError(f"instance list not understood: {error!r}") from error
+    return Fleet(document.revision, endpoints, instances)
+
+
+def _read_endpoint(item: dict[str, Any]) -> Endpoint:
+    return Endpoint(
+        str(item["name"]),
+        str(item["address"]),
+        str(item["data_centre"]),
+        str(item["pool"]),
+        item.get("state") == "leaving",
+    )
+
+
+def _read_instance(item: dict[str, Any]) -> Instance:
+    return Instance(
+        str(item["name"]),
+        str(item["peer_address"]),
+        str(item["data_centre"]),
+        item.get("state") == "leaving",
+    )
--- /dev/null
+++ b/cleatlink/serving/settings.py
@@ -0,0 +1,84 @@
+"""Settings of one entry instance, checked before anything starts."""
+
+import ipaddress
+from typing import NamedTuple
+
+from cleatlink.core.errors import ConfigurationError
+
+__all__ = ["Address", "Settings", "check_settings", "parse_address"]
+
+_MAX_PORT = 65_535
+
+
+class Address(NamedTuple):
+    """An IP number and a port; port 0 lets the system pick one."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class Settings(NamedTuple):
+    """What an entry instance learns from flags and environment variables.
+
+    Attributes:
+        name: Name of this instance in the instance list.
+        data_centre: Data centre in which it runs.
+        listen: Where callers reach it.
+        peer_listen: Where the other instances reach it, over TCP and UDP.
+        platform: Address of the platform's service; None runs without.
+        peers: Peers to ask at start when the platform can't be reached.
+        seed: Seed of the generator behind random choices.
+        incarnation: Grows with each start of this instance.
+        poll_s: Seconds between two load reports of an endpoint.
+        connect_timeout_s: Seconds to reach an endpoint.
+        prefill_timeout_s: Seconds for a prefill to be done.
+        stall_timeout_s: Seconds without a token until a stream counts as broken.
+    """
+
+    name: str
+    data_centre: str
+    listen: Address
+    peer_listen: Address
+    platform: Address | None
+    peers: tuple[Address, ...] = ()
+    seed: int = 0
+    incarnation: int = 1
+    poll_s: float = 1.0
+    connect_timeout_s: float = 1.0
+    prefill_timeout_s: float = 30.0
+    stall_timeout_s: float = 2.0
+
+
+def parse_address(text: str) -> Address:
+    """Parse ``IP:port``.
+
+    Raises:
+        ConfigurationError: It is no IP number with a port.
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        number = int(port)
+    except ValueError:
+        raise ConfigurationError(f"{text!r} is not an IP number and a port") from None
+    if not 0 <= number <= _MAX_PORT:
+        raise ConfigurationError(f"{text!r} has a port above {_MAX_PORT}")
+    return Address(host, number)
+
+
+def check_settings(settings: Settings) -> list[str]:
+    """Give everything that is wrong with settings, one sentence each."""
+    faults = []
+    for field in ("name", "data_centre"):
+        value = getattr(settings, field)
+        if not value or not value.replace("-", "").replace("_", "").isalnum():
+            faults.append(f"{field} must be made of letters, digits, '-' and '_'")
+    for field in ("poll_s", "connect_timeout_s", "prefill_timeout_s", "stall_timeout_s"):
+        if not 0.01 <= getattr(settings, field) <= 600:
+            faults.append(f"{field} must be from 0.01 to 600 seconds")
+    if settings.platform is None and not settings.peers:
+        faults.append("either a platform or a peer must be given")
+    return faults
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: the whole system on loopback as separate processes, and its check."""
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,355 @@
+"""A model engine: slots and memory, prefill by length, KV kept seconds, a link.
+
+Memory is held until the work is done or cancelled, also when nobody reads the
+stream any more: a router that forgets to cancel shows in the ledger. The
+answer is a pure function of the prompt, so a test can compare it in full.
+"""
+
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import NamedTuple, TypedDict
+
+import trio
+import xxhash
+
+__all__ = [
+    "Chunk",
+    "Engine",
+    "EngineSettings",
+    "Faults",
+    "Kv",
+    "Order",
+    "OrderRefusedError",
+    "expected_tokens",
+    "prompt_tokens",
+]
+
+_TOMBSTONE_S = 120.0
+
+
+class OrderRefusedError(Exception):
+    """The engine refuses an order, which therefore did not run."""
+
+    def __init__(self, status: int, code: str) -> None:
+        super().__init__(code)
+        self.status = status
+        self.code = code
+
+
+class EngineSettings(NamedTuple):
+    """How large and how fast an engine is; rates in tokens a second."""
+
+    name: str
+    slots: int = 16
+    memory_tokens: int = 200_000
+    prefill_rate: float = 50_000.0
+    token_s: float = 0.01
+    kv_keep_s: float = 3.0
+    link_rate: float = 500_000.0
+    report_lag_s: float = 0.2
+
+
+class Faults(TypedDict, total=False):
+    """Faults an engine can be told to have; positions are token positions."""
+
+    hang: bool
+    stall_at: int
+    drop_at: int
+    double_at: int
+    swap_at: int
+    foreign_at: int
+    cut_at: int
+    slow_prefill_s: float
+    stale_report: bool
+    lose_cancels: int
+
+
+class Order(NamedTuple):
+    """One order from a router; ``attempt`` grows with each try."""
+
+    request: str
+    attempt: int
+    prompt: str
+    max_tokens: int
+    position: int = 0
+    resumed_text: str = ""
+
+
+class Kv(NamedTuple):
+    """A prefill's result as the decode side names it."""
+
+    engine: str
+    request: str
+    attempt: int
+
+
+class Chunk(NamedTuple):
+    """One token on its way out; ``owner`` is ``request.attempt``."""
+
+    owner: str
+    position: int
+    text: str
+    last: bool
+
+
+class _Stream:
+    """A decode in progress: its tokens so far and who may read them."""
+
+    def __init__(self, order: Order) -> None:
+        self.order = order
+        self.tokens: list[str] = []
+        self.news = trio.Event()
+        self.done = False
+        self.cancelled = False
+        self.reader = 0
+
+    def wake(self) -> None:
+        """Tell readers that something changed."""
+        self.news.set()
+        self.news = trio.Event()
+
+
+def prompt_tokens(prompt: str) -> int:
+    """Count a prompt's tokens: one for each four bytes, as a rough engine would."""
+    return len(prompt.encode()) // 4 + 1
+
+
+def expected_tokens(prompt: str, count: int) -> list[str]:
+    """Give the answer that any engine gives to a prompt."""
+    return [f"{xxhash.xxh32_intdigest(f'{prompt}/{i}'.encode()) % 9973} " for i in range(count)]
+
+
+FetchKv = Callable[[Kv], Awaitable[int]]
+
+
+class Engine:
+    """An engine in process; ``run`` must run for as long as it lives."""
+
+    def __init__(self, settings: EngineSettings, fetch_kv: FetchKv) -> None:
+        self.settings = settings
+        self.faults: Faults = {}
+        self.leaving = False
+        self.counts: Counter[str] = Counter()
+        self.memory: dict[tuple[str, int, str], int] = {}
+        self._fetch_kv = fetch_kv
+        self._streams: dict[str, _Stream] = {}
+        self._kv_expiry: dict[tuple[str, int], float] = {}
+        self._cancelled: dict[str, tuple[int, float]] = {}
+        self._waiting_tokens = 0
+        self._prefill_lock = trio.StrictFIFOLock()
+        self._scopes: dict[tuple[str, int, str], trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+        self._reports: list[tuple[float, dict[str, object]]] = []
+
+    @property
+    def memory_used(self) -> int:
+        """Tokens of memory held now."""
+        return sum(self.memory.values())
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Expire KV and take reports until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            while True:
+                self._expire(trio.current_time())
+                if not self.faults.get("stale_report"):
+                    self._reports.append((trio.current_time(), self._report()))
+                    del self._reports[:-20]
+                await trio.sleep(0.1)
+
+    async def prefill(self, order: Order) -> Kv:
+        """Compute a prompt's KV and keep it for a few seconds."""
+        await self._hang()
+        self._check_new(order)
+        size = prompt_tokens(order.prompt + order.resumed_text)
+        key = (order.request, order.attempt, "prefill")
+        self._reserve(key, size)
+        self._waiting_tokens += size
+        scope = self._scopes[key] = trio.CancelScope()
+        try:
+            with scope:
+                async with self._prefill_lock:
+                    await trio.sleep(
+                        size / self.settings.prefill_rate + self.faults.get("slow_prefill_s", 0.0)
+                    )
+        finally:
+            self._waiting_tokens -= size
+            self._scopes.pop(key, None)
+        if scope.cancelled_caught:
+            raise OrderRefusedError(409, "cancelled")
+        self.counts["prefills"] += 1
+        self.counts["prefill_tokens"] += size
+        until = trio.current_time() + self.settings.kv_keep_s
+        self._kv_expiry[order.request, order.attempt] = until
+        return Kv(self.settings.name, order.request, order.attempt)
+
+    async def export_kv(self, request: str, attempt: int) -> int:
+        """Send a prefill's KV over the link; afterwards it is held no more."""
+        size = self.memory.get((request, attempt, "prefill"))
+        if size is None or (request, attempt) not in self._kv_expiry:
+            raise OrderRefusedError(410, "kv_gone")
+        await trio.sleep(size / self.settings.link_rate)
+        self._release((request, attempt, "prefill"))
+        self.counts["kv_used"] += 1
+        self.counts["kv_used_tokens"] += size
+        return size
+
+    async def decode(self, order: Order, kv: Kv) -> AsyncIterator[Chunk]:
+        """Import KV, then start to decode; the stream can be read at once."""
+        await self._hang()
+        self._check_new(order)
+        if len(self._streams) >= self.settings.slots:
+            raise OrderRefusedError(503, "full")
+        key = (order.request, order.attempt, "decode")
+        self._reserve(key, prompt_tokens(order.prompt) + order.max_tokens)
+        stream = self._streams[order.request] = _Stream(order)
+        try:
+            if kv.engine == self.settings.name:
+                await self.export_kv(kv.request, kv.attempt)
+            else:
+                await self._fetch_kv(kv)
+        except BaseException:
+            self._drop_stream(stream)
+            raise
+        if stream.cancelled:
+            raise OrderRefusedError(409, "cancelled")
+        self.counts["decodes"] += 1
+        assert self._nursery is not None
+        self._nursery.start_soon(self._generate, stream)
+        return self._read(stream, order.position)
+
+    async def resume(self, request: str, attempt: int, position: int) -> AsyncIterator[Chunk]:
+        """Read a running stream again from a position; an older reader stops."""
+        await self._hang()
+        stream = self._streams.get(request)
+        if stream is None or stream.order.attempt != attempt or stream.cancelled:
+            raise OrderRefusedError(410, "stream_gone")
+        self.counts["resumes"] += 1
+        return self._read(stream, position)
+
+    def cancel(self, request: str, attempt: int) -> None:
+        """Drop all work of a request up to an attempt, also what arrives later."""
+        if self.faults.get("lose_cancels", 0) > 0:
+            self.faults["lose_cancels"] -= 1
+            raise OrderRefusedError(503, "cancel_lost")
+        self.counts["cancels"] += 1
+        self._cancelled[request] = (attempt, trio.current_time() + _TOMBSTONE_S)
+        for key in [key for key in self.memory if key[0] == request and key[1] <= attempt]:
+            if key in self._scopes:
+                self._scopes[key].cancel()
+            self._release(key)
+        stream = self._streams.get(request)
+        if stream is not None and stream.order.attempt <= attempt:
+            stream.cancelled = True
+            stream.wake()
+            self._streams.pop(request)
+
+    def report(self) -> dict[str, object]:
+        """Give the load as it was one report lag ago."""
+        seen = trio.current_time() - self.settings.report_lag_s
+        old = [report for at, report in self._reports if at <= seen]
+        return old[-1] if old else self._report()
+
+    def _report(self) -> dict[str, object]:
+        return {
+            "endpoint": self.settings.name,
+            "slots": self.settings.slots,
+            "running": len(self._streams),
+            "waiting_tokens": self._waiting_tokens,
+            "memory_tokens": self.settings.memory_tokens,
+            "memory_free_tokens": self.settings.memory_tokens - self.memory_used,
+            "leaving": self.leaving,
+            "prefill_tokens_per_s": self.settings.prefill_rate,
+        }
+
+    async def _hang(self) -> None:
+        if self.faults.get("hang"):
+            await trio.sleep_forever()
+
+    def _check_new(self, order: Order) -> None:
+        if self.leaving:
+            self.counts["refused_leaving"] += 1
+            raise OrderRefusedError(503, "leaving")
+        attempt, _ = self._cancelled.get(order.request, (-1, 0.0))
+        if order.attempt <= attempt:
+            raise OrderRefusedError(409, "cancelled")
+
+    def _reserve(self, key: tuple[str, int, str], size: int) -> None:
+        if self.memory_used + size > self.settings.memory_tokens:
+            raise OrderRefusedError(503, "memory")
+        self.memory[key] = size
+
+    def _release(self, key: tuple[str, int, str]) -> None:
+        self.memory.pop(key, None)
+        if key[2] == "prefill":
+            self._kv_expiry.pop(key[:2], None)
+
+    def _expire(self, now: float) -> None:
+        for request, attempt in [key for key, until in self._kv_expiry.items() if until < now]:
+            self.counts["kv_expired"] += 1
+            self._release((request, attempt, "prefill"))
+        for request in [name for name, (_, until) in self._cancelled.items() if until < now]:
+            del self._cancelled[request]
+
+    def _drop_stream(self, stream: _Stream) -> None:
+        order = stream.order
+        self._release((order.request, order.attempt, "decode"))
+        if self._streams.get(order.request) is stream:
+            del self._streams[order.request]
+
+    async def _generate(self, stream: _Stream) -> None:
+        order = stream.order
+        answer = expected_tokens(order.prompt, order.max_tokens)
+        stream.tokens = answer[: order.position]
+        for token in answer[order.position :]:
+            while self.faults.get("stall_at") == len(stream.tokens):
+                await trio.sleep(0.1)
+            await trio.sleep(self.settings.token_s)
+            if stream.cancelled:
+                return
+            stream.tokens.append(token)
+            stream.wake()
+        stream.done = True
+        stream.wake()
+        self._release((order.request, order.attempt, "decode"))
+        # The finished text stays readable for as long as KV would, so that a
+        # chunk lost at the very end can be asked for again.
+        await trio.sleep(self.settings.kv_keep_s)
+        self._drop_stream(stream)
+
+    async def _read(self, stream: _Stream, position: int) -> AsyncIterator[Chunk]:
+        stream.reader += 1
+        reader = stream.reader
+        owner = f"{stream.order.request}.{stream.order.attempt}"
+        stream.wake()
+        while not stream.cancelled and stream.reader == reader:
+            news = stream.news
+            while position < len(stream.tokens):
+                last = position + 1 == stream.order.max_tokens
+                for chunk in self._spoil(Chunk(owner, position, stream.tokens[position], last)):
+                    yield chunk
+                position += 1
+            if stream.done:
+                return
+            await news.wait()
+
+    def _spoil(self, chunk: Chunk) -> list[Chunk]:
+        """Apply the faults of this engine to one chunk; each strikes once."""
+        at = chunk.position
+        if self.faults.get("cut_at") == at:
+            del self.faults["cut_at"]
+            raise OrderRefusedError(500, "cut")
+        if self.faults.get("drop_at") == at:
+            del self.faults["drop_at"]
+            return []
+        if self.faults.get("double_at") == at:
+            del self.faults["double_at"]
+            return [chunk, chunk]
+        if self.faults.get("foreign_at") == at:
+            del self.faults["foreign_at"]
+            return [chunk._replace(owner="another-request.0", text="WRONG "), chunk]
+        if self.faults.get("swap_at") == at:
+            del self.faults["swap_at"]
+            return [chunk._replace(position=at + 1), chunk]
+        return [chunk]
--- /dev/null
+++ b/standins/engine_app.py
@@ -0,0 +1,151 @@
+"""The model engine over HTTP, in the field's usual forms."""
+
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import httpx
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from standins.engine import Chunk, Engine, EngineSettings, Kv, Order, OrderRefusedError
+
+__all__ = ["build_app", "build_engine"]
+
+
+def build_engine(settings: EngineSettings) -> Engine:
+    """Make an engine that fetches KV from other engines over HTTP."""
+    client = httpx.AsyncClient(timeout=30.0)
+
+    async def fetch(kv: Kv) -> int:
+        try:
+            answer = await client.post(
+                f"http://{kv.engine}/kv/export",
+                json={"request": kv.request, "attempt": kv.attempt},
+            )
+        except httpx.HTTPError as error:
+            raise OrderRefusedError(410, "kv_gone") from error
+        if answer.status_code != 200:
+            raise OrderRefusedError(410, "kv_gone")
+        return int(answer.json()["tokens"])
+
+    return Engine(settings, fetch)
+
+
+def build_app(engine: Engine) -> QuartTrio:
+    """Serve the engine; ``/admin`` is for demos and tests."""
+    app = QuartTrio(__name__)
+
+    @app.errorhandler(OrderRefusedError)
+    async def refused(error: OrderRefusedError) -> tuple[dict[str, Any], int]:
+        return {"error": {"code": error.code, "ran": "no"}}, error.status
+
+    @app.post("/v1/completions")
+    async def completions() -> Response:
+        return await _serve_order(engine, chat=False)
+
+    @app.post("/v1/chat/completions")
+    async def chat() -> Response:
+        return await _serve_order(engine, chat=True)
+
+    @app.post("/v1/resume")
+    async def resume() -> Response:
+        body = await request.get_json()
+        chunks = await engine.resume(body["request"], body["attempt"], body["position"])
+        return _stream(chunks, chat=body["chat"], model=body["model"])
+
+    @app.post("/v1/cancel")
+    async def cancel() -> dict[str, Any]:
+        body = await request.get_json()
+        engine.cancel(body["request"], body["attempt"])
+        return {}
+
+    @app.post("/kv/export")
+    async def export() -> dict[str, Any]:
+        body = await request.get_json()
+        return {"tokens": await engine.export_kv(body["request"], body["attempt"])}
+
+    @app.get("/load")
+    async def load() -> dict[str, Any]:
+        return engine.report()
+
+    @app.get("/admin/ledger")
+    async def ledger() -> dict[str, Any]:
+        held = ["/".join(map(str, key)) for key in engine.memory]
+        return {"memory": engine.memory_used, "held": held, "counts": engine.counts}
+
+    @app.post("/admin/faults")
+    async def faults() -> dict[str, Any]:
+        body = await request.get_json()
+        engine.leaving = body.pop("leaving", engine.leaving)
+        engine.faults.update(body)
+        return {}
+
+    return app
+
+
+async def _serve_order(engine: Engine, chat: bool) -> Response:
+    """Prefill or decode, as ``kv_transfer_params`` says."""
+    body = await request.get_json()
+    transfer = body["kv_transfer_params"]
+    order = _read_order(body)
+    if transfer.get("do_remote_decode"):
+        kv = await engine.prefill(order)
+        answer = {
+            "kv_transfer_params": {
+                "do_remote_prefill": True,
+                "remote_engine_id": kv.engine,
+                "remote_host": request.host.rpartition(":")[0],
+                "remote_port": int(request.host.rpartition(":")[2]),
+                "remote_block_ids": [kv.attempt],
+            }
+        }
+        return Response(json.dumps(answer), content_type="application/json")
+    address = f"{transfer['remote_host']}:{transfer['remote_port']}"
+    same = transfer["remote_engine_id"] == engine.settings.name
+    kv = Kv(
+        engine.settings.name if same else address, order.request, transfer["remote_block_ids"][0]
+    )
+    return _stream(await engine.decode(order, kv), chat, body["model"])
+
+
+def _read_order(body: dict[str, Any]) -> Order:
+    prompt = body.get("prompt")
+    if prompt is None:
+        prompt = "\n".join(str(message["content"]) for message in body["messages"])
+    resumed = body.get("resume") or {"position": 0, "text": ""}
+    return Order(
+        request.headers["X-Request-Id"],
+        int(request.headers["X-Attempt"]),
+        prompt,
+        body["max_tokens"],
+        resumed["position"],
+        resumed["text"],
+    )
+
+
+def _stream(chunks: AsyncIterator[Chunk], chat: bool, model: str) -> Response:
+    async def events() -> AsyncIterator[bytes]:
+        async for chunk in chunks:
+            yield _event(chunk, chat, model)
+
+    response = Response(events(), content_type="text/event-stream")
+    response.timeout = None
+    return response
+
+
+def _event(chunk: Chunk, chat: bool, model: str) -> bytes:
+    """Write one chunk; the last one is followed by the usual end mark."""
+    content: dict[str, Any] = {"delta": {"content": chunk.text}} if chat else {"text": chunk.text}
+    choice = {"index": 0, "finish_reason": "length" if chunk.last else None, **content}
+    data = {
+        "id": chunk.owner.rpartition(".")[0],
+        "object": "chat.completion.chunk" if chat else "text_completion",
+        "created": 0,
+        "model": model,
+        "choices": [choice],
+    }
+    event = f"id: {chunk.owner}:{chunk.position}\ndata: {json.dumps(data)}\n\n"
+    if chunk.last:
+        event += f"id: {chunk.owner}:{chunk.position + 1}\ndata: [DONE]\n\n"
+    return event.encode()
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,53 @@
+"""A plain service that counts executions by key, and can be slow or cut off."""
+
+from collections import Counter
+
+import trio
+from quart import Response, request
+from quart_trio import QuartTrio
+
+__all__ = ["PlainService"]
+
+
+class PlainService:
+    """Counts every execution before it answers: the ledger of once-only calls."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.executions: Counter[str] = Counter()
+        self.delay_s = 0.0
+        self.leaving = False
+
+    async def execute(self, method: str, path: str, key: str, body: bytes) -> bytes:
+        """Run one call: count it, wait as told, answer with what was asked."""
+        self.executions[key] += 1
+        await trio.sleep(self.delay_s)
+        return f"{method} {path} {key} ".encode() + body
+
+
+def build_app(service: PlainService) -> QuartTrio:
+    """Serve the plain service over HTTP, with its ledger and faults."""
+    app = QuartTrio(__name__)
+
+    @app.get("/load")
+    async def load() -> dict[str, object]:
+        return {"endpoint": service.name, "leaving": service.leaving}
+
+    @app.get("/admin/ledger")
+    async def ledger() -> dict[str, object]:
+        return {"executions": service.executions}
+
+    @app.post("/admin/faults")
+    async def faults() -> dict[str, object]:
+        settings = await request.get_json()
+        service.delay_s = settings.get("delay_s", service.delay_s)
+        service.leaving = settings.get("leaving", service.leaving)
+        return {}
+
+    @app.route("/<path:path>", methods=["GET", "POST", "PUT", "DELETE", "PATCH"])
+    async def call(path: str) -> Response:
+        key = request.headers.get("Idempotency-Key") or f"{request.method} /{path}"
+        body = await request.data
+        return Response(await service.execute(request.method, f"/{path}", key, body))
+
+    return app
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for those who work on cleatlink."""
