Promises as scenarios over whole instances in virtual time; three faults mended

(1) A stream that stalled for good: an endpoint out of reach at the first attempt stayed excluded for the whole request, so nothing was left 6 s later. (2) KV that expired before its import: the decode that refused it was excluded like a sick one. (3) An endpoint leaving by refusal only, its reports old: it was asked again after 10 s. Ruled out: the stand-ins (their ledgers agree with the callers), the deadline (60 s, 15 used). Change: failures before the last one are forgiven when nothing else is left; a refusal excludes only for the next try; a refused leaving holds until a report shows it or 120 s; a decode read again twice without news is given up. Conclusion: exclusion is for the next try, not for ever.

--- a/cleatlink/core/errors.py
+++ b/cleatlink/core/errors.py
@@ -19,6 +19,8 @@
     "EndpointUnreachableError",
     "ErrorKind",
     "OutcomeUnknownError",
+    "PeerError",
+    "PeerUnreachableError",
     "PlatformError",
     "RequestError",
     "StreamBrokenError",
@@ -105,6 +107,14 @@
     """The platform's service did not answer, or not as documented."""
 
 
+class PeerError(CleatlinkError):
+    """A peer did not answer, or not as expected; it may have acted."""
+
+
+class PeerUnreachableError(PeerError):
+    """No byte left for the peer: the connection was never made."""
+
+
 class RequestError(CleatlinkError):
     """A caller's request is refused before it is placed."""
 
--- a/cleatlink/request/machine.py
+++ b/cleatlink/request/machine.py
@@ -40,7 +40,9 @@
 __all__ = ["ModelMachine", "Phase"]
 
 # Reading one decode again is cheap; a stream that needs it more often is sick.
-_MAX_RESUMES = 8
+_MAX_RESUMES = 16
+# A decode that gives nothing new when read again this often has stalled for good.
+_MAX_IDLE_RESUMES = 2
 
 
 class Phase(StrEnum):
@@ -63,9 +65,11 @@
         self._attempt = -1
         self._placement: Placement | None = None
         self._excluded: set[str] = set()
+        self._last_failed = ""
         self._holders: list[tuple[Endpoint, int]] = []
         self._next = 0
         self._resumes = 0
+        self._idle_resumes = 0
         self._ran = Ran.NO
         self._prefill_unused = False
         self._foreign = 0
@@ -112,7 +116,7 @@
             case Placed(placement):
                 return self._begin_attempt(placement)
             case Unplaced(refusal):
-                return self._give_up(self._truthful(refusal))
+                return self._place_again(refusal)
             case PrefillDone(_, kv):
                 return self._begin_decode(kv)
             case Failed():
@@ -164,6 +168,7 @@
             self._phase = Phase.DONE
             return [Finish()]
         self._next += 1
+        self._idle_resumes = 0
         self._prefill_unused = False
         return [Relay(event.position, event.data), Read(self._attempt)]
 
@@ -171,7 +176,8 @@
         """Read the decode again, or start another attempt where that is no use."""
         assert self._placement is not None
         self._resumes += 1
-        if self._resumes > _MAX_RESUMES:
+        self._idle_resumes += 1
+        if self._resumes > _MAX_RESUMES or self._idle_resumes > _MAX_IDLE_RESUMES:
             failed = Failed(self._attempt, self._placement.decode, Cause.UNKNOWN)
             return self._retry(failed)
         resume = Resume(self._attempt, self._placement.decode, self._next)
@@ -184,13 +190,24 @@
             event = event._replace(cause=Cause.UNKNOWN)
         if event.cause is Cause.UNKNOWN and self._ran is Ran.NO:
             self._ran = Ran.UNKNOWN
-        self._excluded.add(event.endpoint.name)
+        self._last_failed = event.endpoint.name
+        if event.cause is not Cause.REFUSED:
+            self._excluded.add(event.endpoint.name)
         actions = self._drop_attempt(event)
         if self._attempt + 1 >= self._limits.max_attempts or not self._budget.take():
             return actions + self._give_up(self._failure_refusal())
         self._phase = Phase.PLACING
-        self._resumes = 0
-        return [*actions, Retried(event.cause.value), Place(frozenset(self._excluded))]
+        self._resumes = self._idle_resumes = 0
+        # What refused may accept later, as when only the hand-over was too slow.
+        excluded = frozenset(self._excluded | {event.endpoint.name})
+        return [*actions, Retried(event.cause.value), Place(excluded)]
+
+    def _place_again(self, refusal: Refusal) -> list[Action]:
+        """Forgive what failed before the last failure if nothing else is left."""
+        if self._excluded - {self._last_failed}:
+            self._excluded.clear()
+            return [Place(frozenset({self._last_failed}))]
+        return self._give_up(self._truthful(refusal))
 
     def _drop_attempt(self, event: Failed) -> list[Action]:
         """Cancel every holder, but for an endpoint that surely holds nothing."""
--- a/cleatlink/routing/view.py
+++ b/cleatlink/routing/view.py
@@ -15,8 +15,12 @@
 
 # An endpoint whose own report is older than this may have left unseen.
 CONFIRM_S = 4.0
-# Reports lag: after a first-hand word of leaving, a report may still say otherwise.
+# Reports lag: one that no longer says leaving counts only after this long.
 LEAVING_HOLD_S = 10.0
+# A refusal is ahead of the reports. Until one of them shows the leaving, or the
+# endpoint was started anew, nothing that they say is news; this bounds the wait
+# in case the leaving was taken back before any report showed it.
+REFUSAL_HOLD_S = 120.0
 
 
 class Reservation(NamedTuple):
@@ -93,13 +97,17 @@
 
     def report(self, report: LoadReport, now: float) -> None:
         """Take an endpoint's own load report."""
-        self._reports[report.endpoint] = (report, now)
+        name = report.endpoint
+        known = self._reports.get(name)
+        if known is not None and known[0].incarnation != report.incarnation:
+            self._leaving_until.pop(name, None)
+        self._reports[name] = (report, now)
         if report.leaving:
-            self.mark_leaving(report.endpoint, now)
+            self._leaving_until[name] = now + LEAVING_HOLD_S
 
-    def mark_leaving(self, name: str, now: float) -> None:
-        """Note an endpoint's own word that it is leaving."""
-        self._leaving_until[name] = now + LEAVING_HOLD_S
+    def refuse_leaving(self, name: str, now: float) -> None:
+        """Note that an endpoint refused work because it is leaving."""
+        self._leaving_until[name] = now + REFUSAL_HOLD_S
 
     def hear_leaving(self, name: str, now: float) -> None:
         """Note a peer's word that an endpoint is leaving.
--- a/cleatlink/scripts/main.py
+++ b/cleatlink/scripts/main.py
@@ -1,7 +1,6 @@
 """The ``cleatlink`` command."""
 
 import json
-import signal
 import sys
 import time
 from pathlib import Path
@@ -12,7 +11,7 @@
 
 from cleatlink.config import load_configuration
 from cleatlink.core.errors import ConfigurationError
-from cleatlink.serving import Address, Entry, Settings, check_settings, parse_address
+from cleatlink.serving import Address, Settings, check_settings, parse_address, run_daemon
 from cleatlink.serving.logs import write_logs
 
 __all__ = ["main"]
@@ -78,21 +77,11 @@
     if faults:
         raise click.UsageError("; ".join(faults))
     write_logs()
-    trio.run(_run_entry, settings)
-
-
-async def _run_entry(settings: Settings) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        instance = Entry(settings)
-        async with trio.open_nursery() as nursery:
-            callers, peers = await instance.start(nursery)
-            click.echo(json.dumps({"address": str(callers), "peer_address": str(peers)}))
-            async for _ in signals:
-                break
-            await instance.stop()
-            nursery.cancel_scope.cancel()
-        with trio.CancelScope(shield=True):
-            await instance.close()
+    trio.run(run_daemon, settings, _print_addresses)
+
+
+def _print_addresses(callers: Address, peers: Address) -> None:
+    click.echo(json.dumps({"address": str(callers), "peer_address": str(peers)}))
 
 
 @main.group()
--- a/cleatlink/serving/endpoints.py
+++ b/cleatlink/serving/endpoints.py
@@ -29,6 +29,7 @@
     "Order",
     "PlainAnswer",
     "StreamEvent",
+    "read_report",
 ]
 
 _MAX_CONNECTIONS = 1_000
@@ -258,7 +259,7 @@
             response = await self._client.get(
                 f"http://{endpoint.address}/load", timeout=_REPORT_TIMEOUT_S
             )
-            return _read_report(endpoint, role, msgspec.json.decode(response.content))
+            return read_report(endpoint, role, msgspec.json.decode(response.content))
         except (httpx.HTTPError, msgspec.MsgspecError, TypeError, ValueError) as error:
             raise EndpointError(f"no load report: {error!r}") from error
 
@@ -328,7 +329,7 @@
     return OutcomeUnknownError(f"status {response.status_code}")
 
 
-def _read_report(endpoint: Endpoint, role: Role, data: Mapping[str, Any]) -> LoadReport:
+def read_report(endpoint: Endpoint, role: Role, data: Mapping[str, Any]) -> LoadReport:
     """Read a report; a plain service gives little more than its leaving."""
     return LoadReport(
         endpoint.name,
--- a/cleatlink/serving/entry.py
+++ b/cleatlink/serving/entry.py
@@ -1,11 +1,13 @@
-"""The daemon: one entry instance, put together from its parts.
+"""One entry instance, put together from its parts.
 
-Ownership is explicit: ``start`` runs everything in the nursery it is given,
-``stop`` is a planned stop that waits for all work in progress, ``close`` ends
-what is left.
+What reaches other processes is passed in, so that the same code runs over
+sockets and in a test's virtual time. ``start`` runs everything in the nursery
+it is given; ``stop`` is a planned stop that waits for all work in progress.
 """
 
 import random
+from collections.abc import Callable
+from typing import NamedTuple
 
 import trio
 
@@ -14,50 +16,72 @@
 from cleatlink.members import Members, State
 from cleatlink.request import RetryBudget
 from cleatlink.routing import FleetView
-from cleatlink.serving.callers import CallerParts, build_caller_app
+from cleatlink.serving.callers import CallerApp, CallerParts, build_caller_app
 from cleatlink.serving.cancels import Canceller
-from cleatlink.serving.datagrams import Datagrams
 from cleatlink.serving.documents import DocumentStore, watch_platform
-from cleatlink.serving.endpoints import HttpEndpointClient
+from cleatlink.serving.endpoints import EndpointClient
 from cleatlink.serving.flight import FlightParts
-from cleatlink.serving.http import serve_app
 from cleatlink.serving.logs import Log
 from cleatlink.serving.metrics import Metrics
 from cleatlink.serving.news import News
+from cleatlink.serving.peer_link import PeerLink
 from cleatlink.serving.peers import PeerParts, Peers
-from cleatlink.serving.platform import DocumentKind, HttpPlatform
-from cleatlink.serving.settings import Address, Settings
+from cleatlink.serving.platform import DocumentKind, Platform
+from cleatlink.serving.settings import Settings
 
-__all__ = ["Entry"]
+__all__ = ["Entry", "Outside"]
 
 _DEFAULT_RETRY_SHARE = 0.1
 _ASK_PEERS_S = 2.0
 _STOP_POLL_S = 0.05
 
 
+class Outside(NamedTuple):
+    """What an instance reaches outside itself.
+
+    Attributes:
+        client: Speaks to endpoints.
+        platform: The platform's service; None runs without.
+        link: Moves messages to and from peers.
+        wall_time: Gives the time since 1970 in seconds.
+    """
+
+    client: EndpointClient
+    platform: Platform | None
+    link: PeerLink
+    wall_time: Callable[[], float]
+
+
 class Entry:
     """One entry instance."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, outside: Outside) -> None:
         self._settings = settings
+        self._client = outside.client
+        self._platform = outside.platform
         self._metrics = Metrics()
         self._view = FleetView()
         self._news = News()
         self._rng = random.Random(settings.seed)
         self._budget = RetryBudget(_DEFAULT_RETRY_SHARE)
-        self._client = HttpEndpointClient(settings.connect_timeout_s)
         self._canceller = Canceller(self._client, self._metrics)
         self._store = DocumentStore(self._metrics, self._use_configuration, self._use_fleet)
-        self._platform = HttpPlatform(settings.platform) if settings.platform else None
         self._members = Members(settings.name, settings.data_centre, trio.current_time())
-        parts = PeerParts(settings, self._view, self._store, self._canceller, self._metrics)
+        parts = PeerParts(
+            settings,
+            outside.link,
+            self._view,
+            self._store,
+            self._canceller,
+            self._metrics,
+            outside.wall_time,
+        )
         self._peers = Peers(parts, self._members)
         self._flight_parts: FlightParts | None = None
         self._in_flight = 0
         self._request_count = 0
         self._ready = False
         self._stopping = False
-        self._stopped = trio.Event()
         self._polling: set[str] = set()
         self._log = Log("entry")
 
@@ -71,38 +95,39 @@
         """Requests in progress."""
         return self._in_flight
 
-    async def start(self, nursery: trio.Nursery) -> tuple[Address, Address]:
-        """Start everything; give the addresses for callers and for peers."""
+    @property
+    def revision(self) -> int:
+        """Configuration revision in force."""
+        return self._store.adopter.revision
+
+    @property
+    def view(self) -> FleetView:
+        """What this instance believes of the fleet."""
+        return self._view
+
+    @property
+    def peers(self) -> Peers:
+        """This instance among the others."""
+        return self._peers
+
+    def start(self, nursery: trio.Nursery) -> CallerApp:
+        """Start everything in a nursery; give the app that callers reach."""
         self._canceller.start(nursery)
-        app = build_caller_app(self._caller_parts(nursery))
-        peer_address = await serve_app(
-            nursery, self._peers.build_app(), self._settings.peer_listen, self._stopped.wait
-        )
-        self._peers.start(nursery, str(peer_address), Datagrams(peer_address))
+        self._peers.start(nursery)
         nursery.start_soon(self._become_ready, nursery)
         nursery.start_soon(self._poll_always, nursery)
-        address = await serve_app(nursery, app, self._settings.listen, self._stopped.wait)
-        self._log.say("listens.", callers=str(address), peers=str(peer_address))
-        return address, peer_address
+        return build_caller_app(self._caller_parts(nursery))
 
     async def stop(self) -> None:
-        """Stop as planned: take nothing new, finish everything, then stop listening."""
+        """Stop as planned: take nothing new and finish everything."""
         self._stopping = True
         self._peers.set_state(State.LEAVING)
         self._log.say("stops when its work is done.", in_flight=self._in_flight)
         while self._in_flight or self._canceller.pending:
             await trio.sleep(_STOP_POLL_S)
         self._peers.set_state(State.LEAVING)
-        self._stopped.set()
         self._log.say("has stopped.")
 
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._client.close()
-        await self._peers.close()
-        if self._platform is not None:
-            await self._platform.close()
-
     def _use_configuration(self, configuration: Configuration) -> None:
         self._view.set_configuration(configuration)
         self._budget.set_share(configuration.limits.retry_share)
--- a/cleatlink/serving/flight.py
+++ b/cleatlink/serving/flight.py
@@ -290,7 +290,7 @@
         elif isinstance(error, EndpointRefusedError):
             cause = Cause.REFUSED
             if error.leaving:
-                self._parts.view.mark_leaving(endpoint.name, trio.current_time())
+                self._parts.view.refuse_leaving(endpoint.name, trio.current_time())
         return Failed(attempt, endpoint, cause)
 
     def _make_order(self, endpoint: Endpoint, attempt: int, position: int) -> Order:
--- a/cleatlink/serving/peers.py
+++ b/cleatlink/serving/peers.py
@@ -4,32 +4,32 @@
 """
 
 import math
-import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-import httpx
 import msgspec
 import trio
-from quart import Response, request
-from quart_trio import QuartTrio
 
+from cleatlink.core.errors import PeerError, PeerUnreachableError
 from cleatlink.members import Heartbeat, Members, Peer, PeerState, State
 from cleatlink.members.view import HEARTBEAT_S
 from cleatlink.request import Claim, ClaimState, KeyRegistry, Note, NoteBook, StoredAnswer
 from cleatlink.routing import FleetView
 from cleatlink.serving.cancels import Canceller
-from cleatlink.serving.datagrams import Datagrams, MessageError, decode_message
 from cleatlink.serving.documents import DocumentStore
 from cleatlink.serving.logs import Log
 from cleatlink.serving.metrics import Metrics
 from cleatlink.serving.news import News
+from cleatlink.serving.peer_link import Message, PeerLink
 from cleatlink.serving.platform import Document, DocumentKind
 from cleatlink.serving.settings import Settings
 
 __all__ = ["ClaimOrder", "PeerParts", "Peers", "Settlement"]
 
 _ASK_TIMEOUT_S = 2.0
+_CLAIM = "claim"
+_SETTLE = "settle"
+_DOCUMENTS = "documents"
 _CLAIM_WAIT_S = 1.0
 _TICK_S = 0.25
 # Work of a dead instance is left alone while as long ago as this nobody was heard.
@@ -58,13 +58,25 @@
 
 
 class PeerParts(NamedTuple):
-    """What the peers' side shares with the rest of the instance."""
+    """What the peers' side shares with the rest of the instance.
+
+    Attributes:
+        settings: This instance's settings.
+        link: Moves messages to and from peers.
+        view: What is known of the fleet.
+        store: Configuration and instance list.
+        canceller: Sends cancels in the background.
+        metrics: The instance's counters.
+        wall_time: Gives the time since 1970, in which keys carry theirs.
+    """
 
     settings: Settings
+    link: PeerLink
     view: FleetView
     store: DocumentStore
     canceller: Canceller
     metrics: Metrics
+    wall_time: Callable[[], float]
 
 
 class Peers:
@@ -76,13 +88,10 @@
         self._notes = NoteBook()
         self._keys = KeyRegistry()
         self._state = State.STARTING
-        self._address = ""
-        self._datagrams: Datagrams | None = None
         self._unconfirmed: dict[tuple[str, str], Note] = {}
         self._keepers: dict[str, list[Peer]] = {}
         self._fetching: set[str] = set()
         self._settled = News()
-        self._client = httpx.AsyncClient(timeout=_ASK_TIMEOUT_S, trust_env=False)
         self._last_tick = trio.current_time()
         self._log = Log("peers")
 
@@ -96,20 +105,13 @@
         """What this instance says of itself."""
         return self._state
 
-    def start(self, nursery: trio.Nursery, address: str, datagrams: Datagrams) -> None:
+    def start(self, nursery: trio.Nursery) -> None:
         """Beat and listen in a nursery from now on."""
-        self._address = address
-        self._datagrams = datagrams
+        self._last_tick = trio.current_time()
         nursery.start_soon(self._beat_always)
         nursery.start_soon(self._listen_always, nursery)
         nursery.start_soon(self._watch_always)
 
-    async def close(self) -> None:
-        """Close the connections to peers."""
-        await self._client.aclose()
-        if self._datagrams is not None:
-            self._datagrams.close()
-
     def set_state(self, state: State) -> None:
         """Say something else of this instance, and say it at once."""
         self._state = state
@@ -142,11 +144,11 @@
         if owner.name == self._members.name:
             return await self._claim_here(order)
         try:
-            data = await self._ask(owner.address, "claim", msgspec.msgpack.encode(order))
+            data = await self._ask(owner.address, _CLAIM, order)
             return msgspec.msgpack.decode(data, type=Claim)
-        except (httpx.ConnectError, httpx.ConnectTimeout):
+        except PeerUnreachableError:
             return Claim(ClaimState.UNAVAILABLE)
-        except (httpx.HTTPError, msgspec.MsgspecError):
+        except (PeerError, msgspec.MsgspecError):
             # The owner may have granted the key to this claim and its answer was lost.
             return Claim(ClaimState.UNKNOWN)
 
@@ -159,16 +161,16 @@
             self._settle_here(settlement)
             return
         try:
-            await self._ask(owner.address, "settle", msgspec.msgpack.encode(settlement))
-        except httpx.HTTPError as error:
+            await self._ask(owner.address, _SETTLE, settlement)
+        except PeerError as error:
             self._log.say("settlement lost.", key=settlement.key, reason=repr(error))
 
     async def fetch_documents(self, address: str) -> bool:
         """Ask a peer for its documents and take those that are newer."""
         try:
-            response = await self._client.get(f"http://{address}/peer/documents")
-            documents = msgspec.msgpack.decode(response.content, type=PeerDocuments)
-        except (httpx.HTTPError, msgspec.MsgspecError):
+            data = await self._ask(address, _DOCUMENTS, None)
+            documents = msgspec.msgpack.decode(data, type=PeerDocuments)
+        except (PeerError, msgspec.MsgspecError):
             return False
         if documents.configuration is not None:
             self._parts.store.offer(DocumentKind.CONFIG, documents.configuration)
@@ -176,30 +178,26 @@
             self._parts.store.offer(DocumentKind.INSTANCES, documents.instances)
         return True
 
-    def build_app(self) -> QuartTrio:
-        """Build the app that peers ask."""
-        app = QuartTrio(__name__)
-
-        @app.get("/peer/documents")
-        async def documents() -> Response:
-            return _pack(self._documents())
-
-        @app.post("/peer/claim")
-        async def claim() -> Response:
-            order = msgspec.msgpack.decode(await request.data, type=ClaimOrder)
-            return _pack(await self._claim_here(order))
-
-        @app.post("/peer/settle")
-        async def settle() -> Response:
-            settlement = msgspec.msgpack.decode(await request.data, type=Settlement)
-            self._settle_here(settlement)
-            return _pack(None)
-
-        @app.errorhandler(msgspec.MsgspecError)
-        async def not_understood(error: Exception) -> Response:
-            return Response(b"", status=400)
+    async def answer(self, path: str, body: bytes) -> bytes:
+        """Answer what a peer asks.
 
-        return app
+        Raises:
+            PeerError: Nobody of ours asks that.
+        """
+        try:
+            return msgspec.msgpack.encode(await self._answer(path, body))
+        except msgspec.MsgspecError as error:
+            raise PeerError(f"not understood: {error}") from error
+
+    async def _answer(self, path: str, body: bytes) -> object:
+        if path == _DOCUMENTS:
+            return self._documents()
+        if path == _CLAIM:
+            return await self._claim_here(msgspec.msgpack.decode(body, type=ClaimOrder))
+        if path == _SETTLE:
+            self._settle_here(msgspec.msgpack.decode(body, type=Settlement))
+            return None
+        raise PeerError(f"no such question: {path}")
 
     async def _claim_here(self, order: ClaimOrder) -> Claim:
         """Judge a claim; one for a key that is being run waits a little."""
@@ -218,25 +216,24 @@
         now = trio.current_time()
         since = self._members.owner_since(now)
         # Keys carry callers' wall-clock times; ownership is kept on the monotonic one.
-        wall_since = time.time() - (now - since)
+        wall_since = self._parts.wall_time() - (now - since)
         just_woken = now - self._last_tick > _PAUSE_S
         if just_woken or self._state is State.LEAVING:
             wall_since = math.inf
-        return self._keys.claim(order.key, order.fingerprint, wall_since, time.time())
+        return self._keys.claim(order.key, order.fingerprint, wall_since, self._parts.wall_time())
 
     def _documents(self) -> PeerDocuments:
         published = self._parts.store.adopter.published
         configuration = Document(*published) if published is not None else None
         return PeerDocuments(configuration, self._parts.store.fleet)
 
-    async def _ask(self, address: str, path: str, body: bytes) -> bytes:
-        response = await self._client.post(f"http://{address}/peer/{path}", content=body)
-        response.raise_for_status()
-        return response.content
+    async def _ask(self, address: str, path: str, question: object) -> bytes:
+        with trio.move_on_after(_ASK_TIMEOUT_S):
+            return await self._parts.link.ask(address, path, msgspec.msgpack.encode(question))
+        raise PeerError("no answer in time")
 
     def _send(self, address: str, kind: str, value: object) -> None:
-        if self._datagrams is not None:
-            self._datagrams.send(address, kind, value)
+        self._parts.link.send(address, Message(kind, value))
 
     def _beat(self) -> None:
         """Send a heartbeat to every peer, and again the notes not yet confirmed."""
@@ -246,7 +243,7 @@
             settings.name,
             settings.incarnation,
             settings.data_centre,
-            self._address,
+            self._parts.link.address,
             self._state,
             self._parts.store.adopter.revision,
             self._parts.view.leaving(now),
@@ -254,7 +251,7 @@
         )
         addresses = {peer.address for peer in self._members.peers(now)}
         addresses |= {str(address) for address in settings.peers}
-        for address in sorted(addresses - {self._address}):
+        for address in sorted(addresses - {self._parts.link.address}):
             self._send(address, "beat", heartbeat)
         for (address, _), note in self._unconfirmed.items():
             self._send(address, "note", note)
@@ -265,16 +262,13 @@
             await trio.sleep(HEARTBEAT_S)
 
     async def _listen_always(self, nursery: trio.Nursery) -> None:
-        assert self._datagrams is not None
         while True:
-            data, sender = await self._datagrams.receive()
-            try:
-                kind, value = decode_message(data)
-            except MessageError:
+            message, sender = await self._parts.link.receive()
+            if message is None:
                 self._parts.metrics.count_peer_message("not_understood")
                 continue
-            self._parts.metrics.count_peer_message(kind)
-            self._take(kind, value, sender, nursery)
+            self._parts.metrics.count_peer_message(message.kind)
+            self._take(message.kind, message.value, sender, nursery)
 
     def _take(self, kind: str, value: object, sender: str, nursery: trio.Nursery) -> None:
         now = trio.current_time()
@@ -335,7 +329,3 @@
                 peer.name for peer in self._members.peers(now) if peer.state is not PeerState.ALIVE
             ],
         }
-
-
-def _pack(value: object) -> Response:
-    return Response(msgspec.msgpack.encode(value), content_type="application/msgpack")
--- /dev/null
+++ b/features/fakes.py
@@ -0,0 +1,366 @@
+"""Small fakes at the instance's interfaces: endpoints, platform, peers, callers.
+
+They carry calls to the stand-ins in process, on virtual time, and can be cut.
+"""
+
+from collections import Counter
+from collections.abc import AsyncIterator, Mapping
+from typing import Any
+
+import msgspec
+import trio
+
+from cleatlink.core.data import Endpoint, KvHandle, LoadReport, Role
+from cleatlink.core.errors import (
+    EndpointError,
+    EndpointRefusedError,
+    EndpointUnreachableError,
+    OutcomeUnknownError,
+    PeerUnreachableError,
+    PlatformError,
+    StreamBrokenError,
+)
+from cleatlink.request.classify import prompt_bytes
+from cleatlink.serving.endpoints import (
+    EndpointClient,
+    EventStream,
+    Order,
+    PlainAnswer,
+    StreamEvent,
+    read_report,
+)
+from cleatlink.serving.peer_link import Message, PeerLink, decode_message, encode_message
+from cleatlink.serving.peers import Peers
+from cleatlink.serving.platform import Document, DocumentKind, Platform
+from standins import engine as engines
+from standins.engine_app import event_data
+from standins.platform import Platform as PlatformStandin
+from standins.service import PlainService
+
+LATENCY_S = 0.001
+
+
+class Fleet:
+    """Engines and services in process, by address, and how they can be reached."""
+
+    def __init__(self) -> None:
+        self.engines: dict[str, engines.Engine] = {}
+        self.services: dict[str, PlainService] = {}
+        self.dead: set[str] = set()
+        self.cut_calls: dict[str, str] = {}
+        self.no_reports: set[str] = set()
+        self.died: dict[str, trio.Event] = {}
+        self.orders: Counter[str] = Counter()
+
+    def engine(self, address: str) -> engines.Engine:
+        if address in self.dead:
+            raise EndpointUnreachableError(f"{address} is dead")
+        return self.engines[address]
+
+    def kill(self, address: str) -> None:
+        """Let a process die; its memory goes with it."""
+        self.dead.add(address)
+        self.died.setdefault(address, trio.Event()).set()
+
+    def memory(self) -> dict[str, int]:
+        """Tokens held by each engine that lives."""
+        return {
+            name: engine.memory_used
+            for name, engine in self.engines.items()
+            if name not in self.dead
+        }
+
+
+class FakeClient(EndpointClient):
+    """Orders that reach the stand-ins in process."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.dead = False
+        self.stale_reports = False
+
+    async def _reach(self, address: str) -> engines.Engine:
+        if self.dead:
+            await trio.sleep_forever()
+        await trio.sleep(LATENCY_S)
+        return self.fleet.engine(address)
+
+    async def prefill(self, order: Order) -> KvHandle:
+        address = order.endpoint.address
+        engine = await self._reach(address)
+        self.fleet.orders[address] += 1
+        try:
+            with trio.CancelScope() as scope:
+                kv = await self._until_death(address, scope, engine.prefill(_engine_order(order)))
+        except engines.OrderRefusedError as error:
+            raise EndpointRefusedError(error.code, error.code == "leaving") from error
+        if address in self.fleet.dead:
+            raise OutcomeUnknownError("died")
+        return KvHandle(kv.engine, address, 0, (kv.attempt,))
+
+    async def decode(self, order: Order, kv: KvHandle) -> EventStream:
+        engine = await self._reach(order.endpoint.address)
+        self.fleet.orders[order.endpoint.address] += 1
+        handle = engines.Kv(kv.engine, order.request, kv.blocks[0])
+        try:
+            chunks = await engine.decode(_engine_order(order), handle)
+        except engines.OrderRefusedError as error:
+            raise EndpointRefusedError(error.code, error.code == "leaving") from error
+        return FakeStream(chunks, order, self.fleet)
+
+    async def resume(self, order: Order) -> EventStream:
+        engine = await self._reach(order.endpoint.address)
+        try:
+            chunks = await engine.resume(order.request, order.attempt, order.position)
+        except engines.OrderRefusedError as error:
+            raise EndpointRefusedError(error.code) from error
+        return FakeStream(chunks, order, self.fleet)
+
+    async def cancel(self, address: str, request: str, attempt: int) -> None:
+        try:
+            (await self._reach(address)).cancel(request, attempt)
+        except engines.OrderRefusedError as error:
+            raise EndpointError("cancel lost") from error
+
+    async def report(self, endpoint: Endpoint, role: Role) -> LoadReport:
+        address = endpoint.address
+        if self.dead or address in self.fleet.dead or address in self.fleet.no_reports:
+            raise EndpointError("no report")
+        await trio.sleep(LATENCY_S)
+        if address in self.fleet.services:
+            data: Mapping[str, Any] = {"leaving": self.fleet.services[address].leaving}
+        else:
+            data = self.fleet.engine(address).report()
+        report = read_report(endpoint, role, data)
+        return report._replace(leaving=False) if self.stale_reports else report
+
+    async def call(
+        self, endpoint: Endpoint, method: str, path: str, headers: Mapping[str, str], body: bytes
+    ) -> PlainAnswer:
+        address = endpoint.address
+        if self.dead:
+            await trio.sleep_forever()
+        cut = self.fleet.cut_calls.get(address, "")
+        if cut == "before" or address in self.fleet.dead:
+            raise EndpointUnreachableError("no connection")
+        if cut == "during":
+            raise OutcomeUnknownError("cut while sending")
+        key = headers.get("idempotency-key", f"{method} {path}")
+        answer = await self.fleet.services[address].execute(method, path, key, body)
+        if cut == "after":
+            raise OutcomeUnknownError("answer lost")
+        return PlainAnswer(200, {"content-type": "text/plain"}, answer)
+
+    async def _until_death(self, address: str, scope: trio.CancelScope, work: Any) -> Any:
+        """Await work at an endpoint, but no longer than the endpoint lives."""
+        died = self.fleet.died.setdefault(address, trio.Event())
+
+        async def watch() -> None:
+            await died.wait()
+            scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            result = await work
+            nursery.cancel_scope.cancel()
+        return result
+
+
+class FakeStream(EventStream):
+    """An engine's stream in process; it breaks when the engine dies."""
+
+    def __init__(self, chunks: AsyncIterator[engines.Chunk], order: Order, fleet: Fleet) -> None:
+        self._chunks = chunks
+        self._order = order
+        self._fleet = fleet
+        self._end: StreamEvent | None = None
+
+    @property
+    def has_waiting(self) -> bool:
+        return self._end is not None
+
+    async def read(self) -> StreamEvent:
+        if self._end is not None:
+            return self._end
+        address = self._order.endpoint.address
+        try:
+            chunk = await anext(self._chunks)
+        except (StopAsyncIteration, engines.OrderRefusedError) as error:
+            raise StreamBrokenError("ended") from error
+        if address in self._fleet.dead:
+            raise StreamBrokenError("died")
+        if chunk.last:
+            self._end = StreamEvent(chunk.owner, chunk.position + 1, b"[DONE]", True)
+        data = event_data(chunk, self._order.chat, str(self._order.body["model"]))
+        return StreamEvent(chunk.owner, chunk.position, data, False)
+
+    async def close(self) -> None:
+        await self._chunks.aclose()  # type: ignore[attr-defined]
+
+
+def _engine_order(order: Order) -> engines.Order:
+    prompt = prompt_bytes(order.body, order.chat).decode()
+    limit = order.body["max_tokens"]
+    return engines.Order(order.request, order.attempt, prompt, limit, order.position, order.text)
+
+
+class FakePlatform(Platform):
+    """The platform's stand-in in process; can be cut off for one instance."""
+
+    def __init__(self, platform: PlatformStandin) -> None:
+        self._platform = platform
+        self.cut = False
+
+    async def read(self, kind: DocumentKind) -> Document | None:
+        await trio.sleep(LATENCY_S)
+        self._check()
+        return _document(self._platform.read(kind.value))
+
+    async def watch(self, kind: DocumentKind, after: int) -> Document | None:
+        self._check()
+        document = await self._platform.watch(kind.value, after, 10.0)
+        self._check()
+        return _document(document)
+
+    def _check(self) -> None:
+        self._platform.calls += 1
+        if self._platform.down or self.cut:
+            raise PlatformError("down")
+
+
+def _document(data: dict[str, Any] | None) -> Document | None:
+    return None if data is None else Document(data["revision"], data["value"])
+
+
+class Network:
+    """Peers' messages in process; pairs of addresses can be cut."""
+
+    def __init__(self) -> None:
+        self.links: dict[str, FakeLink] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.lose_kinds: set[str] = set()
+
+    def cut(self, left: list[str], right: list[str]) -> None:
+        """Cut every pair of the two sides."""
+        self.cuts |= {frozenset((a, b)) for a in left for b in right}
+
+    def reaches(self, sender: str, receiver: str) -> bool:
+        links = self.links
+        alive = all(name in links and not links[name].dead for name in (sender, receiver))
+        return alive and frozenset((sender, receiver)) not in self.cuts
+
+
+class FakeLink(PeerLink):
+    """One instance's link to its peers in process."""
+
+    def __init__(self, network: Network, address: str) -> None:
+        self._network = network
+        self._address = address
+        self._send, self._receive = trio.open_memory_channel[tuple[bytes, str]](1000)
+        self.dead = False
+        self.peers: Peers | None = None
+        network.links[address] = self
+
+    @property
+    def address(self) -> str:
+        return self._address
+
+    def send(self, address: str, message: Message) -> None:
+        lost = message.kind in self._network.lose_kinds
+        if not lost and self._network.reaches(self._address, address):
+            link = self._network.links[address]
+            link._send.send_nowait((encode_message(message), self._address))
+
+    async def receive(self) -> tuple[Message | None, str]:
+        data, sender = await self._receive.receive()
+        return decode_message(data), sender
+
+    async def ask(self, address: str, path: str, body: bytes) -> bytes:
+        await trio.sleep(LATENCY_S)
+        if not self._network.reaches(self._address, address):
+            raise PeerUnreachableError("no connection")
+        peers = self._network.links[address].peers
+        assert peers is not None
+        return await peers.answer(path, body)
+
+
+class Caller:
+    """Calls an ASGI app in process and can go away at any time."""
+
+    def __init__(self, app: Any) -> None:
+        self._app = app
+        self._gone = trio.Event()
+        self._sent = False
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = b""
+        self.news = trio.Event()
+
+    def go_away(self) -> None:
+        """Disconnect."""
+        self._gone.set()
+
+    async def request(
+        self, method: str, path: str, body: bytes, headers: Mapping[str, str]
+    ) -> "Caller":
+        """Send one request and take its answer."""
+        raw = [(name.lower().encode(), value.encode()) for name, value in headers.items()]
+        scope = {
+            "type": "http",
+            "asgi": {"version": "3.0"},
+            "http_version": "1.1",
+            "method": method,
+            "scheme": "http",
+            "path": path,
+            "raw_path": path.encode(),
+            "query_string": b"",
+            "root_path": "",
+            "headers": [(b"content-length", str(len(body)).encode()), *raw],
+            "client": ("127.0.0.1", 1),
+            "server": ("127.0.0.1", 80),
+            "state": {},
+            "extensions": {},
+        }
+
+        async def receive() -> dict[str, Any]:
+            if not self._sent:
+                self._sent = True
+                return {"type": "http.request", "body": body, "more_body": False}
+            await self._gone.wait()
+            return {"type": "http.disconnect"}
+
+        await self._app(scope, receive, self._take)
+        return self
+
+    async def _take(self, message: dict[str, Any]) -> None:
+        await trio.lowlevel.checkpoint()
+        if message["type"] == "http.response.start":
+            self.status = message["status"]
+            self.headers = {k.decode(): v.decode() for k, v in message["headers"]}
+        elif message["type"] == "http.response.body" and not self._gone.is_set():
+            self.body += message.get("body", b"")
+        self.news.set()
+        self.news = trio.Event()
+
+    @property
+    def ids(self) -> list[int]:
+        """Event ids received."""
+        lines = self.body.decode().splitlines()
+        return [int(line[4:]) for line in lines if line.startswith("id: ")]
+
+    @property
+    def ended(self) -> int:
+        """End marks received."""
+        return self.body.count(b"data: [DONE]")
+
+    @property
+    def text(self) -> str:
+        """Text received in events."""
+        lines = self.body.decode().splitlines()
+        data = [msgspec.json.decode(line[6:]) for line in lines if line.startswith("data: {")]
+        return "".join(item["choices"][0]["text"] for item in data if "choices" in item)
+
+    @property
+    def error(self) -> dict[str, Any]:
+        """The error of a refusal."""
+        return dict(msgspec.json.decode(self.body)["error"])
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -60,6 +60,7 @@
     foreign_at: int
     cut_at: int
     slow_prefill_s: float
+    slow_decode_s: float
     stale_report: bool
     lose_cancels: int
 
@@ -207,6 +208,7 @@
         self._check_new(order)
         if self.running >= self.settings.slots:
             raise OrderRefusedError(503, "full")
+        await trio.sleep(self.faults.pop("slow_decode_s", 0.0))
         key = (order.request, order.attempt, "decode")
         self._reserve(key, prompt_tokens(order.prompt) + order.max_tokens)
         stream = self._streams[order.request] = _Stream(order)
--- a/standins/engine_app.py
+++ b/standins/engine_app.py
@@ -10,7 +10,7 @@
 
 from standins.engine import Chunk, Engine, EngineSettings, Kv, Order, OrderRefusedError
 
-__all__ = ["build_app", "build_engine"]
+__all__ = ["build_app", "build_engine", "event_data"]
 
 
 def build_engine(settings: EngineSettings) -> Engine:
@@ -134,8 +134,8 @@
     return response
 
 
-def _event(chunk: Chunk, chat: bool, model: str) -> bytes:
-    """Write one chunk; the last one is followed by the usual end mark."""
+def event_data(chunk: Chunk, chat: bool, model: str) -> bytes:
+    """Write one chunk's data in the usual form."""
     content: dict[str, Any] = {"delta": {"content": chunk.text}} if chat else {"text": chunk.text}
     choice = {"index": 0, "finish_reason": "length" if chunk.last else None, **content}
     data = {
@@ -145,7 +145,14 @@
         "model": model,
         "choices": [choice],
     }
-    event = f"id: {chunk.owner}:{chunk.position}\ndata: {json.dumps(data)}\n\n"
+    return json.dumps(data).encode()
+
+
+def _event(chunk: Chunk, chat: bool, model: str) -> bytes:
+    """Write one chunk as an event; the last one is followed by the usual end mark."""
+    owner = chunk.owner.encode()
+    data = event_data(chunk, chat, model)
+    event = b"id: %b:%d\ndata: %b\n\n" % (owner, chunk.position, data)
     if chunk.last:
-        event += f"id: {chunk.owner}:{chunk.position + 1}\ndata: [DONE]\n\n"
-    return event.encode()
+        event += b"id: %b:%d\ndata: [DONE]\n\n" % (owner, chunk.position + 1)
+    return event
