--- a/cleatlink/serving/peers.py
+++ b/cleatlink/serving/peers.py
@@ -236,7 +236,7 @@
         self._parts.link.send(address, Message(kind, value))
 
     def _beat(self) -> None:
-        """Send a heartbeat to every peer, and again the notes not yet confirmed."""
+        """Send a heartbeat to every peer."""
         now = trio.current_time()
         settings = self._parts.settings
         heartbeat = Heartbeat(
@@ -253,12 +253,16 @@
         addresses |= {str(address) for address in settings.peers}
         for address in sorted(addresses - {self._parts.link.address}):
             self._send(address, "beat", heartbeat)
+
+    def _repeat_notes(self) -> None:
+        """Send the notes again that no peer has confirmed yet."""
         for (address, _), note in self._unconfirmed.items():
             self._send(address, "note", note)
 
     async def _beat_always(self) -> None:
         while True:
             self._beat()
+            self._repeat_notes()
             await trio.sleep(HEARTBEAT_S)
 
     async def _listen_always(self, nursery: trio.Nursery) -> None:
