Tests of the pure parts; a broken configuration says each fault once

A section read a second time for the checks between sections noted its faults again, and a number that was none was taken as the smallest one, which then broke another rule. Ruled out: equal faults in the document itself. Change: sections are kept once read; a broken number stands for its default.

--- a/cleatlink/config/document.py
+++ b/cleatlink/config/document.py
@@ -41,6 +41,7 @@
         self._node = node
         self._known: set[str] = set()
         self._values: dict[str, yaml.Node] = {}
+        self._sections: dict[str, Section] = {}
         if isinstance(node, yaml.MappingNode):
             self._read_keys(node)
         else:
@@ -82,7 +83,7 @@
             number = float(value)
         except ValueError:
             self.fault(f"must be a number, not {value!r}", key)
-            return low
+            return low if default is None else default
         if not low <= number <= high:
             self.fault(f"must be from {low:g} to {high:g}, not {value}", key)
         return number
@@ -119,9 +120,13 @@
     def section(self, key: str) -> "Section":
         """Read a mapping below this one; an absent key is an empty mapping."""
         self._known.add(key)
-        mark = self._node.start_mark
-        empty = yaml.MappingNode("tag:yaml.org,2002:map", [], mark, mark)
-        return Section(self._values.get(key, empty), self._join(key), self._faults)
+        if key not in self._sections:
+            mark = self._node.start_mark
+            empty = yaml.MappingNode("tag:yaml.org,2002:map", [], mark, mark)
+            node = self._values.get(key, empty)
+            # Kept, so that a section read again notes its faults only once.
+            self._sections[key] = Section(node, self._join(key), self._faults)
+        return self._sections[key]
 
     def named_sections(self, key: str) -> dict[str, "Section"]:
         """Read a mapping whose values are mappings."""
--- /dev/null
+++ b/cleatlink/request/call_test.py
@@ -0,0 +1,58 @@
+"""A call that may not be repeated leaves at most once, whatever happens."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cleatlink.core.data import CallRule, Endpoint, Limits, Ran, Refusal
+from cleatlink.core.errors import ANSWERS, ErrorKind
+from cleatlink.request.budget import RetryBudget
+from cleatlink.request.call import Answered, CallMachine, Found, Send, is_repeatable
+from cleatlink.request.events import Cause, DeadlinePassed, Failed, Place, Refuse, Unplaced
+
+LIMITS = Limits(1000, 1000, 1000, 10, 4, 0.1)
+S1 = Endpoint("s1", "s1", "a", "plain")
+RULES = (CallRule("GET", "/tiles/*"), CallRule("POST", "/work-orders*"))
+
+
+def test_rules_and_methods_decide_what_is_repeatable() -> None:
+    assert not is_repeatable(RULES, "GET", "/tiles/7/left")
+    assert is_repeatable(RULES, "GET", "/units/7")
+    assert not is_repeatable(RULES, "POST", "/work-orders")
+    assert not is_repeatable(RULES, "POST", "/anything")
+    assert is_repeatable(RULES, "PUT", "/units/7")
+    assert not is_repeatable((CallRule("*", "/*"),), "PUT", "/units/7")
+
+
+CAUSES = st.sampled_from(Cause)
+STEPS = st.lists(st.one_of(CAUSES, st.sampled_from(["found", "none", "answer", "deadline"])))
+
+
+@given(STEPS, st.booleans())
+def test_never_leaves_twice(steps: list[object], repeatable: bool) -> None:
+    machine = CallMachine(repeatable, LIMITS, RetryBudget(1.0))
+    pending = machine.start()[-1]
+    may_have_left = 0
+    for step in steps:
+        attempt = pending.attempt if isinstance(pending, Send) else -1
+        if step == "deadline":
+            actions = machine.handle(DeadlinePassed())
+            may_have_left += isinstance(pending, Send)
+        elif isinstance(pending, Place) and step in ("found", "none"):
+            found = Found(S1) if step == "found" else Unplaced(Refusal(ErrorKind.NO_ENDPOINT, ""))
+            actions = machine.handle(found)
+        elif isinstance(pending, Send) and step == "answer":
+            may_have_left += 1
+            actions = machine.handle(Answered(attempt, 200, {}, b""))
+        elif isinstance(pending, Send) and isinstance(step, Cause):
+            may_have_left += step is Cause.UNKNOWN
+            actions = machine.handle(Failed(attempt, S1, step))
+        else:
+            continue
+        if not actions:
+            continue
+        pending = actions[-1]  # type: ignore[assignment]
+        if isinstance(pending, Refuse):
+            not_run = ANSWERS[pending.refusal.kind].ran == "no"
+            assert not_run == (may_have_left == 0)
+            assert not_run == (machine.ran is Ran.NO)
+    assert repeatable or may_have_left <= 1
--- /dev/null
+++ b/cleatlink/request/keys_test.py
@@ -0,0 +1,96 @@
+"""Once-only keys: granted once, truthful about what can't be known, bounded."""
+
+import math
+import uuid
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cleatlink.request.keys import (
+    CLOCK_SKEW_S,
+    KEY_LIFETIME_S,
+    Claim,
+    ClaimState,
+    KeyRegistry,
+    StoredAnswer,
+    find_home,
+    parse_key_time,
+)
+
+NOW = 1_700_000_000.0
+ANSWER = StoredAnswer(200, "text/plain", b"done")
+
+
+def make_key(at: float, number: int = 0) -> str:
+    value = int(at * 1000) << 80 | 0x7 << 76 | 0x2 << 62 | number
+    return str(uuid.UUID(int=value))
+
+
+def test_key_time_and_home() -> None:
+    key = make_key(NOW)
+    assert parse_key_time(key) == NOW
+    assert parse_key_time(f"a:{key}") == NOW
+    assert find_home(f"b:{key}", ["a", "b"]) == "b"
+    assert find_home(f"c:{key}", ["a", "b"]) is None
+    assert find_home(key, ["b", "a"]) == find_home(key, ["a", "b"])
+    for wrong in ("", "x", str(uuid.uuid4()), key[:-1], f"{{{key}}}"):
+        assert parse_key_time(wrong) is None
+
+
+def test_granted_once_then_running_then_done() -> None:
+    registry, key = KeyRegistry(), make_key(NOW)
+    assert registry.claim(key, "f", NOW - 60, NOW).state is ClaimState.GRANTED
+    assert registry.claim(key, "f", NOW - 60, NOW).state is ClaimState.RUNNING
+    assert registry.claim(key, "g", NOW - 60, NOW).state is ClaimState.MISMATCH
+    registry.settle(key, ANSWER)
+    assert registry.claim(key, "f", NOW - 60, NOW) == Claim(ClaimState.DONE, ANSWER)
+
+
+def test_surely_not_run_can_be_granted_again() -> None:
+    registry, key = KeyRegistry(), make_key(NOW)
+    registry.claim(key, "f", NOW - 60, NOW)
+    registry.settle(key, None)
+    assert registry.claim(key, "f", NOW - 60, NOW).state is ClaimState.GRANTED
+
+
+def test_older_than_the_ownership_is_unknown() -> None:
+    registry = KeyRegistry()
+    assert registry.claim(make_key(NOW - 1), "f", NOW - 1, NOW).state is ClaimState.UNKNOWN
+    assert registry.claim(make_key(NOW), "f", math.inf, NOW).state is ClaimState.UNKNOWN
+
+
+def test_forgotten_outcomes_are_unknown_and_memory_is_bounded() -> None:
+    registry, key = KeyRegistry(max_keys=2), make_key(NOW)
+    registry.claim(key, "f", NOW - 60, NOW)
+    registry.settle(key, ANSWER)
+    later = NOW + KEY_LIFETIME_S + 1
+    assert registry.claim(key, "f", NOW - 60, later).state is ClaimState.UNKNOWN
+    for number in range(2):
+        fresh = make_key(later, number)
+        assert registry.claim(fresh, "f", NOW, later).state is ClaimState.GRANTED
+    assert registry.claim(make_key(later, 9), "f", NOW, later).state is ClaimState.FULL
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 3), st.floats(0, 700), st.sampled_from(["claim", "settle"])),
+        max_size=40,
+    ),
+    st.floats(0, 1000),
+)
+def test_a_key_that_ran_is_never_granted_again(
+    steps: list[tuple[int, float, str]], owner_age: float
+) -> None:
+    registry, now, ran = KeyRegistry(), NOW, set()
+    keys = [make_key(NOW + 5 * number, number) for number in range(4)]
+    for number, wait_s, step in steps:
+        now += wait_s
+        key = keys[number]
+        if step == "settle":
+            registry.settle(key, ANSWER)
+        elif registry.claim(key, "f", NOW - owner_age, now).state is ClaimState.GRANTED:
+            assert key not in ran
+            made = parse_key_time(key)
+            assert made is not None
+            assert made - CLOCK_SKEW_S > NOW - owner_age
+            ran.add(key)
--- /dev/null
+++ b/cleatlink/request/machine_test.py
@@ -0,0 +1,242 @@
+"""The request machine under any order of events: its promises as invariants."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cleatlink.core.data import Endpoint, KvHandle, Limits, Placement, Ran, Refusal
+from cleatlink.core.errors import ANSWERS, ErrorKind
+from cleatlink.request.budget import RetryBudget
+from cleatlink.request.events import (
+    Action,
+    Broken,
+    CallerGone,
+    Cancel,
+    Cause,
+    DeadlinePassed,
+    Decode,
+    Event,
+    Failed,
+    Finish,
+    Opened,
+    Place,
+    Placed,
+    Prefill,
+    PrefillDone,
+    Read,
+    Received,
+    Refuse,
+    Relay,
+    Resume,
+    Retried,
+    Unplaced,
+)
+from cleatlink.request.machine import ModelMachine, Phase
+
+LIMITS = Limits(1000, 1000, 1000, 10, 3, 0.1)
+P1, P2 = (Endpoint(name, name, "a", "prefill") for name in ("p1", "p2"))
+D1, D2 = (Endpoint(name, name, "a", "decode") for name in ("d1", "d2"))
+FIRST, SECOND = Placement(P1, D1, ""), Placement(P2, D2, "")
+KV = KvHandle("p1", "p1", 1, (0,))
+LENGTH = 6
+
+
+def make_machine(budget: float = 10.0) -> ModelMachine:
+    machine = ModelMachine("r", LIMITS, RetryBudget(0.1, budget))
+    assert machine.start() == [Place(frozenset())]
+    return machine
+
+
+def streaming(machine: ModelMachine, tokens: int) -> None:
+    machine.handle(Placed(FIRST))
+    machine.handle(PrefillDone(0, KV))
+    machine.handle(Opened(0))
+    for position in range(tokens):
+        machine.handle(Received(0, "r.0", position, b"x", False))
+
+
+def kinds(actions: list[Action]) -> list[type]:
+    return [type(action) for action in actions]
+
+
+def test_plain_life() -> None:
+    machine = make_machine()
+    assert machine.handle(Placed(FIRST)) == [Prefill(0, FIRST, 0)]
+    assert machine.handle(PrefillDone(0, KV)) == [Decode(0, FIRST, KV, 0)]
+    assert machine.handle(Opened(0)) == [Read(0)]
+    assert machine.handle(Received(0, "r.0", 0, b"x", False)) == [Relay(0, b"x"), Read(0)]
+    assert machine.handle(Received(0, "r.0", 1, b"", True)) == [Finish()]
+    assert machine.phase is Phase.DONE
+    assert machine.holders == ()
+
+
+def test_late_first_answer_after_a_retry_is_not_passed_on() -> None:
+    machine = make_machine()
+    machine.handle(Placed(FIRST))
+    actions = machine.handle(Failed(0, P1, Cause.UNKNOWN))
+    assert Cancel(P1, 0) in actions
+    machine.handle(Placed(SECOND))
+    assert machine.handle(PrefillDone(0, KV)) == []
+    machine.handle(PrefillDone(1, KV))
+    assert machine.handle(Received(0, "r.0", 0, b"late", False)) == []
+    late_owner = machine.handle(Received(1, "r.0", 0, b"late", False))
+    assert late_owner == [Read(1)]
+    assert machine.foreign == 1
+
+
+def test_short_answer_is_not_complete() -> None:
+    machine = make_machine()
+    streaming(machine, 2)
+    assert machine.handle(Received(0, "r.0", 3, b"", True)) == [
+        Retried("resume"),
+        Resume(0, D1, 2),
+    ]
+
+
+def test_refusal_after_prefill_cancels_the_kept_result() -> None:
+    machine = make_machine()
+    machine.handle(Placed(FIRST))
+    machine.handle(PrefillDone(0, KV))
+    actions = machine.handle(Failed(0, D1, Cause.REFUSED))
+    assert Cancel(P1, 0) in actions
+    assert Cancel(D1, 0) not in actions
+
+
+def test_one_endpoint_for_both_is_cancelled_when_it_refuses_the_decode() -> None:
+    both = Placement(P1, P1, "")
+    machine = make_machine()
+    machine.handle(Placed(both))
+    machine.handle(PrefillDone(0, KV))
+    assert Cancel(P1, 0) in machine.handle(Failed(0, P1, Cause.REFUSED))
+
+
+def test_out_of_reach_after_it_held_work_is_cancelled() -> None:
+    machine = make_machine()
+    streaming(machine, 2)
+    machine.handle(Broken(0))
+    assert Cancel(D1, 0) in machine.handle(Failed(0, D1, Cause.UNREACHABLE))
+
+
+def test_no_budget_no_retry() -> None:
+    machine = make_machine(budget=0.0)
+    machine.handle(Placed(FIRST))
+    actions = machine.handle(Failed(0, P1, Cause.REFUSED))
+    assert kinds(actions) == [Refuse]
+    assert actions[-1].refusal.kind is ErrorKind.ENDPOINT_REFUSED  # type: ignore[union-attr]
+
+
+def test_no_place_after_an_attempt_that_may_have_run_does_not_say_not_run() -> None:
+    machine = make_machine()
+    machine.handle(Placed(FIRST))
+    machine.handle(Failed(0, P1, Cause.UNKNOWN))
+    actions = machine.handle(Unplaced(Refusal(ErrorKind.NO_ROOM, "")))
+    assert ANSWERS[actions[-1].refusal.kind].ran == "unknown"  # type: ignore[union-attr]
+
+
+def test_deadline_while_an_order_is_out_does_not_say_not_run() -> None:
+    machine = make_machine()
+    assert machine.handle(DeadlinePassed())[-1].refusal.kind is ErrorKind.DEADLINE_NOT_RUN  # type: ignore[union-attr]
+    machine = make_machine()
+    machine.handle(Placed(FIRST))
+    assert machine.handle(DeadlinePassed())[-1].refusal.kind is ErrorKind.DEADLINE_PASSED  # type: ignore[union-attr]
+
+
+EVENTS = st.one_of(
+    st.sampled_from([Placed(FIRST), Placed(SECOND), DeadlinePassed(), CallerGone()]),
+    st.sampled_from([Unplaced(Refusal(kind, "")) for kind in (ErrorKind.NO_ROOM,)]),
+    st.builds(PrefillDone, st.integers(0, 3), st.just(KV)),
+    st.builds(Failed, st.integers(0, 3), st.sampled_from([P1, P2, D1, D2]), st.sampled_from(Cause)),
+    st.builds(Opened, st.integers(0, 3)),
+    st.builds(Broken, st.integers(0, 3)),
+    st.builds(
+        Received,
+        st.integers(0, 3),
+        st.sampled_from(["r.0", "r.1", "r.2", "other.0"]),
+        st.integers(0, LENGTH),
+        st.just(b"x"),
+        st.booleans(),
+    ),
+)
+
+
+def is_possible(pending: Action | None, event: Event) -> bool:
+    """Only the answer to the pending action, or an outer event, can come; the rest is late."""
+    if isinstance(event, DeadlinePassed | CallerGone):
+        return True
+    match pending:
+        case Place():
+            return isinstance(event, Placed | Unplaced)
+        case Prefill(attempt, placement, _):
+            return (isinstance(event, PrefillDone) and event.attempt == attempt) or (
+                isinstance(event, Failed)
+                and (event.attempt, event.endpoint) == (attempt, placement.prefill)
+            )
+        case Decode(attempt, placement, _, _):
+            return (isinstance(event, Opened) and event.attempt == attempt) or (
+                isinstance(event, Failed)
+                and (event.attempt, event.endpoint) == (attempt, placement.decode)
+            )
+        case Resume(attempt, endpoint, _):
+            return (isinstance(event, Opened) and event.attempt == attempt) or (
+                isinstance(event, Failed) and (event.attempt, event.endpoint) == (attempt, endpoint)
+            )
+        case Read(attempt):
+            return isinstance(event, Received | Broken) and event.attempt == attempt
+    return False
+
+
+@given(st.lists(EVENTS, max_size=60))
+def test_invariants_hold_in_any_order_of_events(events: list[Event]) -> None:
+    machine = make_machine()
+    pending: Action | None = Place(frozenset())
+    next_position, endings, ordered, cancelled = 0, 0, set(), set()
+    definitely_refused: set[tuple[str, int]] = set()
+    for event in events:
+        late = isinstance(event, PrefillDone | Failed | Opened | Received | Broken) and (
+            event.attempt != machine.attempt
+        )
+        if not late and not is_possible(pending, event):
+            continue
+        if isinstance(event, Failed) and event.cause is not Cause.UNKNOWN and not late:
+            definitely_refused.add((event.endpoint.name, event.attempt))
+        ran_before = machine.ran
+        actions = machine.handle(event)
+        assert not late or actions == []
+        for action in actions:
+            match action:
+                case Relay(position, _):
+                    assert position == next_position
+                    next_position += 1
+                case Finish() | Refuse():
+                    endings += 1
+                    if isinstance(action, Refuse) and ANSWERS[action.refusal.kind].ran == "no":
+                        assert ran_before is Ran.NO
+                        assert next_position == 0
+                case Prefill(attempt, placement, position):
+                    assert position == next_position
+                    ordered.add((placement.prefill.name, attempt))
+                case Decode(attempt, placement, _, _):
+                    ordered.add((placement.decode.name, attempt))
+                case Cancel(endpoint, attempt):
+                    cancelled.add((endpoint.name, attempt))
+            if isinstance(action, Place | Prefill | Decode | Resume | Read):
+                pending = action
+        if machine.phase is Phase.DONE:
+            pending = None
+            finished = any(isinstance(action, Finish) for action in actions)
+            if not finished and actions:
+                left = ordered - cancelled - definitely_refused
+                assert not left, f"may hold memory for ever: {left}"
+    assert endings <= 1
+    assert machine.attempt < LIMITS.max_attempts
+
+
+def test_budget_bounds_retries_to_a_share_of_requests() -> None:
+    budget = RetryBudget(0.1, 0.0)
+    rng = random.Random(1)
+    retries = 0
+    for _ in range(10_000):
+        budget.earn()
+        retries += rng.random() < 0.9 and budget.take()
+    assert 900 <= retries <= 1000
