--- /dev/null
+++ b/cleatlink/request/classify_test.py
@@ -0,0 +1,120 @@
+"""Callers' input: everything odd is a clear error, nothing is a traceback."""
+
+import json
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cleatlink.config import load_configuration
+from cleatlink.core.errors import ErrorKind, RequestError
+from cleatlink.request.classify import Arrival, ModelOrder, classify_call, classify_model
+
+TEXT = (Path(__file__).parents[2] / "examples/bublina.yaml").read_text()
+CONFIGURATION, _ = load_configuration(TEXT, 1)
+GOOD = {"model": "bublina-translate", "prompt": "Hello"}
+
+
+def classify(body: object, chat: bool = False, **headers: str) -> ModelOrder:
+    raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    assert CONFIGURATION is not None
+    return classify_model(raw, chat, Arrival("r", named, 100.0), CONFIGURATION)
+
+
+def test_plain_request() -> None:
+    order = classify(GOOD, x_organisation="o")
+    assert order.request.request_class == "translation"
+    assert order.request.organisation == "o"
+    assert order.request.deadline == 120.0
+    assert not order.stream
+
+
+def test_class_and_deadline_come_from_headers_within_limits() -> None:
+    order = classify(GOOD, x_request_class="summary", x_deadline_s="5")
+    assert (order.request.request_class, order.request.deadline) == ("summary", 105.0)
+    assert classify(GOOD, x_deadline_s="5000").request.deadline == 120.0
+
+
+def test_chat_content_in_parts() -> None:
+    parts = [{"type": "text", "text": "a"}, {"type": "image_url"}, {"type": "text", "text": "b"}]
+    messages = [{"role": "user", "content": parts}, {"role": "user", "content": "c"}]
+    plain = [{"role": "user", "content": "ab"}, {"role": "user", "content": "c"}]
+    model = "bublina-translate"
+    one = classify({"model": model, "messages": messages}, chat=True)
+    other = classify({"model": model, "messages": plain}, chat=True)
+    assert one.request.prefix_hash == other.request.prefix_hash
+
+
+@pytest.mark.parametrize(
+    ("body", "headers", "kind"),
+    [
+        (b"{", {}, ErrorKind.BAD_REQUEST),
+        (b"[]", {}, ErrorKind.BAD_REQUEST),
+        (b"\xff\xfe", {}, ErrorKind.BAD_REQUEST),
+        (b"[" * 100_000, {}, ErrorKind.BAD_REQUEST),
+        ({**GOOD, "model": 7}, {}, ErrorKind.BAD_REQUEST),
+        ({**GOOD, "model": "no-such"}, {}, ErrorKind.UNKNOWN_MODEL),
+        ({**GOOD, "prompt": ""}, {}, ErrorKind.BAD_REQUEST),
+        ({**GOOD, "prompt": ["a"]}, {}, ErrorKind.BAD_REQUEST),
+        ({**GOOD, "max_tokens": 0}, {}, ErrorKind.BAD_REQUEST),
+        ({**GOOD, "max_tokens": True}, {}, ErrorKind.BAD_REQUEST),
+        ({**GOOD, "max_tokens": 10**30}, {}, ErrorKind.BAD_REQUEST),
+        ({**GOOD, "n": 2}, {}, ErrorKind.BAD_REQUEST),
+        ({**GOOD, "stream": "yes"}, {}, ErrorKind.BAD_REQUEST),
+        ({**GOOD, "prompt": "x" * 500_000}, {}, ErrorKind.TOO_LARGE),
+        (GOOD, {"x_request_class": "pages"}, ErrorKind.UNKNOWN_CLASS),
+        (GOOD, {"x_request_class": ""}, ErrorKind.UNKNOWN_CLASS),
+        (GOOD, {"x_deadline_s": "nan"}, ErrorKind.BAD_REQUEST),
+        (GOOD, {"x_deadline_s": "-1"}, ErrorKind.BAD_REQUEST),
+        (GOOD, {"x_organisation": ""}, ErrorKind.BAD_REQUEST),
+        (GOOD, {"x_organisation": "a" * 129}, ErrorKind.BAD_REQUEST),
+    ],
+)
+def test_odd_input_is_refused(body: object, headers: dict[str, str], kind: ErrorKind) -> None:
+    with pytest.raises(RequestError) as caught:
+        classify(body, **headers)
+    assert caught.value.kind is kind
+    assert caught.value.detail
+    assert len(caught.value.detail) < 300
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+FIELDS = st.sampled_from(["model", "prompt", "messages", "max_tokens", "stream", "n"])
+
+
+@given(st.dictionaries(FIELDS, JSON), st.booleans(), st.text(max_size=6))
+def test_any_json_is_classified_or_refused(
+    body: dict[str, object], chat: bool, deadline: str
+) -> None:
+    try:
+        order = classify({**GOOD, **body}, chat, x_deadline_s=deadline or "1")
+    except RequestError as error:
+        assert error.detail
+    else:
+        assert order.request.prompt_tokens >= 1
+        assert order.request.deadline > 100.0
+
+
+@given(st.binary(max_size=60), st.booleans())
+def test_any_bytes_are_classified_or_refused(raw: bytes, chat: bool) -> None:
+    with pytest.raises(RequestError):
+        classify(raw, chat)
+
+
+def test_calls_go_to_plain_services_only() -> None:
+    assert CONFIGURATION is not None
+    request, request_class, service = classify_call(
+        "reader-api", Arrival("r", {}, 1.0), CONFIGURATION
+    )
+    assert (request_class.name, service.name, request.deadline) == ("pages", "reader-api", 11.0)
+    for name in ("lm-bublina", "nothing"):
+        with pytest.raises(RequestError):
+            classify_call(name, Arrival("r", {}, 1.0), CONFIGURATION)
--- /dev/null
+++ b/cleatlink/routing/place_test.py
@@ -0,0 +1,118 @@
+"""Placement: room first, prefix affinity with a bound, nearby first, seeded."""
+
+import random
+from collections import Counter
+from pathlib import Path
+
+from cleatlink.config import load_configuration
+from cleatlink.core.data import Endpoint, Fleet, LoadReport, Placement, Refusal, Request, Role
+from cleatlink.core.errors import ErrorKind
+from cleatlink.routing import Context, FleetView, place_request, reserve_request
+
+TEXT = (Path(__file__).parents[2] / "examples/bublina.yaml").read_text()
+CONFIGURATION, _ = load_configuration(TEXT, 1)
+assert CONFIGURATION is not None
+TRANSLATION = CONFIGURATION.classes["translation"]
+NOW = 100.0
+
+
+def make_request(prefix: int = 1, tokens: int = 100) -> Request:
+    return Request(
+        "r", "o", "lm-bublina", "bublina-translate", "translation", tokens, 50, prefix, NOW + 20
+    )
+
+
+def make_view(prefills: int = 3, decodes: int = 3, **changes: int) -> FleetView:
+    endpoints = [
+        *(Endpoint(f"p{i}", f"p{i}", "praha-a", "bublina-prefill") for i in range(prefills)),
+        *(Endpoint(f"d{i}", f"d{i}", "praha-a", "bublina-decode") for i in range(decodes)),
+        Endpoint("far-p", "far-p", "praha-b", "bublina-prefill"),
+        Endpoint("far-d", "far-d", "praha-b", "bublina-decode"),
+    ]
+    view = FleetView()
+    assert CONFIGURATION is not None
+    view.set_configuration(CONFIGURATION)
+    view.set_fleet(Fleet(1, tuple(endpoints), ()))
+    values = {"slots": 8, "running": 0, "waiting_tokens": 0, "memory_free_tokens": 10_000}
+    values |= changes
+    for endpoint in endpoints:
+        role = Role.PREFILL if endpoint.name.lstrip("far-").startswith("p") else Role.DECODE
+        report = LoadReport(
+            endpoint.name,
+            "1",
+            role,
+            slots=values["slots"],
+            running=values["running"],
+            waiting_tokens=values["waiting_tokens"],
+            memory_tokens=10_000,
+            memory_free_tokens=values["memory_free_tokens"],
+            leaving=False,
+            prefill_tokens_per_s=1000.0,
+        )
+        view.report(report, NOW)
+    return view
+
+
+def place(
+    view: FleetView, request: Request, excluded: frozenset[str] = frozenset(), seed: int = 1
+) -> Placement | Refusal:
+    context = Context("praha-a", excluded, NOW, random.Random(seed))
+    return place_request(request, TRANSLATION, view, context)
+
+
+def test_same_prefix_same_prefill_and_nearby() -> None:
+    view = make_view()
+    placed = [place(view, make_request(7), seed=seed) for seed in range(20)]
+    assert all(isinstance(item, Placement) for item in placed)
+    assert len({item.prefill.name for item in placed if isinstance(item, Placement)}) == 1
+    assert {item.decode.data_centre for item in placed if isinstance(item, Placement)} == {
+        "praha-a"
+    }
+
+
+def test_one_hot_prefix_spills_over_at_the_bound() -> None:
+    view = make_view(slots=100)
+    used: Counter[str] = Counter()
+    for number in range(60):
+        request = make_request(7)._replace(name=f"r{number}")
+        found = place(view, request, seed=number)
+        assert isinstance(found, Placement)
+        reserve_request(view, request, found, NOW)
+        used[found.prefill.name] += 1
+    assert len(used) == 3
+    assert max(used.values()) <= 1.5 * 60 / 3
+
+
+def test_no_room_no_endpoint_no_time() -> None:
+    for found, kind in (
+        (place(make_view(memory_free_tokens=149), make_request()), ErrorKind.NO_ROOM),
+        (place(make_view(running=8), make_request()), ErrorKind.NO_ROOM),
+        (
+            place(make_view(1, 0), make_request(), frozenset({"p0", "far-p"})),
+            ErrorKind.NO_ENDPOINT,
+        ),
+        (place(make_view(waiting_tokens=30_000), make_request()), ErrorKind.DEADLINE_NOT_RUN),
+    ):
+        assert isinstance(found, Refusal)
+        assert found.kind is kind
+
+
+def test_far_ones_are_used_when_near_ones_are_excluded() -> None:
+    found = place(make_view(), make_request(), frozenset({"d0", "d1", "d2"}))
+    assert isinstance(found, Placement)
+    assert found.decode.name == "far-d"
+    assert found.prefill.name == "far-p"
+
+
+def test_old_reports_do_not_draw_all_to_one() -> None:
+    view = make_view()
+    used = Counter(
+        found.decode.name
+        for seed in range(300)
+        if isinstance(found := place(view, make_request(seed), seed=seed), Placement)
+    )
+    assert max(used.values()) < 150
+
+
+def test_same_seed_same_place() -> None:
+    assert place(make_view(), make_request(), seed=5) == place(make_view(), make_request(), seed=5)
--- /dev/null
+++ b/cleatlink/routing/view_test.py
@@ -0,0 +1,147 @@
+"""The view against a naive one that filters everything each time, and its rules on age."""
+
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cleatlink.config import load_configuration
+from cleatlink.core.data import Configuration, Endpoint, Fleet, LoadReport, Role
+from cleatlink.core.labels import match, parse_selector
+from cleatlink.routing.view import (
+    CONFIRM_S,
+    LEAVING_HOLD_S,
+    REFUSAL_HOLD_S,
+    FleetView,
+    Reservation,
+    endpoint_labels,
+)
+
+TEXT = (Path(__file__).parents[2] / "examples/bublina.yaml").read_text()
+POOLS = ["bublina-prefill", "bublina-decode", "reader", "no-such-pool"]
+PLACES = ["praha-a", "praha-b", "kladno", "elsewhere"]
+SELECTORS = ["", "site=edge", "site!=edge", "dc in (praha-a, kladno)", "work", "!work", "region=x"]
+
+
+def load(**changes: str) -> Configuration:
+    configuration, faults = load_configuration(TEXT, 1)
+    assert configuration is not None, faults
+    return configuration
+
+
+def report(name: str, leaving: bool = False, incarnation: str = "1") -> LoadReport:
+    return LoadReport(name, incarnation, Role.DECODE, 8, 2, 100, 1000, 500, leaving, 100.0)
+
+
+ENDPOINTS = st.lists(
+    st.builds(
+        Endpoint,
+        st.sampled_from([f"n{number}" for number in range(12)]),
+        st.just("127.0.0.1:1"),
+        st.sampled_from(PLACES),
+        st.sampled_from(POOLS),
+        st.booleans(),
+    ),
+    unique_by=lambda endpoint: endpoint.name,
+    max_size=12,
+)
+
+
+@given(ENDPOINTS, st.sampled_from(SELECTORS), st.sampled_from(Role), st.data())
+def test_candidates_agree_with_filtering_everything(
+    endpoints: list[Endpoint], text: str, role: Role, data: st.DataObject
+) -> None:
+    configuration = load()
+    selector, _ = parse_selector(text)
+    assert selector is not None
+    wanted = configuration.classes["translation"]._replace(selector=selector)
+    labels = data.draw(
+        st.dictionaries(
+            st.sampled_from([f"n{number}" for number in range(12)]),
+            st.dictionaries(st.sampled_from(["work", "site"]), st.sampled_from(["edge", "x"])),
+        )
+    )
+    configuration = configuration._replace(
+        classes={**configuration.classes, "translation": wanted}, endpoint_labels=labels
+    )
+    view = FleetView()
+    view.set_configuration(configuration)
+    view.set_fleet(Fleet(1, tuple(endpoints), ()))
+    reported = data.draw(st.sets(st.sampled_from([f"n{number}" for number in range(12)])))
+    for name in reported:
+        view.report(report(name), 100.0)
+    naive = [
+        endpoint
+        for endpoint in endpoints
+        if not endpoint.leaving
+        and endpoint.name in reported
+        and endpoint.pool in configuration.pools
+        and configuration.pools[endpoint.pool].service == "lm-bublina"
+        and configuration.pools[endpoint.pool].role is role
+        and match(selector, endpoint_labels(configuration, endpoint))
+    ]
+    assert view.candidates("translation", role, 100.0) == naive
+
+
+def make_view() -> tuple[FleetView, Endpoint]:
+    endpoint = Endpoint("d1", "127.0.0.1:1", "praha-a", "bublina-decode")
+    view = FleetView()
+    view.set_configuration(load())
+    view.set_fleet(Fleet(5, (endpoint,), ()))
+    return view, endpoint
+
+
+def test_old_report_makes_unusable() -> None:
+    view, endpoint = make_view()
+    assert not view.usable(endpoint, 0.0)
+    view.report(report("d1"), 100.0)
+    assert view.usable(endpoint, 100.0 + CONFIRM_S)
+    assert not view.usable(endpoint, 100.1 + CONFIRM_S)
+
+
+def test_refusal_holds_until_a_report_shows_the_leaving() -> None:
+    view, endpoint = make_view()
+    view.report(report("d1"), 100.0)
+    view.refuse_leaving("d1", 100.0)
+    view.report(report("d1"), 100.0 + REFUSAL_HOLD_S - 1)
+    assert not view.usable(endpoint, 100.0 + REFUSAL_HOLD_S - 1)
+    view.report(report("d1", leaving=True), 300.0)
+    view.report(report("d1"), 300.0 + LEAVING_HOLD_S)
+    assert view.usable(endpoint, 300.0 + LEAVING_HOLD_S)
+
+
+def test_new_incarnation_is_not_leaving() -> None:
+    view, endpoint = make_view()
+    view.report(report("d1", leaving=True), 100.0)
+    assert view.leaving(100.0) == ("d1",)
+    view.report(report("d1", incarnation="2"), 101.0)
+    assert view.usable(endpoint, 101.0)
+
+
+def test_peers_word_is_kept_but_not_passed_on() -> None:
+    view, endpoint = make_view()
+    view.report(report("d1"), 100.0)
+    view.hear_leaving("d1", 100.0)
+    assert not view.usable(endpoint, 101.0)
+    assert view.leaving(101.0) == ()
+
+
+def test_own_placements_count_until_a_report_can_show_them() -> None:
+    view, endpoint = make_view()
+    view.report(report("d1"), 100.0)
+    view.reserve("r/decode", Reservation("d1", 0, 200, 100.5))
+    view.reserve("r/prefill", Reservation("d1", 50, 0, 100.5))
+    loaded = view.load(endpoint)
+    assert (loaded.running, loaded.free_tokens, loaded.waiting_tokens) == (3, 300, 150)
+    view.report(report("d1"), 101.0)
+    assert view.load(endpoint).free_tokens == 500
+    view.release("r/decode")
+    view.release("r/decode")
+
+
+def test_lists_go_upwards_only() -> None:
+    view, _ = make_view()
+    assert not view.set_fleet(Fleet(4, (), ()))
+    assert not view.set_fleet(Fleet(5, (), ()))
+    assert len(view.fleet.endpoints) == 1
+    assert view.set_fleet(Fleet(6, (), ()))
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -294,6 +294,7 @@
         self._app = app
         self._gone = trio.Event()
         self._sent = False
+        self.withhold_body = False
         self.status = 0
         self.headers: dict[str, str] = {}
         self.body = b""
@@ -326,7 +327,7 @@
         }
 
         async def receive() -> dict[str, Any]:
-            if not self._sent:
+            if not self._sent and not self.withhold_body:
                 self._sent = True
                 return {"type": "http.request", "body": body, "more_body": False}
             await self._gone.wait()
@@ -339,7 +340,7 @@
         await trio.lowlevel.checkpoint()
         if message["type"] == "http.response.start":
             self.status = message["status"]
-            self.headers = {k.decode(): v.decode() for k, v in message["headers"]}
+            self.headers = {k.decode().lower(): v.decode() for k, v in message["headers"]}
         elif message["type"] == "http.response.body" and not self._gone.is_set():
             self.body += message.get("body", b"")
         self.news.set()
