--- a/demo/main.py
+++ b/demo/main.py
@@ -25,7 +25,10 @@
 _TOKEN_TARGET_S = 0.079
 _LEAVING_WAIT_S = 4.0
 _MEMORY_WAIT_S = 20.0
+# Longer than it takes the peers to hold an entry for dead and cancel its work.
+_FREEZE_S = 8.0
 _LONG = Ask("question", "conseiller", "A question whose answer is long.", 250)
+_TRANSLATION = Ask("translation", "bublina-translate", "A balloon to translate.", 10)
 # Longer than the demo: only a cancel frees the memory that such an answer holds.
 _ENDLESS = _LONG._replace(max_tokens=8_000)
 
@@ -77,6 +80,7 @@
             (cluster.start_entry, ("e2", "praha-a")),
             (cluster.start_entry, ("e3", "praha-b")),
             (cluster.start_entry, ("e4", "praha-b")),
+            (cluster.start_entry, ("e5", "praha-a")),
         ]
         async with trio.open_nursery() as nursery:
             for start, arguments in plan:
@@ -86,7 +90,7 @@
         await cluster.wait_ready()
         # Ownership of once-only keys is sure only after the view has been quiet.
         await trio.sleep(6.0)
-        self._open_entries = ["e1", "e2", "e3", "e4"]
+        self._open_entries = ["e1", "e2", "e3", "e4", "e5"]
 
     async def _run_traffic(self) -> None:
         """Send traffic while things go wrong one after another."""
@@ -97,6 +101,7 @@
             await trio.sleep(1.0)
             await self._spoil_streams()
             nursery.start_soon(self._leave_endpoint, "d1")
+            nursery.start_soon(self._freeze_entry, "e4", nursery)
             await trio.sleep(1.0)
             await self._stop_entry("e1", nursery)
             await self._kill_entry("e2")
@@ -155,7 +160,7 @@
         await self._cluster.set_faults(name, leaving=True)
         await trio.sleep(_LEAVING_WAIT_S)
         before = await self._count_orders(name)
-        await trio.sleep(2.0)
+        await trio.sleep(_FREEZE_S)
         self._work_after_leaving = await self._count_orders(name) - before
 
     async def _count_orders(self, name: str) -> int:
@@ -183,6 +188,21 @@
             self._open_entries.remove(name)
             self._cluster.send_signal(name, signal.SIGKILL)
 
+    async def _freeze_entry(self, name: str, nursery: trio.Nursery) -> None:
+        """Freeze an entry with streams; it wakes with an old view of the fleet."""
+        address = self._cluster.entries[name].address
+        for _ in range(3):
+            nursery.start_soon(self._caller.ask, name, address, _LONG)
+        await trio.sleep(0.5)
+        self._open_entries.remove(name)
+        self._cluster.send_signal(name, signal.SIGSTOP)
+        await trio.sleep(_FREEZE_S)
+        self._cluster.send_signal(name, signal.SIGCONT)
+        async with trio.open_nursery() as woken:
+            for _ in range(5):
+                woken.start_soon(self._caller.ask, name, address, _TRANSLATION)
+        self._open_entries.append(name)
+
     async def _change_configuration(self) -> None:
         """Publish a revision, then start an entry beside a platform gone stale."""
         cluster = self._cluster
@@ -190,13 +210,13 @@
         text = _CONFIGURATION.read_text().replace("max_attempts: 4", "max_attempts: 5")
         started = time.monotonic()
         wanted = await cluster.publish_configuration(text)
-        while any(self._revisions[name][-1:] != [wanted] for name in self._open_entries):
+        while any(self._revisions.get(name, [])[-1:] != [wanted] for name in self._open_entries):
             await trio.sleep(0.02)
         self._in_force_s = time.monotonic() - started
         await cluster.set_platform_faults(stale=["config"])
-        await cluster.start_entry("e5", "praha-b")
-        await cluster.wait_ready("e5")
-        self._open_entries.append("e5")
+        await cluster.start_entry("e6", "praha-b")
+        await cluster.wait_ready("e6")
+        self._open_entries.append("e6")
         await trio.sleep(0.5)
         await cluster.set_platform_faults(down=True)
         await trio.sleep(0.5)
@@ -214,7 +234,7 @@
         try:
             address = self._cluster.entries[name].address
             data: dict[str, object] = (
-                await self._cluster.client.get(f"http://{address}/status")
+                await self._cluster.client.get(f"http://{address}/status", timeout=0.5)
             ).json()
         except Exception:  # noqa: BLE001 - the entry may just have been killed.
             return None
