Bench of control: bytes, processor time, memory, configuration and death by size

Cause: CAPACITY.md needs slopes that were measured. Change: cleatlink-bench control starts real entries on loopback; peers' bytes are counted.

--- a/bench/main.py
+++ b/bench/main.py
@@ -3,6 +3,7 @@
 import click
 import trio
 
+from bench.control import measure_control
 from bench.path import measure_path
 from bench.report import print_report
 
@@ -24,5 +25,20 @@
     print_report(seed, trio.run(measure_path, rounds, streams), as_json)
 
 
+@main.command()
+@click.option("--nodes", default="2,4,8,16", help="Numbers of entries, joined by commas.")
+@click.option("--endpoints", default="2", help="Numbers of endpoints, joined by commas.")
+@click.option("--seed", default=0, help="Named in the output; this one draws nothing.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def control(nodes: str, endpoints: str, seed: int, as_json: bool) -> None:
+    """Measure what belonging together costs each entry, without traffic."""
+    rows = [
+        trio.run(measure_control, int(node_count), int(endpoint_count))
+        for endpoint_count in endpoints.split(",")
+        for node_count in nodes.split(",")
+    ]
+    print_report(seed, rows, as_json)
+
+
 if __name__ == "__main__":
     main()
--- a/bench/path.py
+++ b/bench/path.py
@@ -6,13 +6,13 @@
 """
 
 import statistics
-from pathlib import Path
 from typing import Any, NamedTuple
 
 import httpx
 import trio
 
-from demo.cluster import Cluster, Process
+from bench.processor import processor_s
+from demo.cluster import Cluster
 
 __all__ = ["measure_path"]
 
@@ -24,7 +24,6 @@
 classes: { question: { service: lm, deadline_s: 300, max_wait_s: 10 } }
 limits: { requests_in_flight: 5000 }
 """
-_TICKS_PER_S = 100
 _SHORT, _LONG = 1, 200
 _TOKEN_S = 0.02
 # Between two arrivals: 50 requests a second, below what one core can take.
@@ -98,12 +97,12 @@
 
 async def _measure(cluster: Cluster, streams: int, tokens: int, ask: Any) -> Work:
     entry, engine = cluster.entries["e1"], cluster.engines["m1"]
-    before = _processor_s(entry), _processor_s(engine)
+    before = processor_s(entry), processor_s(engine)
     async with trio.open_nursery() as nursery:
         for number in range(streams):
             nursery.start_soon(ask, number)
             await trio.sleep(_PAUSE_S)
-    after = _processor_s(entry), _processor_s(engine)
+    after = processor_s(entry), processor_s(engine)
     return Work(streams, streams * tokens, after[0] - before[0], after[1] - before[1])
 
 
@@ -135,9 +134,3 @@
             ended = ended or b"[DONE]" in part
         if not ended:
             raise RuntimeError("a stream was cut")
-
-
-def _processor_s(process: Process) -> float:
-    """Read a process's own processor time, user and system, in seconds."""
-    fields = Path(f"/proc/{process.process.pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
--- a/cleatlink/serving/metrics.py
+++ b/cleatlink/serving/metrics.py
@@ -27,6 +27,9 @@
         self._peer_messages = self._counter(
             "cleatlink_peer_messages_total", "Messages from peers, by kind or fault."
         )
+        self._peer_bytes = self._counter(
+            "cleatlink_peer_bytes_total", "Bytes sent to peers, without headers, by way."
+        )
         self._adoptions = self._counter(
             "cleatlink_configurations_total", "Configurations offered, by what became of them."
         )
@@ -74,6 +77,10 @@
         """Count a message from a peer."""
         self._peer_messages.inc({"kind": kind})
 
+    def count_peer_bytes(self, way: str, count: int) -> None:
+        """Count bytes sent to peers."""
+        self._peer_bytes.add({"way": way}, count)
+
     def count_adoption(self, outcome: str, revision: int) -> None:
         """Count an offered configuration and show the revision in force."""
         self._adoptions.inc({"outcome": outcome})
--- a/cleatlink/serving/peer_link.py
+++ b/cleatlink/serving/peer_link.py
@@ -41,8 +41,8 @@
         """Where this instance hears its peers."""
 
     @abstractmethod
-    def send(self, address: str, message: Message) -> None:
-        """Send a small message at once, without a wait; it may be lost."""
+    def send(self, address: str, data: bytes) -> None:
+        """Send an encoded message at once, without a wait; it may be lost."""
 
     @abstractmethod
     async def receive(self) -> tuple[Message | None, str]:
@@ -89,11 +89,11 @@
         """Where this instance hears its peers."""
         return str(self._address)
 
-    def send(self, address: str, message: Message) -> None:
-        """Send a small message; a full buffer loses it, as the network might."""
+    def send(self, address: str, data: bytes) -> None:
+        """Send an encoded message; a full buffer loses it, as the network might."""
         to = parse_address(address)
         try:
-            self._socket.sendto(encode_message(message), (to.host.strip("[]"), to.port))
+            self._socket.sendto(data, (to.host.strip("[]"), to.port))
         except OSError:
             return
 
--- a/cleatlink/serving/peers.py
+++ b/cleatlink/serving/peers.py
@@ -20,7 +20,7 @@
 from cleatlink.serving.logs import Log
 from cleatlink.serving.metrics import Metrics
 from cleatlink.serving.news import News
-from cleatlink.serving.peer_link import Message, PeerLink
+from cleatlink.serving.peer_link import Message, PeerLink, encode_message
 from cleatlink.serving.platform import Document, DocumentKind
 from cleatlink.serving.settings import Settings
 
@@ -185,9 +185,11 @@
             PeerError: Nobody of ours asks that.
         """
         try:
-            return msgspec.msgpack.encode(await self._answer(path, body))
+            answer = msgspec.msgpack.encode(await self._answer(path, body))
         except msgspec.MsgspecError as error:
             raise PeerError(f"not understood: {error}") from error
+        self._parts.metrics.count_peer_bytes("answer", len(answer))
+        return answer
 
     async def _answer(self, path: str, body: bytes) -> object:
         if path == _DOCUMENTS:
@@ -228,12 +230,16 @@
         return PeerDocuments(configuration, self._parts.store.fleet)
 
     async def _ask(self, address: str, path: str, question: object) -> bytes:
+        body = msgspec.msgpack.encode(question)
+        self._parts.metrics.count_peer_bytes("question", len(body))
         with trio.move_on_after(_ASK_TIMEOUT_S):
-            return await self._parts.link.ask(address, path, msgspec.msgpack.encode(question))
+            return await self._parts.link.ask(address, path, body)
         raise PeerError("no answer in time")
 
     def _send(self, address: str, kind: str, value: object) -> None:
-        self._parts.link.send(address, Message(kind, value))
+        data = encode_message(Message(kind, value))
+        self._parts.metrics.count_peer_bytes("datagram", len(data))
+        self._parts.link.send(address, data)
 
     def _beat(self) -> None:
         """Send a heartbeat to every peer."""
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -102,6 +102,15 @@
         item = self.engines.get(name) or self.services[name]
         await self.client.post(f"http://{item.address}/admin/faults", json=faults)
 
+    async def status(self, name: str) -> dict[str, Any] | None:
+        """Ask an entry for its status; None if it does not answer at once."""
+        try:
+            url = f"http://{self.entries[name].address}/status"
+            data: dict[str, Any] = (await self.client.get(url, timeout=0.5)).json()
+        except httpx.HTTPError:
+            return None
+        return data
+
     async def ledger(self, name: str) -> dict[str, Any]:
         """Read an engine's or a service's own ledger."""
         item = self.engines.get(name) or self.services[name]
--- a/demo/main.py
+++ b/demo/main.py
@@ -225,21 +225,11 @@
         """Note the revision in force at every open entry, again and again."""
         while True:
             for name in list(self._open_entries):
-                status = await self._status(name)
+                status = await self._cluster.status(name)
                 if status is not None and status["ready"]:
-                    self._revisions.setdefault(name, []).append(int(str(status["revision"])))
+                    self._revisions.setdefault(name, []).append(int(status["revision"]))
             await trio.sleep(0.05)
 
-    async def _status(self, name: str) -> dict[str, object] | None:
-        try:
-            address = self._cluster.entries[name].address
-            data: dict[str, object] = (
-                await self._cluster.client.get(f"http://{address}/status", timeout=0.5)
-            ).json()
-        except Exception:  # noqa: BLE001 - the entry may just have been killed.
-            return None
-        return data
-
     async def _wait_for_memory(self) -> None:
         """Give the fleet the time that its promises allow to clean up."""
         with trio.move_on_after(_MEMORY_WAIT_S):
--- a/examples/place.py
+++ b/examples/place.py
@@ -1,4 +1,7 @@
-"""Place one request with the library alone: no daemon, no network, no clock."""
+"""Place one request with the library alone: no daemon, no network, no clock.
+
+Run it from the root of the repository: ``python -m examples.place``.
+"""
 
 import random
 from pathlib import Path
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -29,7 +29,7 @@
     StreamEvent,
     read_report,
 )
-from cleatlink.serving.peer_link import Message, PeerLink, decode_message, encode_message
+from cleatlink.serving.peer_link import Message, PeerLink, decode_message
 from cleatlink.serving.peers import Peers
 from cleatlink.serving.platform import Document, DocumentKind, Platform
 from standins import engine as engines
@@ -265,11 +265,13 @@
     def address(self) -> str:
         return self._address
 
-    def send(self, address: str, message: Message) -> None:
+    def send(self, address: str, data: bytes) -> None:
+        message = decode_message(data)
+        assert message is not None
         lost = message.kind in self._network.lose_kinds
         if not lost and self._network.reaches(self._address, address):
             link = self._network.links[address]
-            link._send.send_nowait((encode_message(message), self._address))
+            link._send.send_nowait((data, self._address))
 
     async def receive(self) -> tuple[Message | None, str]:
         data, sender = await self._receive.receive()
