--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 .venv/.done: requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
 	touch .venv/.done
 
 demo: setup
--- a/cleatlink/core/errors.py
+++ b/cleatlink/core/errors.py
@@ -42,7 +42,6 @@
     BUSY = "busy"
     NO_ENDPOINT = "no_endpoint"
     NO_ROOM = "no_room"
-    STALE_VIEW = "stale_view"
     DEADLINE_NOT_RUN = "deadline_not_run"
     DEADLINE_PASSED = "deadline_passed"
     ENDPOINT_REFUSED = "endpoint_refused"
@@ -81,7 +80,6 @@
     ErrorKind.BUSY: Answer(503, "no", 1.0),
     ErrorKind.NO_ENDPOINT: Answer(503, "no", 2.0),
     ErrorKind.NO_ROOM: Answer(503, "no", 1.0),
-    ErrorKind.STALE_VIEW: Answer(503, "no", 1.0),
     ErrorKind.DEADLINE_NOT_RUN: Answer(504, "no", 1.0),
     ErrorKind.DEADLINE_PASSED: Answer(504, "unknown", 1.0),
     ErrorKind.ENDPOINT_REFUSED: Answer(503, "no", 1.0),
