--- a/cleatlink/serving/endpoints.py
+++ b/cleatlink/serving/endpoints.py
@@ -8,8 +8,8 @@
 import ssl
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import Mapping
-from typing import Any, NamedTuple
+from collections.abc import AsyncGenerator, Mapping
+from typing import Any, NamedTuple, cast
 
 import httpx
 import msgspec
@@ -150,7 +150,7 @@
         # The transport's own iterator: the layers above it cost more than they
         # give, since events are neither compressed nor decoded here.
         assert isinstance(response.stream, httpx.AsyncByteStream)
-        self._chunks = aiter(response.stream)
+        self._chunks = cast(AsyncGenerator[bytes, None], aiter(response.stream))
         self._buffer = b""
         self._events: deque[StreamEvent] = deque()
 
@@ -169,6 +169,7 @@
 
     async def close(self) -> None:
         """Close the connection."""
+        await self._chunks.aclose()
         await self._response.aclose()
 
     def _feed(self, data: bytes) -> None:
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -29,7 +29,10 @@
 class Cluster:
     """A fleet of processes; every one is ended by ``close``."""
 
-    def __init__(self) -> None:
+    def __init__(self, broken: str = "") -> None:
+        self._entry_command = ["-m", "cleatlink.scripts.main"]
+        if broken:
+            self._entry_command = ["-m", "demo.broken", broken]
         self.platform: Process | None = None
         self.engines: dict[str, Process] = {}
         self.services: dict[str, Process] = {}
@@ -58,7 +61,7 @@
     async def start_entry(self, name: str, data_centre: str, *flags: str) -> None:
         """Start an entry instance."""
         assert self.platform is not None
-        command = [sys.executable, "-m", "cleatlink.scripts.main", "entry", "--name", name]
+        command = [sys.executable, *self._entry_command, "entry", "--name", name]
         command += ["--data-centre", data_centre, "--platform", self.platform.address]
         command += ["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", *flags]
         self.entries[name] = await self._start(name, data_centre, command)
--- a/demo/main.py
+++ b/demo/main.py
@@ -36,10 +36,10 @@
 class Demo:
     """One run of the demo."""
 
-    def __init__(self, requests: int, seed: int) -> None:
+    def __init__(self, requests: int, seed: int, broken: str = "") -> None:
         self._requests = requests
         self._rng = random.Random(seed)
-        self._cluster = Cluster()
+        self._cluster = Cluster(broken)
         self._caller = Caller(self._cluster.client)
         self._open_entries: list[str] = []
         self._revisions: dict[str, list[int]] = {}
@@ -299,9 +299,10 @@
 @click.command()
 @click.option("--requests", default=250, show_default=True, help="Model requests to send.")
 @click.option("--seed", default=1, show_default=True, help="Seed of the traffic.")
-def main(requests: int, seed: int) -> None:
+@click.option("--broken", default="", help="Mechanism to switch off, to see it reported.")
+def main(requests: int, seed: int, broken: str) -> None:
     """Run the demo; exit with 0 only if every promise held."""
-    demo = Demo(requests, seed)
+    demo = Demo(requests, seed, broken)
     started = time.monotonic()
     evidence = trio.run(demo.run)
     print_table(evidence, demo.wasted_prefill())
--- a/demo/traffic.py
+++ b/demo/traffic.py
@@ -4,7 +4,9 @@
 import random
 import time
 import uuid
-from typing import Any, NamedTuple
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+from typing import Any, NamedTuple, cast
 
 import httpx
 import trio
@@ -14,6 +16,7 @@
 
 __all__ = ["Ask", "Caller", "make_key", "pick_ask"]
 
+_Lines = AsyncGenerator[str, None]
 _PAGES = "A page of the chapter, with its panels and balloons, as the reader sees it. "
 
 
@@ -115,9 +118,10 @@
                 if response.status_code != httpx.codes.OK:
                     self._refuse(json.loads(await response.aread()))
                     return
-                async for line in response.aiter_lines():
-                    if self._take(line):
-                        return
+                async with aclosing(cast(_Lines, response.aiter_lines())) as lines:
+                    async for line in lines:
+                        if self._take(line):
+                            return
         except httpx.HTTPError:
             self.outcome = "cut"
 
