A request is in progress until its answer has been written

A request was counted out when its last token was settled, before the end mark was written; a stop that looked just then cancelled the write. The same for a plain call's answer. Change: the count is kept by the app's outermost call, from admission to the last byte written. Conclusion: settle is not the end of a request; the write is.

--- a/cleatlink/serving/callers.py
+++ b/cleatlink/serving/callers.py
@@ -44,7 +44,7 @@
 _BODY_TIMEOUT_S = 10.0
 # The most that any configuration may allow.
 _MAX_BODY_BYTES = 64_000_000
-_FLIGHT = "cleatlink.flight"
+_VISIT = "cleatlink.visit"
 _METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 _DONE_EVENT = b"data: [DONE]\n\n"
 
@@ -76,36 +76,51 @@
 
 
 class CallerApp(QuartTrio):
-    """The app; whatever happens to a connection, its flight is closed."""
+    """The app; a request counts as in progress until its answer has been written."""
 
     async def __call__(
         self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
     ) -> None:
-        """Serve one connection's request."""
-        flights: list[_Guard] = []
-        scope[_FLIGHT] = flights  # type: ignore[literal-required]
+        """Serve one request, and tear it down whatever happens to its connection."""
+        visit = _Visit()
+        scope[_VISIT] = visit  # type: ignore[literal-required]
         try:
             await super().__call__(scope, receive, send)
         finally:
-            for guard in flights:
-                guard.close()
-                await guard.flight.close_stream()
+            await visit.end()
 
 
-class _Guard:
-    """Counts a flight in and out exactly once."""
+class _Visit:
+    """One request's stay at this instance, from its admission to its last byte."""
 
-    def __init__(self, flight: ModelFlight, leave: Callable[[], None]) -> None:
-        self.flight = flight
-        self._leave = leave
-        self._closed = False
+    def __init__(self) -> None:
+        self._leave: Callable[[], None] | None = None
+        self._flight: ModelFlight | None = None
 
-    def close(self) -> None:
-        """Close the flight; safe to call twice."""
-        if not self._closed:
-            self._closed = True
-            self.flight.close()
-            self._leave()
+    def begin(self, parts: CallerParts) -> str:
+        """Count the request in, and give its name."""
+        self._leave = parts.leave
+        return parts.enter()
+
+    def attach(self, flight: ModelFlight) -> None:
+        """Have a flight closed at the end."""
+        self._flight = flight
+
+    async def end(self) -> None:
+        """Close the flight and count the request out."""
+        try:
+            if self._flight is not None:
+                self._flight.close()
+                await self._flight.close_stream()
+        finally:
+            if self._leave is not None:
+                self._leave()
+
+
+def _visit() -> _Visit:
+    """Give the present request's visit."""
+    visit: _Visit = request.scope[_VISIT]  # type: ignore[literal-required]
+    return visit
 
 
 def build_caller_app(parts: CallerParts) -> CallerApp:
@@ -195,18 +210,14 @@
     arrived = trio.current_time()
     configuration = _admit(parts)
     raw = await _read_body(configuration.limits.body_bytes)
-    name = parts.enter()
-    guard: _Guard | None = None
-    try:
-        order = classify_model(raw, chat, Arrival(name, _headers(), arrived), configuration)
-        guard = _Guard(ModelFlight(order, parts.flight_parts()), parts.leave)
-    finally:
-        if guard is None:
-            parts.leave()
-    request.scope[_FLIGHT].append(guard)  # type: ignore[literal-required]
+    visit = _visit()
+    name = visit.begin(parts)
+    order = classify_model(raw, chat, Arrival(name, _headers(), arrived), configuration)
+    flight = ModelFlight(order, parts.flight_parts())
+    visit.attach(flight)
     parts.metrics.count_request(order.request.request_class)
     with eliot.start_action(action_type="request: model", request=name):
-        answer = _Relay(guard, order, parts, arrived)
+        answer = _Relay(flight, order, parts, arrived)
         return await (answer.stream() if order.stream else answer.whole())
 
 
@@ -214,10 +225,9 @@
     """Passes one flight's answer on to the caller and settles it."""
 
     def __init__(
-        self, guard: _Guard, order: ModelOrder, parts: CallerParts, arrived: float
+        self, flight: ModelFlight, order: ModelOrder, parts: CallerParts, arrived: float
     ) -> None:
-        self._guard = guard
-        self._flight = guard.flight
+        self._flight = flight
         self._order = order
         self._parts = parts
         self._arrived = arrived
@@ -253,7 +263,7 @@
             yield b"".join(b"id: %d\ndata: %b\n\n" % event for event in output.events)
             output = await self._next()
         if isinstance(output, Refused):
-            self._guard.close()
+            self._flight.close()
             yield b"data: %b\n\n" % msgspec.json.encode(_error_body(self._parts, output.refusal))
             return
         self._settle()
@@ -266,12 +276,12 @@
         return output
 
     def _refused(self, refusal: Refusal) -> Response:
-        self._guard.close()
+        self._flight.close()
         return _refuse(self._parts, refusal)
 
     def _settle(self) -> None:
         """Count the answer, and whether both latency targets were met."""
-        self._guard.close()
+        self._flight.close()
         request_class = self._order.request_class
         tokens = len(self._flight.relayed)
         ttft_s = self._first_at - self._arrived
@@ -286,21 +296,17 @@
     configuration = _admit_call(parts)
     body = await _read_body(configuration.limits.body_bytes)
     headers = _headers()
-    name = parts.enter()
-    try:
-        request_, request_class, service = classify_call(
-            service_name, Arrival(name, headers, arrived), configuration
-        )
-        parts.metrics.count_request(request_class.name)
-        repeatable = is_repeatable(service.unrepeatable, request.method, path)
-        query = request.query_string.decode("latin-1")
-        target = f"{path}?{query}" if query else path
-        order = CallOrder(
-            request_, request_class, repeatable, request.method, target, headers, body
-        )
+    name = _visit().begin(parts)
+    request_, request_class, service = classify_call(
+        service_name, Arrival(name, headers, arrived), configuration
+    )
+    parts.metrics.count_request(request_class.name)
+    repeatable = is_repeatable(service.unrepeatable, request.method, path)
+    query = request.query_string.decode("latin-1")
+    target = f"{path}?{query}" if query else path
+    order = CallOrder(request_, request_class, repeatable, request.method, target, headers, body)
+    with eliot.start_action(action_type="request: call", request=name):
         result = await _run_call(parts, order, configuration)
-    finally:
-        parts.leave()
     if isinstance(result, Refusal):
         return _refuse(parts, result)
     parts.metrics.count_answer(request_class.name, 0, True)
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -3,6 +3,7 @@
 They carry calls to the stand-ins in process, on virtual time, and can be cut.
 """
 
+import math
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Mapping
 from typing import Any
@@ -294,6 +295,8 @@
         self._gone = trio.Event()
         self._sent = False
         self.withhold_body = False
+        self.slow_s = 0.0
+        self.finished_at = math.inf
         self.status = 0
         self.headers: dict[str, str] = {}
         self.body = b""
@@ -336,7 +339,9 @@
         return self
 
     async def _take(self, message: dict[str, Any]) -> None:
-        await trio.lowlevel.checkpoint()
+        await trio.sleep(self.slow_s)
+        if message["type"] == "http.response.body" and not message.get("more_body", False):
+            self.finished_at = trio.current_time()
         if message["type"] == "http.response.start":
             self.status = message["status"]
             self.headers = {k.decode().lower(): v.decode() for k, v in message["headers"]}
--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -53,3 +53,13 @@
     Given entries e1 in a, e2 in a
     When an invalid configuration is published, then a valid one
     Then it is in force everywhere after 3 seconds
+
+  Scenario: A planned stop with a caller that reads slowly
+    Given callers take 1 seconds for each part of an answer
+    When entry e1 is stopped at the very end of an answer
+    Then the stop has ended only after the caller had the whole answer
+
+  Scenario: A planned stop with an order's answer on its way
+    Given callers take 1 seconds for each part of an answer
+    When entry e1 is stopped while an order runs
+    Then the stop has ended only after the caller had the whole answer
--- a/features/promises_test.py
+++ b/features/promises_test.py
@@ -157,6 +157,11 @@
     run.world.plan.append(change)
 
 
+@given(parsers.parse("callers take {seconds:g} seconds for each part of an answer"))
+def _(run: Run, seconds: float) -> None:
+    run.world.callers_slow_s = seconds
+
+
 @given("requests come all the time")
 def _(run: Run) -> None:
     async def ask_always(world: World) -> None:
@@ -444,9 +449,21 @@
     run.play(story)
 
 
+@when("entry e1 is stopped at the very end of an answer")
+def _(run: Run) -> None:
+    async def story(world: World) -> None:
+        caller = world.start_ask("e1", 3)
+        while len(caller.ids) < 3:
+            await trio.sleep(0.01)
+        await stop_entry(run, world)
+
+    run.play(story)
+
+
 async def stop_entry(run: Run, world: World) -> None:
     await world.entries["e1"].entry.stop()
     run.checks["stopped"] = True
+    run.checks["stopped_at"] = trio.current_time()
     world.kill("e1")
 
 
@@ -619,6 +636,12 @@
     assert run.checks["stopped"]
 
 
+@then("the stop has ended only after the caller had the whole answer")
+def _(run: Run) -> None:
+    assert run.first.status == 200
+    assert run.checks["stopped_at"] >= run.first.finished_at
+
+
 @then(parsers.parse("it is in force everywhere after {seconds:g} seconds"))
 def _(run: Run, seconds: float) -> None:
     assert set(run.checks["revisions"].values()) == {run.checks["wanted"]}
--- a/features/world.py
+++ b/features/world.py
@@ -69,6 +69,7 @@
         self.answers: list[Caller] = []
         self.settings: dict[str, Any] = {}
         self.engine_settings: dict[str, Any] = {}
+        self.callers_slow_s = 0.0
         self._nursery: trio.Nursery | None = None
         self._rng = random.Random(7)
         self._incarnation = 0
@@ -192,6 +193,7 @@
     ) -> Caller:
         """Start to ask a model request; the answer comes while the story goes on."""
         caller = Caller(self.entries[name].app)
+        caller.slow_s = self.callers_slow_s
         body = {"model": "m", "prompt": PROMPT, "max_tokens": tokens, "stream": True}
         self.entries[name].nursery.start_soon(
             caller.request, "POST", "/v1/completions", msgspec.json.encode(body), headers or {}
@@ -202,6 +204,7 @@
     async def call(self, name: str, key: str = "", body: bytes = b"{}") -> Caller:
         """Post an order, a call that may not be repeated."""
         caller = Caller(self.entries[name].app)
+        caller.slow_s = self.callers_slow_s
         headers = {"idempotency-key": key} if key else {}
         self.answers.append(caller)
         return await caller.request("POST", "/services/orders/orders", body, headers)
