Endpoints: numbered cache events, used by placement, and orders with fences

Change: one question gives load and cache events; a hole in their numbers forgets what was believed; placement takes endpoints known to have the prefix first, within the same bound on load. Orders carry a fence, an endpoint that checks refuses an old one (FenceError). Who may give orders is not built.

--- a/cleatlink/core/data.py
+++ b/cleatlink/core/data.py
@@ -13,10 +13,12 @@
 from cleatlink.core.labels import Selector
 
 __all__ = [
+    "CacheNews",
     "CallRule",
     "Configuration",
     "DataCentre",
     "Endpoint",
+    "FencedOrder",
     "Fleet",
     "Instance",
     "KvHandle",
@@ -191,6 +193,39 @@
     memory_free_tokens: int
     leaving: bool
     prefill_tokens_per_s: float
+    fence: int = 0
+
+
+class CacheNews(NamedTuple):
+    """What an endpoint's prefix cache took in and threw out lately.
+
+    Attributes:
+        added: Hashes of prefixes now cached.
+        removed: Hashes of prefixes no longer cached.
+        last: Number of the last event told; ask for what comes after it.
+        gap: Whether events between the last call and this one are lost.
+    """
+
+    added: tuple[int, ...]
+    removed: tuple[int, ...]
+    last: int
+    gap: bool
+
+
+class FencedOrder(NamedTuple):
+    """A desired state of an endpoint, told with a number that only grows.
+
+    Attributes:
+        kind: What is ordered: ``role``, ``model``, ``adapter`` or ``version``.
+        value: The desired state.
+        revision: Configuration revision that the order follows.
+        fence: Above every fence that the endpoint has accepted before.
+    """
+
+    kind: str
+    value: str
+    revision: int
+    fence: int
 
 
 class Request(NamedTuple):
--- a/cleatlink/core/errors.py
+++ b/cleatlink/core/errors.py
@@ -18,6 +18,7 @@
     "EndpointRefusedError",
     "EndpointUnreachableError",
     "ErrorKind",
+    "FenceError",
     "OutcomeUnknownError",
     "PeerError",
     "PeerUnreachableError",
@@ -138,6 +139,10 @@
         self.leaving = leaving
 
 
+class FenceError(EndpointRefusedError):
+    """The endpoint has accepted an order with a higher fence before."""
+
+
 class OutcomeUnknownError(EndpointError):
     """The order may have left, and no answer says whether it ran."""
 
--- a/cleatlink/routing/place.py
+++ b/cleatlink/routing/place.py
@@ -61,7 +61,7 @@
     if not roomy:
         return Refusal(ErrorKind.NO_ROOM, f"no decode endpoint has room for {needed} tokens")
     decode = _pick_decode(roomy, context)
-    prefill = _pick_prefill(request, prefills, decode.endpoint.data_centre)
+    prefill = _pick_prefill(request, prefills, decode.endpoint.data_centre, view)
     finish_s = prefill.wait_s + request.prompt_tokens / prefill.prefill_tokens_per_s
     if context.now + finish_s > request.deadline:
         return Refusal(ErrorKind.DEADLINE_NOT_RUN, f"prefill would take {finish_s:.1f} s")
@@ -118,14 +118,22 @@
     return min(chosen, key=lambda load: load.busy)
 
 
-def _pick_prefill(request: Request, loads: list[EndpointLoad], data_centre: str) -> EndpointLoad:
-    """Follow prefix affinity with bounded load, beside the decode where possible."""
+def _pick_prefill(
+    request: Request, loads: list[EndpointLoad], data_centre: str, view: FleetView
+) -> EndpointLoad:
+    """Follow prefix affinity with bounded load, beside the decode where possible.
+
+    Endpoints known to have the prefix cached come before the hashed order, which
+    alone would not find it again after its first choice was away for a while.
+    """
     near = [load for load in loads if load.endpoint.data_centre == data_centre]
     pool = near or loads
     by_name = {load.endpoint.name: load for load in pool}
     mean = sum(load.waiting_tokens for load in pool) / len(pool)
     bound = _AFFINITY_BOUND * (mean + request.prompt_tokens)
-    for name in rank_names(request.prefix_hash, by_name):
+    ranked = rank_names(request.prefix_hash, by_name)
+    ranked.sort(key=lambda name: not view.has_cached(name, request.prefix_hash))
+    for name in ranked:
         if by_name[name].waiting_tokens + request.prompt_tokens <= bound:
             return by_name[name]
     return min(pool, key=lambda load: load.wait_s)
--- a/cleatlink/routing/place_test.py
+++ b/cleatlink/routing/place_test.py
@@ -5,9 +5,18 @@
 from pathlib import Path
 
 from cleatlink.config import load_configuration
-from cleatlink.core.data import Endpoint, Fleet, LoadReport, Placement, Refusal, Request, Role
+from cleatlink.core.data import (
+    CacheNews,
+    Endpoint,
+    Fleet,
+    LoadReport,
+    Placement,
+    Refusal,
+    Request,
+    Role,
+)
 from cleatlink.core.errors import ErrorKind
-from cleatlink.routing import Context, FleetView, place_request, reserve_request
+from cleatlink.routing import Context, FleetView, Reservation, place_request, reserve_request
 
 TEXT = (Path(__file__).parents[2] / "examples/bublina.yaml").read_text()
 CONFIGURATION, _ = load_configuration(TEXT, 1)
@@ -116,3 +125,18 @@
 
 def test_same_seed_same_place() -> None:
     assert place(make_view(), make_request(), seed=5) == place(make_view(), make_request(), seed=5)
+
+
+def test_known_cache_goes_before_the_hashed_order_but_not_beyond_the_bound() -> None:
+    view = make_view()
+    first = place(view, make_request(7))
+    assert isinstance(first, Placement)
+    other = next(name for name in ("p0", "p1", "p2") if name != first.prefill.name)
+    view.cache_news(other, CacheNews((7,), (), 1, False))
+    found = place(view, make_request(7))
+    assert isinstance(found, Placement)
+    assert found.prefill.name == other
+    view.reserve("x/prefill", Reservation(other, 5000, 0, NOW))
+    found = place(view, make_request(7))
+    assert isinstance(found, Placement)
+    assert found.prefill.name == first.prefill.name
--- a/cleatlink/routing/view.py
+++ b/cleatlink/routing/view.py
@@ -6,9 +6,9 @@
 """
 
 from collections.abc import Mapping
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
-from cleatlink.core.data import Configuration, Endpoint, Fleet, LoadReport, Pool, Role
+from cleatlink.core.data import CacheNews, Configuration, Endpoint, Fleet, LoadReport, Pool, Role
 from cleatlink.core.labels import match
 
 __all__ = ["CONFIRM_S", "EndpointLoad", "FleetView", "Reservation", "endpoint_labels"]
@@ -21,6 +21,8 @@
 # endpoint was started anew, nothing that they say is news; this bounds the wait
 # in case the leaving was taken back before any report showed it.
 REFUSAL_HOLD_S = 120.0
+# Prefixes remembered of one endpoint.
+MAX_CACHED = 20_000
 
 
 class Reservation(NamedTuple):
@@ -63,6 +65,8 @@
         self._leaving_until: dict[str, float] = {}
         self._heard_leaving_until: dict[str, float] = {}
         self._reservations: dict[str, Reservation] = {}
+        self._cached: dict[str, set[int]] = {}
+        self._last_events: dict[str, int] = {}
         self._eligible: dict[tuple[str, Role], tuple[Endpoint, ...]] = {}
 
     @property
@@ -86,8 +90,10 @@
         self._fleet = fleet
         self._eligible.clear()
         names = {endpoint.name for endpoint in fleet.endpoints}
-        for name in [name for name in self._reports if name not in names]:
-            del self._reports[name]
+        kept: tuple[dict[str, Any], ...] = (self._reports, self._cached, self._last_events)
+        for by_name in kept:
+            for name in by_name.keys() - names:
+                del by_name[name]
         return True
 
     def set_configuration(self, configuration: Configuration) -> None:
@@ -105,6 +111,25 @@
         if report.leaving:
             self._leaving_until[name] = now + LEAVING_HOLD_S
 
+    def last_event(self, name: str) -> int:
+        """Give the number of the last cache event heard of an endpoint."""
+        return self._last_events.get(name, 0)
+
+    def cache_news(self, name: str, news: CacheNews) -> None:
+        """Take cache events; after a gap nothing older is believed any more."""
+        cached = self._cached.setdefault(name, set())
+        if news.gap:
+            cached.clear()
+        cached.difference_update(news.removed)
+        cached.update(news.added)
+        self._last_events[name] = news.last
+        while len(cached) > MAX_CACHED:
+            cached.pop()
+
+    def has_cached(self, name: str, prefix: int) -> bool:
+        """Tell whether an endpoint is believed to have a prefix cached."""
+        return prefix in self._cached.get(name, ())
+
     def refuse_leaving(self, name: str, now: float) -> None:
         """Note that an endpoint refused work because it is leaving."""
         self._leaving_until[name] = now + REFUSAL_HOLD_S
--- a/cleatlink/routing/view_test.py
+++ b/cleatlink/routing/view_test.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from cleatlink.config import load_configuration
-from cleatlink.core.data import Configuration, Endpoint, Fleet, LoadReport, Role
+from cleatlink.core.data import CacheNews, Configuration, Endpoint, Fleet, LoadReport, Role
 from cleatlink.core.labels import match, parse_selector
 from cleatlink.routing.view import (
     CONFIRM_S,
@@ -145,3 +145,15 @@
     assert not view.set_fleet(Fleet(5, (), ()))
     assert len(view.fleet.endpoints) == 1
     assert view.set_fleet(Fleet(6, (), ()))
+
+
+def test_cached_prefixes_follow_events_and_are_forgotten_after_a_gap() -> None:
+    view, _ = make_view()
+    view.cache_news("d1", CacheNews((1, 2), (), 2, False))
+    view.cache_news("d1", CacheNews((3,), (1,), 4, False))
+    assert [view.has_cached("d1", prefix) for prefix in (1, 2, 3)] == [False, True, True]
+    assert view.last_event("d1") == 4
+    view.cache_news("d1", CacheNews((5,), (), 9, True))
+    assert [view.has_cached("d1", prefix) for prefix in (2, 3, 5)] == [False, False, True]
+    view.set_fleet(Fleet(6, (), ()))
+    assert not view.has_cached("d1", 5)
--- a/cleatlink/serving/endpoints.py
+++ b/cleatlink/serving/endpoints.py
@@ -15,22 +15,25 @@
 import msgspec
 import trio
 
-from cleatlink.core.data import Endpoint, KvHandle, LoadReport, Role
+from cleatlink.core.data import CacheNews, Endpoint, FencedOrder, KvHandle, LoadReport, Role
 from cleatlink.core.errors import (
     EndpointError,
     EndpointRefusedError,
     EndpointUnreachableError,
+    FenceError,
     OutcomeUnknownError,
     StreamBrokenError,
 )
 
 __all__ = [
     "EndpointClient",
+    "EndpointReport",
     "EventStream",
     "HttpEndpointClient",
     "Order",
     "PlainAnswer",
     "StreamEvent",
+    "read_cache_news",
     "read_report",
 ]
 
@@ -80,6 +83,13 @@
     end: bool
 
 
+class EndpointReport(NamedTuple):
+    """An endpoint's answer to one question for its state."""
+
+    load: LoadReport
+    cache: CacheNews
+
+
 class PlainAnswer(NamedTuple):
     """A plain service's answer."""
 
@@ -128,8 +138,16 @@
         """Have everything of a request dropped up to an attempt."""
 
     @abstractmethod
-    async def report(self, endpoint: Endpoint, role: Role) -> LoadReport:
-        """Ask for an endpoint's load report."""
+    async def report(self, endpoint: Endpoint, role: Role, after: int) -> EndpointReport:
+        """Ask for an endpoint's load, and for its cache events after a number."""
+
+    @abstractmethod
+    async def give_order(self, endpoint: Endpoint, order: FencedOrder) -> None:
+        """Order a desired state.
+
+        Raises:
+            FenceError: The endpoint checks fences and knows a higher one.
+        """
 
     async def close_idle(self) -> None:
         """Close what has not been used for long."""
@@ -281,16 +299,25 @@
         response = await self._send(address, "/v1/cancel", body, {})
         await response.aclose()
 
-    async def report(self, endpoint: Endpoint, role: Role) -> LoadReport:
-        """Ask for an endpoint's load report."""
+    async def report(self, endpoint: Endpoint, role: Role, after: int) -> EndpointReport:
+        """Ask for an endpoint's load, and for its cache events after a number."""
         try:
             response = await self._client(endpoint.address).get(
-                f"http://{endpoint.address}/load", timeout=_REPORT_TIMEOUT_S
+                f"http://{endpoint.address}/load?events_after={after}", timeout=_REPORT_TIMEOUT_S
             )
-            return read_report(endpoint, role, msgspec.json.decode(response.content))
+            data = msgspec.json.decode(response.content)
+            return EndpointReport(read_report(endpoint, role, data), read_cache_news(data, after))
         except (httpx.HTTPError, msgspec.MsgspecError, TypeError, ValueError) as error:
             raise EndpointError(f"no load report: {error!r}") from error
 
+    async def give_order(self, endpoint: Endpoint, order: FencedOrder) -> None:
+        """Order a desired state."""
+        try:
+            response = await self._send(endpoint.address, "/v1/orders", order._asdict(), {})
+        except EndpointRefusedError as error:
+            raise FenceError(str(error)) from error
+        await response.aclose()
+
     async def call(
         self, endpoint: Endpoint, method: str, path: str, headers: Mapping[str, str], body: bytes
     ) -> PlainAnswer:
@@ -371,4 +398,23 @@
         int(data.get("memory_free_tokens", 0)),
         bool(data.get("leaving", False)),
         max(1.0, float(data.get("prefill_tokens_per_s", 1.0))),
+        int(data.get("fence", 0)),
+    )
+
+
+def read_cache_news(data: Mapping[str, Any], after: int) -> CacheNews:
+    """Read cache events; an endpoint without them has none.
+
+    Numbers without a hole mean that nothing was lost. An endpoint that counts
+    below what it told before was started anew, and its cache with it.
+    """
+    events = data.get("cache_events", ())
+    numbers = [int(event["number"]) for event in events]
+    last = int(data.get("last_event", after))
+    expected = range(after + 1, max(last, after) + 1)
+    return CacheNews(
+        tuple(int(event["prefix"]) for event in events if event["stored"]),
+        tuple(int(event["prefix"]) for event in events if not event["stored"]),
+        last,
+        last < after or numbers != list(expected),
     )
--- a/cleatlink/serving/entry.py
+++ b/cleatlink/serving/entry.py
@@ -248,8 +248,10 @@
         try:
             endpoint = self._view.endpoint(name)
             if endpoint is not None:
-                report = await self._client.report(endpoint, role)
-                self._view.report(report, trio.current_time())
+                after = self._view.last_event(name)
+                report = await self._client.report(endpoint, role, after)
+                self._view.report(report.load, trio.current_time())
+                self._view.cache_news(name, report.cache)
                 self._news.spread()
         except EndpointError:
             # Its last report grows old, and with it the endpoint unusable.
--- a/cleatlink/serving/parsers_test.py
+++ b/cleatlink/serving/parsers_test.py
@@ -6,11 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cleatlink.core.data import Endpoint, Role
+from cleatlink.core.data import CacheNews, Endpoint, Role
 from cleatlink.core.errors import ConfigurationError, PlatformError, StreamBrokenError
 from cleatlink.members import Heartbeat, State
 from cleatlink.request import Note
-from cleatlink.serving.endpoints import StreamEvent, parse_event, read_report
+from cleatlink.serving.endpoints import StreamEvent, parse_event, read_cache_news, read_report
 from cleatlink.serving.flight import join_text
 from cleatlink.serving.peer_link import Message, decode_message, encode_message
 from cleatlink.serving.platform import Document, read_fleet
@@ -73,6 +73,18 @@
         read_report(endpoint, Role.PLAIN, {"prefill_tokens_per_s": "fast"})
 
 
+def test_cache_events_tell_their_gaps() -> None:
+    def event(number: int) -> dict[str, object]:
+        return {"number": number, "prefix": 10 + number, "stored": number % 2 == 1}
+
+    whole = {"cache_events": [event(4), event(5)], "last_event": 5}
+    assert read_cache_news(whole, 3) == CacheNews((15,), (14,), 5, False)
+    assert read_cache_news(whole, 2).gap
+    assert read_cache_news({"cache_events": [event(5)], "last_event": 5}, 3).gap
+    assert read_cache_news({"cache_events": [], "last_event": 1}, 3).gap
+    assert read_cache_news({}, 3) == CacheNews((), (), 3, False)
+
+
 @given(st.lists(st.binary(max_size=30)), st.booleans())
 def test_any_events_join(events: list[bytes], chat: bool) -> None:
     assert isinstance(join_text(events, chat), str)
--- a/demo/cluster_test.py
+++ b/demo/cluster_test.py
@@ -7,6 +7,10 @@
 import pytest
 import trio
 
+from cleatlink.core.data import CacheNews, Endpoint, FencedOrder, Role
+from cleatlink.core.errors import FenceError
+from cleatlink.routing import hash_prefix
+from cleatlink.serving.endpoints import HttpEndpointClient
 from demo.cluster import Cluster
 from demo.traffic import Ask, Caller, make_key
 
@@ -73,6 +77,35 @@
     with_cluster(story)
 
 
+def test_orders_with_fences_and_cache_events_over_http() -> None:
+    async def story(cluster: Cluster, caller: Caller) -> None:
+        engine = cluster.engines["p1"]
+        endpoint = Endpoint("p1", engine.address, "a", "prefill")
+        client = HttpEndpointClient(1.0)
+        try:
+            await ask(cluster, caller, client, endpoint)
+        finally:
+            await client.close()
+
+    async def ask(
+        cluster: Cluster, caller: Caller, client: HttpEndpointClient, endpoint: Endpoint
+    ) -> None:
+        await client.give_order(endpoint, FencedOrder("role", "decode", 1, 7))
+        with pytest.raises(FenceError):
+            await client.give_order(endpoint, FencedOrder("role", "prefill", 1, 7))
+        assert (await cluster.ledger("p1"))["state"] == {"role": "decode"}
+        while (await client.report(endpoint, Role.BOTH, 0)).load.fence != 7:
+            await trio.sleep(0.05)
+        await caller.ask("e1", cluster.entries["e1"].address, ASK)
+        news = CacheNews((), (), 0, False)
+        while not news.added:
+            news = (await client.report(endpoint, Role.BOTH, 0)).cache
+        assert news == CacheNews((hash_prefix(ASK.prompt.encode()),), (), 1, False)
+        assert (await client.report(endpoint, Role.BOTH, 1)).cache == CacheNews((), (), 1, False)
+
+    with_cluster(story)
+
+
 def test_caller_that_goes_frees_the_engine_and_a_key_runs_once() -> None:
     async def story(cluster: Cluster, caller: Caller) -> None:
         address = cluster.entries["e1"].address
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 
-from cleatlink.core.data import Endpoint, KvHandle, LoadReport, Role
+from cleatlink.core.data import Endpoint, FencedOrder, KvHandle, Role
 from cleatlink.core.errors import (
     EndpointError,
     EndpointRefusedError,
@@ -24,10 +24,12 @@
 from cleatlink.request.classify import prompt_bytes
 from cleatlink.serving.endpoints import (
     EndpointClient,
+    EndpointReport,
     EventStream,
     Order,
     PlainAnswer,
     StreamEvent,
+    read_cache_news,
     read_report,
 )
 from cleatlink.serving.peer_link import Message, PeerLink, decode_message
@@ -117,7 +119,10 @@
         except engines.OrderRefusedError as error:
             raise EndpointError("cancel lost") from error
 
-    async def report(self, endpoint: Endpoint, role: Role) -> LoadReport:
+    async def give_order(self, endpoint: Endpoint, order: FencedOrder) -> None:
+        raise NotImplementedError("no scenario gives orders")
+
+    async def report(self, endpoint: Endpoint, role: Role, after: int) -> EndpointReport:
         address = endpoint.address
         if self.dead or address in self.fleet.dead or address in self.fleet.no_reports:
             raise EndpointError("no report")
@@ -125,9 +130,12 @@
         if address in self.fleet.services:
             data: Mapping[str, Any] = {"leaving": self.fleet.services[address].leaving}
         else:
-            data = self.fleet.engine(address).report()
+            engine = self.fleet.engine(address)
+            data = engine.report() | engine.cache_events(after)
         report = read_report(endpoint, role, data)
-        return report._replace(leaving=False) if self.stale_reports else report
+        if self.stale_reports:
+            report = report._replace(leaving=False)
+        return EndpointReport(report, read_cache_news(data, after))
 
     async def call(
         self, endpoint: Endpoint, method: str, path: str, headers: Mapping[str, str], body: bytes
--- a/features/world.py
+++ b/features/world.py
@@ -3,7 +3,7 @@
 import random
 import uuid
 from collections import Counter
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 import msgspec
@@ -188,15 +188,13 @@
         key = str(uuid.UUID(int=value))
         return f"{home}:{key}" if home else key
 
-    def start_ask(
-        self, name: str = "e1", tokens: int = 20, headers: Mapping[str, str] | None = None
-    ) -> Caller:
+    def start_ask(self, name: str = "e1", tokens: int = 20, prompt: str = PROMPT) -> Caller:
         """Start to ask a model request; the answer comes while the story goes on."""
         caller = Caller(self.entries[name].app)
         caller.slow_s = self.callers_slow_s
-        body = {"model": "m", "prompt": PROMPT, "max_tokens": tokens, "stream": True}
+        body = {"model": "m", "prompt": prompt, "max_tokens": tokens, "stream": True}
         self.entries[name].nursery.start_soon(
-            caller.request, "POST", "/v1/completions", msgspec.json.encode(body), headers or {}
+            caller.request, "POST", "/v1/completions", msgspec.json.encode(body), {}
         )
         self.answers.append(caller)
         return caller
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -26,6 +26,8 @@
 ]
 
 _TOMBSTONE_S = 120.0
+# Prompts with an equal beginning of this length share cached work.
+PREFIX_BYTES = 1024
 
 
 class OrderRefusedError(Exception):
@@ -48,6 +50,9 @@
     kv_keep_s: float = 3.0
     link_rate: float = 500_000.0
     report_lag_s: float = 0.2
+    cached_prefixes: int = 64
+    event_lag_s: float = 0.5
+    checks_fences: bool = True
 
 
 class Faults(TypedDict, total=False):
@@ -63,6 +68,7 @@
     slow_prefill_s: float
     slow_decode_s: float
     stale_report: bool
+    lose_events: int
     lose_cancels: int
 
 
@@ -141,8 +147,13 @@
         self._prefill_lock = trio.StrictFIFOLock()
         self._scopes: dict[tuple[str, int, str], trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
+        self.fence = 0
+        self.state: dict[str, str] = {}
+        self._cache: dict[int, float] = {}
+        self._events: list[tuple[float, dict[str, Any]]] = []
+        self._event_count = 0
         self._held_back: Chunk | None = None
-        self._reports: list[tuple[float, dict[str, object]]] = []
+        self._reports: list[tuple[float, dict[str, Any]]] = []
 
     @property
     def memory_used(self) -> int:
@@ -182,8 +193,10 @@
         with scope:
             async with self._prefill_lock:
                 self.counts["prefill_tokens"] += size
+                new = size - self._take_cached(order.prompt, size)
+                self.counts["computed_tokens"] += new
                 slow_s = self.faults.get("slow_prefill_s", 0.0)
-                await trio.sleep(size / self.settings.prefill_rate + slow_s)
+                await trio.sleep(new / self.settings.prefill_rate + slow_s)
         self._waiting_tokens -= size
         del self._scopes[key]
         if scope.cancelled_caught:
@@ -258,13 +271,50 @@
             stream.wake()
             self._streams.pop(request)
 
-    def report(self) -> dict[str, object]:
+    def give_order(self, kind: str, value: str, fence: int) -> None:
+        """Take a desired state; one that checks fences refuses an old order."""
+        if self.settings.checks_fences and fence <= self.fence:
+            raise OrderRefusedError(409, f"fence {self.fence}")
+        self.fence = fence
+        self.state[kind] = value
+
+    def cache_events(self, after: int) -> dict[str, Any]:
+        """Give cache events after a number, late, and with some of them lost."""
+        seen = trio.current_time() - self.settings.event_lag_s
+        old = [event for at, event in self._events if at <= seen]
+        last = old[-1]["number"] if old else 0
+        events = [event for event in old if event["number"] > after]
+        lost = self.faults.pop("lose_events", 0)
+        return {"cache_events": events[lost:], "last_event": last}
+
+    def _take_cached(self, prompt: str, size: int) -> int:
+        """Tell how many tokens of a prompt are cached, and cache its prefix."""
+        data = prompt.encode()[:PREFIX_BYTES]
+        prefix = xxhash.xxh3_64_intdigest(data)
+        hit = prefix in self._cache
+        self._cache.pop(prefix, None)
+        self._cache[prefix] = trio.current_time()
+        if not hit:
+            self._note_event(prefix, stored=True)
+        while len(self._cache) > self.settings.cached_prefixes:
+            oldest = next(iter(self._cache))
+            del self._cache[oldest]
+            self._note_event(oldest, stored=False)
+        return min(size, len(data) // 4) if hit else 0
+
+    def _note_event(self, prefix: int, stored: bool) -> None:
+        self._event_count += 1
+        event = {"number": self._event_count, "prefix": prefix, "stored": stored}
+        self._events.append((trio.current_time(), event))
+        del self._events[:-1000]
+
+    def report(self) -> dict[str, Any]:
         """Give the load as it was one report lag ago."""
         seen = trio.current_time() - self.settings.report_lag_s
         old = [report for at, report in self._reports if at <= seen]
         return old[-1] if old else self._report()
 
-    def _report(self) -> dict[str, object]:
+    def _report(self) -> dict[str, Any]:
         return {
             "endpoint": self.settings.name,
             "slots": self.settings.slots,
@@ -273,6 +323,7 @@
             "memory_tokens": self.settings.memory_tokens,
             "memory_free_tokens": self.settings.memory_tokens - self.memory_used,
             "leaving": self.leaving,
+            "fence": self.fence,
             "prefill_tokens_per_s": self.settings.prefill_rate,
         }
 
--- a/standins/engine_app.py
+++ b/standins/engine_app.py
@@ -67,12 +67,19 @@
 
     @app.get("/load")
     async def load() -> dict[str, Any]:
-        return engine.report()
+        return engine.report() | engine.cache_events(request.args.get("events_after", 0, type=int))
+
+    @app.post("/v1/orders")
+    async def give_order() -> dict[str, Any]:
+        body = await request.get_json()
+        engine.give_order(body["kind"], body["value"], body["fence"])
+        return {}
 
     @app.get("/admin/ledger")
     async def ledger() -> dict[str, Any]:
         held = ["/".join(map(str, key)) for key in engine.memory]
-        return {"memory": engine.memory_used, "held": held, "counts": engine.counts}
+        books = {"memory": engine.memory_used, "held": held, "counts": engine.counts}
+        return books | {"state": engine.state, "fence": engine.fence}
 
     @app.post("/admin/faults")
     async def faults() -> dict[str, Any]:
