A placement looks at a few endpoints, however large the fleet

Cause: placing scanned every candidate and every own placement; 360 nodes want one decision for 600 endpoints well under 100 us. An endpoint's load also forgot placements that a report could not show yet, because reports are half a second old when they come. Change: eligible endpoints and a hash ring are kept for each class, role and data centre; decode is the less busy of two random ones, prefill follows cached prefixes, then the ring, bounded by the queues of four random ones; only a refusal looks at all. Placements count until a report that can show them. cleatlink-bench decisions holds it beside a naive version, hypothesis holds both to the same verdict. Found by that: a fleet without prefill endpoints and without decode room was refused as no_room instead of no_endpoint (mended).

--- a/bench/main.py
+++ b/bench/main.py
@@ -4,6 +4,7 @@
 import trio
 
 from bench.control import measure_control
+from bench.decisions import measure_decisions
 from bench.path import measure_path
 from bench.report import print_report
 
@@ -40,5 +41,16 @@
     print_report(seed, rows, as_json)
 
 
+@main.command()
+@click.option("--endpoints", default="8,55,600,6000", help="Fleet sizes, joined by commas.")
+@click.option("--requests", default=2000, help="Placements at each size.")
+@click.option("--seed", default=1, help="Seed of fleet and requests.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def decisions(endpoints: str, requests: int, seed: int, as_json: bool) -> None:
+    """Measure one placement beside the naive version."""
+    sizes = [int(size) for size in endpoints.split(",")]
+    print_report(seed, [measure_decisions(size, requests, seed) for size in sizes], as_json)
+
+
 if __name__ == "__main__":
     main()
--- a/cleatlink/routing/place.py
+++ b/cleatlink/routing/place.py
@@ -7,11 +7,13 @@
 """
 
 import random
+from collections.abc import Iterable, Iterator
+from itertools import islice
 from typing import NamedTuple
 
 from cleatlink.core.data import Endpoint, Placement, Refusal, Request, RequestClass, Role
 from cleatlink.core.errors import ErrorKind
-from cleatlink.routing.prefix import rank_names
+from cleatlink.routing.group import Group, sample
 from cleatlink.routing.view import EndpointLoad, FleetView, Reservation
 
 __all__ = ["Context", "place_call", "place_request", "release_request", "reserve_request"]
@@ -19,6 +21,10 @@
 # The first choice by prefix keeps a prompt unless it is this much above the mean.
 _AFFINITY_BOUND = 1.25
 _CHOICES = 2
+# Endpoints drawn to see how long queues are, and followed along the ring.
+_SAMPLE = 4
+_WALK = 6
+_NO_PREFILL = Refusal(ErrorKind.NO_ENDPOINT, "no prefill endpoint is eligible")
 
 
 class Context(NamedTuple):
@@ -51,17 +57,13 @@
     Returns:
         Where the request goes, or why it goes nowhere.
     """
-    prefills = _usable(view, request_class, Role.PREFILL, context)
-    decodes = _usable(view, request_class, Role.DECODE, context)
-    if not prefills or not decodes:
-        missing = "prefill" if not prefills else "decode"
-        return Refusal(ErrorKind.NO_ENDPOINT, f"no {missing} endpoint is eligible")
     needed = request.prompt_tokens + request.max_output_tokens
-    roomy = [load for load in decodes if load.free_tokens >= needed and load.running < load.slots]
-    if not roomy:
-        return Refusal(ErrorKind.NO_ROOM, f"no decode endpoint has room for {needed} tokens")
-    decode = _pick_decode(roomy, context)
-    prefill = _pick_prefill(request, prefills, decode.endpoint.data_centre, view)
+    decode = _find_decode(view, request_class, needed, context)
+    if isinstance(decode, Refusal):
+        return decode if _has_prefill(view, request_class, context) else _NO_PREFILL
+    prefill = _find_prefill(request, view, request_class, decode.endpoint.data_centre, context)
+    if prefill is None:
+        return _NO_PREFILL
     finish_s = prefill.wait_s + request.prompt_tokens / prefill.prefill_tokens_per_s
     if context.now + finish_s > request.deadline:
         return Refusal(ErrorKind.DEADLINE_NOT_RUN, f"prefill would take {finish_s:.1f} s")
@@ -100,40 +102,81 @@
     view.release(f"{request.name}/decode")
 
 
-def _usable(
-    view: FleetView, request_class: RequestClass, role: Role, context: Context
-) -> list[EndpointLoad]:
-    return [
+def _find_decode(
+    view: FleetView, request_class: RequestClass, needed: int, context: Context
+) -> EndpointLoad | Refusal:
+    """Find room, nearby first: a few at random, and all only if none of them has it."""
+    near = view.group(request_class.name, Role.DECODE, context.data_centre).endpoints
+    everywhere = view.group(request_class.name, Role.DECODE).endpoints
+    for endpoints in (near, everywhere):
+        drawn = sample(endpoints, _CHOICES, context.rng)
+        best = _least_busy(view, drawn, needed, context)
+        if best is None and len(endpoints) > len(drawn):
+            best = _least_busy(view, endpoints, needed, context)
+        if best is not None:
+            return best
+    if not any(_allowed(view, endpoint, context) for endpoint in everywhere):
+        return Refusal(ErrorKind.NO_ENDPOINT, "no decode endpoint is eligible")
+    return Refusal(ErrorKind.NO_ROOM, f"no decode endpoint has room for {needed} tokens")
+
+
+def _least_busy(
+    view: FleetView, endpoints: Iterable[Endpoint], needed: int, context: Context
+) -> EndpointLoad | None:
+    """Give the least busy of some endpoints that has room."""
+    best = None
+    for endpoint in endpoints:
+        if _allowed(view, endpoint, context):
+            load = view.load(endpoint)
+            roomy = load.free_tokens >= needed and load.running < load.slots
+            if roomy and (best is None or load.busy < best.busy):
+                best = load
+    return best
+
+
+def _find_prefill(
+    request: Request,
+    view: FleetView,
+    request_class: RequestClass,
+    data_centre: str,
+    context: Context,
+) -> EndpointLoad | None:
+    """Follow prefix affinity with bounded load, beside the decode where possible.
+
+    Endpoints known to have the prefix cached come before the ring's order, which
+    alone would not find it again after its first choice was away for a while.
+    The bound is on the queue as a few random endpoints show it.
+    """
+    group = view.group(request_class.name, Role.PREFILL, data_centre)
+    if not any(_allowed(view, endpoint, context) for endpoint in group.endpoints):
+        group = view.group(request_class.name, Role.PREFILL)
+    seen = [
         view.load(endpoint)
-        for endpoint in view.candidates(request_class.name, role, context.now)
-        if endpoint.name not in context.excluded
+        for endpoint in sample(group.endpoints, _SAMPLE, context.rng)
+        if _allowed(view, endpoint, context)
     ]
+    mean = sum(load.waiting_tokens for load in seen) / max(1, len(seen))
+    bound = _AFFINITY_BOUND * (mean + request.prompt_tokens)
+    walk = (item for item in _by_affinity(request, view, group) if _allowed(view, item, context))
+    for endpoint in islice(walk, _WALK):
+        load = view.load(endpoint)
+        if load.waiting_tokens + request.prompt_tokens <= bound:
+            return load
+        seen.append(load)
+    return min(seen, key=lambda load: load.wait_s, default=None)
 
 
-def _pick_decode(loads: list[EndpointLoad], context: Context) -> EndpointLoad:
-    """Take the less busy of two random nearby endpoints; far ones when none is near."""
-    near = [load for load in loads if load.endpoint.data_centre == context.data_centre]
-    pool = near or loads
-    chosen = context.rng.sample(pool, min(_CHOICES, len(pool)))
-    return min(chosen, key=lambda load: load.busy)
+def _has_prefill(view: FleetView, request_class: RequestClass, context: Context) -> bool:
+    group = view.group(request_class.name, Role.PREFILL)
+    return any(_allowed(view, endpoint, context) for endpoint in group.endpoints)
 
 
-def _pick_prefill(
-    request: Request, loads: list[EndpointLoad], data_centre: str, view: FleetView
-) -> EndpointLoad:
-    """Follow prefix affinity with bounded load, beside the decode where possible.
+def _by_affinity(request: Request, view: FleetView, group: Group) -> Iterator[Endpoint]:
+    """Go through endpoints known to have the prefix, then through the ring."""
+    for name in sorted(view.cache_holders(request.prefix_hash) & group.by_name.keys()):
+        yield group.by_name[name]
+    yield from group.walk(request.prefix_hash)
 
-    Endpoints known to have the prefix cached come before the hashed order, which
-    alone would not find it again after its first choice was away for a while.
-    """
-    near = [load for load in loads if load.endpoint.data_centre == data_centre]
-    pool = near or loads
-    by_name = {load.endpoint.name: load for load in pool}
-    mean = sum(load.waiting_tokens for load in pool) / len(pool)
-    bound = _AFFINITY_BOUND * (mean + request.prompt_tokens)
-    ranked = rank_names(request.prefix_hash, by_name)
-    ranked.sort(key=lambda name: not view.has_cached(name, request.prefix_hash))
-    for name in ranked:
-        if by_name[name].waiting_tokens + request.prompt_tokens <= bound:
-            return by_name[name]
-    return min(pool, key=lambda load: load.wait_s)
+
+def _allowed(view: FleetView, endpoint: Endpoint, context: Context) -> bool:
+    return endpoint.name not in context.excluded and view.usable(endpoint, context.now)
--- a/cleatlink/routing/place_test.py
+++ b/cleatlink/routing/place_test.py
@@ -4,6 +4,11 @@
 from collections import Counter
 from pathlib import Path
 
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bench.decisions import make_sample
+from bench.naive import place_naively
 from cleatlink.config import load_configuration
 from cleatlink.core.data import (
     CacheNews,
@@ -140,3 +145,33 @@
     found = place(view, make_request(7))
     assert isinstance(found, Placement)
     assert found.prefill.name == first.prefill.name
+
+
+@given(st.integers(0, 10_000), st.sampled_from([2, 8, 30, 90]), st.integers(0, 40), st.booleans())
+def test_agrees_with_looking_at_everything(
+    seed: int, endpoints: int, in_flight: int, tight: bool
+) -> None:
+    """Ours looks at a few; it must still place exactly when the naive version can."""
+    made = make_sample(endpoints, in_flight + 10, seed)
+    rng = random.Random(seed)
+    names = [endpoint.name for endpoint in made.view.fleet.endpoints]
+    for name in rng.sample(names, len(names) // 3):
+        made.view.refuse_leaving(name, NOW)
+    for number, asked in enumerate(made.requests):
+        size = rng.randrange(10_000, 80_000) if tight else asked.prompt_tokens
+        request = asked._replace(prompt_tokens=size)
+        excluded = frozenset(rng.sample(names, rng.randrange(min(4, len(names)))))
+        context = Context("dc0", excluded, 1_000.5, rng)
+        request_class = made.configuration.classes[request.request_class]
+        ours = place_request(request, request_class, made.view, context)
+        naive = place_naively(request, made.configuration, made.view, context)
+        if isinstance(ours, Placement):
+            assert isinstance(naive, Placement)
+            for endpoint in (ours.prefill, ours.decode):
+                assert endpoint.name not in excluded
+                assert made.view.usable(endpoint, context.now)
+            if number < in_flight:
+                reserve_request(made.view, request, ours, context.now)
+        elif ours.kind is not ErrorKind.DEADLINE_NOT_RUN:
+            assert isinstance(naive, Refusal)
+            assert naive.kind is ours.kind
--- a/cleatlink/routing/view.py
+++ b/cleatlink/routing/view.py
@@ -5,11 +5,12 @@
 earliest word that it is leaving wins over every later report that lags.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from typing import Any, NamedTuple
 
 from cleatlink.core.data import CacheNews, Configuration, Endpoint, Fleet, LoadReport, Pool, Role
 from cleatlink.core.labels import match
+from cleatlink.routing.group import Group, make_group
 
 __all__ = ["CONFIRM_S", "EndpointLoad", "FleetView", "Reservation", "endpoint_labels"]
 
@@ -21,6 +22,8 @@
 # endpoint was started anew, nothing that they say is news; this bounds the wait
 # in case the leaving was taken back before any report showed it.
 REFUSAL_HOLD_S = 120.0
+# A report is up to this old when it arrives: what was placed since may be missing.
+REPORT_LAG_S = 0.5
 # Prefixes remembered of one endpoint.
 MAX_CACHED = 20_000
 
@@ -60,14 +63,18 @@
 
     def __init__(self) -> None:
         self._fleet = Fleet(0, (), ())
+        self._by_name: dict[str, Endpoint] = {}
         self._configuration: Configuration | None = None
         self._reports: dict[str, tuple[LoadReport, float]] = {}
         self._leaving_until: dict[str, float] = {}
         self._heard_leaving_until: dict[str, float] = {}
         self._reservations: dict[str, Reservation] = {}
+        # By endpoint, those that its last report may not show yet.
+        self._unseen: dict[str, dict[str, Reservation]] = {}
         self._cached: dict[str, set[int]] = {}
+        self._holders: dict[int, set[str]] = {}
         self._last_events: dict[str, int] = {}
-        self._eligible: dict[tuple[str, Role], tuple[Endpoint, ...]] = {}
+        self._groups: dict[tuple[str, Role, str], Group] = {}
 
     @property
     def fleet(self) -> Fleet:
@@ -81,17 +88,20 @@
 
     def endpoint(self, name: str) -> Endpoint | None:
         """Give an endpoint of the instance list by its name."""
-        return next((item for item in self._fleet.endpoints if item.name == name), None)
+        return self._by_name.get(name)
 
     def set_fleet(self, fleet: Fleet) -> bool:
         """Take an instance list if it is newer than the one in use."""
         if fleet.revision <= self._fleet.revision:
             return False
         self._fleet = fleet
-        self._eligible.clear()
+        self._groups.clear()
         names = {endpoint.name for endpoint in fleet.endpoints}
-        kept: tuple[dict[str, Any], ...] = (self._reports, self._cached, self._last_events)
-        for by_name in kept:
+        self._by_name = {endpoint.name: endpoint for endpoint in fleet.endpoints}
+        for name in self._cached.keys() - names:
+            self._forget_cache(name)
+        kept: tuple[dict[str, Any], ...] = (self._reports, self._last_events, self._leaving_until)
+        for by_name in (*kept, self._heard_leaving_until, self._unseen):
             for name in by_name.keys() - names:
                 del by_name[name]
         return True
@@ -99,7 +109,7 @@
     def set_configuration(self, configuration: Configuration) -> None:
         """Use a newly adopted configuration."""
         self._configuration = configuration
-        self._eligible.clear()
+        self._groups.clear()
 
     def report(self, report: LoadReport, now: float) -> None:
         """Take an endpoint's own load report."""
@@ -108,6 +118,9 @@
         if known is not None and known[0].incarnation != report.incarnation:
             self._leaving_until.pop(name, None)
         self._reports[name] = (report, now)
+        unseen = self._unseen.get(name, {})
+        for key in [key for key, item in unseen.items() if item.at < now - REPORT_LAG_S]:
+            del unseen[key]
         if report.leaving:
             self._leaving_until[name] = now + LEAVING_HOLD_S
 
@@ -117,18 +130,33 @@
 
     def cache_news(self, name: str, news: CacheNews) -> None:
         """Take cache events; after a gap nothing older is believed any more."""
-        cached = self._cached.setdefault(name, set())
         if news.gap:
-            cached.clear()
-        cached.difference_update(news.removed)
-        cached.update(news.added)
-        self._last_events[name] = news.last
+            self._forget_cache(name)
+        cached = self._cached.setdefault(name, set())
+        for prefix in news.removed:
+            cached.discard(prefix)
+            self._drop_holder(prefix, name)
+        for prefix in news.added[-MAX_CACHED:]:
+            cached.add(prefix)
+            self._holders.setdefault(prefix, set()).add(name)
         while len(cached) > MAX_CACHED:
-            cached.pop()
+            self._drop_holder(cached.pop(), name)
+        self._last_events[name] = news.last
+
+    def cache_holders(self, prefix: int) -> Set[str]:
+        """Give the names of endpoints that are believed to have a prefix cached."""
+        return self._holders.get(prefix, frozenset())
 
-    def has_cached(self, name: str, prefix: int) -> bool:
-        """Tell whether an endpoint is believed to have a prefix cached."""
-        return prefix in self._cached.get(name, ())
+    def _forget_cache(self, name: str) -> None:
+        for prefix in self._cached.pop(name, ()):
+            self._drop_holder(prefix, name)
+
+    def _drop_holder(self, prefix: int, name: str) -> None:
+        holders = self._holders.get(prefix)
+        if holders is not None:
+            holders.discard(name)
+            if not holders:
+                del self._holders[prefix]
 
     def refuse_leaving(self, name: str, now: float) -> None:
         """Note that an endpoint refused work because it is leaving."""
@@ -149,10 +177,13 @@
     def reserve(self, key: str, reservation: Reservation) -> None:
         """Count work placed on an endpoint until it is released."""
         self._reservations[key] = reservation
+        self._unseen.setdefault(reservation.endpoint, {})[key] = reservation
 
     def release(self, key: str) -> None:
         """Forget a reservation; unknown keys are fine."""
-        self._reservations.pop(key, None)
+        reservation = self._reservations.pop(key, None)
+        if reservation is not None:
+            self._unseen.get(reservation.endpoint, {}).pop(key, None)
 
     def usable(self, endpoint: Endpoint, now: float) -> bool:
         """Tell whether an endpoint may get new work now."""
@@ -164,31 +195,37 @@
         report = self._reports.get(endpoint.name)
         return report is not None and now - report[1] <= CONFIRM_S
 
+    def group(self, request_class: str, role: Role, data_centre: str = "") -> Group:
+        """Give the endpoints that a class may use in a role, usable now or not.
+
+        Args:
+            request_class: Name of the class.
+            role: Role in the request.
+            data_centre: Only those there; all by default.
+        """
+        key = (request_class, role, data_centre)
+        if key not in self._groups:
+            self._groups[key] = make_group(self._select(*key))
+        return self._groups[key]
+
     def candidates(self, request_class: str, role: Role, now: float) -> list[Endpoint]:
-        """Endpoints that a class may use in a role now."""
-        key = (request_class, role)
-        if key not in self._eligible:
-            self._eligible[key] = self._select(request_class, role)
-        return [endpoint for endpoint in self._eligible[key] if self.usable(endpoint, now)]
+        """Give all endpoints that a class may use in a role now; this looks at each."""
+        group = self.group(request_class, role)
+        return [endpoint for endpoint in group.endpoints if self.usable(endpoint, now)]
 
     def load(self, endpoint: Endpoint) -> EndpointLoad:
-        """Give an endpoint's report plus own placements that it does not show."""
-        report, at = self._reports[endpoint.name]
-        newer = [
-            item
-            for item in self._reservations.values()
-            if item.endpoint == endpoint.name and item.at >= at
-        ]
+        """Give an endpoint's report plus own placements that it may not show."""
+        report, _ = self._reports[endpoint.name]
+        running, waiting, free = report.running, report.waiting_tokens, report.memory_free_tokens
+        for item in self._unseen.get(endpoint.name, {}).values():
+            running += item.memory_tokens > 0
+            waiting += item.prefill_tokens
+            free -= item.memory_tokens
         return EndpointLoad(
-            endpoint,
-            report.running + sum(1 for item in newer if item.memory_tokens),
-            report.slots,
-            report.waiting_tokens + sum(item.prefill_tokens for item in newer),
-            report.memory_free_tokens - sum(item.memory_tokens for item in newer),
-            report.prefill_tokens_per_s,
+            endpoint, running, report.slots, waiting, free, report.prefill_tokens_per_s
         )
 
-    def _select(self, request_class: str, role: Role) -> tuple[Endpoint, ...]:
+    def _select(self, request_class: str, role: Role, data_centre: str) -> tuple[Endpoint, ...]:
         configuration = self._configuration
         if configuration is None or request_class not in configuration.classes:
             return ()
@@ -196,7 +233,8 @@
         return tuple(
             endpoint
             for endpoint in self._fleet.endpoints
-            if _serves(configuration.pools.get(endpoint.pool), wanted.service, role)
+            if data_centre in ("", endpoint.data_centre)
+            and _serves(configuration.pools.get(endpoint.pool), wanted.service, role)
             and match(wanted.selector, endpoint_labels(configuration, endpoint))
         )
 
--- a/cleatlink/routing/view_test.py
+++ b/cleatlink/routing/view_test.py
@@ -12,6 +12,7 @@
     CONFIRM_S,
     LEAVING_HOLD_S,
     REFUSAL_HOLD_S,
+    REPORT_LAG_S,
     FleetView,
     Reservation,
     endpoint_labels,
@@ -133,7 +134,9 @@
     view.reserve("r/prefill", Reservation("d1", 50, 0, 100.5))
     loaded = view.load(endpoint)
     assert (loaded.running, loaded.free_tokens, loaded.waiting_tokens) == (3, 300, 150)
-    view.report(report("d1"), 101.0)
+    view.report(report("d1"), 100.5 + REPORT_LAG_S)
+    assert view.load(endpoint).free_tokens == 300, "the report may have been made before"
+    view.report(report("d1"), 100.6 + REPORT_LAG_S)
     assert view.load(endpoint).free_tokens == 500
     view.release("r/decode")
     view.release("r/decode")
@@ -151,9 +154,9 @@
     view, _ = make_view()
     view.cache_news("d1", CacheNews((1, 2), (), 2, False))
     view.cache_news("d1", CacheNews((3,), (1,), 4, False))
-    assert [view.has_cached("d1", prefix) for prefix in (1, 2, 3)] == [False, True, True]
+    assert [view.cache_holders(prefix) for prefix in (1, 2, 3)] == [set(), {"d1"}, {"d1"}]
     assert view.last_event("d1") == 4
     view.cache_news("d1", CacheNews((5,), (), 9, True))
-    assert [view.has_cached("d1", prefix) for prefix in (2, 3, 5)] == [False, False, True]
+    assert [view.cache_holders(prefix) for prefix in (2, 3, 5)] == [set(), set(), {"d1"}]
     view.set_fleet(Fleet(6, (), ()))
-    assert not view.has_cached("d1", 5)
+    assert not view.cache_holders(5)
