Policy bench; own work counted exactly, prefill by its finish, no queue in front of the urgent

Three causes: a decode that waited for its prefill was in no report and dropped out of the count 0.5 s after placing; prefix affinity accepted queues far longer than the 256 tokens that a cached prefix saves; tagging prompts of 0.6 s queued inside the engines, where nothing can overtake them. Ruled out: the engines (round robin met the targets on the same ones). Change: load is others' as reported plus own as it is, each of ours taken out of a report only once it must show there; the prefill endpoint is the one that would be done first among cached ones, the first on the ring and some random ones; a class with more urgent ones beside it starts no prefill behind a queue; a request that must miss its first-token target is refused at once as target_missed with the time to come back, or runs late if its class says so. Found by the scenarios: a retry of a committed answer was refused by the same rule (mended).

--- a/bench/main.py
+++ b/bench/main.py
@@ -1,11 +1,14 @@
 """The ``cleatlink-bench`` command."""
 
+import itertools
+
 import click
 import trio
 
 from bench.control import measure_control
 from bench.decisions import measure_decisions
 from bench.path import measure_path
+from bench.policy import FAULTS, POLICIES, WORKLOADS, Cell, measure_policy
 from bench.report import print_report
 
 __all__ = ["main"]
@@ -52,5 +55,24 @@
     print_report(seed, [measure_decisions(size, requests, seed) for size in sizes], as_json)
 
 
+@main.command()
+@click.option("--workloads", default=",".join(WORKLOADS), help="Joined by commas.")
+@click.option("--loads", default="0.7,1.0,1.3,2.0", help="Shares of capacity, joined by commas.")
+@click.option("--faults", default="none", help=f"Of {', '.join(FAULTS)}, joined by commas.")
+@click.option("--policies", default=",".join(POLICIES), help="Joined by commas.")
+@click.option("--seed", default=1, help="Seed of the requests.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def policy(seed: int, as_json: bool, **lists: str) -> None:
+    """Measure goodput and wasted prefill under load, in virtual time."""
+    cells = itertools.product(
+        lists["policies"].split(","),
+        lists["workloads"].split(","),
+        map(float, lists["loads"].split(",")),
+        lists["faults"].split(","),
+    )
+    rows = [row for cell in cells for row in measure_policy(Cell(*cell), seed)]
+    print_report(seed, rows, as_json)
+
+
 if __name__ == "__main__":
     main()
--- a/cleatlink/config/loader.py
+++ b/cleatlink/config/loader.py
@@ -31,6 +31,7 @@
 
 _METHODS = ("*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
 _FORMAT = 1
+_QUEUE_LIMIT_S = 0.05
 
 _Member = TypeVar("_Member", bound=StrEnum)
 
@@ -72,10 +73,9 @@
         pools={
             name: _read_pool(name, section) for name, section in top.named_sections("pools").items()
         },
-        classes={
-            name: _read_class(name, section)
-            for name, section in top.named_sections("classes").items()
-        },
+        classes=_limit_queues(
+            [_read_class(name, section) for name, section in top.named_sections("classes").items()]
+        ),
         endpoint_labels=_read_endpoint_labels(top.section("endpoint_labels")),
         limits=_read_limits(top.section("limits")),
         objective=_read_objective(top.section("objective")),
@@ -135,6 +135,7 @@
         section.number("deadline_s", 60.0, 0.01, 3600),
         section.number("max_wait_s", 0.5, 0, 600),
         _read_selector(section),
+        section.text("late", "refuse", ("refuse", "run")) == "run",
     )
     if request_class.max_wait_s > request_class.deadline_s:
         section.fault("must not be longer than deadline_s", "max_wait_s")
@@ -142,6 +143,23 @@
     return request_class
 
 
+def _limit_queues(classes: list[RequestClass]) -> dict[str, RequestClass]:
+    """Keep classes from queueing in front of more urgent ones of their service.
+
+    An engine works its prefills off in the order in which they come. What waits
+    there can't be overtaken, what waits here can.
+    """
+    urgent: dict[str, int] = {}
+    for item in classes:
+        urgent[item.service] = max(item.priority, urgent.get(item.service, 0))
+    return {
+        item.name: item
+        if item.priority == urgent[item.service]
+        else item._replace(queue_limit_s=_QUEUE_LIMIT_S)
+        for item in classes
+    }
+
+
 def _read_selector(section: Section) -> Selector:
     """Read a selector; an absent one selects everything."""
     if "selector" not in section.keys:
--- a/cleatlink/core/data.py
+++ b/cleatlink/core/data.py
@@ -5,6 +5,7 @@
 ``_tokens`` are counted in tokens of the model that is asked.
 """
 
+import math
 from collections.abc import Mapping
 from enum import StrEnum
 from typing import NamedTuple
@@ -100,7 +101,21 @@
 
 
 class RequestClass(NamedTuple):
-    """A class of requests: where it may run, how urgent it is, its targets."""
+    """A class of requests: where it may run, how urgent it is, its targets.
+
+    Attributes:
+        name: Its name.
+        service: Service that it asks.
+        priority: From 0; more is more urgent.
+        ttft_target_s: Seconds to the first token.
+        token_target_s: Seconds between tokens.
+        deadline_s: Longest life of a request.
+        max_wait_s: Longest wait for room.
+        selector: Endpoints that it may use.
+        runs_late: Whether a request runs although it must miss its target.
+        queue_limit_s: Longest prefill queue behind which it is put; a class with
+            more urgent ones beside it waits here instead of in front of them.
+    """
 
     name: str
     service: str
@@ -110,6 +125,8 @@
     deadline_s: float
     max_wait_s: float
     selector: Selector
+    runs_late: bool = False
+    queue_limit_s: float = math.inf
 
 
 class Limits(NamedTuple):
@@ -240,7 +257,7 @@
     max_output_tokens: int
     prefix_hash: int
     deadline: float
-    repeatable: bool = True
+    first_token_by: float = math.inf
 
 
 class KvHandle(NamedTuple):
--- a/cleatlink/core/errors.py
+++ b/cleatlink/core/errors.py
@@ -43,6 +43,7 @@
     BUSY = "busy"
     NO_ENDPOINT = "no_endpoint"
     NO_ROOM = "no_room"
+    TARGET_MISSED = "target_missed"
     DEADLINE_NOT_RUN = "deadline_not_run"
     DEADLINE_PASSED = "deadline_passed"
     ENDPOINT_REFUSED = "endpoint_refused"
@@ -81,6 +82,7 @@
     ErrorKind.BUSY: Answer(503, "no", 1.0),
     ErrorKind.NO_ENDPOINT: Answer(503, "no", 2.0),
     ErrorKind.NO_ROOM: Answer(503, "no", 1.0),
+    ErrorKind.TARGET_MISSED: Answer(503, "no", 1.0),
     ErrorKind.DEADLINE_NOT_RUN: Answer(504, "no", 1.0),
     ErrorKind.DEADLINE_PASSED: Answer(504, "unknown", 1.0),
     ErrorKind.ENDPOINT_REFUSED: Answer(503, "no", 1.0),
--- a/cleatlink/request/classify.py
+++ b/cleatlink/request/classify.py
@@ -92,6 +92,7 @@
         output,
         hash_prefix(prompt),
         _deadline_of(arrival, request_class),
+        math.inf if request_class.runs_late else arrival.at + request_class.ttft_target_s,
     )
     stream = _field(body, "stream", bool, False)
     return ModelOrder(request, request_class, body, chat, stream)
--- a/cleatlink/routing/__init__.py
+++ b/cleatlink/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from cleatlink.routing.place import (
     Context,
+    note_decode,
     place_call,
     place_request,
     release_request,
@@ -17,6 +18,7 @@
     "Reservation",
     "WaitingRoom",
     "hash_prefix",
+    "note_decode",
     "place_call",
     "place_request",
     "rank_names",
--- a/cleatlink/routing/place.py
+++ b/cleatlink/routing/place.py
@@ -14,16 +14,22 @@
 from cleatlink.core.data import Endpoint, Placement, Refusal, Request, RequestClass, Role
 from cleatlink.core.errors import ErrorKind
 from cleatlink.routing.group import Group, sample
+from cleatlink.routing.prefix import PREFIX_TOKENS
 from cleatlink.routing.view import EndpointLoad, FleetView, Reservation
 
-__all__ = ["Context", "place_call", "place_request", "release_request", "reserve_request"]
+__all__ = [
+    "Context",
+    "note_decode",
+    "place_call",
+    "place_request",
+    "release_request",
+    "reserve_request",
+]
 
-# The first choice by prefix keeps a prompt unless it is this much above the mean.
-_AFFINITY_BOUND = 1.25
 _CHOICES = 2
-# Endpoints drawn to see how long queues are, and followed along the ring.
-_SAMPLE = 4
-_WALK = 6
+# Endpoints looked at for a prefill: by affinity, and at random.
+_WALK = 3
+_SAMPLE = 3
 _NO_PREFILL = Refusal(ErrorKind.NO_ENDPOINT, "no prefill endpoint is eligible")
 
 
@@ -64,9 +70,13 @@
     prefill = _find_prefill(request, view, request_class, decode.endpoint.data_centre, context)
     if prefill is None:
         return _NO_PREFILL
-    finish_s = prefill.wait_s + request.prompt_tokens / prefill.prefill_tokens_per_s
+    finish_s = _finish_s(request, view, prefill)
     if context.now + finish_s > request.deadline:
         return Refusal(ErrorKind.DEADLINE_NOT_RUN, f"prefill would take {finish_s:.1f} s")
+    if context.now + finish_s > request.first_token_by:
+        return Refusal(ErrorKind.TARGET_MISSED, f"prefill would take {finish_s:.2f} s", finish_s)
+    if prefill.wait_s > request_class.queue_limit_s:
+        return Refusal(ErrorKind.NO_ROOM, "prefill is kept free for more urgent classes")
     reason = f"decode {decode.busy:.0%} busy; prefill queue {prefill.wait_s:.3f} s"
     return Placement(prefill.endpoint, decode.endpoint, reason)
 
@@ -87,13 +97,23 @@
 
 
 def reserve_request(view: FleetView, request: Request, placement: Placement, now: float) -> None:
-    """Count a placement against both endpoints until it is released."""
+    """Count a placement against both endpoints until it is released.
+
+    The prefill is sent at once, so reports can soon show it; the decode only
+    begins when the prefill is done.
+    """
     memory = request.prompt_tokens + request.max_output_tokens
     view.reserve(
         f"{request.name}/prefill",
         Reservation(placement.prefill.name, request.prompt_tokens, 0, now),
     )
-    view.reserve(f"{request.name}/decode", Reservation(placement.decode.name, 0, memory, now))
+    view.reserve(f"{request.name}/decode", Reservation(placement.decode.name, 0, memory, None))
+
+
+def note_decode(view: FleetView, request: Request, now: float) -> None:
+    """Note that a request's prefill is done and its decode begins."""
+    view.release(f"{request.name}/prefill")
+    view.note_started(f"{request.name}/decode", now)
 
 
 def release_request(view: FleetView, request: Request) -> None:
@@ -141,29 +161,31 @@
     data_centre: str,
     context: Context,
 ) -> EndpointLoad | None:
-    """Follow prefix affinity with bounded load, beside the decode where possible.
+    """Take the endpoint that would be done first, beside the decode where possible.
 
-    Endpoints known to have the prefix cached come before the ring's order, which
-    alone would not find it again after its first choice was away for a while.
-    The bound is on the queue as a few random endpoints show it.
+    Looked at are those known to have the prefix cached, the first ones on the
+    ring from the prefix, where it comes to be cached, and a few at random.
     """
     group = view.group(request_class.name, Role.PREFILL, data_centre)
     if not any(_allowed(view, endpoint, context) for endpoint in group.endpoints):
         group = view.group(request_class.name, Role.PREFILL)
-    seen = [
+    walk = (item for item in _by_affinity(request, view, group) if _allowed(view, item, context))
+    loads = [view.load(endpoint) for endpoint in islice(walk, _WALK)]
+    loads += [
         view.load(endpoint)
         for endpoint in sample(group.endpoints, _SAMPLE, context.rng)
         if _allowed(view, endpoint, context)
     ]
-    mean = sum(load.waiting_tokens for load in seen) / max(1, len(seen))
-    bound = _AFFINITY_BOUND * (mean + request.prompt_tokens)
-    walk = (item for item in _by_affinity(request, view, group) if _allowed(view, item, context))
-    for endpoint in islice(walk, _WALK):
-        load = view.load(endpoint)
-        if load.waiting_tokens + request.prompt_tokens <= bound:
-            return load
-        seen.append(load)
-    return min(seen, key=lambda load: load.wait_s, default=None)
+    # The first of equals wins, which is the first by affinity.
+    return min(loads, key=lambda load: _finish_s(request, view, load), default=None)
+
+
+def _finish_s(request: Request, view: FleetView, load: EndpointLoad) -> float:
+    """Estimate the seconds until an endpoint would have prefilled a request."""
+    tokens = load.waiting_tokens + request.prompt_tokens
+    if load.endpoint.name in view.cache_holders(request.prefix_hash):
+        tokens -= min(request.prompt_tokens, PREFIX_TOKENS)
+    return tokens / load.prefill_tokens_per_s
 
 
 def _has_prefill(view: FleetView, request_class: RequestClass, context: Context) -> bool:
--- a/cleatlink/routing/place_test.py
+++ b/cleatlink/routing/place_test.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from pathlib import Path
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -175,3 +176,33 @@
         elif ours.kind is not ErrorKind.DEADLINE_NOT_RUN:
             assert isinstance(naive, Refusal)
             assert naive.kind is ours.kind
+
+
+def test_request_that_must_miss_its_target_is_refused_at_once() -> None:
+    view = make_view(waiting_tokens=2_000)
+    found = place(view, make_request()._replace(first_token_by=NOW + 2))
+    assert isinstance(found, Refusal)
+    assert found.kind is ErrorKind.TARGET_MISSED
+    assert found.retry_after_s == pytest.approx(2.1)
+    assert isinstance(place(view, make_request()._replace(first_token_by=NOW + 3)), Placement)
+
+
+def test_less_urgent_class_waits_for_a_free_prefill_endpoint() -> None:
+    assert CONFIGURATION is not None
+    tagging = CONFIGURATION.classes["tagging"]
+    context = Context("praha-a", frozenset(), NOW, random.Random(1))
+    request = make_request()._replace(request_class="tagging")
+    for waiting, placed in ((0, True), (200, False)):
+        found = place_request(request, tagging, make_view(waiting_tokens=waiting), context)
+        assert isinstance(found, Placement) is placed
+    assert isinstance(place(make_view(waiting_tokens=200), make_request()), Placement)
+
+
+def test_cached_prefix_wins_only_as_far_as_it_saves() -> None:
+    view = make_view()
+    view.cache_news("p1", CacheNews((7,), (), 1, False))
+    for waiting, name in ((0, "p1"), (200, "p1"), (300, None)):
+        view.reserve("x/prefill", Reservation("p1", waiting, 0, NOW))
+        found = place(view, make_request(7, 1000))
+        assert isinstance(found, Placement)
+        assert (found.prefill.name == "p1") is (name == "p1")
--- a/cleatlink/routing/prefix.py
+++ b/cleatlink/routing/prefix.py
@@ -8,10 +8,12 @@
 
 import xxhash
 
-__all__ = ["hash_prefix", "rank_names"]
+__all__ = ["PREFIX_BYTES", "PREFIX_TOKENS", "hash_prefix", "rank_names"]
 
 # Long enough to hold a system prompt, short enough that one chapter's panels share it.
 PREFIX_BYTES = 1024
+# About as many tokens are saved where the prefix is cached.
+PREFIX_TOKENS = PREFIX_BYTES // 4
 
 
 def hash_prefix(prompt: bytes) -> int:
--- a/cleatlink/routing/view.py
+++ b/cleatlink/routing/view.py
@@ -22,23 +22,49 @@
 # endpoint was started anew, nothing that they say is news; this bounds the wait
 # in case the leaving was taken back before any report showed it.
 REFUSAL_HOLD_S = 120.0
-# A report is up to this old when it arrives: what was placed since may be missing.
+# A report is up to this old when it arrives; what began since may be missing in it.
 REPORT_LAG_S = 0.5
 # Prefixes remembered of one endpoint.
 MAX_CACHED = 20_000
 
 
 class Reservation(NamedTuple):
-    """Work placed by this instance that reports may not show yet."""
+    """Work that this instance has placed on an endpoint.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        prefill_tokens: Prompt tokens to be computed; 0 for a decode.
+        memory_tokens: Tokens of memory for a decode; 0 for a prefill.
+        at: When the endpoint can have it in its reports; None before.
+    """
 
     endpoint: str
     prefill_tokens: int
     memory_tokens: int
-    at: float
+    at: float | None
+
+
+class Others(NamedTuple):
+    """What an endpoint has from others, worked out when its report came."""
+
+    running: int
+    waiting_tokens: int
+    memory_tokens: int
+
+
+class Own(NamedTuple):
+    """What an endpoint has from this instance, up to date."""
+
+    running: int = 0
+    waiting_tokens: int = 0
+    memory_tokens: int = 0
+
+
+_NOTHING = Own()
 
 
 class EndpointLoad(NamedTuple):
-    """An endpoint's load: its last report plus what was placed since."""
+    """An endpoint's load as believed now."""
 
     endpoint: Endpoint
     running: int
@@ -69,8 +95,9 @@
         self._leaving_until: dict[str, float] = {}
         self._heard_leaving_until: dict[str, float] = {}
         self._reservations: dict[str, Reservation] = {}
-        # By endpoint, those that its last report may not show yet.
-        self._unseen: dict[str, dict[str, Reservation]] = {}
+        self._placed: dict[str, dict[str, Reservation]] = {}
+        self._own: dict[str, Own] = {}
+        self._others: dict[str, Others] = {}
         self._cached: dict[str, set[int]] = {}
         self._holders: dict[int, set[str]] = {}
         self._last_events: dict[str, int] = {}
@@ -101,7 +128,7 @@
         for name in self._cached.keys() - names:
             self._forget_cache(name)
         kept: tuple[dict[str, Any], ...] = (self._reports, self._last_events, self._leaving_until)
-        for by_name in (*kept, self._heard_leaving_until, self._unseen):
+        for by_name in (*kept, self._heard_leaving_until, self._others):
             for name in by_name.keys() - names:
                 del by_name[name]
         return True
@@ -118,9 +145,7 @@
         if known is not None and known[0].incarnation != report.incarnation:
             self._leaving_until.pop(name, None)
         self._reports[name] = (report, now)
-        unseen = self._unseen.get(name, {})
-        for key in [key for key, item in unseen.items() if item.at < now - REPORT_LAG_S]:
-            del unseen[key]
+        self._others[name] = self._subtract_own(report, now)
         if report.leaving:
             self._leaving_until[name] = now + LEAVING_HOLD_S
 
@@ -176,14 +201,45 @@
 
     def reserve(self, key: str, reservation: Reservation) -> None:
         """Count work placed on an endpoint until it is released."""
+        self.release(key)
         self._reservations[key] = reservation
-        self._unseen.setdefault(reservation.endpoint, {})[key] = reservation
+        self._placed.setdefault(reservation.endpoint, {})[key] = reservation
+        self._add_own(reservation, 1)
+
+    def note_started(self, key: str, now: float) -> None:
+        """Note that an endpoint has begun with reserved work."""
+        reservation = self._reservations.get(key)
+        if reservation is not None:
+            started = reservation._replace(at=now)
+            self._reservations[key] = started
+            self._placed[reservation.endpoint][key] = started
 
     def release(self, key: str) -> None:
         """Forget a reservation; unknown keys are fine."""
         reservation = self._reservations.pop(key, None)
         if reservation is not None:
-            self._unseen.get(reservation.endpoint, {}).pop(key, None)
+            del self._placed[reservation.endpoint][key]
+            self._add_own(reservation, -1)
+
+    def _add_own(self, item: Reservation, sign: int) -> None:
+        own = self._own.get(item.endpoint, Own())
+        self._own[item.endpoint] = Own(
+            own.running + sign * (item.memory_tokens > 0),
+            own.waiting_tokens + sign * item.prefill_tokens,
+            own.memory_tokens + sign * (item.memory_tokens + item.prefill_tokens),
+        )
+
+    def _subtract_own(self, report: LoadReport, now: float) -> Others:
+        """Take from a report what of this instance's work it must be showing."""
+        running, waiting = report.running, report.waiting_tokens
+        memory = report.memory_tokens - report.memory_free_tokens
+        shown = now - REPORT_LAG_S
+        for item in self._placed.get(report.endpoint, {}).values():
+            if item.at is not None and item.at < shown:
+                running -= item.memory_tokens > 0
+                waiting -= item.prefill_tokens
+                memory -= item.memory_tokens + item.prefill_tokens
+        return Others(max(0, running), max(0, waiting), max(0, memory))
 
     def usable(self, endpoint: Endpoint, now: float) -> bool:
         """Tell whether an endpoint may get new work now."""
@@ -213,16 +269,22 @@
         group = self.group(request_class, role)
         return [endpoint for endpoint in group.endpoints if self.usable(endpoint, now)]
 
+    def reported(self, endpoint: Endpoint) -> LoadReport:
+        """Give an endpoint's last report as it came."""
+        return self._reports[endpoint.name][0]
+
     def load(self, endpoint: Endpoint) -> EndpointLoad:
-        """Give an endpoint's report plus own placements that it may not show."""
-        report, _ = self._reports[endpoint.name]
-        running, waiting, free = report.running, report.waiting_tokens, report.memory_free_tokens
-        for item in self._unseen.get(endpoint.name, {}).values():
-            running += item.memory_tokens > 0
-            waiting += item.prefill_tokens
-            free -= item.memory_tokens
+        """Give an endpoint's load: others' as last reported, own as it is now."""
+        name = endpoint.name
+        report, others = self._reports[name][0], self._others[name]
+        own = self._own.get(name, _NOTHING)
         return EndpointLoad(
-            endpoint, running, report.slots, waiting, free, report.prefill_tokens_per_s
+            endpoint,
+            others.running + own.running,
+            report.slots,
+            others.waiting_tokens + own.waiting_tokens,
+            report.memory_tokens - others.memory_tokens - own.memory_tokens,
+            report.prefill_tokens_per_s,
         )
 
     def _select(self, request_class: str, role: Role, data_centre: str) -> tuple[Endpoint, ...]:
--- a/cleatlink/routing/view_test.py
+++ b/cleatlink/routing/view_test.py
@@ -127,19 +127,32 @@
     assert view.leaving(101.0) == ()
 
 
-def test_own_placements_count_until_a_report_can_show_them() -> None:
+def loads(view: FleetView, endpoint: Endpoint) -> tuple[int, int, int]:
+    load = view.load(endpoint)
+    return load.running, load.waiting_tokens, load.free_tokens
+
+
+def test_own_placements_count_once_whether_reports_show_them_or_not() -> None:
     view, endpoint = make_view()
-    view.report(report("d1"), 100.0)
-    view.reserve("r/decode", Reservation("d1", 0, 200, 100.5))
+    unseen = report("d1")
+    view.report(unseen, 100.0)
+    assert loads(view, endpoint) == (2, 100, 500)
+    view.reserve("r/decode", Reservation("d1", 0, 200, None))
     view.reserve("r/prefill", Reservation("d1", 50, 0, 100.5))
-    loaded = view.load(endpoint)
-    assert (loaded.running, loaded.free_tokens, loaded.waiting_tokens) == (3, 300, 150)
-    view.report(report("d1"), 100.5 + REPORT_LAG_S)
-    assert view.load(endpoint).free_tokens == 300, "the report may have been made before"
-    view.report(report("d1"), 100.6 + REPORT_LAG_S)
-    assert view.load(endpoint).free_tokens == 500
+    assert loads(view, endpoint) == (3, 150, 250)
+    view.report(unseen, 100.5 + REPORT_LAG_S)
+    assert loads(view, endpoint) == (3, 150, 250), "the report may have been made before"
+    seen = unseen._replace(waiting_tokens=150, memory_free_tokens=450)
+    view.report(seen, 100.6 + REPORT_LAG_S)
+    assert loads(view, endpoint) == (3, 150, 250)
+    view.release("r/prefill")
+    view.note_started("r/decode", 102.0)
+    both = unseen._replace(running=3, memory_free_tokens=300)
+    view.report(both, 102.1 + REPORT_LAG_S)
+    assert loads(view, endpoint) == (3, 100, 300)
     view.release("r/decode")
     view.release("r/decode")
+    assert loads(view, endpoint) == (2, 100, 500)
 
 
 def test_lists_go_upwards_only() -> None:
--- a/cleatlink/serving/entry.py
+++ b/cleatlink/serving/entry.py
@@ -15,12 +15,12 @@
 from cleatlink.core.errors import EndpointError, ErrorKind
 from cleatlink.members import Members, State
 from cleatlink.request import RetryBudget
-from cleatlink.routing import FleetView, WaitingRoom
+from cleatlink.routing import FleetView, WaitingRoom, place_request
 from cleatlink.serving.callers import CallerApp, CallerParts, build_caller_app
 from cleatlink.serving.cancels import Canceller
 from cleatlink.serving.documents import DocumentStore, watch_platform
 from cleatlink.serving.endpoints import EndpointClient
-from cleatlink.serving.flight import FlightParts
+from cleatlink.serving.flight import FlightParts, PlaceRequest
 from cleatlink.serving.logs import Log
 from cleatlink.serving.metrics import Metrics
 from cleatlink.serving.news import News
@@ -44,12 +44,14 @@
         platform: The platform's service; None runs without.
         link: Moves messages to and from peers.
         wall_time: Gives the time since 1970 in seconds.
+        place: Decides where a model request goes.
     """
 
     client: EndpointClient
     platform: Platform | None
     link: PeerLink
     wall_time: Callable[[], float]
+    place: PlaceRequest = place_request
 
 
 class Entry:
@@ -59,6 +61,7 @@
         self._settings = settings
         self._client = outside.client
         self._platform = outside.platform
+        self._place = outside.place
         self._metrics = Metrics()
         self._view = FleetView()
         self._news = News()
@@ -148,6 +151,7 @@
             self._peers.drop_note,
             self._settings.prefill_timeout_s,
             self._settings.stall_timeout_s,
+            self._place,
         )
         self._change()
 
--- a/cleatlink/serving/flight.py
+++ b/cleatlink/serving/flight.py
@@ -5,6 +5,7 @@
 where the task was cancelled because the caller has gone.
 """
 
+import math
 import random
 from collections import deque
 from collections.abc import Callable
@@ -13,7 +14,15 @@
 import msgspec
 import trio
 
-from cleatlink.core.data import Endpoint, KvHandle, Limits, Placement, Refusal
+from cleatlink.core.data import (
+    Endpoint,
+    KvHandle,
+    Limits,
+    Placement,
+    Refusal,
+    Request,
+    RequestClass,
+)
 from cleatlink.core.errors import (
     EndpointError,
     EndpointRefusedError,
@@ -53,6 +62,7 @@
     Context,
     FleetView,
     WaitingRoom,
+    note_decode,
     place_request,
     release_request,
     reserve_request,
@@ -87,6 +97,7 @@
 
 
 Output = Tokens | Finished | Refused
+PlaceRequest = Callable[[Request, RequestClass, FleetView, Context], Placement | Refusal]
 SendNote = Callable[[str, int, tuple[str, ...], float], None]
 
 
@@ -109,6 +120,7 @@
         drop_note: Tells peers that a request is over.
         prefill_timeout_s: Seconds for a prefill.
         stall_timeout_s: Seconds without a token.
+        place: Decides where a request goes.
     """
 
     data_centre: str
@@ -126,6 +138,7 @@
     drop_note: Callable[[str], None]
     prefill_timeout_s: float
     stall_timeout_s: float
+    place: PlaceRequest = place_request
 
 
 class ModelFlight:
@@ -274,10 +287,13 @@
         """Place the request now if that can be, and reserve what it takes."""
         now = trio.current_time()
         context = Context(self._parts.data_centre, excluded, now, self._parts.rng)
-        wanted, view = self._order.request_class, self._parts.view
-        found = place_request(self._request, wanted, view, context)
+        wanted, view, request = self._order.request_class, self._parts.view, self._request
+        if self.attempts:
+            # It has been taken in and cost a prefill: late is better than never.
+            request = request._replace(first_token_by=math.inf)
+        found = self._parts.place(request, wanted, view, context)
         if isinstance(found, Placement):
-            reserve_request(view, self._request, found, now)
+            reserve_request(view, request, found, now)
             self._placed_at = now
         return found
 
@@ -293,6 +309,8 @@
                 kv = await self._parts.client.prefill(order)
         except (EndpointError, trio.TooSlowError) as error:
             return self._fail(attempt, placement.prefill, error)
+        note_decode(self._parts.view, self._request, trio.current_time())
+        self._parts.on_change()
         return PrefillDone(attempt, kv)
 
     async def _decode(self, action: Decode) -> Event:
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -305,6 +305,8 @@
         self.withhold_body = False
         self.slow_s = 0.0
         self.finished_at = math.inf
+        self.asked_at = math.inf
+        self.token_times: list[float] = []
         self.status = 0
         self.headers: dict[str, str] = {}
         self.body = b""
@@ -343,6 +345,7 @@
             await self._gone.wait()
             return {"type": "http.disconnect"}
 
+        self.asked_at = trio.current_time()
         await self._app(scope, receive, self._take)
         return self
 
@@ -355,6 +358,7 @@
             self.headers = {k.decode().lower(): v.decode() for k, v in message["headers"]}
         elif message["type"] == "http.response.body" and not self._gone.is_set():
             self.body += message.get("body", b"")
+            self.token_times += [trio.current_time()] * message.get("body", b"").count(b"id: ")
         self.news.set()
         self.news = trio.Event()
 
--- a/features/world.py
+++ b/features/world.py
@@ -3,15 +3,17 @@
 import random
 import uuid
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, NamedTuple
 
 import msgspec
 import trio
 import trio.testing
 
+from cleatlink.routing import place_request
 from cleatlink.serving.callers import CallerApp
 from cleatlink.serving.entry import Entry, Outside
+from cleatlink.serving.flight import PlaceRequest
 from cleatlink.serving.settings import Address, Settings
 from features.fakes import Caller, FakeClient, FakeLink, FakePlatform, Fleet, Network
 from standins.engine import Engine, EngineSettings, Kv, expected_tokens
@@ -41,6 +43,8 @@
     "s1": "orders",
     "s2": "orders",
 }
+# By then peers have heard each other and ownership of keys is sure.
+WARM_UP_S = 8.0
 START_OF_TIME = 1_700_000_000.0
 PROMPT = "What is repaired next? " * 40
 
@@ -70,6 +74,10 @@
         self.settings: dict[str, Any] = {}
         self.engine_settings: dict[str, Any] = {}
         self.callers_slow_s = 0.0
+        self.place: PlaceRequest = place_request
+        self.configuration = CONFIGURATION
+        self.pools = dict(ENDPOINTS)
+        self.warm_up_s = WARM_UP_S
         self._nursery: trio.Nursery | None = None
         self._rng = random.Random(7)
         self._incarnation = 0
@@ -91,8 +99,7 @@
                 self.publish_fleet()
                 for name in self.entries:
                     await self.wait_ready(name)
-                # Peers have heard each other and ownership of keys is sure.
-                await trio.sleep(8.0)
+                await trio.sleep(self.warm_up_s)
                 for change in self.plan:
                     change(self)
                 with trio.fail_after(600):
@@ -105,14 +112,14 @@
         async def fetch(kv: Kv) -> int:
             return await self.fleet.engines[kv.engine].export_kv(kv.request, kv.attempt)
 
-        for name, pool in ENDPOINTS.items():
+        for name, pool in self.pools.items():
             if pool == "orders":
                 self.fleet.services[name] = PlainService(name)
                 continue
             engine = Engine(EngineSettings(name, **self.engine_settings), fetch)
             self.fleet.engines[name] = engine
             await self.nursery.start(engine.run)
-        self.platform.publish("config", CONFIGURATION)
+        self.platform.publish("config", self.configuration)
 
     async def start_entry(self, name: str, data_centre: str) -> None:
         """Start an entry instance."""
@@ -132,7 +139,7 @@
                 incarnation=self._incarnation,
                 **self.settings,
             )
-            entry = Entry(settings, Outside(client, platform, link, self.wall_time))
+            entry = Entry(settings, Outside(client, platform, link, self.wall_time, self.place))
             link.peers = entry.peers
             async with trio.open_nursery() as nursery:
                 app = entry.start(nursery)
@@ -154,7 +161,7 @@
                 "pool": pool,
                 "state": "leaving" if name in leaving else "live",
             }
-            for name, pool in ENDPOINTS.items()
+            for name, pool in self.pools.items()
         ]
         instances = [
             {
@@ -188,13 +195,19 @@
         key = str(uuid.UUID(int=value))
         return f"{home}:{key}" if home else key
 
-    def start_ask(self, name: str = "e1", tokens: int = 20, prompt: str = PROMPT) -> Caller:
+    def start_ask(
+        self,
+        name: str = "e1",
+        tokens: int = 20,
+        prompt: str = PROMPT,
+        headers: Mapping[str, str] | None = None,
+    ) -> Caller:
         """Start to ask a model request; the answer comes while the story goes on."""
         caller = Caller(self.entries[name].app)
         caller.slow_s = self.callers_slow_s
         body = {"model": "m", "prompt": prompt, "max_tokens": tokens, "stream": True}
         self.entries[name].nursery.start_soon(
-            caller.request, "POST", "/v1/completions", msgspec.json.encode(body), {}
+            caller.request, "POST", "/v1/completions", msgspec.json.encode(body), headers or {}
         )
         self.answers.append(caller)
         return caller
