Waiting is counted by class, and a prefill in progress by what is left of it

(1) Four verdicts that waited for a free prefill endpoint used up the tries of the whole service, and newcomers stood behind them, though a question needs no free endpoint. (2) A prefill in progress counted whole until it was done, so targets seemed missed that were not. Ruled out: decode room (never full there), the engines' order (same for all policies). Change: tries and standing behind are counted by class; the oldest own prefill on an endpoint counts less what must be computed by now. Conclusion: one full class must not stand in another's way.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -102,7 +102,7 @@
             placed += 1
             reserve_request(sample.view, request, found, _NOW + 1)
         if number >= _IN_FLIGHT:
-            release_request(sample.view, sample.requests[number - _IN_FLIGHT])
+            release_request(sample.view, sample.requests[number - _IN_FLIGHT], _NOW + 1)
     return statistics.median(times) * 1e6, placed / len(times)
 
 
--- a/bench/naive.py
+++ b/bench/naive.py
@@ -43,7 +43,7 @@
 ) -> list[EndpointLoad]:
     wanted = configuration.classes[request.request_class]
     return [
-        view.load(endpoint)
+        view.load(endpoint, context.now)
         for endpoint in view.fleet.endpoints
         if _serves(configuration, endpoint, request.service, role)
         and match(wanted.selector, endpoint_labels(configuration, endpoint))
--- a/cleatlink/routing/place.py
+++ b/cleatlink/routing/place.py
@@ -103,23 +103,22 @@
     begins when the prefill is done.
     """
     memory = request.prompt_tokens + request.max_output_tokens
-    view.reserve(
-        f"{request.name}/prefill",
-        Reservation(placement.prefill.name, request.prompt_tokens, 0, now),
-    )
-    view.reserve(f"{request.name}/decode", Reservation(placement.decode.name, 0, memory, None))
+    prefill = Reservation(placement.prefill.name, request.prompt_tokens, 0, now)
+    view.reserve(f"{request.name}/prefill", prefill, now)
+    decode = Reservation(placement.decode.name, 0, memory, None)
+    view.reserve(f"{request.name}/decode", decode, now)
 
 
 def note_decode(view: FleetView, request: Request, now: float) -> None:
     """Note that a request's prefill is done and its decode begins."""
-    view.release(f"{request.name}/prefill")
+    view.release(f"{request.name}/prefill", now)
     view.note_started(f"{request.name}/decode", now)
 
 
-def release_request(view: FleetView, request: Request) -> None:
+def release_request(view: FleetView, request: Request, now: float) -> None:
     """Release what a request reserved."""
-    view.release(f"{request.name}/prefill")
-    view.release(f"{request.name}/decode")
+    view.release(f"{request.name}/prefill", now)
+    view.release(f"{request.name}/decode", now)
 
 
 def _find_decode(
@@ -147,7 +146,7 @@
     best = None
     for endpoint in endpoints:
         if _allowed(view, endpoint, context):
-            load = view.load(endpoint)
+            load = view.load(endpoint, context.now)
             roomy = load.free_tokens >= needed and load.running < load.slots
             if roomy and (best is None or load.busy < best.busy):
                 best = load
@@ -170,9 +169,9 @@
     if not any(_allowed(view, endpoint, context) for endpoint in group.endpoints):
         group = view.group(request_class.name, Role.PREFILL)
     walk = (item for item in _by_affinity(request, view, group) if _allowed(view, item, context))
-    loads = [view.load(endpoint) for endpoint in islice(walk, _WALK)]
+    loads = [view.load(endpoint, context.now) for endpoint in islice(walk, _WALK)]
     loads += [
-        view.load(endpoint)
+        view.load(endpoint, context.now)
         for endpoint in sample(group.endpoints, _SAMPLE, context.rng)
         if _allowed(view, endpoint, context)
     ]
--- a/cleatlink/routing/place_test.py
+++ b/cleatlink/routing/place_test.py
@@ -142,7 +142,7 @@
     found = place(view, make_request(7))
     assert isinstance(found, Placement)
     assert found.prefill.name == other
-    view.reserve("x/prefill", Reservation(other, 5000, 0, NOW))
+    view.reserve("x/prefill", Reservation(other, 5000, 0, NOW), NOW)
     found = place(view, make_request(7))
     assert isinstance(found, Placement)
     assert found.prefill.name == first.prefill.name
@@ -202,7 +202,7 @@
     view = make_view()
     view.cache_news("p1", CacheNews((7,), (), 1, False))
     for waiting, name in ((0, "p1"), (200, "p1"), (300, None)):
-        view.reserve("x/prefill", Reservation("p1", waiting, 0, NOW))
+        view.reserve("x/prefill", Reservation("p1", waiting, 0, NOW), NOW)
         found = place(view, make_request(7, 1000))
         assert isinstance(found, Placement)
         assert (found.prefill.name == "p1") is (name == "p1")
--- a/cleatlink/routing/view.py
+++ b/cleatlink/routing/view.py
@@ -60,9 +60,6 @@
     memory_tokens: int = 0
 
 
-_NOTHING = Own()
-
-
 class EndpointLoad(NamedTuple):
     """An endpoint's load as believed now."""
 
@@ -84,6 +81,9 @@
         return self.running / max(1, self.slots)
 
 
+_NOTHING = Own()
+
+
 class FleetView:
     """The mutable view; every method takes the time as an argument."""
 
@@ -97,6 +97,8 @@
         self._reservations: dict[str, Reservation] = {}
         self._placed: dict[str, dict[str, Reservation]] = {}
         self._own: dict[str, Own] = {}
+        # When the own prefill that an endpoint is at must have begun.
+        self._prefill_began: dict[str, float] = {}
         self._others: dict[str, Others] = {}
         self._cached: dict[str, set[int]] = {}
         self._holders: dict[int, set[str]] = {}
@@ -199,11 +201,14 @@
         """Names of endpoints that said themselves that they are leaving."""
         return tuple(name for name, until in self._leaving_until.items() if now < until)
 
-    def reserve(self, key: str, reservation: Reservation) -> None:
+    def reserve(self, key: str, reservation: Reservation, now: float) -> None:
         """Count work placed on an endpoint until it is released."""
-        self.release(key)
+        self.release(key, now)
+        name = reservation.endpoint
+        if reservation.prefill_tokens and not self._own.get(name, _NOTHING).waiting_tokens:
+            self._prefill_began[name] = now
         self._reservations[key] = reservation
-        self._placed.setdefault(reservation.endpoint, {})[key] = reservation
+        self._placed.setdefault(name, {})[key] = reservation
         self._add_own(reservation, 1)
 
     def note_started(self, key: str, now: float) -> None:
@@ -214,12 +219,14 @@
             self._reservations[key] = started
             self._placed[reservation.endpoint][key] = started
 
-    def release(self, key: str) -> None:
+    def release(self, key: str, now: float) -> None:
         """Forget a reservation; unknown keys are fine."""
         reservation = self._reservations.pop(key, None)
         if reservation is not None:
             del self._placed[reservation.endpoint][key]
             self._add_own(reservation, -1)
+            if reservation.prefill_tokens:
+                self._prefill_began[reservation.endpoint] = now
 
     def _add_own(self, item: Reservation, sign: int) -> None:
         own = self._own.get(item.endpoint, Own())
@@ -273,20 +280,30 @@
         """Give an endpoint's last report as it came."""
         return self._reports[endpoint.name][0]
 
-    def load(self, endpoint: Endpoint) -> EndpointLoad:
+    def load(self, endpoint: Endpoint, now: float) -> EndpointLoad:
         """Give an endpoint's load: others' as last reported, own as it is now."""
         name = endpoint.name
         report, others = self._reports[name][0], self._others[name]
         own = self._own.get(name, _NOTHING)
+        rate = report.prefill_tokens_per_s
+        waiting = others.waiting_tokens + own.waiting_tokens
+        if own.waiting_tokens:
+            waiting -= self._computed_tokens(name, rate, now)
         return EndpointLoad(
             endpoint,
             others.running + own.running,
             report.slots,
-            others.waiting_tokens + own.waiting_tokens,
+            waiting,
             report.memory_tokens - others.memory_tokens - own.memory_tokens,
-            report.prefill_tokens_per_s,
+            rate,
         )
 
+    def _computed_tokens(self, name: str, rate: float, now: float) -> int:
+        """Estimate how much of the own prefill in progress is done."""
+        sizes = (item.prefill_tokens for item in self._placed[name].values())
+        oldest = next((size for size in sizes if size), 0)
+        return min(oldest, int((now - self._prefill_began[name]) * rate))
+
     def _select(self, request_class: str, role: Role, data_centre: str) -> tuple[Endpoint, ...]:
         configuration = self._configuration
         if configuration is None or request_class not in configuration.classes:
--- a/cleatlink/routing/view_test.py
+++ b/cleatlink/routing/view_test.py
@@ -128,7 +128,8 @@
 
 
 def loads(view: FleetView, endpoint: Endpoint) -> tuple[int, int, int]:
-    load = view.load(endpoint)
+    # At the time of placing, when nothing of the own prefill is done yet.
+    load = view.load(endpoint, 100.5)
     return load.running, load.waiting_tokens, load.free_tokens
 
 
@@ -137,21 +138,21 @@
     unseen = report("d1")
     view.report(unseen, 100.0)
     assert loads(view, endpoint) == (2, 100, 500)
-    view.reserve("r/decode", Reservation("d1", 0, 200, None))
-    view.reserve("r/prefill", Reservation("d1", 50, 0, 100.5))
+    view.reserve("r/decode", Reservation("d1", 0, 200, None), 100.5)
+    view.reserve("r/prefill", Reservation("d1", 50, 0, 100.5), 100.5)
     assert loads(view, endpoint) == (3, 150, 250)
     view.report(unseen, 100.5 + REPORT_LAG_S)
     assert loads(view, endpoint) == (3, 150, 250), "the report may have been made before"
     seen = unseen._replace(waiting_tokens=150, memory_free_tokens=450)
     view.report(seen, 100.6 + REPORT_LAG_S)
     assert loads(view, endpoint) == (3, 150, 250)
-    view.release("r/prefill")
+    view.release("r/prefill", 102.0)
     view.note_started("r/decode", 102.0)
     both = unseen._replace(running=3, memory_free_tokens=300)
     view.report(both, 102.1 + REPORT_LAG_S)
     assert loads(view, endpoint) == (3, 100, 300)
-    view.release("r/decode")
-    view.release("r/decode")
+    view.release("r/decode", 103.0)
+    view.release("r/decode", 103.0)
     assert loads(view, endpoint) == (2, 100, 500)
 
 
@@ -173,3 +174,14 @@
     assert [view.cache_holders(prefix) for prefix in (2, 3, 5)] == [set(), set(), {"d1"}]
     view.set_fleet(Fleet(6, (), ()))
     assert not view.cache_holders(5)
+
+
+def test_own_prefill_in_progress_counts_with_what_is_left() -> None:
+    view, endpoint = make_view()
+    view.report(report("d1")._replace(waiting_tokens=0), 100.0)
+    view.reserve("r/prefill", Reservation("d1", 300, 0, 100.0), 100.0)
+    view.reserve("s/prefill", Reservation("d1", 500, 0, 101.0), 101.0)
+    assert view.load(endpoint, 102.0).waiting_tokens == 600
+    assert view.load(endpoint, 110.0).waiting_tokens == 500, "the next has not begun"
+    view.release("r/prefill", 104.0)
+    assert view.load(endpoint, 105.0).waiting_tokens == 400
--- a/cleatlink/routing/waiting.py
+++ b/cleatlink/routing/waiting.py
@@ -14,7 +14,8 @@
 
 # Seconds of head start for each point of priority.
 PRIORITY_S = 0.1
-# After so many in vain, the rest of a service waits for the next change.
+# After so many in vain, the rest of a class waits for the next change. Classes are
+# counted apart: what one lacks, such as a free prefill, another may not need.
 _TRIES = 4
 
 
@@ -24,13 +25,13 @@
     Attributes:
         due: Arrival less the head start.
         number: Breaks ties in the order of arrival.
-        service: Service that the request waits for.
+        request_class: Class of the request.
         attempt: Tries to place the request; true ends its wait.
     """
 
     due: float
     number: int
-    service: str
+    request_class: str
     attempt: Callable[[], bool]
 
 
@@ -44,15 +45,19 @@
     def __len__(self) -> int:
         return len(self._tickets)
 
-    def must_wait(self, service: str, priority: int, now: float) -> bool:
-        """Tell whether a request that arrives now stands behind another one."""
+    def must_wait(self, request_class: str, priority: int, now: float) -> bool:
+        """Tell whether a request that arrives now stands behind one of its class."""
         due = now - priority * PRIORITY_S
-        return any(ticket.due <= due and ticket.service == service for ticket in self._tickets)
+        return any(
+            ticket.due <= due and ticket.request_class == request_class for ticket in self._tickets
+        )
 
-    def add(self, service: str, priority: int, now: float, attempt: Callable[[], bool]) -> Ticket:
+    def add(
+        self, request_class: str, priority: int, now: float, attempt: Callable[[], bool]
+    ) -> Ticket:
         """Let a request wait."""
         self._count += 1
-        ticket = Ticket(now - priority * PRIORITY_S, self._count, service, attempt)
+        ticket = Ticket(now - priority * PRIORITY_S, self._count, request_class, attempt)
         insort(self._tickets, ticket)
         return ticket
 
@@ -65,9 +70,9 @@
         """Let those who wait try, in order, after something has changed."""
         failures: Counter[str] = Counter()
         for ticket in list(self._tickets):
-            if failures[ticket.service] >= _TRIES:
+            if failures[ticket.request_class] >= _TRIES:
                 continue
             if ticket.attempt():
                 self.remove(ticket)
             else:
-                failures[ticket.service] += 1
+                failures[ticket.request_class] += 1
--- a/cleatlink/routing/waiting_test.py
+++ b/cleatlink/routing/waiting_test.py
@@ -53,7 +53,7 @@
     assert not room.must_wait("lm", 10, 11.0)
 
 
-def test_one_full_service_does_not_hold_up_another() -> None:
+def test_one_full_class_does_not_hold_up_another() -> None:
     room, places = WaitingRoom(), Places()
     for number in range(10):
         room.add("full", 100, float(number), lambda: False)
@@ -63,6 +63,17 @@
     assert len(room) == 10
 
 
+def test_class_that_lacks_something_else_does_not_stand_in_the_way() -> None:
+    """Long ones wait for a free prefill; short ones of the same service need none."""
+    room, places = WaitingRoom(), Places()
+    for number in range(6):
+        room.add("verdict", 60, float(number), lambda: False)
+    assert not room.must_wait("question", 80, 100.0)
+    room.add("question", 80, 100.0, places.waiting("question"))
+    places.open(room, 1)
+    assert places.served == ["question"]
+
+
 @given(st.lists(st.integers(0, 100), min_size=1, max_size=60))
 def test_nobody_waits_longer_than_the_greatest_head_start(priorities: list[int]) -> None:
     """One arrival and one place a second: all wait at most for those with a head start."""
--- a/cleatlink/serving/flight.py
+++ b/cleatlink/serving/flight.py
@@ -200,7 +200,7 @@
         for action in [*self._actions, *self._machine.handle(CallerGone())]:
             if isinstance(action, Cancel | Wasted):
                 self._count(action)
-        release_request(self._parts.view, self._request)
+        release_request(self._parts.view, self._request, trio.current_time())
         self._parts.on_change()
         if self._noted:
             self._parts.drop_note(self._request.name)
@@ -250,11 +250,11 @@
 
     async def _place(self, excluded: frozenset[str]) -> Event:
         """Find a place, waiting for room as long as the class allows."""
-        release_request(self._parts.view, self._request)
+        release_request(self._parts.view, self._request, trio.current_time())
         room, wanted = self._parts.room, self._order.request_class
         now = trio.current_time()
         found: Placement | Refusal = Refusal(ErrorKind.NO_ROOM, "others wait for room")
-        if not room.must_wait(wanted.service, wanted.priority, now):
+        if not room.must_wait(wanted.name, wanted.priority, now):
             found = self._try_place(excluded)
         if isinstance(found, Refusal) and found.kind in _WORTH_WAITING:
             found = await self._wait_for_place(excluded, found)
@@ -275,7 +275,7 @@
             return True
 
         room, wanted = self._parts.room, self._order.request_class
-        ticket = room.add(wanted.service, wanted.priority, trio.current_time(), attempt)
+        ticket = room.add(wanted.name, wanted.priority, trio.current_time(), attempt)
         try:
             with trio.move_on_after(wanted.max_wait_s):
                 await done.wait()
