An endpoint that failed an order gets nothing until its next report

Cause: after an endpoint died, up to 4 s of placements still went to it, because its last report was that young; their prefills were done for nothing. Ruled out: retries onto it (a request never tries the one that just failed). Change: an order that was not reached or not answered makes the endpoint unusable until it gives a report again, which one that lives does within a second; no floor is needed for that reason.

--- a/cleatlink/routing/view.py
+++ b/cleatlink/routing/view.py
@@ -94,6 +94,7 @@
         self._reports: dict[str, tuple[LoadReport, float]] = {}
         self._leaving_until: dict[str, float] = {}
         self._heard_leaving_until: dict[str, float] = {}
+        self._failed_at: dict[str, float] = {}
         self._reservations: dict[str, Reservation] = {}
         self._placed: dict[str, dict[str, Reservation]] = {}
         self._own: dict[str, Own] = {}
@@ -130,7 +131,7 @@
         for name in self._cached.keys() - names:
             self._forget_cache(name)
         kept: tuple[dict[str, Any], ...] = (self._reports, self._last_events, self._leaving_until)
-        for by_name in (*kept, self._heard_leaving_until, self._others):
+        for by_name in (*kept, self._heard_leaving_until, self._failed_at, self._others):
             for name in by_name.keys() - names:
                 del by_name[name]
         return True
@@ -189,6 +190,14 @@
         """Note that an endpoint refused work because it is leaving."""
         self._leaving_until[name] = now + REFUSAL_HOLD_S
 
+    def note_failure(self, name: str, now: float) -> None:
+        """Note that an endpoint was not reached or did not answer an order.
+
+        It gets nothing new until it gives its next report, which one that lives
+        does within a second: reports are the proof that it is back.
+        """
+        self._failed_at[name] = now
+
     def hear_leaving(self, name: str, now: float) -> None:
         """Note a peer's word that an endpoint is leaving.
 
@@ -255,8 +264,10 @@
             return False
         if now < self._heard_leaving_until.get(name, 0.0):
             return False
-        report = self._reports.get(endpoint.name)
-        return report is not None and now - report[1] <= CONFIRM_S
+        report = self._reports.get(name)
+        if report is None or now - report[1] > CONFIRM_S:
+            return False
+        return report[1] >= self._failed_at.get(name, 0.0)
 
     def group(self, request_class: str, role: Role, data_centre: str = "") -> Group:
         """Give the endpoints that a class may use in a role, usable now or not.
--- a/cleatlink/routing/view_test.py
+++ b/cleatlink/routing/view_test.py
@@ -185,3 +185,12 @@
     assert view.load(endpoint, 110.0).waiting_tokens == 500, "the next has not begun"
     view.release("r/prefill", 104.0)
     assert view.load(endpoint, 105.0).waiting_tokens == 400
+
+
+def test_failed_endpoint_gets_nothing_until_its_next_report() -> None:
+    view, endpoint = make_view()
+    view.report(report("d1"), 100.0)
+    view.note_failure("d1", 100.5)
+    assert not view.usable(endpoint, 100.6)
+    view.report(report("d1"), 101.0)
+    assert view.usable(endpoint, 101.0)
--- a/cleatlink/serving/flight.py
+++ b/cleatlink/serving/flight.py
@@ -349,14 +349,14 @@
         return DeadlinePassed() if deadline <= stalled_at else Broken(attempt)
 
     def _fail(self, attempt: int, endpoint: Endpoint, error: Exception) -> Failed:
-        cause = Cause.UNKNOWN
-        if isinstance(error, EndpointUnreachableError):
-            cause = Cause.UNREACHABLE
-        elif isinstance(error, EndpointRefusedError):
-            cause = Cause.REFUSED
+        view, now = self._parts.view, trio.current_time()
+        if isinstance(error, EndpointRefusedError):
             if error.leaving:
-                self._parts.view.refuse_leaving(endpoint.name, trio.current_time())
-        return Failed(attempt, endpoint, cause)
+                view.refuse_leaving(endpoint.name, now)
+            return Failed(attempt, endpoint, Cause.REFUSED)
+        view.note_failure(endpoint.name, now)
+        unreachable = isinstance(error, EndpointUnreachableError)
+        return Failed(attempt, endpoint, Cause.UNREACHABLE if unreachable else Cause.UNKNOWN)
 
     def _make_order(self, endpoint: Endpoint, attempt: int, position: int) -> Order:
         text = join_text(self._relayed, self._order.chat) if position else ""
