--- a/cleatlink/routing/place.py
+++ b/cleatlink/routing/place.py
@@ -26,6 +26,7 @@
     "reserve_request",
 ]
 
+# Decode endpoints drawn at random, of which the less busy is taken.
 _CHOICES = 2
 # Endpoints looked at for a prefill: by affinity, and at random.
 _WALK = 3
--- a/cleatlink/routing/view.py
+++ b/cleatlink/routing/view.py
@@ -42,22 +42,17 @@
     at: float | None
 
 
-class Others(NamedTuple):
-    """What an endpoint has from others, worked out when its report came."""
-
-    running: int
-    waiting_tokens: int
-    memory_tokens: int
-
-
-class Own(NamedTuple):
-    """What an endpoint has from this instance, up to date."""
+class Work(NamedTuple):
+    """How much an endpoint has to do, for this instance or for others."""
 
     running: int = 0
     waiting_tokens: int = 0
     memory_tokens: int = 0
 
 
+_NO_WORK = Work()
+
+
 class EndpointLoad(NamedTuple):
     """An endpoint's load as believed now."""
 
@@ -79,9 +74,6 @@
         return self.running / max(1, self.slots)
 
 
-_NOTHING = Own()
-
-
 class FleetView:
     """The mutable view; every method takes the time as an argument."""
 
@@ -95,10 +87,10 @@
         self._failed_at: dict[str, float] = {}
         self._reservations: dict[str, Reservation] = {}
         self._placed: dict[str, dict[str, Reservation]] = {}
-        self._own: dict[str, Own] = {}
+        self._own: dict[str, Work] = {}
         # When the own prefill that an endpoint is at must have begun.
         self._prefill_began: dict[str, float] = {}
-        self._others: dict[str, Others] = {}
+        self._others: dict[str, Work] = {}
         self._cached: dict[str, set[int]] = {}
         self._holders: dict[int, set[str]] = {}
         self._last_events: dict[str, int] = {}
@@ -128,10 +120,17 @@
         self._by_name = {endpoint.name: endpoint for endpoint in fleet.endpoints}
         for name in self._cached.keys() - names:
             self._forget_cache(name)
-        kept: tuple[dict[str, Any], ...] = (self._reports, self._last_events, self._leaving_until)
-        for by_name in (*kept, self._heard_leaving_until, self._failed_at, self._others):
-            for name in by_name.keys() - names:
-                del by_name[name]
+        by_endpoint: list[dict[str, Any]] = [
+            self._reports,
+            self._others,
+            self._last_events,
+            self._leaving_until,
+            self._heard_leaving_until,
+            self._failed_at,
+        ]
+        for facts in by_endpoint:
+            for name in facts.keys() - names:
+                del facts[name]
         return True
 
     def set_configuration(self, configuration: Configuration) -> None:
@@ -212,7 +211,7 @@
         """Count work placed on an endpoint until it is released."""
         self.release(key, now)
         name = reservation.endpoint
-        if reservation.prefill_tokens and not self._own.get(name, _NOTHING).waiting_tokens:
+        if reservation.prefill_tokens and not self._own.get(name, _NO_WORK).waiting_tokens:
             self._prefill_began[name] = now
         self._reservations[key] = reservation
         self._placed.setdefault(name, {})[key] = reservation
@@ -229,21 +228,27 @@
     def release(self, key: str, now: float) -> None:
         """Forget a reservation; unknown keys are fine."""
         reservation = self._reservations.pop(key, None)
-        if reservation is not None:
-            del self._placed[reservation.endpoint][key]
-            self._add_own(reservation, -1)
-            if reservation.prefill_tokens:
-                self._prefill_began[reservation.endpoint] = now
+        if reservation is None:
+            return
+        name = reservation.endpoint
+        del self._placed[name][key]
+        self._add_own(reservation, -1)
+        if reservation.prefill_tokens:
+            self._prefill_began[name] = now
+        if not self._placed[name]:
+            # Endpoints come and go; only those with work in progress are kept.
+            del self._placed[name], self._own[name]
+            self._prefill_began.pop(name, None)
 
     def _add_own(self, item: Reservation, sign: int) -> None:
-        own = self._own.get(item.endpoint, Own())
-        self._own[item.endpoint] = Own(
+        own = self._own.get(item.endpoint, _NO_WORK)
+        self._own[item.endpoint] = Work(
             own.running + sign * (item.memory_tokens > 0),
             own.waiting_tokens + sign * item.prefill_tokens,
             own.memory_tokens + sign * (item.memory_tokens + item.prefill_tokens),
         )
 
-    def _subtract_own(self, report: LoadReport, now: float) -> Others:
+    def _subtract_own(self, report: LoadReport, now: float) -> Work:
         """Take this instance's work in progress from a report.
 
         A report that is a little old may not show all of it; then others are
@@ -257,7 +262,7 @@
                 running -= item.memory_tokens > 0
                 waiting -= item.prefill_tokens
                 memory -= item.memory_tokens + item.prefill_tokens
-        return Others(max(0, running), max(0, waiting), max(0, memory))
+        return Work(max(0, running), max(0, waiting), max(0, memory))
 
     def usable(self, endpoint: Endpoint, now: float) -> bool:
         """Tell whether an endpoint may get new work now."""
@@ -297,7 +302,7 @@
         """Give an endpoint's load: others' as last reported, own as it is now."""
         name = endpoint.name
         report, others = self._reports[name][0], self._others[name]
-        own = self._own.get(name, _NOTHING)
+        own = self._own.get(name, _NO_WORK)
         rate = report.prefill_tokens_per_s
         waiting = others.waiting_tokens + own.waiting_tokens
         if own.waiting_tokens:
--- a/cleatlink/serving/flight.py
+++ b/cleatlink/serving/flight.py
@@ -69,6 +69,7 @@
 )
 from cleatlink.serving.cancels import Canceller
 from cleatlink.serving.endpoints import EndpointClient, EventStream, Order
+from cleatlink.serving.logs import Log
 from cleatlink.serving.metrics import Metrics
 from cleatlink.serving.news import News
 
@@ -77,6 +78,7 @@
 # A place older than this was found before a pause of this process.
 _PLACE_LIFETIME_S = 1.0
 _OPEN_TIMEOUT_S = 5.0
+_LOG = Log("request")
 _WORTH_WAITING = frozenset({ErrorKind.NO_ROOM, ErrorKind.NO_ENDPOINT})
 
 
@@ -188,6 +190,7 @@
                 case Finish():
                     return Finished()
                 case Refuse(refusal):
+                    _LOG.say("is given up.", request=self._request.name, kind=refusal.kind.value)
                     return Refused(refusal)
                 case _:
                     await self._perform(action)
@@ -247,6 +250,7 @@
                 self._parts.metrics.count_wasted(self._request.prompt_tokens)
             case Retried(reason):
                 self._parts.metrics.count_retry(reason)
+                _LOG.say("is tried again.", request=self._request.name, reason=reason)
 
     async def _place(self, excluded: frozenset[str]) -> Event:
         """Find a place, waiting for room as long as the class allows."""
