Reading the whole change: what stood twice stands once

From an endpoint's error to its cause, the lifetime of a place and the list of peers' addresses each stood twice; a label was set twice; a property, a parameter and a field of the test world were used by nobody; a method that cancels was named count. Change: cause_of, PLACE_LIFETIME_S and Peers.addresses serve both sides; the unused is gone; _count is _carry_out; the hashing module says what it is used for now. Ruled out: joining the drivers of model requests and calls (different events and waits). Conclusion: no change of behaviour.

--- a/cleatlink/request/machine.py
+++ b/cleatlink/request/machine.py
@@ -84,11 +84,6 @@
         """Number of the current attempt, from 0; -1 before the first."""
         return self._attempt
 
-    @property
-    def next_position(self) -> int:
-        """Position of the next token to pass on; above 0 the request is committed."""
-        return self._next
-
     @property
     def ran(self) -> Ran:
         """What is known about whether the request ran."""
--- a/cleatlink/routing/prefix.py
+++ b/cleatlink/routing/prefix.py
@@ -1,7 +1,7 @@
-"""Prefix affinity without state: hash a prompt's beginning onto endpoints.
+"""Hashes that every instance works out alike, without anyone keeping a map.
 
-Requests with the same beginning rank the endpoints alike on every instance,
-so a cached prefix is found again without anyone keeping a map of caches.
+The hash of a prompt's beginning leads to the endpoint where it comes to be
+cached; rendezvous hashing of names finds owners of keys and keepers of notes.
 """
 
 from collections.abc import Iterable
--- a/cleatlink/routing/view.py
+++ b/cleatlink/routing/view.py
@@ -347,7 +347,6 @@
     data_centre = configuration.data_centres.get(endpoint.data_centre)
     if data_centre is not None:
         labels.update(data_centre.labels)
-        labels["region"] = data_centre.region
     pool = configuration.pools.get(endpoint.pool)
     if pool is not None:
         labels.update(pool.labels)
--- a/cleatlink/serving/calls.py
+++ b/cleatlink/serving/calls.py
@@ -9,8 +9,6 @@
 from cleatlink.core.data import Endpoint, Ran, Refusal, Request, RequestClass
 from cleatlink.core.errors import (
     EndpointError,
-    EndpointRefusedError,
-    EndpointUnreachableError,
     ErrorKind,
 )
 from cleatlink.request import CallMachine, Claim, ClaimState, StoredAnswer
@@ -27,14 +25,11 @@
 )
 from cleatlink.routing import Context, place_call
 from cleatlink.serving.endpoints import PlainAnswer
-from cleatlink.serving.flight import FlightParts
+from cleatlink.serving.flight import PLACE_LIFETIME_S, FlightParts, cause_of
 from cleatlink.serving.peers import ClaimOrder, Peers, Settlement
 
 __all__ = ["CallFlight", "CallOrder", "run_keyed_call"]
 
-# A place older than this was found before a pause of this process.
-_PLACE_LIFETIME_S = 1.0
-
 
 class CallOrder(NamedTuple):
     """A call as classified."""
@@ -112,19 +107,15 @@
                 await self._parts.news.wait()
 
     async def _send(self, attempt: int, endpoint: Endpoint) -> CallEvent:
-        if trio.current_time() - self._placed_at > _PLACE_LIFETIME_S:
+        if trio.current_time() - self._placed_at > PLACE_LIFETIME_S:
             return Failed(attempt, endpoint, Cause.UNREACHABLE)
         order = self._order
         try:
             answer = await self._parts.client.call(
                 endpoint, order.method, order.path, order.headers, order.body
             )
-        except EndpointUnreachableError:
-            return Failed(attempt, endpoint, Cause.UNREACHABLE)
-        except EndpointRefusedError:
-            return Failed(attempt, endpoint, Cause.REFUSED)
-        except EndpointError:
-            return Failed(attempt, endpoint, Cause.UNKNOWN)
+        except EndpointError as error:
+            return Failed(attempt, endpoint, cause_of(error))
         return Answered(attempt, answer.status, answer.headers, answer.body)
 
 
--- a/cleatlink/serving/entry.py
+++ b/cleatlink/serving/entry.py
@@ -216,7 +216,7 @@
             await trio.sleep(_STOP_POLL_S)
             if not self._store.complete:
                 await self._ask_peers()
-        await self._poll_once(nursery)
+        await self._poll_once()
         self._ready = True
         self._peers.set_state(State.READY)
         self._log.say("is ready.", revision=self._store.adopter.revision)
@@ -231,8 +231,7 @@
 
     async def _ask_peers(self) -> None:
         """Ask every known peer for its documents, all at once."""
-        addresses = {peer.address for peer in self._members.peers(trio.current_time())}
-        addresses |= {str(address) for address in self._settings.peers}
+        addresses = self._peers.addresses(trio.current_time())
         with trio.move_on_after(_ASK_PEERS_S):
             async with trio.open_nursery() as nursery:
                 for address in addresses:
@@ -240,11 +239,11 @@
 
     async def _poll_always(self, nursery: trio.Nursery) -> None:
         while True:
-            nursery.start_soon(self._poll_once, nursery)
+            nursery.start_soon(self._poll_once)
             await self._client.close_idle()
             await trio.sleep(self._settings.poll_s)
 
-    async def _poll_once(self, nursery: trio.Nursery) -> None:
+    async def _poll_once(self) -> None:
         """Ask every endpoint for its report; one that still owes one is left out."""
         configuration = self._store.adopter.configuration
         if configuration is None:
--- a/cleatlink/serving/flight.py
+++ b/cleatlink/serving/flight.py
@@ -73,10 +73,19 @@
 from cleatlink.serving.metrics import Metrics
 from cleatlink.serving.news import News
 
-__all__ = ["Finished", "FlightParts", "ModelFlight", "Output", "Refused", "Tokens"]
+__all__ = [
+    "PLACE_LIFETIME_S",
+    "Finished",
+    "FlightParts",
+    "ModelFlight",
+    "Output",
+    "Refused",
+    "Tokens",
+    "cause_of",
+]
 
 # A place older than this was found before a pause of this process.
-_PLACE_LIFETIME_S = 1.0
+PLACE_LIFETIME_S = 1.0
 _OPEN_TIMEOUT_S = 5.0
 _LOG = Log("request")
 _WORTH_WAITING = frozenset({ErrorKind.NO_ROOM, ErrorKind.NO_ENDPOINT})
@@ -202,7 +211,7 @@
         self._closed = True
         for action in [*self._actions, *self._machine.handle(CallerGone())]:
             if isinstance(action, Cancel | Wasted):
-                self._count(action)
+                self._carry_out(action)
         release_request(self._parts.view, self._request, trio.current_time())
         self._parts.on_change()
         if self._noted:
@@ -223,7 +232,7 @@
     async def _perform(self, action: Action) -> None:
         """Carry one action out; what comes of it goes to the machine."""
         if isinstance(action, Cancel | Wasted | Retried):
-            self._count(action)
+            self._carry_out(action)
             return
         event: Event = DeadlinePassed()
         with trio.move_on_at(self._request.deadline):
@@ -242,7 +251,8 @@
                 return await self._resume(action)
         raise AssertionError(f"not an action to wait for: {action}")
 
-    def _count(self, action: Action) -> None:
+    def _carry_out(self, action: Action) -> None:
+        """Carry out an action that needs no wait and has no event."""
         match action:
             case Cancel(endpoint, attempt):
                 self._parts.canceller.cancel(endpoint.address, self._request.name, attempt)
@@ -304,7 +314,7 @@
     async def _prefill(self, action: Prefill) -> Event:
         placement, attempt = action.placement, action.attempt
         self._send_note(attempt, placement)
-        if trio.current_time() - self._placed_at > _PLACE_LIFETIME_S:
+        if trio.current_time() - self._placed_at > PLACE_LIFETIME_S:
             return Failed(attempt, placement.prefill, Cause.UNREACHABLE)
         self._parts.metrics.count_prefill(self._request.prompt_tokens)
         order = self._make_order(placement.prefill, attempt, action.position)
@@ -354,13 +364,11 @@
 
     def _fail(self, attempt: int, endpoint: Endpoint, error: Exception) -> Failed:
         view, now = self._parts.view, trio.current_time()
-        if isinstance(error, EndpointRefusedError):
-            if error.leaving:
-                view.refuse_leaving(endpoint.name, now)
-            return Failed(attempt, endpoint, Cause.REFUSED)
-        view.note_failure(endpoint.name, now)
-        unreachable = isinstance(error, EndpointUnreachableError)
-        return Failed(attempt, endpoint, Cause.UNREACHABLE if unreachable else Cause.UNKNOWN)
+        if not isinstance(error, EndpointRefusedError):
+            view.note_failure(endpoint.name, now)
+        elif error.leaving:
+            view.refuse_leaving(endpoint.name, now)
+        return Failed(attempt, endpoint, cause_of(error))
 
     def _make_order(self, endpoint: Endpoint, attempt: int, position: int) -> Order:
         text = join_text(self._relayed, self._order.chat) if position else ""
@@ -374,6 +382,13 @@
         self._parts.send_note(self._request.name, attempt, addresses, left)
 
 
+def cause_of(error: Exception) -> Cause:
+    """Tell what an endpoint's failure says about whether the order ran."""
+    if isinstance(error, EndpointUnreachableError):
+        return Cause.UNREACHABLE
+    return Cause.REFUSED if isinstance(error, EndpointRefusedError) else Cause.UNKNOWN
+
+
 def join_text(events: list[bytes], chat: bool) -> str:
     """Join the text of an answer's events."""
     return "".join(_event_text(data, chat) for data in events)
--- a/cleatlink/serving/peers.py
+++ b/cleatlink/serving/peers.py
@@ -255,11 +255,14 @@
             self._parts.view.leaving(now),
             self._members.members_hash(now),
         )
-        addresses = {peer.address for peer in self._members.peers(now)}
-        addresses |= {str(address) for address in settings.peers}
-        for address in sorted(addresses - {self._parts.link.address}):
+        for address in sorted(self.addresses(now) - {self._parts.link.address}):
             self._send(address, "beat", heartbeat)
 
+    def addresses(self, now: float) -> set[str]:
+        """Give the addresses of all peers, known or named in the settings."""
+        known = {peer.address for peer in self._members.peers(now)}
+        return known | {str(address) for address in self._parts.settings.peers}
+
     def _repeat_notes(self) -> None:
         """Send the notes again that no peer has confirmed yet."""
         for (address, _), note in self._unconfirmed.items():
@@ -329,13 +332,11 @@
 
     def describe(self) -> Mapping[str, object]:
         """Describe the peers as this instance sees them."""
-        now = trio.current_time()
+        peers = self._members.peers(trio.current_time())
         return {
             "name": self._members.name,
             "state": self._state.value,
-            "peers": {peer.name: peer.state.value for peer in self._members.peers(now)},
+            "peers": {peer.name: peer.state.value for peer in peers},
             "notes": len(self._notes),
-            "suspects": [
-                peer.name for peer in self._members.peers(now) if peer.state is not PeerState.ALIVE
-            ],
+            "suspects": [peer.name for peer in peers if peer.state is not PeerState.ALIVE],
         }
--- a/features/world.py
+++ b/features/world.py
@@ -89,7 +89,6 @@
         self.place: PlaceRequest = place_request
         self.configuration = CONFIGURATION
         self.pools = dict(ENDPOINTS)
-        self.warm_up_s = WARM_UP_S
         self._nursery: trio.Nursery | None = None
         self._rng = random.Random(SEED)
         self._incarnation = 0
@@ -111,7 +110,7 @@
                 self.publish_fleet()
                 for name in self.entries:
                     await self.wait_ready(name)
-                await trio.sleep(self.warm_up_s)
+                await trio.sleep(WARM_UP_S)
                 for change in self.plan:
                     change(self)
                 with trio.fail_after(600):
