Heartbeats stay small however many instances there are; leaders are elected by votes

Ruled out: processor (0.025 of a core), the store (found once, never lost), engines (22 with 8 slots for 20 streams a second).

Change: a heartbeat has the sender's own state only (about 100 bytes). Who is there is told by rosters, to a peer that is new and to three others each second. The choice of a leader needs no lists of who hears whom: each heartbeat carries a vote, and who has the votes of more than half of all ever heard of leads. What a peer knows and this instance does not is asked of the configuration service first: 62 instances fetching from one small peer would choke its link.

Before this commit a heartbeat among 62 has 3.4 kB; peers_test.py wants 150 bytes among 81.

--- a/cleatlink/members/leadership.py
+++ b/cleatlink/members/leadership.py
@@ -1,13 +1,13 @@
 """Which instance gives orders: at most one at a time, without a store to agree in.
 
-The lowest name among those that anybody hears leads, if it hears more than half
-of all instances ever heard, so that no two sides of a cut have a leader, and a
-cut between two instances alone makes no second one. It gives its first order
-only after this has held for longer than an earlier leader can still believe in
-itself, plus the lease.
+Each instance votes, in its heartbeats, for the lowest name that it hears. One
+leads for which more than half of all instances ever heard of vote, itself
+included. It gives its first order only after this has held for longer than an
+earlier leader can still count on its votes, plus the lease: whoever voted for
+both has taken its first vote back by then.
 """
 
-from collections.abc import Set
+from collections.abc import Mapping, Set
 from typing import NamedTuple
 
 __all__ = ["Hearing", "Leadership"]
@@ -22,15 +22,15 @@
     """What an instance hears of its peers.
 
     Attributes:
-        alive: Peers that are heard now.
-        others: Peers that the peers in ``alive`` say they hear.
-        known: Instances that the peers in ``alive`` ever heard of.
-        left: Peers that said that they leave for good or for a restart.
+        votes: Peers that are heard now, with the instance that each votes for.
+        known: Instances that peers ever heard of.
+        members: The most instances that any of the peers that are heard knows.
+        left: Instances that said that they leave for good or for a restart.
     """
 
-    alive: Set[str]
-    others: Set[str] = frozenset()
+    votes: Mapping[str, str]
     known: Set[str] = frozenset()
+    members: int = 0
     left: Set[str] = frozenset()
 
 
@@ -54,14 +54,14 @@
         self._alone = alone
         self._settle_s = lease_s + silence_s + _SPREAD_S
         self._known: set[str] = {name}
-        self._leader = ""
-        self._since = now
+        self._vote = ""
+        self._elected_since: float | None = None
         self._judged_at = now
 
     @property
-    def leader(self) -> str:
-        """Who leads; empty while nobody can."""
-        return self._leader
+    def vote(self) -> str:
+        """Whom this instance votes for; empty while it can't tell."""
+        return self._vote
 
     @property
     def known(self) -> Set[str]:
@@ -71,15 +71,22 @@
     def judge(self, hearing: Hearing, now: float) -> bool:
         """Take what is heard; tell whether this instance may give orders now."""
         left = hearing.left - {self._name}
-        present = (hearing.alive - left) | {self._name}
+        present = (hearing.votes.keys() - left) | {self._name}
         self._known = (self._known | present | hearing.known) - left
-        candidates = (present | hearing.others) - left
         cut_off = len(self._known) == 1 and not self._alone
-        majority = 2 * len(present) > len(self._known)
-        leader = min(candidates) if majority and not cut_off else ""
+        self._vote = "" if cut_off else min(present)
         paused = now - self._judged_at > _PAUSE_S
         self._judged_at = now
-        if leader != self._leader or paused:
-            self._leader = leader
-            self._since = now
-        return leader == self._name and now - self._since >= self._settle_s
+        if paused or not self._is_elected(hearing, present):
+            self._elected_since = None
+            return False
+        if self._elected_since is None:
+            self._elected_since = now
+        return now - self._elected_since >= self._settle_s
+
+    def _is_elected(self, hearing: Hearing, present: Set[str]) -> bool:
+        if self._vote != self._name:
+            return False
+        voters = [peer for peer in present if hearing.votes.get(peer) == self._name]
+        members = max(len(self._known), hearing.members)
+        return 2 * (len(voters) + 1) > members
--- a/cleatlink/relay/fleet_test.py
+++ b/cleatlink/relay/fleet_test.py
@@ -115,6 +115,24 @@
         await fleet.until(lambda: second.table_revision == version, 0.7)
 
 
+async def test_wait_that_the_store_forgot_is_begun_anew_on_a_peers_word() -> None:
+    async with open_fleet() as fleet:
+        await start(fleet, Worker("plain"))
+        fleet.start_instance()
+        await fleet.ready()
+        await trio.sleep(1.2)
+        fleet.store.forget_watches()
+        version = fleet.configure()
+        first, second = fleet.instances
+        await trio.sleep(0.05)
+        assert first.records.table_revision < version
+        table = first.records.table
+        assert table is not None
+        first.take_table(table._replace(revision=version), "test")
+        await fleet.until(lambda: second.records.table_revision == version, 0.6)
+        assert b'kind="snapshot"' not in second.render_metrics()
+
+
 async def test_instance_that_stops_gives_no_orders() -> None:
     async with open_fleet() as fleet:
         prefill, decode = Worker("model", "prefill"), Worker("model", "decode")
--- a/cleatlink/relay/follower.py
+++ b/cleatlink/relay/follower.py
@@ -71,6 +71,7 @@
         self._doubt_hold_s = min(_MOST_DOUBT_S, _DOUBT_SHARE * leaving_s)
         self._connected = False
         self._has_list = False
+        self._call = trio.CancelScope()
 
     @property
     def complete(self) -> bool:
@@ -83,10 +84,7 @@
         whole = True
         while True:
             try:
-                if whole:
-                    change = await self._source.read()
-                else:
-                    change = await self._source.watch(self.records.revision, self._watch_s())
+                change = await self._ask(whole)
             except HistoryGoneError:
                 whole = True
                 self._metrics.count_read("history_gone")
@@ -99,11 +97,30 @@
                 await trio.sleep(pause_s * (0.5 + self._rng.random()))
                 pause_s = min(_RETRY_MOST_S, 2 * pause_s)
                 continue
+            if change is None:
+                continue
             self._note_source_found(change)
             pause_s = _RETRY_FIRST_S
             whole = False
             self._take_change(change)
 
+    def look_again(self) -> None:
+        """End a wait for changes, which the other side may have forgotten, and ask anew."""
+        self._call.cancel()
+
+    async def _ask(self, whole: bool) -> SourceChange | None:
+        """Read everything, or wait for changes; None if the wait was ended.
+
+        Raises:
+            HistoryGoneError: The changes since the last call are not to be had.
+            PlatformError: There was no answer.
+        """
+        if whole:
+            return await self._source.read()
+        with trio.CancelScope() as self._call:
+            return await self._source.watch(self.records.revision, self._watch_s())
+        return None
+
     def _watch_s(self) -> float:
         """Give how long to wait for a change.
 
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -12,7 +12,7 @@
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.orders import RoleKeeper
 from cleatlink.relay.peer_messages import Snapshot, encode
-from cleatlink.relay.peers import PeerGroup, PeerHooks
+from cleatlink.relay.peers import KnownState, PeerGroup, PeerHooks
 from cleatlink.relay.pool import ConnectionPool
 from cleatlink.relay.protocol import Protocol
 from cleatlink.relay.server import Handler, serve_connections
@@ -86,7 +86,11 @@
             leaving_s=settings.leaving_s,
         )
         hooks = PeerHooks(
-            self._state, self._follower.take_snapshot, self._offer_room, self._note_peer_demand
+            self._state,
+            self._follower.look_again,
+            self._follower.take_snapshot,
+            self._offer_room,
+            self._note_peer_demand,
         )
         self._peers = PeerGroup(settings, incarnation, self._capacity, self._metrics, hooks)
         self._roles = RoleKeeper(
@@ -227,9 +231,9 @@
         if self._nursery is not None:
             self._nursery.start_soon(run_once, task, *args)
 
-    def _state(self) -> tuple[bool, int, int]:
-        leaving = self._stopping_since is not None
-        return leaving, self._follower.records.table_revision, self._follower.records.revision
+    def _state(self) -> KnownState:
+        records = self._follower.records
+        return KnownState(self._stopping_since is not None, records.table_revision, records.newest)
 
     def _note_peer_demand(self, work: Reservation) -> None:
         """Count work that a peer placed as demand."""
--- a/cleatlink/relay/orders.py
+++ b/cleatlink/relay/orders.py
@@ -71,13 +71,14 @@
             await trio.sleep(_JUDGE_S)
             hearing = self._peers.hearing()
             leads = leadership.judge(hearing, trio.current_time()) and not self._stopping()
-            self._peers.members = leadership.known
+            self._peers.members, self._peers.vote = leadership.known, leadership.vote
             if leads is not self._leads:
                 self._leads = leads
                 eliot.log_message(
                     message_type="orders: leads" if leads else "orders: leads no more",
-                    heard=len(hearing.alive),
-                    leader=leadership.leader,
+                    heard=len(hearing.votes),
+                    members=len(leadership.known),
+                    vote=leadership.vote,
                 )
                 if leads:
                     self._take_fence()
--- a/cleatlink/relay/peer_messages.py
+++ b/cleatlink/relay/peer_messages.py
@@ -5,7 +5,17 @@
 from cleatlink.core.routes import RouteTable
 from cleatlink.routing.fleet_records import EndpointRecord
 
-__all__ = ["Beat", "Changes", "Snapshot", "WorkItem", "decode_datagram", "encode"]
+__all__ = [
+    "Beat",
+    "Changes",
+    "Member",
+    "Message",
+    "Roster",
+    "Snapshot",
+    "WorkItem",
+    "decode_datagram",
+    "encode",
+]
 
 
 class WorkItem(msgspec.Struct, array_like=True, frozen=True):
@@ -31,37 +41,47 @@
 
 
 class Beat(msgspec.Struct, array_like=True, frozen=True, tag="b"):
-    """An instance's heartbeat.
+    """An instance's heartbeat; it goes to every peer and has to stay small.
 
     Attributes:
         name: Sender.
         incarnation: Grows with each start of the sender.
-        data_centre: Sender's data centre.
         address: Where the sender hears peers.
         leaving: Whether the sender is stopping.
         table: Revision of the route table in force there.
-        records: Revision up to which it knows the registrations.
-        known: Addresses of the peers that it knows.
+        newest: Revision of the newest registration that it knows.
         work: All its work.
         fence: Highest fence of any order that the sender knows of.
         switching: Endpoints that change their role, with the seconds that are left.
-        heard: Names of the peers that the sender heard lately.
-        members: Names of all instances that the sender ever heard of.
+        vote: Instance that the sender takes for the leader; empty for none.
+        members: How many instances the sender ever heard of.
     """
 
     name: str
     incarnation: int
-    data_centre: str
     address: str
     leaving: bool
     table: int
-    records: int
-    known: list[str]
+    newest: int
     work: list[WorkItem]
     fence: int
     switching: dict[str, float]
-    heard: list[str]
-    members: list[str]
+    vote: str
+    members: int
+
+
+class Member(msgspec.Struct, array_like=True, frozen=True):
+    """An instance that the sender of a roster knows; without an address it is not heard."""
+
+    name: str
+    address: str
+
+
+class Roster(msgspec.Struct, array_like=True, frozen=True, tag="r"):
+    """The instances that an instance ever heard of; it goes to few peers at a time."""
+
+    name: str
+    members: list[Member]
 
 
 class Changes(msgspec.Struct, array_like=True, frozen=True, tag="c"):
@@ -81,15 +101,16 @@
     revision: int
 
 
-_DECODER = msgspec.msgpack.Decoder(Beat | Changes)
+Message = Beat | Changes | Roster
+_DECODER = msgspec.msgpack.Decoder(Message)
 
 
-def encode(message: Beat | Changes | Snapshot) -> bytes:
+def encode(message: Message | Snapshot) -> bytes:
     """Encode a message."""
     return msgspec.msgpack.encode(message)
 
 
-def decode_datagram(data: bytes) -> Beat | Changes | None:
+def decode_datagram(data: bytes) -> Message | None:
     """Decode a datagram; None if it is none of ours."""
     try:
         return _DECODER.decode(data)
--- a/cleatlink/relay/peers.py
+++ b/cleatlink/relay/peers.py
@@ -1,30 +1,43 @@
 """An instance among its peers: heartbeats, shared work, and what one knows for all.
 
 Datagrams carry heartbeats and changes of work; they may be lost, and each
-heartbeat repeats all work. A route table or list that a peer knows and this
-instance does not is fetched over HTTP, so that one that the configuration
-service turns away keeps up with the others.
+heartbeat repeats all work. Who is there is told by rosters, to a peer that is
+new and to a few others with each heartbeat. A route table or list that a peer
+knows and this instance does not is fetched over HTTP, so that one that the
+configuration service turns away keeps up with the others.
 """
 
+import random
 import socket
-from collections.abc import Callable, Set
+from collections.abc import Callable, Iterable, Set
 from typing import NamedTuple
 
 import eliot
 import msgspec
 import trio
 
+from cleatlink.core.address import Address
 from cleatlink.core.data import Role
 from cleatlink.core.errors import EndpointError
 from cleatlink.members.leadership import Hearing
 from cleatlink.relay.connection import EndpointConnection
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.peer_messages import Beat, Changes, Snapshot, WorkItem, decode_datagram, encode
+from cleatlink.relay.peer_messages import (
+    Beat,
+    Changes,
+    Member,
+    Message,
+    Roster,
+    Snapshot,
+    WorkItem,
+    decode_datagram,
+    encode,
+)
 from cleatlink.relay.protocol import OutgoingRequest
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.routing.capacity import Capacity, Reservation
 
-__all__ = ["SILENCE_S", "PeerGroup", "PeerHooks"]
+__all__ = ["SILENCE_S", "KnownState", "PeerGroup", "PeerHooks"]
 
 # A peer that was silent for so long counts as gone for the choice of a leader.
 SILENCE_S = 2.5
@@ -34,25 +47,51 @@
 _GONE_S = 4.0
 # Addresses without a word are tried for so long.
 _FORGET_ADDRESS_S = 60.0
+# An instance that left is not taken for present on the word of others for so long.
+_LEFT_S = 60.0
+# Peers that get a roster with each heartbeat.
+_ROSTERS = 3
 _MOST_BYTES = 60_000
 _FETCH_S = 1.0
 _FETCH_BYTES = 64_000_000
-_PAUSE_S = 0.25
+# Pauses before the configuration service is asked for what a peer knows, and the peer.
+_HEAR_OF_IT_S = 0.15
+_ASK_PEER_S = 0.2
 _WORK_SLACK_S = 2.0
 _SNAPSHOT_PATH = b"/snapshot"
 
 
+class KnownState(NamedTuple):
+    """What an instance tells of itself.
+
+    Attributes:
+        leaving: Whether it is stopping.
+        table: Revision of its route table.
+        newest: Revision of the newest registration that it knows.
+    """
+
+    leaving: bool
+    table: int
+    newest: int
+
+    def is_behind(self, beat: Beat) -> bool:
+        """Tell whether a peer knows something newer."""
+        return beat.table > self.table or beat.newest > self.newest
+
+
 class PeerHooks(NamedTuple):
     """What the group needs of its instance.
 
     Attributes:
-        state: Gives whether it is leaving, and the revisions of its table and records.
+        state: Gives whether it is leaving, and the newest revisions that it knows.
+        look_again: Has the configuration service asked anew.
         on_snapshot: Takes what a peer knows.
         on_work: Told that peers' work changed.
         on_placed: Told of each piece of work that a peer placed.
     """
 
-    state: Callable[[], tuple[bool, int, int]]
+    state: Callable[[], "KnownState"]
+    look_again: Callable[[], None]
     on_snapshot: Callable[[Snapshot], None]
     on_work: Callable[[], None]
     on_placed: Callable[[Reservation], None]
@@ -92,7 +131,12 @@
         self._wake = trio.Event()
         self._fetching = False
         self._most_members = 1
+        self._rng = random.Random(incarnation)
+        # Instances that peers told of, with the time at which others left.
+        self._told: set[str] = set()
+        self._left: dict[str, float] = {}
         self.fence = 0
+        self.vote = ""
         self.members: Set[str] = frozenset({settings.name})
         self._spawn: Callable[..., None] = _drop_task
         self._socket = self._bind()
@@ -104,19 +148,18 @@
         return trio.socket.from_stdlib_socket(sock)
 
     @property
-    def alive(self) -> dict[str, Beat]:
-        """Last heartbeats of the peers that are heard, by name."""
-        return {name: peer.beat for name, peer in self._peers.items()}
+    def listen(self) -> Address:
+        """Where this instance hears its peers."""
+        return self._settings.peer_listen
 
     def hearing(self) -> Hearing:
         """Give what is heard, for the choice of a leader."""
-        alive = self.heard_within(SILENCE_S)
-        beats = [self._peers[name].beat for name in alive]
+        beats = {name: self._peers[name].beat for name in self.heard_within(SILENCE_S)}
         return Hearing(
-            alive,
-            {name for beat in beats for name in beat.heard},
-            {name for beat in beats for name in beat.members},
-            {name for name, peer in self._peers.items() if peer.beat.leaving},
+            {name: beat.vote for name, beat in beats.items()},
+            self._told,
+            max((beat.members for beat in beats.values()), default=0),
+            set(self._left),
         )
 
     def heard_within(self, seconds: float) -> set[str]:
@@ -155,34 +198,45 @@
 
     def send_beat(self) -> None:
         """Send a heartbeat to every known address."""
-        leaving, table, records = self._hooks.state()
+        state = self._hooks.state()
         now = trio.current_time()
         beat = Beat(
             self._settings.name,
             self._incarnation,
-            self._settings.data_centre,
             self._address,
-            leaving,
-            table,
-            records,
-            sorted({peer.address for peer in self._peers.values()}),
+            state.leaving,
+            state.table,
+            state.newest,
             [_describe(key, item, now) for key, item in self._shared_work()],
             self.fence,
             {name: round(left, 2) for name, left in self._capacity.switching(now).items()},
-            sorted(self.heard_within(SILENCE_S)),
-            sorted(self.members),
+            self.vote,
+            len(self.members),
         )
-        self._send(encode(beat))
+        self._send(beat, self._addresses)
+
+    def _send_rosters(self) -> None:
+        """Tell a few peers, picked anew each time, who is there."""
+        addresses = [peer.address for peer in self._peers.values()]
+        self._send(self._roster(), self._rng.sample(addresses, min(_ROSTERS, len(addresses))))
+
+    def _roster(self) -> Roster:
+        names = sorted(self.members | self._peers.keys())
+        members = [
+            Member(name, self._peers[name].address if name in self._peers else "") for name in names
+        ]
+        return Roster(self._settings.name, members)
 
     def _shared_work(self) -> list[tuple[str, Reservation]]:
         own = self._capacity.own.items()
         return [(key, item) for key, item in own if item.role is not Role.PLAIN]
 
-    def _send(self, data: bytes) -> None:
+    def _send(self, message: Message, addresses: Iterable[str]) -> None:
+        data = encode(message)
         if len(data) > _MOST_BYTES:
             self._metrics.count_message("too_long")
             return
-        for address in self._addresses:
+        for address in addresses:
             host, _, port = address.rpartition(":")
             try:
                 self._socket_send(data, host, int(port))
@@ -197,6 +251,7 @@
         while True:
             self._forget_silent()
             self.send_beat()
+            self._send_rosters()
             await trio.sleep(_BEAT_S)
 
     async def _tell_changes(self) -> None:
@@ -208,7 +263,8 @@
             own = self._capacity.own
             placed = [_describe(key, own[key], now) for key in sorted(changed) if key in own]
             over = [key for key in sorted(changed) if key not in own]
-            self._send(encode(Changes(self._settings.name, self._incarnation, placed, over)))
+            changes = Changes(self._settings.name, self._incarnation, placed, over)
+            self._send(changes, self._addresses)
             await trio.sleep(0.002)
 
     def _forget_silent(self) -> None:
@@ -228,6 +284,9 @@
         for address, heard_at in list(self._addresses.items()):
             if now - heard_at > _FORGET_ADDRESS_S and address not in first:
                 del self._addresses[address]
+        for name, left_at in list(self._left.items()):
+            if now - left_at > _LEFT_S:
+                del self._left[name]
 
     async def _receive(self) -> None:
         while True:
@@ -241,6 +300,8 @@
                 self._take_beat(message)
             elif isinstance(message, Changes):
                 self._take_changes(message)
+            elif isinstance(message, Roster):
+                self._take_roster(message)
             else:
                 self._metrics.count_message("not_understood")
 
@@ -252,16 +313,15 @@
         known = self._peers.get(beat.name)
         if known is not None and beat.incarnation < known.beat.incarnation:
             return
+        self._peers[beat.name] = _Peer(beat, now)
         if known is None:
             eliot.log_message(
-                message_type="peers: heard a peer", peer=beat.name, alive=len(self._peers) + 2
+                message_type="peers: heard a peer", peer=beat.name, alive=len(self._peers) + 1
             )
-        self._peers[beat.name] = _Peer(beat, now)
+            self._send(self._roster(), [beat.address])
         self._most_members = max(self._most_members, len(self._peers) + 1)
         self._addresses[beat.address] = now
-        for address in beat.known:
-            if address != self._address:
-                self._addresses.setdefault(address, now)
+        self._note_presence(beat, now)
         self.fence = max(self.fence, beat.fence)
         for endpoint, left_s in beat.switching.items():
             self._capacity.note_switching(endpoint, now + left_s)
@@ -270,10 +330,28 @@
             self._note_placed(beat.name, key, item)
         self._capacity.peer_replace(beat.name, work)
         self._hooks.on_work()
-        _, table, records = self._hooks.state()
-        if (beat.table > table or beat.records > records) and not self._fetching:
+        if self._hooks.state().is_behind(beat) and not self._fetching:
             self._fetching = True
-            self._spawn(self._fetch, beat)
+            self._spawn(self._catch_up, beat)
+
+    def _note_presence(self, beat: Beat, now: float) -> None:
+        """Note whether a peer stays or leaves, by its own word."""
+        if beat.leaving:
+            self._left[beat.name] = now
+            self._told.discard(beat.name)
+        else:
+            self._left.pop(beat.name, None)
+
+    def _take_roster(self, roster: Roster) -> None:
+        """Take the names and addresses that a peer knows."""
+        self._metrics.count_message("roster")
+        now = trio.current_time()
+        for member in roster.members:
+            if member.name in self._left or member.name == self._settings.name:
+                continue
+            self._told.add(member.name)
+            if member.address and member.address not in self._addresses:
+                self._addresses[member.address] = now
 
     def _take_changes(self, changes: Changes) -> None:
         known = self._peers.get(changes.name)
@@ -292,21 +370,37 @@
         if not self._capacity.knows(peer, key):
             self._hooks.on_placed(item)
 
-    async def _fetch(self, beat: Beat) -> None:
-        """Fetch what a peer knows if this instance does not hear of it soon."""
+    async def _catch_up(self, beat: Beat) -> None:
+        """Learn what a peer knows if this instance does not hear of it soon.
+
+        The configuration service is asked first: it may have lost a wait of this
+        instance, and it bears all instances at once better than a peer does.
+        """
         try:
-            await trio.sleep(_PAUSE_S)
-            _, table, records = self._hooks.state()
-            if beat.table <= table and beat.records <= records:
+            await trio.sleep(_HEAR_OF_IT_S)
+            if not self._hooks.state().is_behind(beat):
                 return
+            self._hooks.look_again()
+            await trio.sleep(_ASK_PEER_S * (1 + self._rng.random()))
+            if self._hooks.state().is_behind(beat):
+                await self._fetch(beat)
+        finally:
+            self._fetching = False
+
+    async def _fetch(self, beat: Beat) -> None:
+        try:
             with trio.move_on_after(_FETCH_S):
                 body = await self._ask(beat.address)
                 self._hooks.on_snapshot(msgspec.msgpack.decode(body, type=Snapshot))
                 self._metrics.count_message("snapshot")
+                eliot.log_message(
+                    message_type="peers: took what a peer knows",
+                    peer=beat.name,
+                    table=beat.table,
+                    newest=beat.newest,
+                )
         except (EndpointError, msgspec.MsgspecError) as error:
             eliot.log_message(message_type="peers: can't fetch", peer=beat.name, error=repr(error))
-        finally:
-            self._fetching = False
 
     async def _ask(self, address: str) -> bytes:
         connection = await EndpointConnection.open(address, _FETCH_S, _FETCH_S)
--- /dev/null
+++ b/cleatlink/relay/peers_test.py
@@ -0,0 +1,153 @@
+"""What instances tell each other, and how much of it."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from cleatlink.core.address import Address, parse_address
+from cleatlink.relay.metrics import RelayMetrics
+from cleatlink.relay.peer_messages import Beat, Member, Message, Roster, decode_datagram, encode
+from cleatlink.relay.peers import KnownState, PeerGroup, PeerHooks
+from cleatlink.relay.settings import RelaySettings
+from cleatlink.relay.tasks import Task
+from cleatlink.routing.capacity import Capacity
+from standins.relay.fleet import free_address
+
+MANY = 80
+
+
+class Listener:
+    """A socket that stands for peers and keeps what it is told."""
+
+    def __init__(self) -> None:
+        self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        self.sizes: dict[type[Message], list[int]] = {Beat: [], Roster: []}
+        self.rosters: list[Roster] = []
+        self.address = ""
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        await self._socket.bind(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+        nursery.start_soon(self._receive)
+
+    def close(self) -> None:
+        self._socket.close()
+
+    async def tell(self, group: Address, message: Message) -> None:
+        await self._socket.sendto(encode(message), (group.host, group.port))
+
+    async def _receive(self) -> None:
+        while True:
+            data, _ = await self._socket.recvfrom(65_536)
+            message = decode_datagram(data)
+            assert message is not None
+            self.sizes.setdefault(type(message), []).append(len(data))
+            if isinstance(message, Roster):
+                self.rosters.append(message)
+
+
+async def close_at_the_end(listener: Listener) -> None:
+    try:
+        await trio.sleep_forever()
+    finally:
+        listener.close()
+
+
+def beat(name: str, address: str, *, leaving: bool = False, members: int = 1) -> Beat:
+    return Beat(name, 1, address, leaving, 0, 0, [], 0, {}, "", members)
+
+
+@asynccontextmanager
+async def open_group(nursery: trio.Nursery, name: str, *peers: str) -> AsyncIterator[PeerGroup]:
+    """Run a group by itself."""
+    settings = RelaySettings(
+        name=name,
+        data_centre="a",
+        listen=free_address(),
+        ready_listen=free_address(),
+        peer_listen=free_address(),
+        peers=tuple(parse_address(peer) for peer in peers),
+        store=free_address(),
+    )
+    hooks = PeerHooks(
+        lambda: KnownState(False, 0, 0),
+        lambda: None,
+        lambda snapshot: None,
+        lambda: None,
+        lambda work: None,
+    )
+    group = PeerGroup(settings, 1, Capacity(), RelayMetrics(), hooks)
+
+    def keep(task: Task) -> None:
+        nursery.start_soon(task)
+
+    group.start(keep, nursery.start_soon)
+    try:
+        yield group
+    finally:
+        group.close()
+
+
+async def test_heartbeat_stays_small_however_many_there_are() -> None:
+    async with trio.open_nursery() as nursery:
+        listener = Listener()
+        await listener.start(nursery)
+        nursery.start_soon(close_at_the_end, listener)
+        async with open_group(nursery, "front-data-centre-1", listener.address) as group:
+            for number in range(MANY):
+                name = f"front-data-centre-{number + 2}"
+                await listener.tell(group.listen, beat(name, listener.address))
+            await trio.sleep(2.2)
+            assert len(group.hearing().votes) == MANY
+            assert max(listener.sizes[Beat]) < 150
+            # A roster to each that is new, and then to a few at a time.
+            assert MANY <= len(listener.rosters) <= MANY + 3 * 3
+            told = {member.name for member in listener.rosters[-1].members}
+            assert len(told) == MANY + 1
+            nursery.cancel_scope.cancel()
+
+
+async def test_instances_that_know_one_find_all() -> None:
+    async with trio.open_nursery() as nursery, open_group(nursery, "n0") as first:
+        address = str(first.listen)
+        async with (
+            open_group(nursery, "n1", address) as second,
+            open_group(nursery, "n2", address) as third,
+        ):
+            with trio.fail_after(2.5):
+                while not all(len(item.hearing().votes) == 2 for item in (first, second, third)):
+                    await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
+
+
+async def test_instance_that_left_is_not_present_on_the_word_of_others() -> None:
+    async with trio.open_nursery() as nursery:
+        listener = Listener()
+        await listener.start(nursery)
+        nursery.start_soon(close_at_the_end, listener)
+        async with open_group(nursery, "n1") as group:
+            for name in ("n2", "n3"):
+                await listener.tell(group.listen, beat(name, listener.address))
+            await listener.tell(group.listen, beat("n3", listener.address, leaving=True))
+            await listener.tell(group.listen, Roster("n2", [Member("n3", ""), Member("n4", "")]))
+            await trio.sleep(0.1)
+            hearing = group.hearing()
+            assert (set(hearing.known), set(hearing.left)) == ({"n4"}, {"n3"})
+            await listener.tell(group.listen, beat("n3", listener.address))
+            await trio.sleep(0.1)
+            assert not group.hearing().left
+            nursery.cancel_scope.cancel()
+
+
+async def test_majority_is_of_the_most_instances_that_anybody_knows() -> None:
+    async with trio.open_nursery() as nursery:
+        listener = Listener()
+        await listener.start(nursery)
+        nursery.start_soon(close_at_the_end, listener)
+        async with open_group(nursery, "n1") as group:
+            await listener.tell(group.listen, beat("n2", listener.address, members=7))
+            await listener.tell(group.listen, beat("n3", listener.address, members=5))
+            await trio.sleep(0.1)
+            assert group.hearing().members == 7
+            nursery.cancel_scope.cancel()
--- a/cleatlink/routing/fleet_records.py
+++ b/cleatlink/routing/fleet_records.py
@@ -27,6 +27,7 @@
         self._table: RouteTable | None = None
         self._records: dict[str, EndpointRecord] = {}
         self._revision = 0
+        self._newest = 0
 
     @property
     def table(self) -> RouteTable | None:
@@ -43,6 +44,11 @@
         """Highest revision of the registrations that is known to be complete."""
         return self._revision
 
+    @property
+    def newest(self) -> int:
+        """Highest revision of any registration or removal that is known."""
+        return self._newest
+
     @property
     def records(self) -> tuple[EndpointRecord, ...]:
         """All records, removed ones included."""
@@ -69,6 +75,7 @@
         if record.revision <= known.revision:
             return None
         self._records[record.name] = record
+        self._newest = max(self._newest, record.revision)
         return known
 
     def note_complete(self, revision: int) -> None:
--- a/standins/relay/store.py
+++ b/standins/relay/store.py
@@ -32,6 +32,7 @@
         self._items: dict[str, tuple[bytes, int]] = {}
         self._history: list[dict[str, Any]] = []
         self._forgotten = 0
+        self._watches_kept_from = 0
         self._changed = trio.Event()
 
     @property
@@ -56,6 +57,11 @@
         self._history.clear()
         self._forgotten = self.revision
 
+    def forget_watches(self) -> None:
+        """Leave every wait for changes that is open now without an answer."""
+        self._changed = trio.Event()
+        self._watches_kept_from = self.calls
+
     def _tell(self, event: dict[str, Any]) -> None:
         self._history.append(event)
         self._changed.set()
@@ -98,6 +104,7 @@
 
     async def _watch(self, call: RawCall) -> tuple[int, dict[str, Any]]:
         after, prefix = int(call.query("after")), call.query("path_prefix")
+        number = self.calls
         with trio.move_on_after(int(call.query("wait_ms")) / 1000):
             while True:
                 if after < self._forgotten:
@@ -110,4 +117,6 @@
                 if events:
                     return 200, {"events": events, "at": self.revision}
                 await self._changed.wait()
+                if number <= self._watches_kept_from:
+                    await trio.sleep_forever()
         return 200, {"events": [], "at": self.revision}
