--- a/cleatlink/relay/follower.py
+++ b/cleatlink/relay/follower.py
@@ -20,7 +20,11 @@
 
 _RETRY_FIRST_S = 0.05
 _RETRY_MOST_S = 0.6
+# Longest wait for changes. A wait that the other side forgot is only noticed at its
+# end, or when a peer that ended its own knows more: the more peers, the sooner.
 _WATCH_S = 2.0
+_MOST_WATCH_S = 6.0
+_PEERS_A_WATCH = 8
 _PROBE_S = 0.05
 # Removals seen so soon after the source was found again are in doubt.
 _DOUBT_S = 0.5
@@ -38,12 +42,14 @@
         on_news: Told that there is a new table, for peers and those who wait.
         on_change: Told that endpoints changed.
         spawn: Runs a task once.
+        members: Gives how many instances there are.
     """
 
     use_table: Callable[[RouteTable], None]
     on_news: Callable[[], None]
     on_change: Callable[[], None]
     spawn: Callable[..., None]
+    members: Callable[[], int]
 
 
 class Follower:
@@ -124,12 +130,12 @@
     def _watch_s(self) -> float:
         """Give how long to wait for a change.
 
-        A wait that the other side has forgotten is only noticed at its end, so
-        instances end theirs at different times, and after trouble at once.
+        Instances end their waits at different times, and after trouble at once.
         """
         if not self._connected:
             return _PROBE_S
-        return _WATCH_S * (1 - 0.3 * self._rng.random())
+        longest_s = _WATCH_S * max(1.0, self._hooks.members() / _PEERS_A_WATCH)
+        return min(_MOST_WATCH_S, longest_s) * (1 - 0.3 * self._rng.random())
 
     def _note_source_lost(self, error: Exception) -> None:
         self._metrics.count_read("failed")
--- /dev/null
+++ b/cleatlink/relay/follower_test.py
@@ -0,0 +1,57 @@
+"""How an instance follows the configuration service."""
+
+import random
+
+import pytest
+import trio
+
+from cleatlink.relay.follower import Follower, FollowerHooks
+from cleatlink.relay.metrics import RelayMetrics
+from cleatlink.relay.pool import ConnectionPool
+from cleatlink.relay.source import ConfigurationSource, SourceChange
+from cleatlink.routing.capacity import Capacity
+
+
+class QuietSource(ConfigurationSource):
+    """A source without any change, which notes how long it may take to say so."""
+
+    def __init__(self) -> None:
+        self.waits_s: list[float] = []
+
+    async def read(self) -> SourceChange:
+        return SourceChange(None, [], 1, whole=True)
+
+    async def watch(self, after: int, wait_s: float) -> SourceChange:
+        self.waits_s.append(wait_s)
+        await trio.sleep(0.001)
+        return SourceChange(None, [], after, whole=False)
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+
+@pytest.mark.parametrize(
+    ("members", "shortest_s", "longest_s"), [(1, 1.4, 2.0), (8, 1.4, 2.0), (62, 4.2, 6.0)]
+)
+async def test_more_instances_ask_less_often_each(
+    members: int, shortest_s: float, longest_s: float
+) -> None:
+    source = QuietSource()
+    hooks = FollowerHooks(
+        lambda table: None, lambda: None, lambda: None, lambda *_: None, lambda: members
+    )
+    follower = Follower(
+        source,
+        Capacity(),
+        ConnectionPool(),
+        RelayMetrics(),
+        rng=random.Random(1),
+        hooks=hooks,
+        leaving_s=2.0,
+    )
+    with trio.move_on_after(0.2):
+        await follower.run()
+    assert len(source.waits_s) > 20
+    assert shortest_s <= min(source.waits_s)
+    assert max(source.waits_s) <= longest_s
+    assert max(source.waits_s) - min(source.waits_s) > 0.2 * longest_s
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -74,7 +74,11 @@
         )
         self._service = RelayService(self._parts)
         follower_hooks = FollowerHooks(
-            self._service.use_table, self._tell_news, self._offer_room, self._spawn
+            self._service.use_table,
+            self._tell_news,
+            self._offer_room,
+            self._spawn,
+            lambda: self._peers.alive,
         )
         self._follower = Follower(
             source,
--- a/cleatlink/relay/peers.py
+++ b/cleatlink/relay/peers.py
@@ -167,6 +167,11 @@
         now = trio.current_time()
         return {name for name, peer in self._peers.items() if now - peer.heard_at <= seconds}
 
+    @property
+    def alive(self) -> int:
+        """Instances that are heard now, this one included."""
+        return len(self._peers) + 1
+
     @property
     def most_members(self) -> int:
         """Most instances that were heard at a time, this one included."""
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real programs under faults from outside, judged by what others saw."""
--- /dev/null
+++ b/soak/broken.py
@@ -0,0 +1,128 @@
+"""Runs the program with one mechanism switched off, to see the soak report it."""
+
+import sys
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from cleatlink.core.data import Ran
+from cleatlink.members.leadership import Leadership
+from cleatlink.relay.call import Call
+from cleatlink.relay.events import EventCutter
+from cleatlink.relay.follower import Follower
+from cleatlink.relay.instance import RelayInstance
+from cleatlink.relay.protocol import Protocol
+from cleatlink.relay.server import CallerConnection
+from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.fleet_records import FleetRecords
+from cleatlink.scripts.main import main
+from soak.plan import FaultKind
+
+__all__ = ["ABLATIONS", "Ablation"]
+
+
+class Ablation(NamedTuple):
+    """A mechanism that can be switched off.
+
+    Attributes:
+        switch_off: Switches it off in this process.
+        check: The check that must then report it.
+        kinds: Faults under which it shows.
+    """
+
+    switch_off: Callable[[], None]
+    check: str
+    kinds: tuple[FaultKind, ...]
+
+
+def _replace(owner: Any, name: str, value: Any) -> Callable[[], None]:
+    return lambda: setattr(owner, name, value)
+
+
+def _always(*_: object) -> bool:
+    return True
+
+
+def _take_any_table(self: FleetRecords, table: Any) -> bool:
+    self._table = table
+    return True
+
+
+async def _stop_at_once(self: RelayInstance) -> None:
+    self._stopping_since = 0.0
+
+
+def _forget_that_it_left(self: Call, endpoint: Any) -> None:
+    _note_sent(self, endpoint)
+    self.ran = Ran.NO
+
+
+async def _watch_nothing(self: CallerConnection, scope: Any) -> None:
+    return None
+
+
+def _stay(self: Capacity, service: str, role: Any) -> list[Any]:
+    return [item for item in self._by_service.get(service, ()) if item.role is role]
+
+
+def _keep_first(self: Follower, table: Any, source: str) -> None:
+    if self.records.table is None:
+        _take_table(self, table, source)
+
+
+_note_sent = Call.note_sent
+_take_table = Follower.take_table
+
+ABLATIONS = {
+    "ran-memory": Ablation(
+        _replace(Call, "note_sent", _forget_that_it_left),
+        "'not run' is true",
+        (FaultKind.WORKER_LINK_RESET, FaultKind.WORKER_FAULTS),
+    ),
+    "whose-answer": Ablation(
+        _replace(Protocol, "belongs", _always),
+        "the whole answer to its own request",
+        (FaultKind.WORKER_FAULTS,),
+    ),
+    "planned-stop": Ablation(
+        _replace(RelayInstance, "_stop", _stop_at_once),
+        "a planned stop cuts nothing off",
+        (FaultKind.INSTANCE_STOP,),
+    ),
+    "caller-watch": Ablation(
+        _replace(CallerConnection, "_watch", _watch_nothing),
+        "no work for callers that are gone",
+        (FaultKind.INSTANCE_RELOAD,),
+    ),
+    "leaving": Ablation(
+        _replace(Capacity, "in_role", _stay),
+        "a leaving worker gets nothing",
+        (FaultKind.WORKER_DRAIN,),
+    ),
+    "new-tables": Ablation(
+        _replace(Follower, "take_table", _keep_first),
+        "a configuration is in force",
+        (FaultKind.CONFIGURATION,),
+    ),
+    "upwards-only": Ablation(
+        _replace(FleetRecords, "offer_table", _take_any_table),
+        "a configuration never reverts",
+        (FaultKind.CONFIGURATION, FaultKind.STORE_OLD_READ),
+    ),
+    "no-repeat": Ablation(
+        _replace(Call, "repeatable", property(_always)),
+        "at most once",
+        (FaultKind.WORKER_FAULTS,),
+    ),
+    "event-numbers": Ablation(
+        _replace(EventCutter, "_is_new", _always),
+        "events in order",
+        (FaultKind.WORKER_FAULTS, FaultKind.WORKER_CRASH),
+    ),
+    "leadership": Ablation(
+        _replace(Leadership, "judge", _always), "one gives orders", (FaultKind.INSTANCE_RELOAD,)
+    ),
+}
+
+if __name__ == "__main__":
+    ABLATIONS[sys.argv.pop(1)].switch_off()
+    main()
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,267 @@
+"""The promises, judged on a run's history alone."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from soak.records import Arrival, History, Request, RequestKind, Switch
+
+__all__ = ["CHECKS", "Violation", "judge"]
+
+# What the settings of the soak's instances say.
+DRAIN_S = 2.0
+APPLY_S = 2.0
+LEASE_S = 3.0
+CONTACT_S = 3.0
+WINDOW_S = 10.0
+BUDGET_RATIO = 0.2
+# Processes share a machine here; each bound has room for that.
+_SLACK_S = 0.5
+_GONE_S = 0.5
+# A close that crosses a request on the way to the instance is nobody's fault.
+_CROSSING_S = 0.2
+_NOT_RUN = frozenset({408, 421, 429, 503})
+_ONCE = frozenset({RequestKind.UNSAFE, RequestKind.STREAM})
+_STREAMS = frozenset({RequestKind.STREAM, RequestKind.RESUMABLE})
+_EVENTS = 8
+
+
+class Violation(NamedTuple):
+    """A promise that did not hold, and where."""
+
+    check: str
+    detail: str
+    requests: tuple[str, ...] = ()
+
+
+def _at_most_once(history: History) -> Iterator[Violation]:
+    """What may not be repeated runs at most once."""
+    runs = Counter(run.request for run in history.runs)
+    for request in history.requests:
+        if request.kind in _ONCE and runs[request.name] > 1:
+            yield Violation("", f"{request.kind} ran {runs[request.name]} times", (request.name,))
+
+
+def _not_run_is_true(history: History) -> Iterator[Violation]:
+    """What is refused as not run has not run and never does."""
+    ran = {run.request for run in history.runs}
+    for request in history.requests:
+        if request.status in _NOT_RUN and request.kind in _ONCE and request.name in ran:
+            yield Violation("", f"{request.status} although it ran", (request.name,))
+
+
+def _refusals_say_when(history: History) -> Iterator[Violation]:
+    """A refusal that promises says when to come back."""
+    for request in history.requests:
+        if request.status in (429, 503) and not request.retry_after:
+            yield Violation("", f"{request.status} without a time", (request.name,))
+
+
+def _own_answer(history: History) -> Iterator[Violation]:
+    """A success is a worker's whole answer to this request, and nothing follows it."""
+    for request in history.requests:
+        if request.surplus:
+            yield Violation("", f"{request.surplus[:40]!r} after the answer", (request.name,))
+        if not 200 <= request.status < 300 or request.left:
+            continue
+        if request.owner != request.name or not request.signed:
+            yield Violation("", f"answer of {request.owner!r}", (request.name,))
+        elif request.whole and not _is_whole_body(request):
+            yield Violation("", f"ends as complete: {request.body[-60:]!r}", (request.name,))
+
+
+def _is_whole_body(request: Request) -> bool:
+    if request.kind not in _STREAMS:
+        return request.body == b"served"
+    name = request.name.encode()
+    events = (
+        b"id: %d\ndata: %s %d\n\n" % (number, name, number) for number in range(1, 1 + _EVENTS)
+    )
+    return request.body == b"".join(events)
+
+
+def _stream_order(history: History) -> Iterator[Violation]:
+    """A stream's events come each once and in order, also when it breaks off."""
+    for request in history.requests:
+        if request.kind not in _STREAMS or request.status != 200:
+            continue
+        whole = request.body.split(b"\n\n")[:-1]
+        name = request.name.encode()
+        wanted = [b"id: %d\ndata: %s %d" % (n, name, n) for n in range(1, 1 + len(whole))]
+        if whole != wanted:
+            yield Violation("", f"events {whole[-3:]!r}", (request.name,))
+
+
+def _leaving_gets_nothing(history: History) -> Iterator[Violation]:
+    """A worker that leaves gets nothing new after its time to drain."""
+    left_at = {item.worker: item.at for item in history.withdrawals}
+    senders = {request.name: request for request in history.requests}
+    for arrival in history.arrivals:
+        at = left_at.get(arrival.worker)
+        if at is None or arrival.at <= at + DRAIN_S + _SLACK_S:
+            continue
+        if _in_touch(history, senders.get(arrival.request), at - CONTACT_S, arrival.at):
+            late_s = arrival.at - at
+            detail = f"{arrival.worker} got work {late_s:.2f} s after it said that it leaves"
+            yield Violation("", detail, (arrival.request,))
+
+
+def _in_touch(history: History, request: Request | None, since: float, until: float) -> bool:
+    """Tell whether the instance that took a request, and the store, were undisturbed."""
+    if request is None:
+        return False
+    instance = f"instance {request.instance}"
+    return history.is_calm("store", since, until) and history.is_calm(instance, since, until)
+
+
+def _configuration_in_force(history: History) -> Iterator[Violation]:
+    """A configuration is in force in time."""
+    for arrival, request in _switch_arrivals(history):
+        current = _switch_at(history, request.sent_at)
+        if current is None or arrival.service == current.service:
+            continue
+        if request.sent_at < current.at + APPLY_S + _SLACK_S:
+            continue
+        if any(current.at < switch.at <= arrival.at for switch in history.switches):
+            continue
+        if _in_touch(history, request, current.at - CONTACT_S, arrival.at):
+            late_s = request.sent_at - current.at
+            yield Violation("", f"old service {late_s:.2f} s after the change", (request.name,))
+
+
+def _configuration_never_reverts(history: History) -> Iterator[Violation]:
+    """Within one life of a process, what a configuration changed does not come back."""
+    seen: dict[tuple[int, int], int] = {}
+    numbers = {switch.service: number for number, switch in enumerate(history.switches)}
+    for arrival, request in sorted(_switch_arrivals(history), key=lambda item: item[1].sent_at):
+        life = (request.instance, request.life)
+        number = numbers.get(arrival.service, -1)
+        if number < seen.get(life, -1):
+            yield Violation("", f"{arrival.service} came back", (request.name,))
+        seen[life] = max(number, seen.get(life, -1))
+
+
+def _switch_arrivals(history: History) -> list[tuple[Arrival, Request]]:
+    senders = {item.name: item for item in history.requests if item.kind is RequestKind.SWITCH}
+    return [
+        (arrival, senders[arrival.request])
+        for arrival in history.arrivals
+        if arrival.request in senders
+    ]
+
+
+def _switch_at(history: History, time: float) -> Switch | None:
+    before = [switch for switch in history.switches if switch.at <= time]
+    return before[-1] if before else None
+
+
+def _planned_stop(history: History) -> Iterator[Violation]:
+    """A planned stop cuts nothing off and ends with 0."""
+    ran = {run.request for run in history.runs}
+    for stop in history.stops:
+        instance = f"instance {stop.instance}"
+        if stop.code != 0:
+            yield Violation("", f"{instance} ended with {stop.code}")
+        since = stop.began_at - CONTACT_S
+        for request in history.requests:
+            if (request.instance, request.life) != (stop.instance, stop.life):
+                continue
+            if request.left or request.whole or request.ended_at < stop.began_at:
+                continue
+            if not _workers_calm(history, since, request.ended_at):
+                continue
+            if not history.is_calm(instance, since, request.ended_at):
+                continue
+            waited_s = request.ended_at - request.sent_at
+            if request.name in ran or waited_s > _CROSSING_S:
+                yield Violation("", f"{instance} cut it off", (request.name,))
+
+
+def _workers_calm(history: History, since: float, until: float) -> bool:
+    disturbed = {spell.what for spell in history.spells if spell.what.startswith("i-")}
+    return all(history.is_calm(worker, since, until) for worker in disturbed)
+
+
+def _gone_callers_end_work(history: History) -> Iterator[Violation]:
+    """No worker goes on for a caller that is gone."""
+    gone = {request.name: request for request in history.requests if request.left}
+    for run in history.runs:
+        request = gone.get(run.request)
+        if request is None:
+            continue
+        instance = f"instance {request.instance}"
+        late_s = min(run.ended_at, history.ended_at) - request.ended_at
+        since = request.sent_at - CONTACT_S
+        until = request.ended_at + _GONE_S + _SLACK_S
+        if late_s <= _GONE_S + _SLACK_S or run.began_at > until:
+            continue
+        if history.is_calm(instance, since, until) and history.is_calm(run.worker, since, until):
+            detail = f"{run.worker} worked on for {late_s:.2f} s after its caller had left"
+            yield Violation("", detail, (run.request,))
+
+
+def _one_gives_orders(history: History) -> Iterator[Violation]:
+    """Two instances never give orders within the lease, and fences rise."""
+    last = None
+    for order in sorted(history.orders, key=lambda item: item.at):
+        if last is not None and last.holder != order.holder:
+            if order.at - last.at < LEASE_S:
+                yield Violation("", f"{last.holder} and {order.holder} within the lease")
+            if order.fence <= last.fence:
+                yield Violation("", f"{order.holder} has a fence of {last.holder} or an older one")
+        last = order
+
+
+def _retry_budget(history: History) -> Iterator[Violation]:
+    """Extra arrivals stay within what all instances share."""
+    services: dict[str, list[Arrival]] = defaultdict(list)
+    for arrival in sorted(history.arrivals, key=lambda item: item.at):
+        services[arrival.service].append(arrival)
+    for service, arrivals in services.items():
+        first: set[tuple[str, bool]] = set()
+        extras = []
+        for arrival in arrivals:
+            key = (arrival.request, arrival.prefill)
+            if key in first:
+                extras.append(arrival.at)
+            first.add(key)
+        for at in extras:
+            count = sum(at - WINDOW_S < other <= at for other in extras)
+            asked = sum(at - 2 * WINDOW_S < item.at <= at for item in arrivals)
+            if count > BUDGET_RATIO * asked + history.budget:
+                yield Violation("", f"{count} extra arrivals at {service} for {asked}")
+                break
+
+
+def _goes_on(history: History) -> Iterator[Violation]:
+    """No process ends by itself, and all serve again once everything has healed."""
+    for text in history.exits:
+        yield Violation("", text)
+    for instance in history.unserved:
+        yield Violation("", f"instance {instance} serves nothing after all has healed")
+
+
+CHECKS: dict[str, Callable[[History], Iterator[Violation]]] = {
+    "at most once": _at_most_once,
+    "'not run' is true": _not_run_is_true,
+    "refusals say when to come back": _refusals_say_when,
+    "the whole answer to its own request": _own_answer,
+    "events in order": _stream_order,
+    "a leaving worker gets nothing": _leaving_gets_nothing,
+    "a configuration is in force": _configuration_in_force,
+    "a configuration never reverts": _configuration_never_reverts,
+    "a planned stop cuts nothing off": _planned_stop,
+    "no work for callers that are gone": _gone_callers_end_work,
+    "one gives orders": _one_gives_orders,
+    "retries within the budget": _retry_budget,
+    "it goes on": _goes_on,
+}
+
+
+def judge(history: History) -> list[Violation]:
+    """Give every violation in a history."""
+    return [
+        violation._replace(check=name)
+        for name, check in CHECKS.items()
+        for violation in check(history)
+    ]
--- /dev/null
+++ b/soak/checks_test.py
@@ -0,0 +1,119 @@
+"""Each check sees what it is for, and nothing in a history without it."""
+
+import math
+
+import pytest
+
+from soak.checks import CHECKS, judge
+from soak.records import (
+    Arrival,
+    History,
+    Order,
+    Request,
+    RequestKind,
+    Spell,
+    Stop,
+    Switch,
+    Withdrawal,
+    WorkerRun,
+)
+
+NOTHING = History([], [], [], [], [], [], [], [], [], [], 5.0, 100.0)
+SERVED = Request("r1", RequestKind.SAFE, 1, 1, 50.0, 50.1, 200, "r1", True, True, b"served")
+
+
+def stream(name: str, *numbers: int) -> bytes:
+    return b"".join(b"id: %d\ndata: %s %d\n\n" % (n, name.encode(), n) for n in numbers)
+
+
+def run(name: str, began_at: float = 50.0, ended_at: float = 50.1) -> WorkerRun:
+    return WorkerRun(name, "i-1", "plain", began_at, ended_at, False)
+
+
+def arrival(name: str, at: float, service: str = "plain") -> Arrival:
+    return Arrival(name, "i-1", service, at, False)
+
+
+UNSAFE = SERVED._replace(kind=RequestKind.UNSAFE)
+STREAM = SERVED._replace(kind=RequestKind.RESUMABLE, body=stream("r1", *range(1, 9)))
+SWITCH = SERVED._replace(kind=RequestKind.SWITCH)
+CUT = SERVED._replace(status=0, owner="", signed=False, whole=False, body=b"")
+MOVES = [Switch("s0", 10.0), Switch("s1", 40.0)]
+
+BROKEN = {
+    "at most once": NOTHING._replace(requests=[UNSAFE], runs=[run("r1"), run("r1")]),
+    "'not run' is true": NOTHING._replace(
+        requests=[UNSAFE._replace(status=503, retry_after="1")], runs=[run("r1")]
+    ),
+    "refusals say when to come back": NOTHING._replace(requests=[SERVED._replace(status=503)]),
+    "the whole answer to its own request": NOTHING._replace(requests=[SERVED._replace(owner="r2")]),
+    "events in order": NOTHING._replace(
+        requests=[STREAM._replace(whole=False, body=stream("r1", 1, 2, 2))]
+    ),
+    "a leaving worker gets nothing": NOTHING._replace(
+        requests=[SERVED], arrivals=[arrival("r1", 50.0)], withdrawals=[Withdrawal("i-1", 46.0)]
+    ),
+    "a configuration is in force": NOTHING._replace(
+        requests=[SWITCH], arrivals=[arrival("r1", 50.0, "s0")], switches=MOVES
+    ),
+    "a configuration never reverts": NOTHING._replace(
+        requests=[
+            SWITCH._replace(sent_at=41.0),
+            SWITCH._replace(name="r2", owner="r2", sent_at=41.5),
+        ],
+        arrivals=[arrival("r1", 41.0, "s1"), arrival("r2", 41.5, "s0")],
+        switches=MOVES,
+    ),
+    "a planned stop cuts nothing off": NOTHING._replace(
+        requests=[CUT], runs=[run("r1")], stops=[Stop(1, 1, 49.9, 53.0, 0)]
+    ),
+    "no work for callers that are gone": NOTHING._replace(
+        requests=[CUT._replace(left=True)], runs=[run("r1", ended_at=52.0)]
+    ),
+    "one gives orders": NOTHING._replace(
+        orders=[Order("i-1", "n1", 5, 50.0), Order("i-2", "n2", 6, 52.0)]
+    ),
+    "retries within the budget": NOTHING._replace(
+        arrivals=[arrival("r1", 50.0 + 0.01 * number) for number in range(20)]
+    ),
+    "it goes on": NOTHING._replace(unserved=[2]),
+}
+
+
+@pytest.mark.parametrize("name", list(CHECKS))
+def test_check_sees_what_it_is_for(name: str) -> None:
+    assert {violation.check for violation in judge(BROKEN[name])} == {name}
+
+
+def test_good_history_passes() -> None:
+    requests = [SERVED, UNSAFE._replace(name="r2", owner="r2"), STREAM]
+    assert judge(NOTHING._replace(requests=requests, runs=[run("r2")])) == []
+
+
+@pytest.mark.parametrize(
+    ("name", "spell"),
+    [
+        ("a leaving worker gets nothing", Spell("store", 47.0, 48.0)),
+        ("a configuration is in force", Spell("instance 1", 41.0, 42.0)),
+        ("a planned stop cuts nothing off", Spell("i-7", 48.0, 49.0)),
+        ("no work for callers that are gone", Spell("i-1", 49.0, 51.0)),
+    ],
+)
+def test_disturbance_excuses_what_it_touches_alone(name: str, spell: Spell) -> None:
+    history = BROKEN[name]
+    assert judge(history._replace(spells=[spell])) == []
+    elsewhere = spell._replace(began_at=1.0, ended_at=2.0)
+    assert judge(history._replace(spells=[elsewhere])) != []
+
+
+def test_answer_that_ends_early_must_not_look_complete() -> None:
+    short = STREAM._replace(body=stream("r1", 1, 2, 3))
+    assert judge(NOTHING._replace(requests=[short]))
+    assert judge(NOTHING._replace(requests=[short._replace(whole=False)])) == []
+
+
+def test_fences_rise_and_work_that_goes_on_is_judged_by_the_end() -> None:
+    orders = [Order("i-1", "n1", 5, 50.0), Order("i-2", "n2", 5, 60.0)]
+    assert judge(NOTHING._replace(orders=orders))
+    gone = NOTHING._replace(requests=[CUT._replace(left=True)], runs=[run("r1", ended_at=math.inf)])
+    assert judge(gone)
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,110 @@
+"""The fleet of a run: store, workers behind links, and instances behind theirs."""
+
+from pathlib import Path
+
+import trio
+
+from soak.link import Link
+from soak.processes import InstanceProcess, free_ports, instance_ip
+from soak.records import Spell, Stop, Switch, Withdrawal
+from soak.workers import SoakWorker
+from standins.relay.fleet import Fleet
+
+__all__ = ["SoakFleet"]
+
+_SEEDS = 3
+_ENGINE = {"slots": 16, "kv_cache_tokens": 4000, "role_switch_s": 2.0}
+
+
+class SoakFleet:
+    """Everything that a run consists of, and the record of what was done to it."""
+
+    def __init__(self, nursery: trio.Nursery, folder: Path, instances: int, without: str) -> None:
+        self.platform = Fleet(nursery)
+        self.workers: list[SoakWorker] = []
+        self.present: list[SoakWorker] = []
+        self.links: dict[str, Link] = {}
+        self.store_links: list[Link] = []
+        self.switches: list[Switch] = []
+        self.withdrawals: list[Withdrawal] = []
+        self.stops: list[Stop] = []
+        self.spells: list[Spell] = []
+        self.exits: list[str] = []
+        self._nursery = nursery
+        ports = free_ports(instances)
+        seeds = tuple(instance_ip(number + 1) for number in range(min(_SEEDS, instances)))
+        self.instances = [
+            InstanceProcess(number + 1, ports, seeds, folder, without)
+            for number in range(instances)
+        ]
+
+    async def start(self) -> None:
+        """Start all and wait until it serves."""
+        await self.platform.store.start(self._nursery)
+        for service, stage, count in (
+            ("plain", "", 3),
+            ("model", "prefill", 2),
+            ("model", "decode", 3),
+        ):
+            for _ in range(count):
+                await self.add_worker(service, stage)
+        self.platform.add_route("/safe/", "safe", "plain", timeout_ms=3000)
+        self.platform.add_route("/unsafe/", "unsafe", "plain", timeout_ms=3000)
+        self.platform.add_route("/stream/", "streaming", "model", timeout_ms=5000)
+        self.platform.add_route(
+            "/resume/", "streaming", "model", timeout_ms=5000, attempts=3, resumable=True
+        )
+        self.platform.add_route("/switch/", "safe", "plain", attempts=1)
+        await self.move_switch()
+        for instance in self.instances:
+            link = Link(self.platform.store.address)
+            await link.start(self._nursery)
+            self.store_links.append(link)
+            instance.write_settings(link.address)
+            instance.start()
+        for instance in self.instances:
+            if not await instance.wait_ready():
+                self.exits.append(f"{instance.name} was not ready in time after its first start")
+
+    def close(self) -> None:
+        """End every process, and close every socket."""
+        for instance in self.instances:
+            instance.end()
+        self.platform.store.close()
+        for worker in self.workers:
+            worker.close()
+        for link in (*self.links.values(), *self.store_links):
+            link.close()
+
+    async def add_worker(
+        self, service: str, stage: str = "", link: Link | None = None
+    ) -> SoakWorker:
+        """Start a worker behind a link, its own or one that was another's, and register it."""
+        worker = SoakWorker(service, stage)
+        await worker.start(self._nursery)
+        if link is None:
+            link = Link(worker.address)
+            await link.start(self._nursery)
+        link.target = worker.address
+        worker.address = link.address
+        self.links[worker.name] = link
+        self.workers.append(worker)
+        self.present.append(worker)
+        self.platform.register(worker)
+        return worker
+
+    async def move_switch(self) -> None:
+        """Move the route that moves to a service that is new, with a worker of its own."""
+        service = f"move-{len(self.switches)}"
+        self.platform.plain_services.append(service)
+        worker = await self.add_worker(service)
+        self.present.remove(worker)
+        for route in self.platform.routes:
+            if route["path_prefix"] == "/switch/":
+                route["service"] = service
+        self.platform.configure(_ENGINE)
+        self.switches.append(Switch(service, trio.current_time()))
+
+    def note_spell(self, what: str, began_at: float) -> None:
+        """Note that something was disturbed until now."""
+        self.spells.append(Spell(what, began_at, trio.current_time()))
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,85 @@
+"""Which faults strike when: a plan that follows from a seed alone."""
+
+import random
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = ["FaultKind", "PlannedFault", "plan_faults"]
+
+# Faults begin after a calm start and end before the final checks.
+_FIRST_S = 2.0
+_SHORTEST_S = 0.3
+_LONGEST_S = 3.0
+_SERIES = 0.3
+
+
+class FaultKind(StrEnum):
+    """Kinds of faults; the text tells the story of a seed."""
+
+    INSTANCE_STOP = "an instance is stopped as planned and started again"
+    INSTANCE_KILL = "an instance is killed and started again"
+    INSTANCE_PAUSE = "an instance is paused"
+    INSTANCE_RELOAD = "an instance reloads its settings"
+    STORE_LINK_DELAY = "an instance's link to the store is slow"
+    STORE_LINK_RESET = "an instance's link to the store resets"
+    STORE_LINK_SILENCE = "an instance's link to the store is silent"
+    STORE_LINK_ONE_WAY = "answers of the store do not reach an instance"
+    STORE_BUSY = "the store turns everybody away"
+    STORE_SILENT = "the store is silent"
+    STORE_RESET = "the store resets its connections"
+    STORE_FORGETS = "the store forgets its history"
+    STORE_OLD_READ = "the store shows an older configuration for a while"
+    STORE_LOSES = "the store loses its open waits"
+    WORKER_LINK_DELAY = "a worker's link is slow"
+    WORKER_LINK_RESET = "a worker's link resets"
+    WORKER_LINK_SILENCE = "a worker's link is silent"
+    WORKER_LINK_ONE_WAY = "answers of a worker do not arrive"
+    WORKER_FAULTS = "a worker answers wrongly a few times"
+    WORKER_CRASH = "a worker crashes; another comes at its address"
+    WORKER_DRAIN = "a worker drains and leaves; another comes"
+    CONFIGURATION = "a route moves to another service"
+
+
+class PlannedFault(NamedTuple):
+    """One fault.
+
+    Attributes:
+        at_s: When it strikes, in seconds from the start of traffic.
+        for_s: How long it lasts, where that fits.
+        kind: What it is.
+        target: Picks whom it strikes, among those that there are then.
+    """
+
+    at_s: float
+    for_s: float
+    kind: FaultKind
+    target: int
+
+
+def plan_faults(
+    seed: int, seconds: float, rate: float, kinds: tuple[FaultKind, ...] = ()
+) -> list[PlannedFault]:
+    """Plan the faults of a run.
+
+    Args:
+        seed: Decides everything.
+        seconds: Length of the traffic.
+        rate: Faults a second; they overlap, and a part comes in series.
+        kinds: Kinds of faults; all if empty.
+    """
+    rng = random.Random(seed)
+    faults: list[PlannedFault] = []
+    at_s = _FIRST_S
+    kinds = kinds or tuple(FaultKind)
+    last = seconds - _LONGEST_S
+    while at_s < last:
+        kind = rng.choice(kinds)
+        target = rng.randrange(1000)
+        repeats = 3 if rng.random() < _SERIES else 1
+        for number in range(repeats):
+            for_s = rng.uniform(_SHORTEST_S, _LONGEST_S)
+            start_s = at_s + 0.6 * number
+            if start_s < last:
+                faults.append(PlannedFault(start_s, for_s, kind, target + number))
+        at_s += rng.expovariate(rate / 1.6)
+    return sorted(faults)
--- /dev/null
+++ b/soak/processes.py
@@ -0,0 +1,143 @@
+"""Instances of the program as processes, each at a loopback address of its own."""
+
+import random
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import trio
+
+from standins.relay.client import Caller
+from standins.relay.settings import Ports, write_instance_settings
+
+__all__ = ["InstanceProcess", "free_ports", "instance_ip"]
+
+_START_S = 20.0
+_POLL_S = 0.05
+# Below the ports that the system picks for outgoing connections.
+_PORTS = range(20_000, 32_000)
+
+
+def instance_ip(number: int) -> str:
+    """Give the IP number of an instance, by its number from 1."""
+    return f"127.0.0.{number + 1}"
+
+
+def free_ports(instances: int) -> Ports:
+    """Find ports that are free at the IP number of every instance, for TCP and UDP."""
+    found: list[int] = []
+    rng = random.Random()
+    while len(found) < len(Ports._fields):
+        port = rng.choice(_PORTS)
+        if port not in found and all(_is_free(port, number + 1) for number in range(instances)):
+            found.append(port)
+    return Ports(*found)
+
+
+def _is_free(port: int, number: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind((instance_ip(number), port))
+            except OSError:
+                return False
+    return True
+
+
+class InstanceProcess:
+    """One instance, through the lives of its process."""
+
+    def __init__(
+        self, number: int, ports: Ports, seeds: tuple[str, ...], folder: Path, without: str
+    ) -> None:
+        """Prepare an instance.
+
+        Args:
+            number: Its number, from 1.
+            ports: Ports, alike for all instances.
+            seeds: IP numbers of those that it asks first.
+            folder: Where its settings and its output go.
+            without: A mechanism that is switched off in it; empty for none.
+        """
+        self.number = number
+        self.life = 0
+        self.ports = ports
+        self.ip = instance_ip(number)
+        self.output = folder / f"n{number}.log"
+        self._seeds = seeds
+        self._settings = folder / f"n{number}.toml"
+        module = ["soak.broken", without] if without else ["cleatlink.scripts.main"]
+        self._command = [sys.executable, "-m", *module, "entry"]
+        self._command += ["--settings-file", str(self._settings)]
+        self._command += ["--metrics-listen", f"{self.ip}:{ports.metrics}"]
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def name(self) -> str:
+        """How histories call it."""
+        return f"instance {self.number}"
+
+    @property
+    def front(self) -> str:
+        """Where callers reach it."""
+        return f"{self.ip}:{self.ports.front}"
+
+    def write_settings(self, store: str) -> None:
+        """Write its settings file."""
+        write_instance_settings(
+            self._settings,
+            self.ports,
+            store,
+            name=f"n{self.number}",
+            zone="abc"[self.number % 3],
+            ip=self.ip,
+            seeds=self._seeds,
+        )
+
+    def start(self) -> None:
+        """Start a process."""
+        self.life += 1
+        with self.output.open("ab") as output:
+            self._process = subprocess.Popen(self._command, stdout=output, stderr=output)
+
+    def exit_code(self) -> int | None:
+        """Give the exit code; None while the process runs."""
+        return self._process.poll() if self._process is not None else None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send the process a signal, if it runs."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    async def wait(self, within_s: float) -> int | None:
+        """Wait for the end; None if it did not come in time."""
+        with trio.move_on_after(within_s):
+            while self.exit_code() is None:
+                await trio.sleep(_POLL_S)
+        return self.exit_code()
+
+    async def wait_ready(self) -> bool:
+        """Wait until it takes callers; tells whether it does."""
+        with trio.move_on_after(_START_S):
+            while not await self._is_ready():
+                await trio.sleep(_POLL_S)
+            return True
+        return False
+
+    async def _is_ready(self) -> bool:
+        caller = Caller(f"{self.ip}:{self.ports.ready}")
+        try:
+            return (await caller.ask("/ready")).status == 200
+        except OSError:
+            return False
+        finally:
+            caller.close()
+
+    def end(self) -> None:
+        """Kill the process, whatever it does."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(signal.SIGCONT)
+            self._process.kill()
+            self._process.wait()
--- /dev/null
+++ b/soak/records.py
@@ -0,0 +1,171 @@
+"""What callers, workers and the soak itself saw: plain data for the checks."""
+
+from typing import NamedTuple
+
+__all__ = [
+    "Arrival",
+    "History",
+    "Order",
+    "Request",
+    "RequestKind",
+    "Spell",
+    "Stop",
+    "Switch",
+    "Withdrawal",
+    "WorkerRun",
+]
+
+from enum import StrEnum
+
+
+class RequestKind(StrEnum):
+    """How often a request may run; ``SWITCH`` is a safe one on the route that moves."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+    RESUMABLE = "resumable"
+    SWITCH = "switch"
+
+
+class Request(NamedTuple):
+    """One request of a caller and what came of it.
+
+    Attributes:
+        name: Its id.
+        kind: How often it may run.
+        instance: Instance that it was sent to.
+        life: Which life of that instance's process.
+        sent_at: When its last byte was sent.
+        ended_at: When its answer or its connection ended.
+        status: Status of the answer; 0 for none.
+        owner: Id that the answer carries.
+        signed: Whether the answer carries a worker's signature.
+        whole: Whether the answer ended properly.
+        body: The answer's body.
+        left: Whether the caller left before the answer.
+        surplus: Bytes that followed the answer although nothing was asked.
+        retry_after: What the answer says of when to come back; empty for nothing.
+    """
+
+    name: str
+    kind: RequestKind
+    instance: int
+    life: int
+    sent_at: float
+    ended_at: float
+    status: int = 0
+    owner: str = ""
+    signed: bool = False
+    whole: bool = False
+    body: bytes = b""
+    left: bool = False
+    surplus: bytes = b""
+    retry_after: str = ""
+
+
+class Arrival(NamedTuple):
+    """A request as it reached a worker, run or not."""
+
+    request: str
+    worker: str
+    service: str
+    at: float
+    prefill: bool
+
+
+class WorkerRun(NamedTuple):
+    """A run of a request at a worker; ``ended_at`` is infinite while it goes on."""
+
+    request: str
+    worker: str
+    service: str
+    began_at: float
+    ended_at: float
+    dropped: bool
+
+
+class Order(NamedTuple):
+    """An order that a worker took."""
+
+    worker: str
+    holder: str
+    fence: int
+    at: float
+
+
+class Withdrawal(NamedTuple):
+    """A worker that said at a time that it is leaving."""
+
+    worker: str
+    at: float
+
+
+class Switch(NamedTuple):
+    """The moving route went to a service, as of a time."""
+
+    service: str
+    at: float
+
+
+class Stop(NamedTuple):
+    """A planned stop of an instance's process."""
+
+    instance: int
+    life: int
+    began_at: float
+    ended_at: float
+    code: int
+
+
+class Spell(NamedTuple):
+    """A time in which something was disturbed.
+
+    Attributes:
+        what: ``store``, ``instance N`` or the name of a worker.
+        began_at: When it began.
+        ended_at: When it was over.
+    """
+
+    what: str
+    began_at: float
+    ended_at: float
+
+
+class History(NamedTuple):
+    """All of a run.
+
+    Attributes:
+        requests: What callers saw.
+        arrivals: What reached workers.
+        runs: What workers ran.
+        orders: What orders workers took.
+        withdrawals: Workers that left as planned.
+        switches: Where the moving route went, in order.
+        stops: Planned stops.
+        spells: Disturbances.
+        exits: Processes that ended by themselves, as texts.
+        unserved: Instances that serve nothing after all has healed.
+        budget: Extra arrivals that any window may have, beyond its share of requests.
+        ended_at: When the run was over.
+    """
+
+    requests: list[Request]
+    arrivals: list[Arrival]
+    runs: list[WorkerRun]
+    orders: list[Order]
+    withdrawals: list[Withdrawal]
+    switches: list[Switch]
+    stops: list[Stop]
+    spells: list[Spell]
+    exits: list[str]
+    unserved: list[int]
+    budget: float
+    ended_at: float
+
+    def is_calm(self, what: str, since: float, until: float) -> bool:
+        """Tell whether something was undisturbed throughout a time."""
+        return not any(
+            spell.what == what and spell.began_at < until and spell.ended_at > since
+            for spell in self.spells
+        )
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,146 @@
+"""One run: a fleet, its traffic and its faults, and the history that they leave."""
+
+import tempfile
+from collections import Counter
+from pathlib import Path
+from typing import NamedTuple
+
+import trio
+
+from soak.checks import Violation, judge
+from soak.fleet import SoakFleet
+from soak.plan import FaultKind, PlannedFault, plan_faults
+from soak.processes import InstanceProcess
+from soak.records import History
+from soak.strike import Striker
+from soak.traffic import Traffic
+from standins.relay.client import Caller
+
+__all__ = ["RunResult", "RunSettings", "run_soak"]
+
+_ALLOWANCE = 50.0
+_HEAL_S = 4.0
+_TRIES = 20
+_LAST_LINES = 12
+
+
+class RunSettings(NamedTuple):
+    """What a run is made of.
+
+    Attributes:
+        seed: Decides the faults and what callers do.
+        seconds: Length of the traffic with faults.
+        instances: Processes of the program.
+        callers: Connections of callers at a time.
+        rate: Faults a second.
+        without: A mechanism that is switched off in the program; empty for none.
+        kinds: Kinds of faults; all if empty.
+    """
+
+    seed: int
+    seconds: float = 12.0
+    instances: int = 4
+    callers: int = 8
+    rate: float = 1.2
+    without: str = ""
+    kinds: tuple[FaultKind, ...] = ()
+
+
+class RunResult(NamedTuple):
+    """What a run came to.
+
+    Attributes:
+        settings: What it was made of.
+        violations: Promises that did not hold.
+        requests: How many requests callers made, by kind and status.
+        faults: Faults that were done, in order.
+        story: Log lines of the requests that a violation names.
+    """
+
+    settings: RunSettings
+    violations: list[Violation]
+    requests: Counter[str]
+    faults: list[PlannedFault]
+    story: list[str]
+
+
+async def run_soak(settings: RunSettings) -> RunResult:
+    """Run a fleet under the faults of a seed, and judge it."""
+    with tempfile.TemporaryDirectory(prefix="soak-") as name:
+        folder = Path(name)
+        async with trio.open_nursery() as nursery:
+            fleet = SoakFleet(nursery, folder, settings.instances, settings.without)
+            try:
+                await fleet.start()
+                traffic = Traffic(fleet, settings.seed)
+                striker = Striker(fleet, settings.seed)
+                await _run_traffic(settings, traffic, striker)
+                history = await _close_history(fleet, traffic)
+            finally:
+                fleet.close()
+                nursery.cancel_scope.cancel()
+        violations = judge(history)
+        story = _tell_story(folder, violations)
+    counts = Counter(f"{request.kind} {request.status}" for request in history.requests)
+    return RunResult(settings, violations, counts, striker.done, story)
+
+
+async def _run_traffic(settings: RunSettings, traffic: Traffic, striker: Striker) -> None:
+    faults = plan_faults(settings.seed, settings.seconds, settings.rate, settings.kinds)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.run, settings.callers)
+        async with trio.open_nursery() as both:
+            both.start_soon(striker.run, faults)
+            both.start_soon(trio.sleep, settings.seconds)
+        await trio.sleep(_HEAL_S)
+        traffic.stop()
+
+
+async def _close_history(fleet: SoakFleet, traffic: Traffic) -> History:
+    unserved = [item.number for item in fleet.instances if not await _serves(item)]
+    ended = [item for item in fleet.instances if item.exit_code() is not None]
+    exits = [*fleet.exits, *(f"{item.name} ended by itself" for item in ended)]
+    workers = fleet.workers
+    return History(
+        requests=traffic.requests,
+        arrivals=[arrival for worker in workers for arrival in worker.seen],
+        runs=[run for worker in workers for run in worker.worker_runs()],
+        orders=[order for worker in workers for order in worker.ordered],
+        withdrawals=fleet.withdrawals,
+        switches=fleet.switches,
+        stops=fleet.stops,
+        spells=fleet.spells,
+        exits=exits,
+        unserved=unserved,
+        budget=_ALLOWANCE,
+        ended_at=trio.current_time(),
+    )
+
+
+async def _serves(instance: InstanceProcess) -> bool:
+    """Tell whether an instance serves a safe call, within a few tries."""
+    for _ in range(_TRIES):
+        caller = Caller(instance.front)
+        try:
+            with trio.move_on_after(1.0):
+                if (await caller.ask("/safe/x")).status == 200:
+                    return True
+        except OSError:
+            pass
+        finally:
+            caller.close()
+        await trio.sleep(0.1)
+    return False
+
+
+def _tell_story(folder: Path, violations: list[Violation]) -> list[str]:
+    """Give what the instances logged of the requests in question, and their last lines."""
+    names = {name for violation in violations for name in violation.requests}
+    marks = [f'"request":"{name}"' for name in names]
+    story: list[str] = []
+    for file in sorted(folder.glob("*.log")) if violations else ():
+        lines = file.read_text("utf-8", "replace").splitlines()
+        found = [line for line in lines if any(mark in line for mark in marks)]
+        beliefs = [line for line in lines if '"request"' not in line][-_LAST_LINES:]
+        story += [f"{file.stem} {line}" for line in (*found, *beliefs)]
+    return story
--- /dev/null
+++ b/soak/soak_test.py
@@ -0,0 +1,98 @@
+"""The soak itself: its plan, its links, a short run, and each check on a broken program."""
+
+import contextlib
+
+import pytest
+import trio
+
+from soak.broken import ABLATIONS
+from soak.link import Link, LinkFault
+from soak.plan import FaultKind, plan_faults
+from soak.run import RunSettings, run_soak
+from standins.relay import Worker
+from standins.relay.client import Caller
+
+CI_SEED = 7
+
+
+def test_plan_follows_from_its_seed_and_overlaps() -> None:
+    plans = [plan_faults(seed, 30.0, 2.0) for seed in (1, 1, 2)]
+    assert plans[0] == plans[1] != plans[2]
+    assert {fault.kind for seed in range(40) for fault in plan_faults(seed, 30.0, 2.0)} == set(
+        FaultKind
+    )
+    assert any(
+        later.at_s < fault.at_s + fault.for_s
+        for fault, later in zip(plans[0], plans[0][1:], strict=False)
+    )
+    assert {fault.kind for fault in plan_faults(1, 30.0, 2.0, (FaultKind.STORE_BUSY,))} == {
+        FaultKind.STORE_BUSY
+    }
+
+
+@pytest.mark.parametrize("fault", list(LinkFault))
+async def test_link_does_what_its_fault_says_and_heals(fault: LinkFault) -> None:
+    async with trio.open_nursery() as nursery:
+        worker = Worker("plain")
+        await worker.start(nursery)
+        link = Link(worker.address)
+        await link.start(nursery)
+        caller = Caller(link.address)
+        headers = {"Expected-Instance": worker.name}
+        assert (await caller.ask("/a", headers=headers)).status == 200
+        link.set_fault(fault)
+        began_at = trio.current_time()
+        with trio.move_on_after(0.6) as scope:
+            status = 0
+            with contextlib.suppress(trio.BrokenResourceError):
+                status = (await caller.ask("/b", headers=headers)).status
+        if fault is LinkFault.DELAY:
+            assert status == 200
+            assert trio.current_time() - began_at > 0.4
+        elif fault is LinkFault.RESET:
+            assert status == 0
+            assert not scope.cancelled_caught
+        else:
+            assert scope.cancelled_caught
+            assert len(worker.runs) == (2 if fault is LinkFault.ONE_WAY else 1)
+        link.set_fault(None)
+        caller.close()
+        assert (await caller.ask("/c", headers=headers)).status == 200
+        caller.close()
+        worker.close()
+        link.close()
+        nursery.cancel_scope.cancel()
+
+
+async def test_short_run_holds_every_promise() -> None:
+    result = await run_soak(RunSettings(CI_SEED, seconds=10.0, instances=3, rate=2.0))
+    assert result.violations == []
+    assert len(result.faults) > 5
+    assert sum(result.requests.values()) > 200
+
+
+_NAMES = sorted(ABLATIONS)
+
+
+@pytest.mark.parametrize("names", [_NAMES[:4], _NAMES[4:8], _NAMES[8:]])
+async def test_broken_program_is_reported(names: list[str]) -> None:
+    """A few at a time, each on a fleet of its own."""
+    reported: dict[str, set[str]] = {}
+
+    async def play(name: str) -> None:
+        settings = RunSettings(
+            CI_SEED,
+            seconds=11.0,
+            instances=2,
+            rate=3.0,
+            without=name,
+            kinds=ABLATIONS[name].kinds,
+        )
+        result = await run_soak(settings)
+        reported[name] = {violation.check for violation in result.violations}
+
+    async with trio.open_nursery() as nursery:
+        for name in names:
+            nursery.start_soon(play, name)
+    for name in names:
+        assert ABLATIONS[name].check in reported[name]
--- /dev/null
+++ b/soak/strike.py
@@ -0,0 +1,241 @@
+"""How each planned fault is done and undone."""
+
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from soak.fleet import SoakFleet
+from soak.link import Link, LinkFault
+from soak.plan import FaultKind, PlannedFault
+from soak.processes import InstanceProcess
+from soak.records import Stop, Withdrawal
+from soak.workers import SoakWorker
+from standins.relay import Fault, StoreMode
+
+__all__ = ["Striker"]
+
+_GRACE_S = 5.0
+_RESTART_S = 0.3
+_KEEPS_SERVING_S = 2.4
+# Changes that callers check need time to be told apart.
+_BETWEEN_SWITCHES_S = 3.0
+_WORKER_FAULTS = (
+    Fault.FULL,
+    Fault.ERROR,
+    Fault.RESET_BEFORE,
+    Fault.RESET_AFTER,
+    Fault.MUTE,
+    Fault.GARBAGE,
+    Fault.FOREIGN,
+    Fault.UNSIGNED,
+    Fault.EXTRA,
+    Fault.CUT,
+)
+_STREAM_FAULTS = (Fault.FULL, Fault.RESET_BEFORE, Fault.MUTE, Fault.CUT)
+_STORE_MODES = {
+    FaultKind.STORE_BUSY: StoreMode.BUSY,
+    FaultKind.STORE_SILENT: StoreMode.SILENT,
+    FaultKind.STORE_RESET: StoreMode.RESET,
+}
+_STORE_LINK_FAULTS = {
+    FaultKind.STORE_LINK_DELAY: LinkFault.DELAY,
+    FaultKind.STORE_LINK_RESET: LinkFault.RESET,
+    FaultKind.STORE_LINK_SILENCE: LinkFault.SILENCE,
+    FaultKind.STORE_LINK_ONE_WAY: LinkFault.ONE_WAY,
+}
+_WORKER_LINK_FAULTS = {
+    FaultKind.WORKER_LINK_DELAY: LinkFault.DELAY,
+    FaultKind.WORKER_LINK_RESET: LinkFault.RESET,
+    FaultKind.WORKER_LINK_SILENCE: LinkFault.SILENCE,
+    FaultKind.WORKER_LINK_ONE_WAY: LinkFault.ONE_WAY,
+}
+
+# What these do excuses nothing, or they note themselves what it excuses.
+_NO_EXCUSE = frozenset(
+    {
+        FaultKind.CONFIGURATION,
+        FaultKind.INSTANCE_RELOAD,
+        FaultKind.INSTANCE_STOP,
+        FaultKind.WORKER_DRAIN,
+    }
+)
+
+
+class Striker:
+    """Carries a plan out; a fault whose target is busy with another one is left out."""
+
+    def __init__(self, fleet: SoakFleet, seed: int) -> None:
+        self.done: list[PlannedFault] = []
+        self._fleet = fleet
+        self._rng = random.Random(seed)
+        self._busy: set[str] = set()
+        self._switched_at = trio.current_time()
+
+    async def run(self, faults: list[PlannedFault]) -> None:
+        """Strike as planned, from now on, and return when all is healed."""
+        began_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for fault in faults:
+                await trio.sleep_until(began_at + fault.at_s)
+                nursery.start_soon(self._strike, fault)
+
+    async def _strike(self, fault: PlannedFault) -> None:
+        kind = fault.kind
+        if kind in _STORE_MODES:
+            await self._hold("store", fault, self._set_store_mode)
+        elif kind in _STORE_LINK_FAULTS:
+            instance = self._pick_instance(fault)
+            await self._hold(instance.name, fault, self._cut_store_link)
+        elif kind in _WORKER_LINK_FAULTS:
+            await self._hold(self._pick_worker(fault).name, fault, self._cut_worker_link)
+        elif kind in _INSTANCE_FAULTS:
+            await self._hold(self._pick_instance(fault).name, fault, _INSTANCE_FAULTS[kind](self))
+        elif kind in _WORKER_CHANGES:
+            await self._hold(self._pick_worker(fault).name, fault, _WORKER_CHANGES[kind](self))
+        else:
+            await self._hold("store", fault, self._do_to_store)
+
+    async def _hold(
+        self, what: str, fault: PlannedFault, act: Callable[[PlannedFault], Awaitable[None]]
+    ) -> None:
+        """Do something to a target that nothing else is done to, and note the time of it."""
+        if what in self._busy:
+            return
+        self._busy.add(what)
+        began_at = trio.current_time()
+        try:
+            await act(fault)
+            self.done.append(fault)
+        finally:
+            self._busy.discard(what)
+            if fault.kind not in _NO_EXCUSE:
+                self._fleet.note_spell(what, began_at)
+
+    def _pick_instance(self, fault: PlannedFault) -> InstanceProcess:
+        return self._fleet.instances[fault.target % len(self._fleet.instances)]
+
+    def _pick_worker(self, fault: PlannedFault) -> SoakWorker:
+        return self._fleet.present[fault.target % len(self._fleet.present)]
+
+    async def _set_store_mode(self, fault: PlannedFault) -> None:
+        store = self._fleet.platform.store
+        store.mode = _STORE_MODES[fault.kind]
+        await trio.sleep(fault.for_s)
+        store.mode = StoreMode.UP
+
+    async def _do_to_store(self, fault: PlannedFault) -> None:
+        store = self._fleet.platform.store
+        if fault.kind is FaultKind.STORE_FORGETS:
+            store.forget_history()
+        elif fault.kind is FaultKind.STORE_LOSES:
+            store.forget_watches()
+        elif fault.kind is FaultKind.STORE_OLD_READ:
+            await self._show_old_configuration(fault)
+        elif trio.current_time() - self._switched_at >= _BETWEEN_SWITCHES_S:
+            self._switched_at = trio.current_time()
+            await self._fleet.move_switch()
+
+    async def _show_old_configuration(self, fault: PlannedFault) -> None:
+        platform = self._fleet.platform
+        if len(platform.published) > 1:
+            platform.store.put("op/config", platform.published[-2])
+            await trio.sleep(fault.for_s)
+            platform.store.put("op/config", platform.published[-1])
+
+    async def _cut(self, link: Link, kind: LinkFault, for_s: float) -> None:
+        link.set_fault(kind)
+        try:
+            await trio.sleep(for_s)
+        finally:
+            link.set_fault(None)
+
+    async def _cut_store_link(self, fault: PlannedFault) -> None:
+        number = self._pick_instance(fault).number
+        link = self._fleet.store_links[number - 1]
+        await self._cut(link, _STORE_LINK_FAULTS[fault.kind], fault.for_s)
+
+    async def _cut_worker_link(self, fault: PlannedFault) -> None:
+        link = self._fleet.links[self._pick_worker(fault).name]
+        await self._cut(link, _WORKER_LINK_FAULTS[fault.kind], fault.for_s)
+
+    async def _stop_instance(self, fault: PlannedFault) -> None:
+        instance = self._pick_instance(fault)
+        began_at, life = trio.current_time(), instance.life
+        instance.send(signal.SIGTERM)
+        code = await instance.wait(_GRACE_S)
+        ended_at = trio.current_time()
+        self._fleet.stops.append(
+            Stop(instance.number, life, began_at, ended_at, -9 if code is None else code)
+        )
+        # The stop itself excuses nothing; what follows it does.
+        await self._restart(instance)
+        self._fleet.note_spell(instance.name, ended_at)
+
+    async def _kill_instance(self, fault: PlannedFault) -> None:
+        instance = self._pick_instance(fault)
+        instance.send(signal.SIGKILL)
+        await instance.wait(_GRACE_S)
+        await self._restart(instance)
+
+    async def _restart(self, instance: InstanceProcess) -> None:
+        await trio.sleep(_RESTART_S)
+        instance.end()
+        instance.start()
+        if not await instance.wait_ready():
+            self._fleet.exits.append(f"{instance.name} was not ready in time after a restart")
+
+    async def _pause_instance(self, fault: PlannedFault) -> None:
+        instance = self._pick_instance(fault)
+        instance.send(signal.SIGSTOP)
+        try:
+            await trio.sleep(fault.for_s)
+        finally:
+            instance.send(signal.SIGCONT)
+
+    async def _reload_instance(self, fault: PlannedFault) -> None:
+        self._pick_instance(fault).send(signal.SIGHUP)
+        await trio.sleep(0)
+
+    async def _make_worker_fail(self, fault: PlannedFault) -> None:
+        worker = self._pick_worker(fault)
+        kinds = _STREAM_FAULTS if worker.stage else _WORKER_FAULTS
+        worker.faults += self._rng.choices(kinds, k=3)
+        await trio.sleep(fault.for_s)
+        worker.faults.clear()
+
+    async def _crash_worker(self, fault: PlannedFault) -> None:
+        """Crash a worker; one of its service comes later at its address, or another's."""
+        fleet, worker = self._fleet, self._pick_worker(fault)
+        fleet.present.remove(worker)
+        worker.close()
+        await trio.sleep(fault.for_s)
+        fleet.platform.unregister(worker)
+        await fleet.add_worker(worker.service, worker.stage, fleet.links[worker.name])
+
+    async def _drain_worker(self, fault: PlannedFault) -> None:
+        """Let a worker drain and leave; its successor is there before."""
+        fleet, worker = self._fleet, self._pick_worker(fault)
+        await fleet.add_worker(worker.service, worker.stage)
+        fleet.present.remove(worker)
+        fleet.platform.register(worker, "draining")
+        fleet.withdrawals.append(Withdrawal(worker.name, trio.current_time()))
+        await trio.sleep(_KEEPS_SERVING_S + fault.for_s)
+        fleet.platform.unregister(worker)
+        worker.close()
+        fleet.note_spell(worker.name, trio.current_time())
+
+
+_Act = Callable[[PlannedFault], Awaitable[None]]
+_INSTANCE_FAULTS: dict[FaultKind, Callable[[Striker], _Act]] = {
+    FaultKind.INSTANCE_STOP: lambda striker: striker._stop_instance,
+    FaultKind.INSTANCE_KILL: lambda striker: striker._kill_instance,
+    FaultKind.INSTANCE_PAUSE: lambda striker: striker._pause_instance,
+    FaultKind.INSTANCE_RELOAD: lambda striker: striker._reload_instance,
+}
+_WORKER_CHANGES: dict[FaultKind, Callable[[Striker], _Act]] = {
+    FaultKind.WORKER_FAULTS: lambda striker: striker._make_worker_fail,
+    FaultKind.WORKER_CRASH: lambda striker: striker._crash_worker,
+    FaultKind.WORKER_DRAIN: lambda striker: striker._drain_worker,
+}
--- a/standins/relay/client.py
+++ b/standins/relay/client.py
@@ -35,6 +35,11 @@
             self._stream = await trio.open_tcp_stream(host, int(port))
             self._buffer = b""
 
+    @property
+    def unread(self) -> bytes:
+        """What arrived after the last answer and was read with it."""
+        return self._buffer
+
     def close(self) -> None:
         """Close the connection."""
         if self._stream is not None:
--- a/standins/relay/fleet.py
+++ b/standins/relay/fleet.py
@@ -34,6 +34,8 @@
         self._nursery = nursery
         self._version = 3
         self.routes: list[dict[str, Any]] = []
+        self.plain_services = ["plain", "other"]
+        self.published: list[dict[str, Any]] = []
         self.limits: dict[str, int] = {"idle_timeout_ms": 2000, "header_timeout_ms": 500}
 
     async def add_worker(self, worker: Worker) -> Worker:
@@ -73,17 +75,17 @@
         self._version += 2
         traits = {"slots": 8, "kv_cache_tokens": 1000, "handle_retention_s": 0.5}
         traits.update(engine or {})
-        services = [
-            {"name": "plain", "connection_limit": 100},
-            {"name": "other", "connection_limit": 100},
-            {"name": "model", "connection_limit": 100, "engine": traits},
+        services: list[dict[str, Any]] = [
+            {"name": name, "connection_limit": 100} for name in self.plain_services
         ]
+        services.append({"name": "model", "connection_limit": 100, "engine": traits})
         value = {
             "version": self._version,
-            "routes": self.routes,
+            "routes": [dict(route) for route in self.routes],
             "services": services,
             "limits": self.limits,
         }
+        self.published.append(value)
         self.store.put("op/config", value)
         return self._version
 
--- a/standins/relay/settings.py
+++ b/standins/relay/settings.py
@@ -5,17 +5,17 @@
 
 from standins.relay.fleet import Fleet, free_address
 
-__all__ = ["Ports", "write_settings"]
+__all__ = ["Ports", "write_instance_settings", "write_settings"]
 
 _TEXT = """
-node = "n1"
-zone = "a"
-ip = "127.0.0.1"
+node = "{name}"
+zone = "{zone}"
+ip = "{ip}"
 internal_ports = [{peers}]
-seeds = []
+seeds = [{seeds}]
 [listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
 [bounds]
 grace_s = 5
 drain_ms = 2000
@@ -41,5 +41,31 @@
 def write_settings(file: Path, fleet: Fleet) -> Ports:
     """Write a settings file with free ports, and give them."""
     ports = Ports(*(free_address().port for _ in Ports._fields))
-    file.write_text(_TEXT.format(**ports._asdict(), store=fleet.store.address))
+    write_instance_settings(file, ports, fleet.store.address)
     return ports
+
+
+def write_instance_settings(
+    file: Path,
+    ports: Ports,
+    store: str,
+    *,
+    name: str = "n1",
+    zone: str = "a",
+    ip: str = "127.0.0.1",
+    seeds: tuple[str, ...] = (),
+) -> None:
+    """Write the settings of one instance among several, each at an IP number of its own.
+
+    Args:
+        file: Where to write.
+        ports: Its ports; those among instances are alike for all.
+        store: Address of the store, as this instance reaches it.
+        name: Name of the instance.
+        zone: Its data centre.
+        ip: Its IP number.
+        seeds: IP numbers of the instances that it asks first.
+    """
+    quoted = ",".join(f'"{seed}:{ports.peers}"' for seed in seeds)
+    fields = {"name": name, "zone": zone, "ip": ip, "seeds": quoted, "store": store}
+    file.write_text(_TEXT.format(**ports._asdict(), **fields))
--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -159,7 +159,10 @@
         return None if closed else run
 
     async def _plain(self, call: RawCall, stream: trio.SocketStream, fault: Fault | None) -> bool:
-        if await self._run(call, stream, self.work_s) is None or fault is Fault.RESET_AFTER:
+        if (
+            await self._run(call, stream, self.work_time_s(call)) is None
+            or fault is Fault.RESET_AFTER
+        ):
             return False
         if fault is Fault.MUTE:
             await trio.sleep_forever()
@@ -183,6 +186,14 @@
         await stream.send_all(whole)
         return True
 
+    def work_time_s(self, call: RawCall) -> float:
+        """Give the seconds that a plain call takes."""
+        return self.work_s
+
+    def event_time_s(self, request: str) -> float:
+        """Give the seconds between two events of a request's stream."""
+        return self.event_s
+
     async def _decode(self, call: RawCall, stream: trio.SocketStream, fault: Fault | None) -> bool:
         first = int(call.headers.get("last-event-id", "0")) + 1
         run = Run(call.headers["attempt-id"], call, trio.current_time())
@@ -194,7 +205,7 @@
         try:
             await stream.send_all(("\r\n".join(lines) + "\r\n\r\n").encode())
             for number in range(first, self.events + 1):
-                await trio.sleep(self.event_s)
+                await trio.sleep(self.event_time_s(run.request))
                 event = b"id: %d\ndata: %s %d\n\n" % (number, run.request.encode(), number)
                 if fault is Fault.CUT and number == self.events // 2 + 1:
                     await stream.send_all(chunk(event[:7]))
