Room is held at the decode itself before a prompt is computed; changes of the store are gathered; several engines shift at once

Instances had been cut off from each other (22 of 62), so that what they tell each other of their work did not arrive.

Ruled out: lapsed handles (the refusals came within 100 ms), slow prefill.

Change: where the configuration says that engines hold room, a slot and memory are taken at the decode, on the connection that the stream will use, before its prompt is computed. An engine that is full, or another one at its address, is known while nothing is lost. What is not used is given back. After a change, 0.15 s pass before the next wait. The planner may change one engine in six at a time (22 engines: three) and counts those under way where they go; a decode's demand counts its slot as well.

--- a/cleatlink/core/routes.py
+++ b/cleatlink/core/routes.py
@@ -82,12 +82,14 @@
         memory_tokens: Tokens of KV cache.
         handle_lifetime_s: Seconds for which a prefill's result is kept.
         role_switch_s: Seconds that a change of role takes.
+        hold_s: Longest time for which room can be held for a stream; 0 if it can't.
     """
 
     slots: int
     memory_tokens: int
     handle_lifetime_s: float
     role_switch_s: float
+    hold_s: float = 0.0
 
 
 class RoutedService(NamedTuple):
--- a/cleatlink/platform/names.py
+++ b/cleatlink/platform/names.py
@@ -1,6 +1,6 @@
 """Header names and paths that the platform's callers and workers speak."""
 
-from cleatlink.relay.protocol import EndpointPaths, HeaderNames, OrderFields, Protocol
+from cleatlink.relay.protocol import EndpointPaths, HeaderNames, HoldFields, OrderFields, Protocol
 
 __all__ = ["PROTOCOL"]
 
@@ -15,6 +15,7 @@
     not_run=b"not-executed",
     stage=b"stage",
     kv_source=b"cache-source",
+    hold=b"hold",
     priority=b"request-priority",
     reserved=frozenset(
         {
@@ -37,6 +38,9 @@
     order="/order",
     prefill_handle_field="prefill_handle",
     order_fields=OrderFields("operation", "stage", "stage", "holder", "fencing_token"),
+    take_hold="/hold-take",
+    drop_hold="/hold-drop/{}",
+    hold_fields=HoldFields("tokens", "ttl_ms", "hold"),
 )
 
 PROTOCOL = Protocol(_HEADERS, _PATHS)
--- a/cleatlink/platform/store.py
+++ b/cleatlink/platform/store.py
@@ -180,6 +180,7 @@
             int(engine["kv_cache_tokens"]),
             float(engine.get("handle_retention_s", 0.5)),
             float(engine.get("role_switch_s", 0.0)),
+            float(engine.get("hold_ms", 0.0)) / _MS,
         )
     return RoutedService(entry["name"], int(entry.get("connection_limit", 0)), traits)
 
--- a/cleatlink/relay/follower.py
+++ b/cleatlink/relay/follower.py
@@ -26,6 +26,8 @@
 _MOST_WATCH_S = 6.0
 _PEERS_A_WATCH = 8
 _PROBE_S = 0.05
+# Changes come in groups: what follows one so soon is told by the same call.
+_GATHER_S = 0.15
 # Removals seen so soon after the source was found again are in doubt.
 _DOUBT_S = 0.5
 # They are in doubt for this share of the time in which an endpoint that left must
@@ -109,6 +111,8 @@
             pause_s = _RETRY_FIRST_S
             whole = False
             self._take_change(change)
+            if change.table is not None or change.records:
+                await trio.sleep(_GATHER_S)
 
     def look_again(self) -> None:
         """End a wait for changes, which the other side may have forgotten, and ask anew."""
--- /dev/null
+++ b/cleatlink/relay/hold.py
@@ -0,0 +1,131 @@
+"""Holds room for a stream at the decode endpoint that it will go to.
+
+What instances tell each other of their work can be late, lost or cut off. The
+endpoint itself knows: it sets a slot and memory aside before the prompt is
+computed, or says that it has none while nothing is lost yet.
+"""
+
+from enum import StrEnum
+
+import msgspec
+import trio
+
+from cleatlink.core.errors import EndpointError
+from cleatlink.core.routes import RoutedEndpoint
+from cleatlink.relay.call import Call, RelayParts
+from cleatlink.relay.connection import EndpointConnection
+from cleatlink.relay.pool import IDLE_LIMIT_S, Reply
+from cleatlink.relay.protocol import OutgoingRequest
+
+__all__ = ["HoldOutcome", "StreamHold"]
+
+_MOST_REPLY_BYTES = 65_536
+_ANSWER_S = 0.3
+_OTHER_ENDPOINT = 421
+_FULL = frozenset({429, 503})
+# A hold that is about to lapse is not counted on.
+_SAFE_SHARE = 0.9
+# A stream that has begun needs its prompt and the part of its answer that comes soon.
+_OUTPUT_SHARE = 0.5
+
+
+class HoldOutcome(StrEnum):
+    """What a call for a hold came to."""
+
+    HELD = "held"
+    NOT_OFFERED = "not offered"
+    FULL = "full"
+    FAILED = "failed"
+
+
+class StreamHold:
+    """The room that is held for one stream."""
+
+    def __init__(self, call: Call, parts: RelayParts) -> None:
+        self._call = call
+        self._parts = parts
+        self._endpoint: RoutedEndpoint | None = None
+        self._name = ""
+        self._until = 0.0
+
+    def use(self, endpoint: RoutedEndpoint) -> str:
+        """Give the name of the hold at an endpoint, once; empty if there is none."""
+        if self._endpoint is None or self._endpoint.name != endpoint.name:
+            return ""
+        name, self._endpoint = self._name, None
+        return name if trio.current_time() < self._until else ""
+
+    def drop(self) -> None:
+        """Give back what was held and not used."""
+        endpoint, self._endpoint = self._endpoint, None
+        if endpoint is not None and trio.current_time() < self._until:
+            self._parts.spawn(self._free, endpoint, self._name)
+
+    async def take(
+        self, endpoint: RoutedEndpoint, connection: EndpointConnection, output: int
+    ) -> HoldOutcome:
+        """Hold room for a stream at an endpoint, on the connection that it will use.
+
+        Args:
+            endpoint: The endpoint.
+            connection: A connection to it.
+            output: Tokens of the answer, as estimated.
+        """
+        traits = self._call.service.engine
+        if traits is None or not traits.hold_s:
+            return HoldOutcome.NOT_OFFERED
+        self.drop()
+        tokens = self._call.inbound.prompt_tokens + int(_OUTPUT_SHARE * output)
+        request = self._parts.protocol.take_hold(endpoint, tokens, traits.hold_s)
+        began_at = trio.current_time()
+        try:
+            with trio.fail_after(_ANSWER_S):
+                head = await connection.exchange(request)
+                body = await connection.read_body(_MOST_REPLY_BYTES)
+        except (EndpointError, trio.TooSlowError) as error:
+            self._call.note_failure(endpoint, error)
+            return HoldOutcome.FAILED
+        connection.finish(trio.current_time())
+        outcome = self._judge(endpoint, Reply(head, body))
+        self._until = began_at + _SAFE_SHARE * traits.hold_s
+        self._call.log(
+            "asks for room",
+            endpoint=endpoint.name,
+            tokens=tokens,
+            result=outcome.value,
+            status=head.status,
+        )
+        return outcome
+
+    def _judge(self, endpoint: RoutedEndpoint, reply: Reply) -> HoldOutcome:
+        status = reply.head.status
+        capacity = self._parts.capacity
+        if status == _OTHER_ENDPOINT:
+            capacity.note_leaving(endpoint.name)
+            return HoldOutcome.FAILED
+        if status in _FULL:
+            capacity.note_full(endpoint.name, trio.current_time())
+            return HoldOutcome.FULL
+        if status != 200:
+            return HoldOutcome.NOT_OFFERED
+        try:
+            field = self._parts.protocol.paths.hold_fields.hold
+            self._name = str(msgspec.json.decode(reply.body)[field])
+        except (msgspec.MsgspecError, KeyError, TypeError):
+            return HoldOutcome.NOT_OFFERED
+        self._endpoint = endpoint
+        return HoldOutcome.HELD
+
+    async def _free(self, endpoint: RoutedEndpoint, name: str) -> None:
+        """Have an endpoint give back what it holds; if that fails, the hold lapses."""
+        parts = self._parts
+        path = parts.protocol.paths.drop_hold.format(name)
+
+        def make() -> OutgoingRequest:
+            return parts.protocol.own_call(b"DELETE", path, endpoint.name, endpoint.address)
+
+        try:
+            with trio.fail_after(_ANSWER_S):
+                await parts.pool.call(endpoint, IDLE_LIMIT_S, make, _MOST_REPLY_BYTES)
+        except (EndpointError, trio.TooSlowError):
+            return
--- a/cleatlink/relay/orders.py
+++ b/cleatlink/relay/orders.py
@@ -16,7 +16,7 @@
 from cleatlink.relay.protocol import Protocol
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.routing.capacity import Capacity
-from cleatlink.routing.role_planner import RoleShift, plan_shift
+from cleatlink.routing.role_planner import RoleShift, most_changing, plan_shift
 
 __all__ = ["RoleKeeper"]
 
@@ -25,8 +25,9 @@
 _MOST_REPLY_BYTES = 65_536
 # An endpoint that does not show its new role by then has not taken the order.
 _SWITCH_SLACK_S = 2.0
-# Seconds between two shifts of one service.
+# Seconds between two shifts of a service that has few engines, and of one that has many.
 _PAUSE_S = 3.0
+_SHORT_PAUSE_S = 0.5
 _MS = 1000
 
 
@@ -55,6 +56,7 @@
         self._stopping = stopping
         self._leads = False
         self._not_before: dict[str, float] = {}
+        self._targets: dict[str, Role] = {}
 
     @property
     def leads(self) -> bool:
@@ -82,6 +84,7 @@
                 )
                 if leads:
                     self._take_fence()
+                    self._targets.clear()
             if leads:
                 await self._plan_all()
 
@@ -106,16 +109,19 @@
             return None
         prefills = capacity.reached(service, Role.PREFILL, now)
         decodes = capacity.reached(service, Role.DECODE, now)
-        changing = capacity.switching(now)
-        if any(endpoint.name in changing for endpoint in (*prefills, *decodes)):
+        endpoints = [*prefills, *decodes]
+        changing = capacity.switching(now).keys() & {item.name for item in endpoints}
+        # Where an engine goes that an earlier leader ordered to change is not known here.
+        unknown = changing - self._targets.keys()
+        if unknown or len(changing) >= most_changing(len(endpoints)):
             return None
+        targets = {name: self._targets[name] for name in changing}
         work = {
-            endpoint.name: max(capacity.ends([endpoint.name], role), default=now) - now
-            for role, endpoints in ((Role.PREFILL, prefills), (Role.DECODE, decodes))
+            endpoint.name: max(capacity.ends([endpoint.name], endpoint.role), default=now) - now
             for endpoint in endpoints
         }
         demand = capacity.meter(service).demand(now)
-        shift = plan_shift(prefills, decodes, demand, work)
+        shift = plan_shift(prefills, decodes, demand, work, targets)
         if shift is not None:
             eliot.log_message(
                 message_type="orders: plans a shift",
@@ -136,7 +142,9 @@
         request = self._protocol.role_order(endpoint, shift.role, self._settings.name, fence)
         status = 0
         now = trio.current_time()
-        self._not_before[service] = now + _PAUSE_S
+        count = len(self._capacity.in_role(service, Role.PREFILL))
+        count += len(self._capacity.in_role(service, Role.DECODE))
+        self._not_before[service] = now + (_SHORT_PAUSE_S if most_changing(count) > 1 else _PAUSE_S)
         try:
             with trio.fail_after(_ORDER_S):
                 reply = await self._pool.call(
@@ -149,6 +157,7 @@
             self._peers.fence = max(fence + 1, int(time.time() * _MS))
         if status in (0, 200, 202):
             until = now + traits.role_switch_s + _SWITCH_SLACK_S
+            self._targets[endpoint.name] = shift.role
             self._capacity.note_switching(endpoint.name, until)
             self._peers.send_beat()
         self._metrics.count_order(str(status))
--- a/cleatlink/relay/pool.py
+++ b/cleatlink/relay/pool.py
@@ -79,6 +79,14 @@
         self.give_back(endpoint, connection)
         return Reply(head, body)
 
+    def keep(self, endpoint: RoutedEndpoint, connection: EndpointConnection) -> None:
+        """Keep an idle connection that was taken and is not needed."""
+        idle = self._idle.setdefault(endpoint.name, deque())
+        if connection.usable and len(idle) < _MOST_IDLE:
+            idle.append(connection)
+        else:
+            connection.close()
+
     def give_back(self, endpoint: RoutedEndpoint, connection: EndpointConnection) -> None:
         """Keep a connection whose exchange has ended, if it can be used again."""
         now = trio.current_time()
--- a/cleatlink/relay/protocol.py
+++ b/cleatlink/relay/protocol.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Mapping
 from typing import NamedTuple
 
 import msgspec
@@ -15,6 +16,7 @@
 __all__ = [
     "EndpointPaths",
     "HeaderNames",
+    "HoldFields",
     "OrderFields",
     "OutgoingRequest",
     "Protocol",
@@ -52,6 +54,7 @@
     not_run: bytes = b"x-not-run"
     stage: bytes = b"x-stage"
     kv_source: bytes = b"x-kv-source"
+    hold: bytes = b"x-hold"
     priority: bytes = b"x-priority"
     # Headers that callers may not set, and those that always reach the endpoint.
     reserved: frozenset[bytes] = frozenset()
@@ -68,6 +71,14 @@
     fence: str = "fence"
 
 
+class HoldFields(NamedTuple):
+    """Names in the body of a call that holds room, and in its answer."""
+
+    tokens: str = "tokens"
+    lifetime_ms: str = "lifetime_ms"
+    hold: str = "hold"
+
+
 class EndpointPaths(NamedTuple):
     """Paths of the calls that the relay makes to engines on its own behalf."""
 
@@ -75,6 +86,9 @@
     order: str = "/order"
     prefill_handle_field: str = "handle"
     order_fields: OrderFields = OrderFields()
+    take_hold: str = "/holds"
+    drop_hold: str = "/holds/{}"
+    hold_fields: HoldFields = HoldFields()
 
 
 class ReplyHead(NamedTuple):
@@ -148,6 +162,7 @@
         *,
         prefill: bool = False,
         kv_source: KvSource | None = None,
+        hold: str = "",
         last_event: int | None = None,
     ) -> OutgoingRequest:
         """Write a caller's request for an endpoint.
@@ -158,6 +173,7 @@
             left_s: Seconds that the caller still waits.
             prefill: Whether only the prompt is to be computed.
             kv_source: Where the prompt's result waits.
+            hold: Name of the room that is held for the request; empty for none.
             last_event: Last event that has been passed on.
         """
         names = self.names
@@ -170,6 +186,8 @@
         if kv_source is not None:
             source = f"{kv_source.address}/{kv_source.handle}"
             headers.append((names.kv_source, source.encode()))
+        if hold:
+            headers.append((names.hold, hold.encode()))
         if last_event is not None:
             headers.append((names.last_event, b"%d" % last_event))
         if inbound.body or inbound.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
@@ -181,26 +199,39 @@
         headers = ((b"Host", address.encode()), (self.names.expected_endpoint, endpoint.encode()))
         return OutgoingRequest(method, path.encode(), headers, b"")
 
+    def take_hold(
+        self, endpoint: RoutedEndpoint, tokens: int, lifetime_s: float
+    ) -> OutgoingRequest:
+        """Write a call that holds a slot and memory at an endpoint."""
+        fields = self.paths.hold_fields
+        value = {fields.tokens: tokens, fields.lifetime_ms: int(lifetime_s * _MS)}
+        return self._own_post(endpoint, self.paths.take_hold, value)
+
     def role_order(
         self, endpoint: RoutedEndpoint, role: Role, holder: str, fence: int
     ) -> OutgoingRequest:
         """Write an order to take another role."""
         fields = self.paths.order_fields
-        body = msgspec.json.encode(
-            {
-                fields.kind: fields.role_kind,
-                fields.role: role.value,
-                fields.holder: holder,
-                fields.fence: fence,
-            }
-        )
+        value = {
+            fields.kind: fields.role_kind,
+            fields.role: role.value,
+            fields.holder: holder,
+            fields.fence: fence,
+        }
+        return self._own_post(endpoint, self.paths.order, value)
+
+    def _own_post(
+        self, endpoint: RoutedEndpoint, path: str, value: Mapping[str, str | int]
+    ) -> OutgoingRequest:
+        """Write a call of the relay's own with a JSON body."""
+        body = msgspec.json.encode(value)
         headers = (
             (b"Host", endpoint.address.encode()),
             (self.names.expected_endpoint, endpoint.name.encode()),
             (b"Content-Type", b"application/json"),
             (b"Content-Length", b"%d" % len(body)),
         )
-        return OutgoingRequest(b"POST", self.paths.order.encode(), headers, body)
+        return OutgoingRequest(b"POST", path.encode(), headers, body)
 
     def passed_back(self, head: ReplyHead) -> Headers:
         """Give the headers of an endpoint's answer that a caller gets."""
--- a/cleatlink/relay/room.py
+++ b/cleatlink/relay/room.py
@@ -36,11 +36,19 @@
 
 
 class Room(NamedTuple):
-    """A decode endpoint with room reserved under a key, and how long it should take."""
+    """A decode endpoint with room reserved under a key.
+
+    Attributes:
+        endpoint: The endpoint.
+        key: The reservation's key.
+        expected_s: How long the stream should take.
+        output: Tokens of its answer, as estimated.
+    """
 
     endpoint: RoutedEndpoint
     key: str
     expected_s: float
+    output: int
 
 
 class DecodeRoom:
@@ -145,7 +153,7 @@
             self._reserve_prompt(call, endpoint, key, now)
         usage = capacity.usage(endpoint.name, Role.DECODE)
         call.log("has room", endpoint=endpoint.name, tokens=work.tokens, reserved=usage.tokens)
-        return Room(endpoint, key, expected_s)
+        return Room(endpoint, key, expected_s, output)
 
     def _reserve_prompt(self, call: Call, endpoint: RoutedEndpoint, key: str, now: float) -> None:
         """Let an endpoint that computes prompts between tokens have one at a time."""
--- a/cleatlink/relay/stream.py
+++ b/cleatlink/relay/stream.py
@@ -16,6 +16,7 @@
 from cleatlink.relay.call import Call, RelayParts
 from cleatlink.relay.connection import EndpointConnection
 from cleatlink.relay.events import EventCutter
+from cleatlink.relay.hold import HoldOutcome, StreamHold
 from cleatlink.relay.pool import FRESH_LIMIT_S
 from cleatlink.relay.prefill import Prefill
 from cleatlink.relay.protocol import ReplyHead
@@ -55,6 +56,7 @@
         self._parts = parts
         self._cutter = EventCutter(call.inbound.last_event)
         self._prefill = Prefill(call, parts)
+        self._hold = StreamHold(call, parts)
         self._refusals = 0
         self._room: Room | None = None
         self._connection: EndpointConnection | None = None
@@ -68,6 +70,7 @@
                     return end
         finally:
             self._prefill.drop("unused")
+            self._hold.drop()
             self._leave_connection()
             self._give_room_back()
 
@@ -77,7 +80,7 @@
         if isinstance(found, Refusal):
             return self._give_up(found)
         self._room = found
-        if not await self._reach(found.endpoint):
+        if not await self._reach(found.endpoint) or not await self._take_hold(found):
             return None
         refusal = await self._prefill.run(found.endpoint.data_centre)
         if refusal is not None:
@@ -95,6 +98,19 @@
             return False
         return True
 
+    async def _take_hold(self, room: Room) -> bool:
+        """Have the endpoint hold room; tells whether the stream may go on there."""
+        assert self._connection is not None, "the endpoint was reached"
+        outcome = await self._hold.take(room.endpoint, self._connection, room.output)
+        if outcome is HoldOutcome.FULL:
+            # Nothing is lost yet, and there may be room again soon.
+            self._parts.pool.keep(room.endpoint, self._connection)
+            self._connection = None
+            self._give_room_back()
+        elif outcome is HoldOutcome.FAILED:
+            self._move_on()
+        return outcome in (HoldOutcome.HELD, HoldOutcome.NOT_OFFERED)
+
     def _leave_connection(self) -> None:
         connection, self._connection = self._connection, None
         if connection is not None:
@@ -143,6 +159,7 @@
             endpoint.name,
             call.left_s,
             kv_source=self._prefill.source,
+            hold=self._hold.use(endpoint),
             last_event=self._cutter.last,
         )
         with trio.fail_after(_FIRST_EVENT_S if self._can_move() else max(0.0, call.left_s)):
--- a/cleatlink/relay/stream_test.py
+++ b/cleatlink/relay/stream_test.py
@@ -100,7 +100,7 @@
         await start(fleet, prefill, first, second)
         fleet.start_instance()
         await fleet.ready()
-        await fleet.until(lambda: all(len(item._peers.alive) == 1 for item in fleet.instances))
+        await fleet.until(lambda: all(item._peers.alive == 2 for item in fleet.instances))
         callers = [fleet.caller(index % 2) for index in range(4)]
         for caller in callers:
             await caller.send("/stream/x", "POST", body=b"p", headers=STREAM)
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -122,8 +122,8 @@
         if reservation.role is Role.PREFILL:
             endpoint_s = reservation.tokens * self._prefill_token_s
         else:
-            share = reservation.tokens / max(1, traits.memory_tokens)
-            endpoint_s = share * reservation.duration_s
+            memory_share = reservation.tokens / max(1, traits.memory_tokens)
+            endpoint_s = max(memory_share, 1 / max(1, traits.slots)) * reservation.duration_s
         self.meter(endpoint.service).note(reservation.role, endpoint_s, now)
 
     def meter(self, service: str) -> DemandMeter:
--- a/cleatlink/routing/role_planner.py
+++ b/cleatlink/routing/role_planner.py
@@ -2,13 +2,15 @@
 
 Demand is counted in endpoint-seconds a second, from the sizes of the requests
 themselves, so that a few requests after a change suffice. A shift is planned
-only if it takes the load of the busier role down by a fair part, and one at a
-time: while an endpoint changes, it serves neither role. A service without any
+only if it takes the load of the busier role down by a fair part, and for few
+endpoints at a time: while one changes, it serves neither role. A service without any
 prefill gets one at once: decodes that compute prompts themselves hold up the
 tokens of every stream they run.
 """
 
 import math
+from collections.abc import Mapping, Sequence
+from types import MappingProxyType
 from typing import NamedTuple
 
 from cleatlink.core.data import Role
@@ -20,6 +22,7 @@
     "RoleDemand",
     "RoleShift",
     "choose_prefills",
+    "most_changing",
     "plan_shift",
     "role_load",
 ]
@@ -29,6 +32,8 @@
 _MEMORY_S = 10.0
 # The busier role's load must fall by this share.
 MIN_GAIN = 0.12
+# One endpoint in so many may change its role at a time.
+_ENDPOINTS_A_CHANGE = 6
 # From so many endpoints on no plan leaves a role with one that can't be spared.
 _SPARE_FROM = 5
 
@@ -79,6 +84,11 @@
         self._at = max(self._at, now)
 
 
+def most_changing(count: int) -> int:
+    """Give how many of ``count`` endpoints may change their role at a time."""
+    return max(1, count // _ENDPOINTS_A_CHANGE)
+
+
 def choose_prefills(count: int, demand: RoleDemand) -> int:
     """Give how many of ``count`` endpoints best serve prefill."""
     least = 1 if count < _SPARE_FROM else 2
@@ -87,10 +97,11 @@
 
 
 def plan_shift(
-    prefills: list[RoutedEndpoint],
-    decodes: list[RoutedEndpoint],
+    prefills: Sequence[RoutedEndpoint],
+    decodes: Sequence[RoutedEndpoint],
     demand: RoleDemand,
-    work: dict[str, float],
+    work: Mapping[str, float],
+    targets: Mapping[str, Role] = MappingProxyType({}),
 ) -> RoleShift | None:
     """Give the endpoint that is to change its role now, if any.
 
@@ -100,25 +111,38 @@
         demand: Demand on their service.
         work: Seconds until its work is over by the name of an endpoint; the one that
             is free first changes.
+        targets: The roles of those that are changing by the names of the endpoints;
+            they count there and are left alone.
     """
-    count = len(prefills) + len(decodes)
+    endpoints = [*prefills, *decodes]
+    roles = [targets.get(endpoint.name, endpoint.role) for endpoint in endpoints]
+    role = _wanted_change(roles.count(Role.PREFILL), roles.count(Role.DECODE), demand)
+    if role is None:
+        return None
+    free = [
+        endpoint
+        for endpoint in endpoints
+        if endpoint.role is not role and endpoint.name not in targets
+    ]
+    return RoleShift(_freest(free, work), role) if free else None
+
+
+def _wanted_change(prefills: int, decodes: int, demand: RoleDemand) -> Role | None:
+    """Give the role that one more endpoint is to take, if any."""
+    count = prefills + decodes
     if count < 2:
-        return RoleShift(prefills[0], Role.DECODE) if prefills else None
+        return Role.DECODE if prefills else None
     if not decodes:
-        return RoleShift(_freest(prefills, work), Role.DECODE)
+        return Role.DECODE
     if not prefills:
-        return RoleShift(_freest(decodes, work), Role.PREFILL)
+        return Role.PREFILL
     if demand.requests < _MIN_REQUESTS:
         return None
     wanted = choose_prefills(count, demand)
-    before, after = role_load(len(prefills), count, demand), role_load(wanted, count, demand)
-    if after > (1 - MIN_GAIN) * before:
+    before, after = role_load(prefills, count, demand), role_load(wanted, count, demand)
+    if wanted == prefills or after > (1 - MIN_GAIN) * before:
         return None
-    if wanted < len(prefills):
-        return RoleShift(_freest(prefills, work), Role.DECODE)
-    if wanted > len(prefills):
-        return RoleShift(_freest(decodes, work), Role.PREFILL)
-    return None
+    return Role.DECODE if wanted < prefills else Role.PREFILL
 
 
 def role_load(prefills: int, count: int, demand: RoleDemand) -> float:
@@ -127,5 +151,5 @@
     return max(demand.prefill / prefills, demand.decode / decodes)
 
 
-def _freest(endpoints: list[RoutedEndpoint], work: dict[str, float]) -> RoutedEndpoint:
+def _freest(endpoints: list[RoutedEndpoint], work: Mapping[str, float]) -> RoutedEndpoint:
     return min(endpoints, key=lambda endpoint: (work.get(endpoint.name, 0.0), endpoint.name))
--- a/cleatlink/routing/role_planner_test.py
+++ b/cleatlink/routing/role_planner_test.py
@@ -11,6 +11,7 @@
     RoleDemand,
     RoleShift,
     choose_prefills,
+    most_changing,
     plan_shift,
     role_load,
 )
@@ -109,3 +110,23 @@
     assert 1.7 < demand.decode < 2.2
     assert 0.4 < demand.prefill < 0.6
     assert meter.demand(89.0).decode < 0.02
+
+
+def test_endpoints_that_change_count_where_they_go() -> None:
+    demand = RoleDemand(1.9, 9.9, 60.0)
+    prefills, decodes = endpoints(Role.PREFILL, 8), endpoints(Role.DECODE, 14)
+    targets: dict[str, Role] = {}
+    for _ in range(8):
+        shift = plan_shift(prefills, decodes, demand, {}, targets)
+        if shift is None:
+            break
+        assert shift.endpoint.name not in targets
+        targets[shift.endpoint.name] = shift.role
+    assert set(targets.values()) == {Role.DECODE}
+    # The load of decodes falls from 0.71 by more than 12% with each plan but the last.
+    assert role_load(8 - len(targets), 22, demand) < 0.62
+    assert len(targets) >= 2
+
+
+def test_many_endpoints_change_a_few_at_a_time_and_few_one_by_one() -> None:
+    assert [most_changing(count) for count in (2, 5, 11, 12, 22, 100)] == [1, 1, 1, 2, 3, 16]
--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -65,6 +65,11 @@
         self.handles: dict[str, float] = {}
         self.freed: list[str] = []
         self.leaving = False
+        self.holds: dict[str, int] = {}
+        self.held: list[int] = []
+        self.dropped_holds: list[str] = []
+        self.offers_holds = True
+        self.room = 1_000_000
         self.orders: list[dict[str, Any]] = []
         self.highest_fence = 0
         self.body = b"served"
@@ -94,6 +99,9 @@
             self.handles.pop(handle, None)
             await stream.send_all(answer(200, {}))
             return True
+        if call.path.startswith("/hold-"):
+            await stream.send_all(self._answer_hold(call))
+            return True
         if call.path == "/order":
             await stream.send_all(answer(self._take_order(json.loads(call.body)), {}))
             return True
@@ -114,6 +122,23 @@
             return await self._decode(call, stream, fault)
         return await self._plain(call, stream, fault)
 
+    def _answer_hold(self, call: RawCall) -> bytes:
+        """Take or drop a hold of memory."""
+        if not self.offers_holds:
+            return answer(404, {})
+        if call.method == "DELETE":
+            name = call.path.rpartition("/")[2]
+            self.dropped_holds.append(name)
+            self.holds.pop(name, None)
+            return answer(200, {})
+        tokens = int(json.loads(call.body)["tokens"])
+        if sum(self.holds.values()) + tokens > self.room:
+            return answer(503, {})
+        name = f"hold{len(self.held)}{self.name}"
+        self.held.append(tokens)
+        self.holds[name] = tokens
+        return answer(200, {}, json.dumps({"hold": name}).encode())
+
     def _take_order(self, order: dict[str, Any]) -> int:
         """Take an order to change the stage; tests decide when it is done."""
         if order["fencing_token"] < self.highest_fence:
@@ -196,6 +221,7 @@
 
     async def _decode(self, call: RawCall, stream: trio.SocketStream, fault: Fault | None) -> bool:
         first = int(call.headers.get("last-event-id", "0")) + 1
+        self.holds.pop(call.headers.get("hold", ""), None)
         run = Run(call.headers["attempt-id"], call, trio.current_time())
         self.runs.append(run)
         if fault is Fault.MUTE:
