An address that is taken ends the start with one line, not a traceback

The instance ended with an exception group of 20 lines on standard error. Ruled out: a restart that met its own predecessor (SO_REUSEADDR, first start). Change: ListenError, listeners opened before are closed, one line for the address, exit code 1. The test in daemon_test.py got a traceback before.

--- a/cleatlink/core/errors.py
+++ b/cleatlink/core/errors.py
@@ -19,6 +19,7 @@
     "EndpointUnreachableError",
     "ErrorKind",
     "FenceError",
+    "ListenError",
     "OutcomeUnknownError",
     "PeerError",
     "PeerUnreachableError",
@@ -104,6 +105,10 @@
     """Settings or a configuration can't be used."""
 
 
+class ListenError(ConfigurationError):
+    """An address of the settings can't be listened on."""
+
+
 class PlatformError(CleatlinkError):
     """The platform's service did not answer, or not as documented."""
 
--- a/cleatlink/relay/daemon_test.py
+++ b/cleatlink/relay/daemon_test.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -86,3 +87,20 @@
     lines = done.stderr.splitlines()
     assert len(lines) == 11
     assert all(line.startswith(f"{file}: ") and line.endswith("is missing") for line in lines)
+
+
+async def test_address_that_is_taken_ends_with_one_line(tmp_path: Path) -> None:
+    async with open_fleet() as fleet:
+        file = tmp_path / "local.toml"
+        ports = write_settings(file, fleet)
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", ports.metrics))
+            taken.listen()
+            command = [*PROGRAM, "--settings-file", str(file)]
+            command += ["--metrics-listen", f"127.0.0.1:{ports.metrics}"]
+            done = await trio.run_process(
+                command, capture_stdout=True, capture_stderr=True, check=False
+            )
+        assert done.returncode == 1
+        text = f"{file}: can't listen on 127.0.0.1:{ports.metrics}: Address already in use"
+        assert done.stderr.decode().splitlines() == [text]
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -5,6 +5,8 @@
 import eliot
 import trio
 
+from cleatlink.core.address import Address
+from cleatlink.core.errors import ListenError
 from cleatlink.core.routes import RouteTable
 from cleatlink.relay.call import RelayParts
 from cleatlink.relay.follower import Follower, FollowerHooks
@@ -135,17 +137,13 @@
         return self._capacity
 
     async def run(self, stop: trio.Event) -> None:
-        """Serve until ``stop`` is set, then finish what is in progress."""
-        settings = self._settings
-        listeners: list[tuple[trio.SocketListener, Handler]] = [
-            (listen(settings.ready_listen.host, settings.ready_listen.port), ReadyHandler(self)),
-            (listen(settings.peer_listen.host, settings.peer_listen.port), PeerHandler(self)),
-            (listen(settings.listen.host, settings.listen.port), self._service),
-        ]
-        if settings.metrics_listen is not None:
-            address = settings.metrics_listen
-            listeners.append((listen(address.host, address.port), MetricsHandler(self)))
+        """Serve until ``stop`` is set, then finish what is in progress.
+
+        Raises:
+            ListenError: An address of the settings can't be listened on.
+        """
         try:
+            listeners = self._listen()
             await self._run(listeners, stop)
         finally:
             self._peers.close()
@@ -154,6 +152,30 @@
             if self._writer is not None:
                 self._writer.flush()
 
+    def _listen(self) -> list[tuple[trio.SocketListener, Handler]]:
+        """Listen on all addresses.
+
+        Raises:
+            ListenError: One can't be had; none is kept then.
+        """
+        settings = self._settings
+        wanted: list[tuple[Address | None, Handler]] = [
+            (settings.ready_listen, ReadyHandler(self)),
+            (settings.peer_listen, PeerHandler(self)),
+            (settings.listen, self._service),
+            (settings.metrics_listen, MetricsHandler(self)),
+        ]
+        listeners: list[tuple[trio.SocketListener, Handler]] = []
+        try:
+            for address, handler in wanted:
+                if address is not None:
+                    listeners.append((listen(address.host, address.port), handler))
+        except ListenError:
+            for listener, _ in listeners:
+                listener.socket.close()
+            raise
+        return listeners
+
     async def _run(
         self, listeners: list[tuple[trio.SocketListener, Handler]], stop: trio.Event
     ) -> None:
--- a/cleatlink/relay/peers.py
+++ b/cleatlink/relay/peers.py
@@ -35,6 +35,7 @@
 )
 from cleatlink.relay.protocol import OutgoingRequest
 from cleatlink.relay.settings import RelaySettings
+from cleatlink.relay.sockets import bind
 from cleatlink.routing.capacity import Capacity, Reservation
 
 __all__ = ["SILENCE_S", "KnownState", "PeerGroup", "PeerHooks"]
@@ -144,7 +145,7 @@
     def _bind(self) -> trio.socket.SocketType:
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
-        sock.bind((self._settings.peer_listen.host, self._settings.peer_listen.port))
+        bind(sock, self._settings.peer_listen.host, self._settings.peer_listen.port)
         return trio.socket.from_stdlib_socket(sock)
 
     @property
--- a/cleatlink/relay/sockets.py
+++ b/cleatlink/relay/sockets.py
@@ -4,7 +4,9 @@
 
 import trio
 
-__all__ = ["connect", "listen", "quicken"]
+from cleatlink.core.errors import ListenError
+
+__all__ = ["bind", "connect", "listen", "quicken"]
 
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_PROBES = 2
@@ -38,10 +40,27 @@
 
 
 def listen(host: str, port: int) -> trio.SocketListener:
-    """Listen on an IP number; port 0 lets the system pick one."""
+    """Listen on an IP number; port 0 lets the system pick one.
+
+    Raises:
+        ListenError: The address is taken, or not this machine's.
+    """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host, port))
+    bind(sock, host, port)
     sock.listen(_BACKLOG)
     sock.setblocking(False)
     return trio.SocketListener(trio.socket.from_stdlib_socket(sock))
+
+
+def bind(sock: socket.socket, host: str, port: int) -> None:
+    """Bind a socket, or close it.
+
+    Raises:
+        ListenError: The address is taken, or not this machine's.
+    """
+    try:
+        sock.bind((host, port))
+    except OSError as error:
+        sock.close()
+        raise ListenError(f"can't listen on {host}:{port}: {error.strerror}") from error
--- a/cleatlink/scripts/main.py
+++ b/cleatlink/scripts/main.py
@@ -8,13 +8,13 @@
 import time
 from importlib import import_module
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import Any, NoReturn, TypeVar
 
 import click
 import trio
 
 from cleatlink.core.address import Address, parse_address
-from cleatlink.core.errors import ConfigurationError
+from cleatlink.core.errors import ConfigurationError, ListenError
 from cleatlink.platform import (
     PROTOCOL,
     SETTINGS_VARIABLE,
@@ -27,6 +27,8 @@
 
 __all__ = ["main"]
 
+ErrorT = TypeVar("ErrorT", bound=Exception)
+
 
 class AddressType(click.ParamType[Address]):
     """An IP number and a port."""
@@ -101,13 +103,26 @@
     def load() -> RelaySettings:
         return load_settings(settings_file, metrics_listen)
 
+    faults: list[str] = []
     try:
         trio.run(run_relay, load, PROTOCOL, lambda settings: PlatformStore(settings.store))
-    except SettingsError as error:
-        _print_faults(settings_file, error.faults)
+    except* SettingsError as group:
+        faults = [fault for error in _leaves(group) for fault in error.faults]
+    except* ListenError as group:
+        faults = [str(error) for error in _leaves(group)]
+    if faults:
+        _print_faults(settings_file, faults)
         sys.exit(1)
 
 
+def _leaves(group: ExceptionGroup[ErrorT]) -> list[ErrorT]:
+    """Give the errors in a group of groups."""
+    found: list[ErrorT] = []
+    for error in group.exceptions:
+        found += _leaves(error) if isinstance(error, ExceptionGroup) else [error]
+    return found
+
+
 def _print_faults(file: Path, faults: list[str]) -> None:
     for fault in faults:
         click.echo(f"{file}: {fault}", err=True)
