Idle connections stay within this instance's part; a silent worker is left by its route's pauses

Both were read from the configuration and used by nothing: a service's connection limit (85 instances with 16 idle connections each pass its 570) and a route's longest pause.

--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -1,5 +1,6 @@
 """One relay instance, put together: sources, peers, callers' side and planned stop."""
 
+import math
 import random
 
 import eliot
@@ -7,7 +8,7 @@
 
 from cleatlink.core.address import Address
 from cleatlink.core.errors import ListenError
-from cleatlink.core.routes import RouteTable
+from cleatlink.core.routes import RoutedEndpoint, RouteTable
 from cleatlink.relay.call import RelayParts
 from cleatlink.relay.follower import Follower, FollowerHooks
 from cleatlink.relay.logs import LineWriter
@@ -59,7 +60,7 @@
         self._writer = writer
         self._capacity = Capacity()
         self._metrics = RelayMetrics()
-        self._pool = ConnectionPool()
+        self._pool = ConnectionPool(self._allowed_connections)
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._stopping_since: float | None = None
         self._parts = RelayParts(
@@ -239,6 +240,14 @@
             self._budgets[service] = budget
         return budget
 
+    def _allowed_connections(self, endpoint: RoutedEndpoint) -> float:
+        """Give this instance's part of the connections that an endpoint takes."""
+        table = self._follower.records.table
+        service = table.services.get(endpoint.service) if table is not None else None
+        if service is None or not service.connection_limit:
+            return math.inf
+        return service.connection_limit / self._members()
+
     def _members(self) -> int:
         most = self._peers.most_members
         return max(most + 1, _FIRST_MEMBERS if most == 1 else 0)
--- a/cleatlink/relay/pool.py
+++ b/cleatlink/relay/pool.py
@@ -19,6 +19,8 @@
 # What may not be repeated goes out on a connection that was in use just now, or a new one.
 FRESH_LIMIT_S = 1.0
 _MOST_IDLE = 16
+# Share of an endpoint's connections that all instances may leave idle.
+_IDLE_SHARE = 0.5
 
 
 class Reply(NamedTuple):
@@ -31,7 +33,14 @@
 class ConnectionPool:
     """Idle connections by endpoint; an address may change hands, a name does not."""
 
-    def __init__(self) -> None:
+    def __init__(self, allowed: Callable[[RoutedEndpoint], float] | None = None) -> None:
+        """Start without connections.
+
+        Args:
+            allowed: Gives this instance's part of the connections that an endpoint
+                takes from all callers together; None for no limit.
+        """
+        self._allowed = allowed
         self._idle: dict[str, deque[EndpointConnection]] = {}
 
     async def take(self, endpoint: RoutedEndpoint, idle_limit_s: float) -> EndpointConnection:
@@ -82,7 +91,7 @@
     def keep(self, endpoint: RoutedEndpoint, connection: EndpointConnection) -> None:
         """Keep an idle connection that was taken and is not needed."""
         idle = self._idle.setdefault(endpoint.name, deque())
-        if connection.usable and len(idle) < _MOST_IDLE:
+        if connection.usable and len(idle) < self._most_idle(endpoint):
             idle.append(connection)
         else:
             connection.close()
@@ -91,11 +100,16 @@
         """Keep a connection whose exchange has ended, if it can be used again."""
         now = trio.current_time()
         idle = self._idle.setdefault(endpoint.name, deque())
-        if connection.finish(now) and len(idle) < _MOST_IDLE:
+        if connection.finish(now) and len(idle) < self._most_idle(endpoint):
             idle.append(connection)
         else:
             connection.close()
 
+    def _most_idle(self, endpoint: RoutedEndpoint) -> int:
+        if self._allowed is None:
+            return _MOST_IDLE
+        return int(max(1.0, min(_MOST_IDLE, _IDLE_SHARE * self._allowed(endpoint))))
+
     def prune(self) -> None:
         """Close connections that have been idle for too long."""
         now = trio.current_time()
--- a/cleatlink/relay/stream.py
+++ b/cleatlink/relay/stream.py
@@ -30,7 +30,9 @@
 _MOST_REFUSALS = 2
 # Resumable streams leave an endpoint that is silent for so long.
 _FIRST_EVENT_S = 1.5
-_SILENCE_S = 1.0
+_PAUSES = 3.0
+_MIN_SILENCE_S = 0.5
+_MOST_SILENCE_S = 1.5
 _RETRY_AFTER_S = 0.6
 
 
@@ -213,7 +215,7 @@
         exchange, call = self._exchange, self._call
         self._cutter.restart()
         while True:
-            silence_s = _SILENCE_S if self._can_move() else max(0.0, call.left_s)
+            silence_s = self._silence_s() if self._can_move() else max(0.0, call.left_s)
             with trio.fail_after(silence_s):
                 chunk = await connection.read_chunk()
             if chunk is None:
@@ -230,6 +232,11 @@
             await self._start(head)
         await exchange.end()
 
+    def _silence_s(self) -> float:
+        """Give how long an endpoint may be silent before another one goes on."""
+        pauses_s = _PAUSES * self._call.route.event_gap_s
+        return min(_MOST_SILENCE_S, max(_MIN_SILENCE_S, pauses_s))
+
     async def _start(self, head: ReplyHead) -> None:
         call, parts = self._call, self._parts
         parts.metrics.count_answer(call.route.kind.value, head.status, call.age_s)
--- a/cleatlink/relay/stream_test.py
+++ b/cleatlink/relay/stream_test.py
@@ -161,3 +161,22 @@
         reply = await fleet.caller().ask("/stream/x", "POST", body=b"p", headers=STREAM)
         assert reply.status == 503
         assert prefill.arrivals == []
+
+
+async def test_silent_worker_is_left_by_the_routes_own_pauses() -> None:
+    async with open_fleet() as fleet:
+        prefill, first, second = engines()
+        await start(fleet, prefill, first, second)
+        fleet.add_route(
+            "/quick/", "streaming", "model", attempts=2, resumable=True, gap_target_ms=100
+        )
+        fleet.configure()
+        await fleet.until(lambda: fleet.instances[0].records.table_revision == 7)
+        for worker in (first, second):
+            # Silent after its second event, until it is forgotten.
+            worker.silent_from = 3
+        caller = fleet.caller()
+        began_at = trio.current_time()
+        await caller.send("/quick/x", "POST", body=b"prompt", headers=STREAM)
+        await fleet.until(lambda: bool(first.runs and second.runs), 1.2)
+        assert trio.current_time() - began_at > 0.4
--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -59,6 +59,7 @@
         self.work_s = 0.01
         self.events = 5
         self.event_s = 0.005
+        self.silent_from: int | None = None
         self.faults: list[Fault] = []
         self.runs: list[Run] = []
         self.arrivals: list[RawCall] = []
@@ -232,6 +233,8 @@
             await stream.send_all(("\r\n".join(lines) + "\r\n\r\n").encode())
             for number in range(first, self.events + 1):
                 await trio.sleep(self.event_time_s(run.request))
+                if number == self.silent_from:
+                    await trio.sleep_forever()
                 event = b"id: %d\ndata: %s %d\n\n" % (number, run.request.encode(), number)
                 if fault is Fault.CUT and number == self.events // 2 + 1:
                     await stream.send_all(chunk(event[:7]))
