A safe call stays longer with an endpoint where all calls take long

Ruled out: uneven load (busiest to mean 1.00), the retry budget (54 refusals). Change: the patience is at least three times what calls of the service took lately. Test: a service that needs 0.3 s got more than one run a call and a 502 before.

--- a/cleatlink/relay/plain.py
+++ b/cleatlink/relay/plain.py
@@ -24,6 +24,8 @@
 # A safe call leaves a silent endpoint after this share of the route's target.
 _PATIENCE = 0.6
 _MIN_PATIENCE_S = 0.15
+# It stays for longer where all calls take long: sent again, they would take longer still.
+_USUAL_FACTOR = 3.0
 _EXPECTED_S = 0.1
 _RETRY_AFTER_S = 0.5
 
@@ -70,13 +72,19 @@
         """
         call, parts = self._call, self._parts
         key = f"{call.inbound.request_id}/{call.sends}"
-        ends_at = trio.current_time() + _EXPECTED_S
+        began_at = trio.current_time()
+        ends_at = began_at + _EXPECTED_S
         parts.capacity.reserve(key, Reservation(endpoint.name, Role.PLAIN, 0, ends_at))
         try:
             with trio.fail_after(self._patience_s()):
                 answer = await self._exchange(endpoint)
+        except trio.TooSlowError:
+            parts.capacity.note_plain_time(call.service.name, trio.current_time() - began_at)
+            raise
         finally:
             parts.capacity.release(key)
+        if not parts.protocol.not_run(answer.head):
+            parts.capacity.note_plain_time(call.service.name, trio.current_time() - began_at)
         return self._judge(endpoint, answer)
 
     def _patience_s(self) -> float:
@@ -84,7 +92,8 @@
         call = self._call
         if not call.repeatable or call.sends + 1 >= call.route.max_attempts:
             return max(0.0, call.left_s)
-        return max(_MIN_PATIENCE_S, _PATIENCE * call.route.target_s)
+        usual_s = _USUAL_FACTOR * self._parts.capacity.plain_time_s(call.service.name)
+        return max(_MIN_PATIENCE_S, _PATIENCE * call.route.target_s, usual_s)
 
     async def _exchange(self, endpoint: RoutedEndpoint) -> Reply:
         call, parts = self._call, self._parts
--- a/cleatlink/relay/plain_test.py
+++ b/cleatlink/relay/plain_test.py
@@ -197,3 +197,30 @@
             patch.setattr("cleatlink.relay.plain.place_plain", fail)
             assert (await fleet.caller().ask("/safe/x")).status == 500
         assert (await fleet.caller().ask("/safe/x")).status == 200
+
+
+async def test_slow_service_is_not_asked_twice() -> None:
+    async with open_fleet() as fleet:
+        first, second = Worker("plain"), Worker("plain")
+        first.work_s = second.work_s = 0.3
+        await start(fleet, first, second)
+        caller = fleet.caller()
+        # The first safe call leaves a worker after 0.24 s; later ones know better.
+        for _ in range(8):
+            assert (await caller.ask("/safe/x")).status == 200
+        assert len(first.runs) + len(second.runs) <= 10
+
+
+async def test_silent_worker_is_still_left_where_calls_are_quick() -> None:
+    async with open_fleet() as fleet:
+        first, second = Worker("plain"), Worker("plain")
+        await start(fleet, first, second)
+        caller = fleet.caller()
+        for _ in range(5):
+            await caller.ask("/safe/x")
+        first.faults, second.faults = [Fault.MUTE], []
+        first.work_s = second.work_s = 0.01
+        for _ in range(4):
+            began_at = trio.current_time()
+            assert (await caller.ask("/safe/x")).status == 200
+            assert trio.current_time() - began_at < 0.35
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -25,6 +25,7 @@
 # First guess, and how fast measurements replace it.
 _PREFILL_TOKEN_S = 0.00002
 _LEARN = 0.1
+_LEARN_PLAIN = 0.2
 _MOST_STRETCH = 4.0
 
 
@@ -92,6 +93,7 @@
         self._meters: dict[str, DemandMeter] = {}
         self._prefill_token_s = _PREFILL_TOKEN_S
         self._stretch = 1.0
+        self._plain_s: dict[str, float] = {}
 
     @property
     def prefill_token_s(self) -> float:
@@ -114,6 +116,15 @@
             ratio = min(_MOST_STRETCH, seconds / expected_s)
             self._stretch += _LEARN * (ratio - self._stretch)
 
+    def note_plain_time(self, service: str, seconds: float) -> None:
+        """Learn from a plain call that was answered, or left after so long."""
+        before = self._plain_s.get(service, seconds)
+        self._plain_s[service] = before + _LEARN_PLAIN * (seconds - before)
+
+    def plain_time_s(self, service: str) -> float:
+        """Give how long plain calls of a service took lately; 0 before the first."""
+        return self._plain_s.get(service, 0.0)
+
     def note_demand(self, reservation: Reservation, traits: EngineTraits, now: float) -> None:
         """Count placed work as demand on its service."""
         endpoint = self._endpoints.get(reservation.endpoint)
