Instances of a data centre tell each other what they failed to reach

Ruled out: trust in registrations (they lag 3.6 s by design); longer avoidance by each alone (a request in three seconds tells too little). Change: a failure to connect is told at once to the peers of the same data centre, once in 0.4 s for an endpoint; two of them within a second keep a third away for 0.8 s, unless it was answered by that endpoint in the last 0.5 s.

--- a/cleatlink/relay/call.py
+++ b/cleatlink/relay/call.py
@@ -8,7 +8,7 @@
 import trio
 
 from cleatlink.core.data import Ran, Refusal
-from cleatlink.core.errors import EndpointRefusedError, ErrorKind
+from cleatlink.core.errors import EndpointRefusedError, EndpointUnreachableError, ErrorKind
 from cleatlink.core.routes import Inbound, Route, RoutedEndpoint, RoutedService, RouteKind
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.pool import ConnectionPool
@@ -37,6 +37,7 @@
         budget: Gives the retry budget of a service.
         members: Gives how many instances may share a budget.
         on_work: To be called when own reservations changed, with their keys.
+        on_unreached: To be called with an endpoint that could not be reached.
         spawn: Runs what must go on although its caller has gone.
     """
 
@@ -49,6 +50,7 @@
     budget: Callable[[str], SharedRetryBudget]
     members: Callable[[], int]
     on_work: Callable[..., None]
+    on_unreached: Callable[[str], None]
     spawn: Callable[..., None]
 
 
@@ -148,6 +150,8 @@
         self.excluded.add(endpoint.name)
         if not isinstance(error, EndpointRefusedError):
             self._parts.capacity.note_failure(endpoint.name, trio.current_time())
+        if isinstance(error, EndpointUnreachableError):
+            self._parts.on_unreached(endpoint.name)
 
     def log(self, outcome: str, **fields: object) -> None:
         """Log a decision about this call."""
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -73,6 +73,7 @@
             self._budget,
             self._members,
             self._note_work,
+            self._tell_unreached,
             self._spawn,
         )
         self._service = RelayService(self._parts)
@@ -255,6 +256,9 @@
     def _note_work(self, *keys: str) -> None:
         self._peers.note_work(*keys)
 
+    def _tell_unreached(self, endpoint: str) -> None:
+        self._peers.tell_unreached(endpoint)
+
     def _offer_room(self) -> None:
         self._service.room.offer()
 
--- a/cleatlink/relay/peer_messages.py
+++ b/cleatlink/relay/peer_messages.py
@@ -12,6 +12,7 @@
     "Message",
     "Roster",
     "Snapshot",
+    "Unreached",
     "WorkItem",
     "decode_datagram",
     "encode",
@@ -46,6 +47,7 @@
     Attributes:
         name: Sender.
         incarnation: Grows with each start of the sender.
+        data_centre: Sender's data centre.
         address: Where the sender hears peers.
         leaving: Whether the sender is stopping.
         table: Revision of the route table in force there.
@@ -59,6 +61,7 @@
 
     name: str
     incarnation: int
+    data_centre: str
     address: str
     leaving: bool
     table: int
@@ -93,6 +96,13 @@
     over: list[str]
 
 
+class Unreached(msgspec.Struct, array_like=True, frozen=True, tag="u"):
+    """An endpoint that an instance failed to reach, told in its own data centre."""
+
+    name: str
+    endpoint: str
+
+
 class Snapshot(msgspec.Struct, array_like=True, frozen=True):
     """All that an instance knows, for a peer that knows less."""
 
@@ -101,7 +111,7 @@
     revision: int
 
 
-Message = Beat | Changes | Roster
+Message = Beat | Changes | Roster | Unreached
 _DECODER = msgspec.msgpack.Decoder(Message)
 
 
--- a/cleatlink/relay/peers.py
+++ b/cleatlink/relay/peers.py
@@ -7,6 +7,7 @@
 configuration service turns away keeps up with the others.
 """
 
+import math
 import random
 import socket
 from collections.abc import Callable, Iterable, Set
@@ -29,6 +30,7 @@
     Message,
     Roster,
     Snapshot,
+    Unreached,
     WorkItem,
     decode_datagram,
     encode,
@@ -37,6 +39,7 @@
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.relay.sockets import bind
 from cleatlink.routing.capacity import Capacity, Reservation
+from cleatlink.routing.reachability import ReachabilityHints
 
 __all__ = ["SILENCE_S", "KnownState", "PeerGroup", "PeerHooks"]
 
@@ -59,6 +62,8 @@
 _HEAR_OF_IT_S = 0.15
 _ASK_PEER_S = 0.2
 _WORK_SLACK_S = 2.0
+# An endpoint that is still not reached is told of again after so long.
+_TELL_AGAIN_S = 0.4
 _SNAPSHOT_PATH = b"/snapshot"
 
 
@@ -131,6 +136,8 @@
         self._changed: set[str] = set()
         self._wake = trio.Event()
         self._fetching = False
+        self._hints = ReachabilityHints()
+        self._told_unreached: dict[str, float] = {}
         self._most_members = 1
         self._rng = random.Random(incarnation)
         # Instances that peers told of, with the time at which others left.
@@ -209,6 +216,7 @@
         beat = Beat(
             self._settings.name,
             self._incarnation,
+            self._settings.data_centre,
             self._address,
             state.leaving,
             state.table,
@@ -306,6 +314,8 @@
                 self._take_beat(message)
             elif isinstance(message, Changes):
                 self._take_changes(message)
+            elif isinstance(message, Unreached):
+                self._take_unreached(message)
             elif isinstance(message, Roster):
                 self._take_roster(message)
             else:
@@ -359,6 +369,22 @@
             if member.address and member.address not in self._addresses:
                 self._addresses[member.address] = now
 
+    def tell_unreached(self, endpoint: str) -> None:
+        """Tell peers of this data centre that an endpoint was not reached."""
+        now = trio.current_time()
+        if now - self._told_unreached.get(endpoint, -math.inf) < _TELL_AGAIN_S:
+            return
+        self._told_unreached[endpoint] = now
+        here = self._settings.data_centre
+        near = [peer.address for peer in self._peers.values() if peer.beat.data_centre == here]
+        self._send(Unreached(self._settings.name, endpoint), near)
+
+    def _take_unreached(self, message: Unreached) -> None:
+        self._metrics.count_message("unreached")
+        now = trio.current_time()
+        if self._hints.note(message.endpoint, message.name, now):
+            self._capacity.note_unreached_by_peers(message.endpoint, now)
+
     def _take_changes(self, changes: Changes) -> None:
         known = self._peers.get(changes.name)
         if known is None or known.beat.incarnation != changes.incarnation:
--- a/cleatlink/relay/peers_test.py
+++ b/cleatlink/relay/peers_test.py
@@ -7,7 +7,15 @@
 
 from cleatlink.core.address import Address, parse_address
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.peer_messages import Beat, Member, Message, Roster, decode_datagram, encode
+from cleatlink.relay.peer_messages import (
+    Beat,
+    Member,
+    Message,
+    Roster,
+    Unreached,
+    decode_datagram,
+    encode,
+)
 from cleatlink.relay.peers import KnownState, PeerGroup, PeerHooks
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.relay.tasks import Task
@@ -54,8 +62,10 @@
         listener.close()
 
 
-def beat(name: str, address: str, *, leaving: bool = False, members: int = 1) -> Beat:
-    return Beat(name, 1, address, leaving, 0, 0, [], 0, {}, "", members)
+def beat(
+    name: str, address: str, *, leaving: bool = False, members: int = 1, data_centre: str = "a"
+) -> Beat:
+    return Beat(name, 1, data_centre, address, leaving, 0, 0, [], 0, {}, "", members)
 
 
 @asynccontextmanager
@@ -151,3 +161,21 @@
             await trio.sleep(0.1)
             assert group.hearing().members == 7
             nursery.cancel_scope.cancel()
+
+
+async def test_endpoint_that_was_not_reached_is_told_in_the_data_centre_alone() -> None:
+    async with trio.open_nursery() as nursery:
+        near, far = Listener(), Listener()
+        for listener in (near, far):
+            await listener.start(nursery)
+            nursery.start_soon(close_at_the_end, listener)
+        async with open_group(nursery, "n1") as group:
+            await near.tell(group.listen, beat("n2", near.address))
+            await far.tell(group.listen, beat("n3", far.address, data_centre="b"))
+            await trio.sleep(0.1)
+            for _ in range(5):
+                group.tell_unreached("e1")
+            await trio.sleep(0.1)
+            assert len(near.sizes[Unreached]) == 1
+            assert Unreached not in far.sizes
+            nursery.cancel_scope.cancel()
--- a/cleatlink/relay/plain.py
+++ b/cleatlink/relay/plain.py
@@ -121,7 +121,7 @@
             self._failed = answer
             call.excluded.add(endpoint.name)
             return None
-        parts.capacity.note_success(endpoint.name)
+        parts.capacity.note_success(endpoint.name, trio.current_time())
         return answer
 
     def _note_refusal(self, endpoint: RoutedEndpoint, head: ReplyHead) -> None:
--- a/cleatlink/relay/prefill.py
+++ b/cleatlink/relay/prefill.py
@@ -119,7 +119,7 @@
             parts.metrics.observe_prefill(taken_s)
             if not queued:
                 parts.capacity.note_prefill_time(tokens, taken_s)
-            parts.capacity.note_success(endpoint.name)
+            parts.capacity.note_success(endpoint.name, trio.current_time())
         finally:
             parts.capacity.release(key)
             parts.on_work(key)
--- a/cleatlink/relay/stream.py
+++ b/cleatlink/relay/stream.py
@@ -183,7 +183,7 @@
             taken_s = trio.current_time() - began_at
             parts.capacity.note_stream_time(self._room.expected_s, taken_s)
         parts.pool.give_back(endpoint, connection)
-        parts.capacity.note_success(endpoint.name)
+        parts.capacity.note_success(endpoint.name, trio.current_time())
         return StreamEnd(whole=True)
 
     def _can_move(self) -> bool:
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -6,6 +6,7 @@
 health checks, decide whether an endpoint is avoided for a while.
 """
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -22,6 +23,9 @@
 _FULL_AVOID_S = 0.15
 # Failures in a row after which an endpoint counts as out of reach.
 _OUT_OF_REACH_FAILURES = 3
+# What peers could not reach is avoided for so long, unless it answered here just now.
+_HINT_S = 0.8
+_REACHED_S = 0.5
 # First guess, and how fast measurements replace it.
 _PREFILL_TOKEN_S = 0.00002
 _LEARN = 0.1
@@ -69,10 +73,11 @@
 class _Outcomes:
     """What calls to one endpoint came to lately."""
 
-    __slots__ = ("avoid_until", "failures", "full_until")
+    __slots__ = ("avoid_until", "failures", "full_until", "succeeded_at")
 
     def __init__(self) -> None:
         self.failures = 0
+        self.succeeded_at = -math.inf
         self.avoid_until = 0.0
         self.full_until = 0.0
 
@@ -192,12 +197,18 @@
         """Note an endpoint's own word that it takes no new work."""
         self._leaving.add(name)
 
-    def note_success(self, name: str) -> None:
+    def note_success(self, name: str, now: float) -> None:
         """Note that an endpoint did what it was asked."""
-        outcomes = self._outcomes.get(name)
-        if outcomes is not None:
-            outcomes.failures = max(0, outcomes.failures - 1)
-            outcomes.avoid_until = 0.0
+        outcomes = self._outcomes.setdefault(name, _Outcomes())
+        outcomes.failures = max(0, outcomes.failures - 1)
+        outcomes.avoid_until = 0.0
+        outcomes.succeeded_at = now
+
+    def note_unreached_by_peers(self, name: str, now: float) -> None:
+        """Note that peers that share this instance's links can't reach an endpoint."""
+        outcomes = self._outcomes.setdefault(name, _Outcomes())
+        if now - outcomes.succeeded_at > _REACHED_S:
+            outcomes.avoid_until = max(outcomes.avoid_until, now + _HINT_S)
 
     def note_failure(self, name: str, now: float) -> None:
         """Note that an endpoint failed; it is avoided for a while."""
--- a/cleatlink/routing/relay_parts_test.py
+++ b/cleatlink/routing/relay_parts_test.py
@@ -156,7 +156,7 @@
     assert len(capacity.candidates("s", Role.PLAIN, 1.5)) == 1
     capacity.note_leaving("y")
     assert [item.name for item in capacity.candidates("s", Role.PLAIN, 1.5)] == ["x"]
-    capacity.note_success("x")
+    capacity.note_success("x", 2.0)
     capacity.remove_endpoint("x")
     assert place_plain("s", capacity, seeker(9.0)) is None
 
