--- a/cleatlink/relay/follower.py
+++ b/cleatlink/relay/follower.py
@@ -27,7 +27,7 @@
 _PEERS_A_WATCH = 8
 _PROBE_S = 0.05
 # Changes come in groups: what follows one so soon is told by the same call.
-_GATHER_S = 0.15
+_GATHER_S = 0.25
 # Removals seen so soon after the source was found again are in doubt.
 _DOUBT_S = 0.5
 # They are in doubt for this share of the time in which an endpoint that left must
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -10,12 +10,13 @@
 from cleatlink.core.errors import ListenError
 from cleatlink.core.routes import RoutedEndpoint, RouteTable
 from cleatlink.relay.call import RelayParts
+from cleatlink.relay.catch_up import KnownState
 from cleatlink.relay.follower import Follower, FollowerHooks
 from cleatlink.relay.logs import LineWriter
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.orders import RoleKeeper
 from cleatlink.relay.peer_messages import Snapshot, encode
-from cleatlink.relay.peers import KnownState, PeerGroup, PeerHooks
+from cleatlink.relay.peers import PeerGroup, PeerHooks
 from cleatlink.relay.pool import ConnectionPool
 from cleatlink.relay.protocol import Protocol
 from cleatlink.relay.server import Handler, serve_connections
--- a/cleatlink/relay/peer_messages.py
+++ b/cleatlink/relay/peer_messages.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
+from cleatlink.core.data import Role
 from cleatlink.core.routes import RouteTable
+from cleatlink.routing.capacity import Reservation
 from cleatlink.routing.fleet_records import EndpointRecord
 
 __all__ = [
@@ -40,6 +42,22 @@
     duration_s: float
     grows: int
 
+    @classmethod
+    def of(cls, key: str, work: Reservation, now: float) -> "WorkItem":
+        """Describe a reservation."""
+        left_s = round(work.ends_at - now, 3)
+        duration_s = round(work.duration_s, 3)
+        return cls(key, work.endpoint, work.role.value, work.tokens, left_s, duration_s, work.grows)
+
+    def reservation(self, now: float) -> Reservation:
+        """Give it as a reservation; a role that is not known counts as plain."""
+        try:
+            role = Role(self.role)
+        except ValueError:
+            role = Role.PLAIN
+        ends_at = now + self.left_s
+        return Reservation(self.endpoint, role, self.tokens, ends_at, self.duration_s, self.grows)
+
 
 class Beat(msgspec.Struct, array_like=True, frozen=True, tag="b"):
     """An instance's heartbeat; it goes to every peer and has to stay small.
--- a/cleatlink/relay/peers.py
+++ b/cleatlink/relay/peers.py
@@ -14,14 +14,12 @@
 from typing import NamedTuple
 
 import eliot
-import msgspec
 import trio
 
 from cleatlink.core.address import Address
 from cleatlink.core.data import Role
-from cleatlink.core.errors import EndpointError
 from cleatlink.members.leadership import Hearing
-from cleatlink.relay.connection import EndpointConnection
+from cleatlink.relay.catch_up import CatchUp, KnownState
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peer_messages import (
     Beat,
@@ -35,13 +33,12 @@
     decode_datagram,
     encode,
 )
-from cleatlink.relay.protocol import OutgoingRequest
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.relay.sockets import bind
 from cleatlink.routing.capacity import Capacity, Reservation
 from cleatlink.routing.reachability import ReachabilityHints
 
-__all__ = ["SILENCE_S", "KnownState", "PeerGroup", "PeerHooks"]
+__all__ = ["SILENCE_S", "PeerGroup", "PeerHooks"]
 
 # A peer that was silent for so long counts as gone for the choice of a leader.
 SILENCE_S = 2.5
@@ -56,33 +53,9 @@
 # Peers that get a roster with each heartbeat.
 _ROSTERS = 3
 _MOST_BYTES = 60_000
-_FETCH_S = 1.0
-_FETCH_BYTES = 64_000_000
-# Pauses before the configuration service is asked for what a peer knows, and the peer.
-_HEAR_OF_IT_S = 0.15
-_ASK_PEER_S = 0.2
 _WORK_SLACK_S = 2.0
 # An endpoint that is still not reached is told of again after so long.
 _TELL_AGAIN_S = 0.4
-_SNAPSHOT_PATH = b"/snapshot"
-
-
-class KnownState(NamedTuple):
-    """What an instance tells of itself.
-
-    Attributes:
-        leaving: Whether it is stopping.
-        table: Revision of its route table.
-        newest: Revision of the newest registration that it knows.
-    """
-
-    leaving: bool
-    table: int
-    newest: int
-
-    def is_behind(self, beat: Beat) -> bool:
-        """Tell whether a peer knows something newer."""
-        return beat.table > self.table or beat.newest > self.newest
 
 
 class PeerHooks(NamedTuple):
@@ -96,7 +69,7 @@
         on_placed: Told of each piece of work that a peer placed.
     """
 
-    state: Callable[[], "KnownState"]
+    state: Callable[[], KnownState]
     look_again: Callable[[], None]
     on_snapshot: Callable[[Snapshot], None]
     on_work: Callable[[], None]
@@ -135,7 +108,6 @@
         self._addresses: dict[str, float] = {}
         self._changed: set[str] = set()
         self._wake = trio.Event()
-        self._fetching = False
         self._hints = ReachabilityHints()
         self._told_unreached: dict[str, float] = {}
         self._most_members = 1
@@ -143,6 +115,9 @@
         # Instances that peers told of, with the time at which others left.
         self._told: set[str] = set()
         self._left: dict[str, float] = {}
+        self._catch_up = CatchUp(
+            hooks.state, hooks.look_again, hooks.on_snapshot, metrics, self._rng
+        )
         self.fence = 0
         self.vote = ""
         self.members: Set[str] = frozenset({settings.name})
@@ -221,7 +196,7 @@
             state.leaving,
             state.table,
             state.newest,
-            [_describe(key, item, now) for key, item in self._shared_work()],
+            [WorkItem.of(key, item, now) for key, item in self._shared_work()],
             self.fence,
             {name: round(left, 2) for name, left in self._capacity.switching(now).items()},
             self.vote,
@@ -275,7 +250,7 @@
             changed, self._changed = self._changed, set()
             now = trio.current_time()
             own = self._capacity.own
-            placed = [_describe(key, own[key], now) for key in sorted(changed) if key in own]
+            placed = [WorkItem.of(key, own[key], now) for key in sorted(changed) if key in own]
             over = [key for key in sorted(changed) if key not in own]
             changes = Changes(self._settings.name, self._incarnation, placed, over)
             self._send(changes, self._addresses)
@@ -341,14 +316,12 @@
         self.fence = max(self.fence, beat.fence)
         for endpoint, left_s in beat.switching.items():
             self._capacity.note_switching(endpoint, now + left_s)
-        work = {item.key: _reservation(item, now) for item in beat.work}
+        work = {item.key: item.reservation(now) for item in beat.work}
         for key, item in work.items():
             self._note_placed(beat.name, key, item)
         self._capacity.peer_replace(beat.name, work)
         self._hooks.on_work()
-        if self._hooks.state().is_behind(beat) and not self._fetching:
-            self._fetching = True
-            self._spawn(self._catch_up, beat)
+        self._catch_up.note(beat, self._spawn)
 
     def _note_presence(self, beat: Beat, now: float) -> None:
         """Note whether a peer stays or leaves, by its own word."""
@@ -391,7 +364,7 @@
             return
         now = trio.current_time()
         for item in changes.placed:
-            work = _reservation(item, now)
+            work = item.reservation(now)
             self._note_placed(changes.name, item.key, work)
             self._capacity.peer_reserve(changes.name, item.key, work)
         for key in changes.over:
@@ -402,64 +375,6 @@
         if not self._capacity.knows(peer, key):
             self._hooks.on_placed(item)
 
-    async def _catch_up(self, beat: Beat) -> None:
-        """Learn what a peer knows if this instance does not hear of it soon.
-
-        The configuration service is asked first: it may have lost a wait of this
-        instance, and it bears all instances at once better than a peer does.
-        """
-        try:
-            await trio.sleep(_HEAR_OF_IT_S)
-            if not self._hooks.state().is_behind(beat):
-                return
-            self._hooks.look_again()
-            await trio.sleep(_ASK_PEER_S * (1 + self._rng.random()))
-            if self._hooks.state().is_behind(beat):
-                await self._fetch(beat)
-        finally:
-            self._fetching = False
-
-    async def _fetch(self, beat: Beat) -> None:
-        try:
-            with trio.move_on_after(_FETCH_S):
-                body = await self._ask(beat.address)
-                self._hooks.on_snapshot(msgspec.msgpack.decode(body, type=Snapshot))
-                self._metrics.count_message("snapshot")
-                eliot.log_message(
-                    message_type="peers: took what a peer knows",
-                    peer=beat.name,
-                    table=beat.table,
-                    newest=beat.newest,
-                )
-        except (EndpointError, msgspec.MsgspecError) as error:
-            eliot.log_message(message_type="peers: can't fetch", peer=beat.name, error=repr(error))
-
-    async def _ask(self, address: str) -> bytes:
-        connection = await EndpointConnection.open(address, _FETCH_S, _FETCH_S)
-        try:
-            headers = ((b"Host", address.encode()),)
-            await connection.exchange(OutgoingRequest(b"GET", _SNAPSHOT_PATH, headers, b""))
-            return await connection.read_body(_FETCH_BYTES)
-        finally:
-            connection.close()
-
 
 def _drop_task(*_: object) -> None:
     """Stand for a nursery before the start."""
-
-
-def _describe(key: str, item: Reservation, now: float) -> WorkItem:
-    left_s = round(item.ends_at - now, 3)
-    duration_s = round(item.duration_s, 3)
-    return WorkItem(
-        key, item.endpoint, item.role.value, item.tokens, left_s, duration_s, item.grows
-    )
-
-
-def _reservation(item: WorkItem, now: float) -> Reservation:
-    try:
-        role = Role(item.role)
-    except ValueError:
-        role = Role.PLAIN
-    ends_at = now + item.left_s
-    return Reservation(item.endpoint, role, item.tokens, ends_at, item.duration_s, item.grows)
--- a/cleatlink/relay/peers_test.py
+++ b/cleatlink/relay/peers_test.py
@@ -6,6 +6,7 @@
 import trio
 
 from cleatlink.core.address import Address, parse_address
+from cleatlink.relay.catch_up import KnownState
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peer_messages import (
     Beat,
@@ -16,7 +17,7 @@
     decode_datagram,
     encode,
 )
-from cleatlink.relay.peers import KnownState, PeerGroup, PeerHooks
+from cleatlink.relay.peers import PeerGroup, PeerHooks
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.relay.tasks import Task
 from cleatlink.routing.capacity import Capacity
