Trial: instances tell each other of slow engines; changes gather longer in larger fleets

The sixty calls to the store that a change costs are per instance, so the pause after it follows their number; a fixed 0.25 s made test_draining_worker_gets_nothing_new fail, which wants 0.2 s in a small fleet. Ruled out: the processor of the instances (0.047 of a core). Change: a pause beyond the route's, or a prefill that took 2.5 times what was expected, is told to all; two that agree keep new work away for 2.5 s.

--- a/cleatlink/relay/call.py
+++ b/cleatlink/relay/call.py
@@ -11,6 +11,7 @@
 from cleatlink.core.errors import EndpointRefusedError, EndpointUnreachableError, ErrorKind
 from cleatlink.core.routes import Inbound, Route, RoutedEndpoint, RoutedService, RouteKind
 from cleatlink.relay.metrics import RelayMetrics
+from cleatlink.relay.peer_messages import HintKind
 from cleatlink.relay.pool import ConnectionPool
 from cleatlink.relay.protocol import Protocol
 from cleatlink.request.shared_budget import SharedRetryBudget
@@ -37,7 +38,7 @@
         budget: Gives the retry budget of a service.
         members: Gives how many instances may share a budget.
         on_work: To be called when own reservations changed, with their keys.
-        on_unreached: To be called with an endpoint that could not be reached.
+        on_hint: To be called with an endpoint that was slow or out of reach.
         spawn: Runs what must go on although its caller has gone.
     """
 
@@ -50,7 +51,7 @@
     budget: Callable[[str], SharedRetryBudget]
     members: Callable[[], int]
     on_work: Callable[..., None]
-    on_unreached: Callable[[str], None]
+    on_hint: Callable[[str, HintKind], None]
     spawn: Callable[..., None]
 
 
@@ -151,7 +152,12 @@
         if not isinstance(error, EndpointRefusedError):
             self._parts.capacity.note_failure(endpoint.name, trio.current_time())
         if isinstance(error, EndpointUnreachableError):
-            self._parts.on_unreached(endpoint.name)
+            self._parts.on_hint(endpoint.name, HintKind.UNREACHED)
+
+    def note_slow(self, endpoint: RoutedEndpoint, seconds: float) -> None:
+        """Note that an endpoint took much longer than it should."""
+        self.log("found an endpoint slow", endpoint=endpoint.name, took_ms=int(1000 * seconds))
+        self._parts.on_hint(endpoint.name, HintKind.SLOW)
 
     def log(self, outcome: str, **fields: object) -> None:
         """Log a decision about this call."""
--- a/cleatlink/relay/follower.py
+++ b/cleatlink/relay/follower.py
@@ -26,8 +26,10 @@
 _MOST_WATCH_S = 6.0
 _PEERS_A_WATCH = 8
 _PROBE_S = 0.05
-# Changes come in groups: what follows one so soon is told by the same call.
+# Changes come in groups, and each ends a wait of every instance: the more there are,
+# the longer each lets changes gather before it asks again.
 _GATHER_S = 0.25
+_GATHERING_INSTANCES = 50
 # Removals seen so soon after the source was found again are in doubt.
 _DOUBT_S = 0.5
 # They are in doubt for this share of the time in which an endpoint that left must
@@ -112,7 +114,8 @@
             whole = False
             self._take_change(change)
             if change.table is not None or change.records:
-                await trio.sleep(_GATHER_S)
+                share = min(1.0, self._hooks.members() / _GATHERING_INSTANCES)
+                await trio.sleep(_GATHER_S * share)
 
     def look_again(self) -> None:
         """End a wait for changes, which the other side may have forgotten, and ask anew."""
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -15,7 +15,7 @@
 from cleatlink.relay.logs import LineWriter
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.orders import RoleKeeper
-from cleatlink.relay.peer_messages import Snapshot, encode
+from cleatlink.relay.peer_messages import HintKind, Snapshot, encode
 from cleatlink.relay.peers import PeerGroup, PeerHooks
 from cleatlink.relay.pool import ConnectionPool
 from cleatlink.relay.protocol import Protocol
@@ -74,7 +74,7 @@
             self._budget,
             self._members,
             self._note_work,
-            self._tell_unreached,
+            self._tell_hint,
             self._spawn,
         )
         self._service = RelayService(self._parts)
@@ -257,8 +257,8 @@
     def _note_work(self, *keys: str) -> None:
         self._peers.note_work(*keys)
 
-    def _tell_unreached(self, endpoint: str) -> None:
-        self._peers.tell_unreached(endpoint)
+    def _tell_hint(self, endpoint: str, kind: HintKind) -> None:
+        self._peers.tell_hint(endpoint, kind)
 
     def _offer_room(self) -> None:
         self._service.room.offer()
--- a/cleatlink/relay/peer_messages.py
+++ b/cleatlink/relay/peer_messages.py
@@ -1,5 +1,7 @@
 """What instances tell each other: who is there, what they know, where they placed work."""
 
+from enum import StrEnum
+
 import msgspec
 
 from cleatlink.core.data import Role
@@ -10,11 +12,12 @@
 __all__ = [
     "Beat",
     "Changes",
+    "EndpointHint",
+    "HintKind",
     "Member",
     "Message",
     "Roster",
     "Snapshot",
-    "Unreached",
     "WorkItem",
     "decode_datagram",
     "encode",
@@ -114,11 +117,19 @@
     over: list[str]
 
 
-class Unreached(msgspec.Struct, array_like=True, frozen=True, tag="u"):
-    """An endpoint that an instance failed to reach, told in its own data centre."""
+class HintKind(StrEnum):
+    """What a hint says of an endpoint."""
+
+    UNREACHED = "unreached"
+    SLOW = "slow"
+
+
+class EndpointHint(msgspec.Struct, array_like=True, frozen=True, tag="h"):
+    """What an instance met at an endpoint that others should not have to meet too."""
 
     name: str
     endpoint: str
+    kind: HintKind
 
 
 class Snapshot(msgspec.Struct, array_like=True, frozen=True):
@@ -129,7 +140,7 @@
     revision: int
 
 
-Message = Beat | Changes | Roster | Unreached
+Message = Beat | Changes | Roster | EndpointHint
 _DECODER = msgspec.msgpack.Decoder(Message)
 
 
--- a/cleatlink/relay/peers.py
+++ b/cleatlink/relay/peers.py
@@ -24,11 +24,12 @@
 from cleatlink.relay.peer_messages import (
     Beat,
     Changes,
+    EndpointHint,
+    HintKind,
     Member,
     Message,
     Roster,
     Snapshot,
-    Unreached,
     WorkItem,
     decode_datagram,
     encode,
@@ -36,7 +37,7 @@
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.relay.sockets import bind
 from cleatlink.routing.capacity import Capacity, Reservation
-from cleatlink.routing.reachability import ReachabilityHints
+from cleatlink.routing.shared_hints import SharedHints
 
 __all__ = ["SILENCE_S", "PeerGroup", "PeerHooks"]
 
@@ -56,6 +57,9 @@
 _WORK_SLACK_S = 2.0
 # An endpoint that is still not reached is told of again after so long.
 _TELL_AGAIN_S = 0.4
+# Reports of peers have to come within so long of each other.
+_UNREACHED_S = 1.0
+_SLOW_S = 3.0
 
 
 class PeerHooks(NamedTuple):
@@ -108,8 +112,11 @@
         self._addresses: dict[str, float] = {}
         self._changed: set[str] = set()
         self._wake = trio.Event()
-        self._hints = ReachabilityHints()
-        self._told_unreached: dict[str, float] = {}
+        self._hints = {
+            HintKind.UNREACHED: SharedHints(_UNREACHED_S),
+            HintKind.SLOW: SharedHints(_SLOW_S),
+        }
+        self._told_hints: dict[tuple[str, HintKind], float] = {}
         self._most_members = 1
         self._rng = random.Random(incarnation)
         # Instances that peers told of, with the time at which others left.
@@ -289,8 +296,8 @@
                 self._take_beat(message)
             elif isinstance(message, Changes):
                 self._take_changes(message)
-            elif isinstance(message, Unreached):
-                self._take_unreached(message)
+            elif isinstance(message, EndpointHint):
+                self._take_hint(message)
             elif isinstance(message, Roster):
                 self._take_roster(message)
             else:
@@ -342,21 +349,30 @@
             if member.address and member.address not in self._addresses:
                 self._addresses[member.address] = now
 
-    def tell_unreached(self, endpoint: str) -> None:
-        """Tell peers of this data centre that an endpoint was not reached."""
+    def tell_hint(self, endpoint: str, kind: HintKind) -> None:
+        """Tell peers of an endpoint that was slow, or in this data centre not reached."""
         now = trio.current_time()
-        if now - self._told_unreached.get(endpoint, -math.inf) < _TELL_AGAIN_S:
+        if now - self._told_hints.get((endpoint, kind), -math.inf) < _TELL_AGAIN_S:
             return
-        self._told_unreached[endpoint] = now
+        self._told_hints[endpoint, kind] = now
         here = self._settings.data_centre
-        near = [peer.address for peer in self._peers.values() if peer.beat.data_centre == here]
-        self._send(Unreached(self._settings.name, endpoint), near)
+        addresses = [
+            peer.address
+            for peer in self._peers.values()
+            if kind is HintKind.SLOW or peer.beat.data_centre == here
+        ]
+        self._send(EndpointHint(self._settings.name, endpoint, kind), addresses)
+        self._take_hint(EndpointHint(self._settings.name, endpoint, kind))
 
-    def _take_unreached(self, message: Unreached) -> None:
-        self._metrics.count_message("unreached")
+    def _take_hint(self, hint: EndpointHint) -> None:
+        self._metrics.count_message(hint.kind.value)
         now = trio.current_time()
-        if self._hints.note(message.endpoint, message.name, now):
-            self._capacity.note_unreached_by_peers(message.endpoint, now)
+        if not self._hints[hint.kind].note(hint.endpoint, hint.name, now):
+            return
+        if hint.kind is HintKind.SLOW:
+            self._capacity.note_slow(hint.endpoint, now)
+        else:
+            self._capacity.note_unreached_by_peers(hint.endpoint, now)
 
     def _take_changes(self, changes: Changes) -> None:
         known = self._peers.get(changes.name)
--- a/cleatlink/relay/peers_test.py
+++ b/cleatlink/relay/peers_test.py
@@ -10,10 +10,11 @@
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peer_messages import (
     Beat,
+    EndpointHint,
+    HintKind,
     Member,
     Message,
     Roster,
-    Unreached,
     decode_datagram,
     encode,
 )
@@ -175,8 +176,11 @@
             await far.tell(group.listen, beat("n3", far.address, data_centre="b"))
             await trio.sleep(0.1)
             for _ in range(5):
-                group.tell_unreached("e1")
+                group.tell_hint("e1", HintKind.UNREACHED)
             await trio.sleep(0.1)
-            assert len(near.sizes[Unreached]) == 1
-            assert Unreached not in far.sizes
+            assert len(near.sizes[EndpointHint]) == 1
+            assert EndpointHint not in far.sizes
+            group.tell_hint("e1", HintKind.SLOW)
+            await trio.sleep(0.1)
+            assert (len(near.sizes[EndpointHint]), len(far.sizes[EndpointHint])) == (2, 1)
             nursery.cancel_scope.cancel()
--- a/cleatlink/relay/prefill.py
+++ b/cleatlink/relay/prefill.py
@@ -26,6 +26,9 @@
 # A prefill that is silent for this much longer than expected is left.
 _PREFILL_SLACK_S = 0.7
 _MOST_UNREACHABLE = 3
+# A prefill that took so much longer than expected is a slow endpoint's.
+_SLOW_FACTOR = 2.5
+_SLOW_BASE_S = 0.1
 # A handle is offered again while it surely lives.
 _HANDLE_SHARE = 0.7
 _FREE_TRIES = 3
@@ -117,6 +120,8 @@
                 self.handle = await self._ask_prefill(endpoint)
             taken_s = trio.current_time() - now
             parts.metrics.observe_prefill(taken_s)
+            if taken_s > _SLOW_FACTOR * expected_s + _SLOW_BASE_S:
+                call.note_slow(endpoint, taken_s)
             if not queued:
                 parts.capacity.note_prefill_time(tokens, taken_s)
             parts.capacity.note_success(endpoint.name, trio.current_time())
--- a/cleatlink/relay/stream.py
+++ b/cleatlink/relay/stream.py
@@ -1,5 +1,6 @@
 """Drives one model request: room, prefill, decode, and the stream to its end."""
 
+import math
 from typing import NamedTuple
 
 import trio
@@ -214,10 +215,14 @@
         """
         exchange, call = self._exchange, self._call
         self._cutter.restart()
+        heard_at = trio.current_time()
+        longest_s = 0.0
         while True:
             silence_s = self._silence_s() if self._can_move() else max(0.0, call.left_s)
             with trio.fail_after(silence_s):
                 chunk = await connection.read_chunk()
+            now = trio.current_time()
+            longest_s, heard_at = max(longest_s, now - heard_at), now
             if chunk is None:
                 break
             events = self._cutter.feed(chunk)
@@ -226,6 +231,9 @@
             if not exchange.started:
                 await self._start(head)
             await exchange.send(b"".join(event.data for event in events))
+            if longest_s > call.route.event_gap_s and self._room is not None:
+                call.note_slow(self._room.endpoint, longest_s)
+                longest_s = -math.inf
         if self._cutter.partial:
             raise StreamBrokenError("the stream ended within an event")
         if not exchange.started:
--- a/cleatlink/relay/stream_test.py
+++ b/cleatlink/relay/stream_test.py
@@ -180,3 +180,26 @@
         await caller.send("/quick/x", "POST", body=b"prompt", headers=STREAM)
         await fleet.until(lambda: bool(first.runs and second.runs), 1.2)
         assert trio.current_time() - began_at > 0.4
+
+
+async def test_slow_decode_is_told_of_and_gets_nothing_new() -> None:
+    async with open_fleet() as fleet:
+        prefill, first, second = engines()
+        await start(fleet, prefill, first, second)
+        fleet.start_instance()
+        fleet.add_route("/quick/", "streaming", "model", gap_target_ms=50)
+        version = fleet.configure()
+        await fleet.ready()
+        await fleet.until(
+            lambda: all(item.records.table_revision == version for item in fleet.instances)
+        )
+        await fleet.until(lambda: all(item._peers.alive == 2 for item in fleet.instances))
+        first.event_s = 0.1
+        # Each instance meets it once at the most; the two agree.
+        for number in (0, 1, 0, 1):
+            if not (first.runs and len(first.runs) > 1):
+                await fleet.caller(number).ask("/quick/x", "POST", body=b"p", headers=STREAM)
+        met = len(first.runs)
+        for number in (0, 1, 0, 1, 0, 1):
+            await fleet.caller(number).ask("/quick/x", "POST", body=b"p", headers=STREAM)
+        assert len(first.runs) <= met + 1
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -26,6 +26,8 @@
 # What peers could not reach is avoided for so long, unless it answered here just now.
 _HINT_S = 0.8
 _REACHED_S = 0.5
+# An endpoint that several instances found slow gets nothing new for so long.
+_SLOW_S = 2.5
 # First guess, and how fast measurements replace it.
 _PREFILL_TOKEN_S = 0.00002
 _LEARN = 0.1
@@ -73,13 +75,14 @@
 class _Outcomes:
     """What calls to one endpoint came to lately."""
 
-    __slots__ = ("avoid_until", "failures", "full_until", "succeeded_at")
+    __slots__ = ("avoid_until", "failures", "full_until", "slow_until", "succeeded_at")
 
     def __init__(self) -> None:
         self.failures = 0
         self.succeeded_at = -math.inf
         self.avoid_until = 0.0
         self.full_until = 0.0
+        self.slow_until = 0.0
 
 
 class Capacity:
@@ -217,6 +220,10 @@
         outcomes.failures += 1
         outcomes.avoid_until = now + avoid_s
 
+    def note_slow(self, name: str, now: float) -> None:
+        """Note that several instances found an endpoint slow."""
+        self._outcomes.setdefault(name, _Outcomes()).slow_until = now + _SLOW_S
+
     def note_full(self, name: str, now: float) -> None:
         """Note that an endpoint had no room just now."""
         self._outcomes.setdefault(name, _Outcomes()).full_until = now + _FULL_AVOID_S
@@ -252,7 +259,7 @@
 
     def _avoided(self, name: str, now: float) -> bool:
         outcomes = self._outcomes.get(name)
-        return outcomes is not None and now < outcomes.avoid_until
+        return outcomes is not None and now < max(outcomes.avoid_until, outcomes.slow_until)
 
     def reserve(self, key: str, reservation: Reservation) -> None:
         """Count work of this instance until it is released."""
