--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -202,7 +202,8 @@
     def reload(self, settings: RelaySettings) -> None:
         """Use settings that may change while running."""
         self._settings = settings
-        self._budgets.clear()
+        for budget in self._budgets.values():
+            budget.change(settings.retry_ratio, settings.retry_allowance, settings.retry_window_s)
         eliot.log_message(message_type="instance: reloads its settings", name=settings.name)
 
     async def _stop(self) -> None:
--- a/cleatlink/request/shared_budget.py
+++ b/cleatlink/request/shared_budget.py
@@ -23,6 +23,12 @@
         self._requests: deque[float] = deque()
         self._extras: deque[float] = deque()
 
+    def change(self, ratio: float, allowance: float, window_s: float) -> None:
+        """Use other bounds; what was counted stays counted."""
+        self._ratio = ratio
+        self._allowance = allowance
+        self._window_s = window_s
+
     def count_request(self, now: float) -> None:
         """Count a caller's request for the service."""
         self._requests.append(now)
