An engine that changes its role is waited for until its work is over; few instances gather no changes

An engine ends what it runs, up to 7 s of streams, before the change of 6 s; after 8 s the instances took it for a decode again and offered it prompts' streams that it refused. Ruled out: the leader (one throughout), the order (202), fences. Change: the time in which an engine counts as changing has the work that it has left.

--- a/cleatlink/relay/fleet_test.py
+++ b/cleatlink/relay/fleet_test.py
@@ -3,6 +3,8 @@
 import pytest
 import trio
 
+from cleatlink.core.data import Role
+from cleatlink.routing.capacity import Reservation
 from standins.relay import StoreMode, Worker
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import open_fleet
@@ -148,6 +150,22 @@
         assert prefill.orders == []
 
 
+async def test_engine_that_changes_its_role_ends_its_work_before() -> None:
+    async with open_fleet() as fleet:
+        prefill, decode = Worker("model", "prefill"), Worker("model", "decode")
+        await start(fleet, prefill, decode)
+        instance = fleet.instances[0]
+        await fleet.until(lambda: instance.leads, 10.0)
+        now = trio.current_time()
+        work = Reservation(prefill.name, Role.PREFILL, 100, now + 6.0, 6.0)
+        instance.capacity.reserve("long", work)
+        fleet.unregister(decode)
+        await fleet.until(lambda: bool(prefill.orders))
+        await trio.sleep(0.1)
+        left_s = instance.capacity.switching(trio.current_time())[prefill.name]
+        assert left_s > 6.0
+
+
 async def test_planned_stop_ends_in_time_whatever_is_in_progress() -> None:
     async with open_fleet() as fleet:
         worker = Worker("plain")
--- a/cleatlink/relay/follower.py
+++ b/cleatlink/relay/follower.py
@@ -26,10 +26,11 @@
 _MOST_WATCH_S = 6.0
 _PEERS_A_WATCH = 8
 _PROBE_S = 0.05
-# Changes come in groups, and each ends a wait of every instance: the more there are,
-# the longer each lets changes gather before it asks again.
+# Changes come in groups, and each ends a wait of every instance: where there are many,
+# each lets changes gather for a while before it asks again.
 _GATHER_S = 0.25
-_GATHERING_INSTANCES = 50
+_FEW_INSTANCES = 8
+_MANY_INSTANCES = 50
 # Removals seen so soon after the source was found again are in doubt.
 _DOUBT_S = 0.5
 # They are in doubt for this share of the time in which an endpoint that left must
@@ -114,8 +115,12 @@
             whole = False
             self._take_change(change)
             if change.table is not None or change.records:
-                share = min(1.0, self._hooks.members() / _GATHERING_INSTANCES)
-                await trio.sleep(_GATHER_S * share)
+                await self._let_changes_gather()
+
+    async def _let_changes_gather(self) -> None:
+        more = self._hooks.members() - _FEW_INSTANCES
+        if more > 0:
+            await trio.sleep(_GATHER_S * min(1.0, more / (_MANY_INSTANCES - _FEW_INSTANCES)))
 
     def look_again(self) -> None:
         """End a wait for changes, which the other side may have forgotten, and ask anew."""
--- a/cleatlink/relay/follower_test.py
+++ b/cleatlink/relay/follower_test.py
@@ -10,6 +10,7 @@
 from cleatlink.relay.pool import ConnectionPool
 from cleatlink.relay.source import ConfigurationSource, SourceChange
 from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.fleet_records import EndpointRecord
 
 
 class QuietSource(ConfigurationSource):
@@ -55,3 +56,34 @@
     assert shortest_s <= min(source.waits_s)
     assert max(source.waits_s) <= longest_s
     assert max(source.waits_s) - min(source.waits_s) > 0.2 * longest_s
+
+
+class BusySource(QuietSource):
+    """A source with a change in each answer."""
+
+    async def watch(self, after: int, wait_s: float) -> SourceChange:
+        self.waits_s.append(wait_s)
+        await trio.sleep(0.001)
+        return SourceChange(None, [EndpointRecord("e1", after + 1, None)], after + 1, whole=False)
+
+
+@pytest.mark.parametrize(("members", "fewest", "most"), [(8, 20, 1000), (62, 1, 3)])
+async def test_changes_gather_where_there_are_many_instances(
+    members: int, fewest: int, most: int
+) -> None:
+    source = BusySource()
+    hooks = FollowerHooks(
+        lambda table: None, lambda: None, lambda: None, lambda *_: None, lambda: members
+    )
+    follower = Follower(
+        source,
+        Capacity(),
+        ConnectionPool(),
+        RelayMetrics(),
+        rng=random.Random(1),
+        hooks=hooks,
+        leaving_s=2.0,
+    )
+    with trio.move_on_after(0.4):
+        await follower.run()
+    assert fewest <= len(source.waits_s) <= most
--- a/cleatlink/relay/orders.py
+++ b/cleatlink/relay/orders.py
@@ -8,7 +8,7 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.errors import EndpointError
-from cleatlink.core.routes import EngineTraits, RouteTable
+from cleatlink.core.routes import EngineTraits, RoutedEndpoint, RouteTable
 from cleatlink.members.leadership import Leadership
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peers import SILENCE_S, PeerGroup
@@ -29,6 +29,8 @@
 _PAUSE_S = 3.0
 _SHORT_PAUSE_S = 0.5
 _MS = 1000
+# Status of an order that was taken and is not done yet.
+_UNDER_WAY = 202
 
 
 class RoleKeeper:
@@ -116,10 +118,7 @@
         if unknown or len(changing) >= most_changing(len(endpoints)):
             return None
         targets = {name: self._targets[name] for name in changing}
-        work = {
-            endpoint.name: max(capacity.ends([endpoint.name], endpoint.role), default=now) - now
-            for endpoint in endpoints
-        }
+        work = {endpoint.name: self._work_left_s(endpoint, now) for endpoint in endpoints}
         demand = capacity.meter(service).demand(now)
         shift = plan_shift(prefills, decodes, demand, work, targets)
         if shift is not None:
@@ -135,6 +134,11 @@
             )
         return shift
 
+    def _work_left_s(self, endpoint: RoutedEndpoint, now: float) -> float:
+        """Give how long an endpoint still works on what it has; it changes after that."""
+        ends = self._capacity.ends([endpoint.name], endpoint.role)
+        return max(0.0, max(ends, default=now) - now)
+
     async def _order(self, service: str, shift: RoleShift, traits: EngineTraits) -> None:
         """Order a shift; an order without an answer may have been taken."""
         fence = self._peers.fence
@@ -156,7 +160,8 @@
         if status == 412:
             self._peers.fence = max(fence + 1, int(time.time() * _MS))
         if status in (0, 200, 202):
-            until = now + traits.role_switch_s + _SWITCH_SLACK_S
+            left_s = self._work_left_s(endpoint, now) if status == _UNDER_WAY else 0.0
+            until = now + left_s + traits.role_switch_s + _SWITCH_SLACK_S
             self._targets[endpoint.name] = shift.role
             self._capacity.note_switching(endpoint.name, until)
             self._peers.send_beat()
