--- a/cleatlink/relay/follower_test.py
+++ b/cleatlink/relay/follower_test.py
@@ -31,17 +31,12 @@
         """Nothing is open."""
 
 
-@pytest.mark.parametrize(
-    ("members", "shortest_s", "longest_s"), [(1, 1.4, 2.0), (8, 1.4, 2.0), (62, 4.2, 6.0)]
-)
-async def test_more_instances_ask_less_often_each(
-    members: int, shortest_s: float, longest_s: float
-) -> None:
-    source = QuietSource()
+def follower_of(source: ConfigurationSource, members: int) -> Follower:
+    """Make a follower that believes in so many instances."""
     hooks = FollowerHooks(
         lambda table: None, lambda: None, lambda: None, lambda *_: None, lambda: members
     )
-    follower = Follower(
+    return Follower(
         source,
         Capacity(),
         ConnectionPool(),
@@ -50,8 +45,17 @@
         hooks=hooks,
         leaving_s=2.0,
     )
+
+
+@pytest.mark.parametrize(
+    ("members", "shortest_s", "longest_s"), [(1, 1.4, 2.0), (8, 1.4, 2.0), (62, 4.2, 6.0)]
+)
+async def test_more_instances_ask_less_often_each(
+    members: int, shortest_s: float, longest_s: float
+) -> None:
+    source = QuietSource()
     with trio.move_on_after(0.2):
-        await follower.run()
+        await follower_of(source, members).run()
     assert len(source.waits_s) > 20
     assert shortest_s <= min(source.waits_s)
     assert max(source.waits_s) <= longest_s
@@ -72,18 +76,6 @@
     members: int, fewest: int, most: int
 ) -> None:
     source = BusySource()
-    hooks = FollowerHooks(
-        lambda table: None, lambda: None, lambda: None, lambda *_: None, lambda: members
-    )
-    follower = Follower(
-        source,
-        Capacity(),
-        ConnectionPool(),
-        RelayMetrics(),
-        rng=random.Random(1),
-        hooks=hooks,
-        leaving_s=2.0,
-    )
     with trio.move_on_after(0.4):
-        await follower.run()
+        await follower_of(source, members).run()
     assert fewest <= len(source.waits_s) <= most
