Paces of engines are learned, not constants of the first customer

Cause: a stream's time at a decode was taken as 0.15 s + 0.9 ms a token of its answer, which is the first customer's pace; here a token takes 5.1 ms and more. Reservations were overdue for most of their life, counted as ending now, and peers forgot them after 2 s. The pace of prompts was learned only from prefills that found an empty queue. Lengths were taken as 1.1 of the caller's estimate and memory as 0.85 of what there is.

Change: routing/pace.py learns, a service, seconds a token (from stretches of running streams, known after the first), a prompt token (from each prefill, by its ratio to what was expected, queue included), start, length of answers against their estimates and its spread. Priors come from what routes promise (target, longest pause, tokens an event from the configuration). Room is kept for the spread of lengths in place of a share of memory. Overdue work is expected to go on for three tenths of its time so far.

--- a/cleatlink/core/routes.py
+++ b/cleatlink/core/routes.py
@@ -83,6 +83,7 @@
         handle_lifetime_s: Seconds for which a prefill's result is kept.
         role_switch_s: Seconds that a change of role takes.
         hold_s: Longest time for which room can be held for a stream; 0 if it can't.
+        event_tokens: Tokens of the answer that one event of a stream carries.
     """
 
     slots: int
@@ -90,6 +91,7 @@
     handle_lifetime_s: float
     role_switch_s: float
     hold_s: float = 0.0
+    event_tokens: int = 1
 
 
 class RoutedService(NamedTuple):
--- a/cleatlink/platform/store.py
+++ b/cleatlink/platform/store.py
@@ -181,6 +181,8 @@
             float(engine.get("handle_retention_s", 0.5)),
             float(engine.get("role_switch_s", 0.0)),
             float(engine.get("hold_ms", 0.0)) / _MS,
+            # The platform's stride: tokens from one event to the next.
+            max(1, int(engine.get("stride", 1))),
         )
     return RoutedService(entry["name"], int(entry.get("connection_limit", 0)), traits)
 
--- a/cleatlink/relay/orders.py
+++ b/cleatlink/relay/orders.py
@@ -136,8 +136,7 @@
 
     def _work_left_s(self, endpoint: RoutedEndpoint, now: float) -> float:
         """Give how long an endpoint still works on what it has; it changes after that."""
-        ends = self._capacity.ends([endpoint.name], endpoint.role)
-        return max(0.0, max(ends, default=now) - now)
+        return max(0.0, self._capacity.free_at(endpoint.name, endpoint.role, now) - now)
 
     async def _order(self, service: str, shift: RoleShift, traits: EngineTraits) -> None:
         """Order a shift; an order without an answer may have been taken."""
--- a/cleatlink/relay/plain.py
+++ b/cleatlink/relay/plain.py
@@ -71,6 +71,7 @@
             Its answer, or None if another endpoint is to be tried.
         """
         call, parts = self._call, self._parts
+        pace = parts.capacity.pace(call.service.name)
         key = f"{call.inbound.request_id}/{call.sends}"
         began_at = trio.current_time()
         ends_at = began_at + _EXPECTED_S
@@ -79,12 +80,12 @@
             with trio.fail_after(self._patience_s()):
                 answer = await self._exchange(endpoint)
         except trio.TooSlowError:
-            parts.capacity.note_plain_time(call.service.name, trio.current_time() - began_at)
+            pace.note_plain(trio.current_time() - began_at)
             raise
         finally:
             parts.capacity.release(key)
         if not parts.protocol.not_run(answer.head):
-            parts.capacity.note_plain_time(call.service.name, trio.current_time() - began_at)
+            pace.note_plain(trio.current_time() - began_at)
         return self._judge(endpoint, answer)
 
     def _patience_s(self) -> float:
@@ -92,7 +93,7 @@
         call = self._call
         if not call.repeatable or call.sends + 1 >= call.route.max_attempts:
             return max(0.0, call.left_s)
-        usual_s = _USUAL_FACTOR * self._parts.capacity.plain_time_s(call.service.name)
+        usual_s = _USUAL_FACTOR * self._parts.capacity.pace(call.service.name).plain_s
         return max(_MIN_PATIENCE_S, _PATIENCE * call.route.target_s, usual_s)
 
     async def _exchange(self, endpoint: RoutedEndpoint) -> Reply:
--- a/cleatlink/relay/prefill.py
+++ b/cleatlink/relay/prefill.py
@@ -22,6 +22,7 @@
 __all__ = ["Handle", "Prefill"]
 
 _MOST_REPLY_BYTES = 65_536
+# What a call takes beside the work that it asks for.
 _PREFILL_BASE_S = 0.01
 # A prefill that is silent for this much longer than expected is left.
 _PREFILL_SLACK_S = 0.7
@@ -108,8 +109,9 @@
         key = f"{call.inbound.request_id}/{self._prefills}/p"
         now = trio.current_time()
         tokens = call.inbound.prompt_tokens
-        queued = parts.capacity.usage(endpoint.name, Role.PREFILL).tokens
-        expected_s = _PREFILL_BASE_S + parts.capacity.prefill_token_s * (queued + tokens)
+        pace = parts.capacity.pace(call.service.name)
+        queue_s = max(0.0, parts.capacity.free_at(endpoint.name, Role.PREFILL, now) - now)
+        expected_s = queue_s + pace.prompt_s(tokens)
         work = Reservation(endpoint.name, Role.PREFILL, tokens, now + expected_s, expected_s)
         parts.capacity.reserve(key, work)
         assert call.service.engine is not None, "only engines prefill"
@@ -122,8 +124,7 @@
             parts.metrics.observe_prefill(taken_s)
             if taken_s > _SLOW_FACTOR * expected_s + _SLOW_BASE_S:
                 call.note_slow(endpoint, taken_s)
-            if not queued:
-                parts.capacity.note_prefill_time(tokens, taken_s)
+            pace.note_prompt(expected_s, max(0.0, taken_s - _PREFILL_BASE_S))
             parts.capacity.note_success(endpoint.name, trio.current_time())
         finally:
             parts.capacity.release(key)
--- a/cleatlink/relay/room.py
+++ b/cleatlink/relay/room.py
@@ -19,9 +19,6 @@
 
 __all__ = ["DecodeRoom", "Room"]
 
-# Seconds for which a token of output is expected to keep its place.
-_TOKEN_S = 0.0009
-_START_S = 0.15
 # An endpoint that decodes computes prompts at about half the pace, and its streams
 # need some time between two of them to make up for the pause.
 _DIRECT_FACTOR = 2.2
@@ -41,13 +38,11 @@
     Attributes:
         endpoint: The endpoint.
         key: The reservation's key.
-        expected_s: How long the stream should take.
         output: Tokens of its answer, as estimated.
     """
 
     endpoint: RoutedEndpoint
     key: str
-    expected_s: float
     output: int
 
 
@@ -133,11 +128,14 @@
         traits = call.service.engine
         assert traits is not None, "only engines decode"
         capacity = self._parts.capacity
-        output = estimate_output(call.inbound)
-        expected_s = _START_S + _TOKEN_S * output
-        size = StreamSize(call.inbound.prompt_tokens, output, capacity.stretch * expected_s)
+        pace = capacity.pace(call.service.name)
+        output = estimate_output(call.inbound, pace)
         seeker = call.seeker()
         direct = not capacity.candidates(call.service.name, Role.PREFILL, seeker.now)
+        duration_s = pace.stream_s(output)
+        if direct:
+            duration_s += _DIRECT_FACTOR * pace.prompt_s(call.inbound.prompt_tokens)
+        size = StreamSize(call.inbound.prompt_tokens, output, duration_s)
         endpoint = place_decode(
             call.service.name, size, traits, capacity, seeker, computes_prompt=direct
         )
@@ -153,13 +151,13 @@
             self._reserve_prompt(call, endpoint, key, now)
         usage = capacity.usage(endpoint.name, Role.DECODE)
         call.log("has room", endpoint=endpoint.name, tokens=work.tokens, reserved=usage.tokens)
-        return Room(endpoint, key, expected_s, output)
+        return Room(endpoint, key, output)
 
     def _reserve_prompt(self, call: Call, endpoint: RoutedEndpoint, key: str, now: float) -> None:
         """Let an endpoint that computes prompts between tokens have one at a time."""
         capacity = self._parts.capacity
         tokens = call.inbound.prompt_tokens
-        duration_s = _DIRECT_FACTOR * capacity.prefill_token_s * tokens
+        duration_s = _DIRECT_FACTOR * capacity.pace(call.service.name).prompt_s(tokens)
         work = Reservation(endpoint.name, Role.PREFILL, tokens, now + duration_s, duration_s)
         capacity.reserve(key + _PROMPT, work)
         self._parts.on_work(key + _PROMPT)
--- a/cleatlink/relay/service.py
+++ b/cleatlink/relay/service.py
@@ -73,6 +73,16 @@
     def use_table(self, table: RouteTable) -> None:
         """Use a table for requests that come from now on."""
         self._index = RouteIndex(table)
+        for route in table.routes:
+            for share in route.shares:
+                self._expect_pace(route, table.services.get(share.service))
+
+    def _expect_pace(self, route: Route, service: RoutedService | None) -> None:
+        """Take what a route promises as the first guess at its engines' pace."""
+        if service is None or service.engine is None:
+            return
+        pace = self._parts.capacity.pace(service.name)
+        pace.expect(route.target_s, route.event_gap_s, service.engine.event_tokens)
 
     def begin_stop(self, refuses_new: Callable[[], bool]) -> None:
         """Ask callers to close; refuse new requests once ``refuses_new`` says so."""
--- a/cleatlink/relay/stream.py
+++ b/cleatlink/relay/stream.py
@@ -23,6 +23,7 @@
 from cleatlink.relay.protocol import ReplyHead
 from cleatlink.relay.room import DecodeRoom, Room
 from cleatlink.relay.server import Exchange
+from cleatlink.relay.watch import StreamWatch
 
 __all__ = ["StreamCall", "StreamEnd"]
 
@@ -157,6 +158,7 @@
         """Send the request on a connection and pass the answer on."""
         call, parts = self._call, self._parts
         call.note_sent(endpoint)
+        handed_over, sent_at = self._prefill.source is not None, trio.current_time()
         request = parts.protocol.forward(
             call.inbound,
             endpoint.name,
@@ -178,11 +180,9 @@
             return await self._pass_failure(head, connection)
         if not parts.protocol.signed(head):
             raise OutcomeUnknownError("the answer has no signature")
-        began_at = trio.current_time()
-        await self._relay(head, connection)
-        if self._room is not None:
-            taken_s = trio.current_time() - began_at
-            parts.capacity.note_stream_time(self._room.expected_s, taken_s)
+        watch = StreamWatch(call, parts.capacity.pace(call.service.name), sent_at, handed_over)
+        await self._relay(head, connection, watch)
+        watch.note_end()
         parts.pool.give_back(endpoint, connection)
         parts.capacity.note_success(endpoint.name, trio.current_time())
         return StreamEnd(whole=True)
@@ -207,7 +207,9 @@
         await self._exchange.answer(head.status, headers, body)
         return StreamEnd(whole=True)
 
-    async def _relay(self, head: ReplyHead, connection: EndpointConnection) -> None:
+    async def _relay(
+        self, head: ReplyHead, connection: EndpointConnection, watch: StreamWatch
+    ) -> None:
         """Pass a stream on, event by event, to its proper end.
 
         Raises:
@@ -228,6 +230,7 @@
             events = self._cutter.feed(chunk)
             if not events:
                 continue
+            watch.note_events(len(events), now)
             if not exchange.started:
                 await self._start(head)
             await exchange.send(b"".join(event.data for event in events))
--- /dev/null
+++ b/cleatlink/relay/watch.py
@@ -0,0 +1,51 @@
+"""Watches one run of a stream, so that later ones are better foreseen."""
+
+from cleatlink.relay.call import Call
+from cleatlink.routing.pace import ServicePace
+
+__all__ = ["StreamWatch"]
+
+# Events after which a stretch of a stream counts as a measurement.
+_STRETCH_EVENTS = 8
+
+
+class StreamWatch:
+    """Tells a service's pace what a stream shows of it."""
+
+    def __init__(self, call: Call, pace: ServicePace, sent_at: float, handed_over: bool) -> None:
+        """Begin to watch.
+
+        Args:
+            call: The call.
+            pace: What was learned of its service.
+            sent_at: When the request was sent to the decode.
+            handed_over: Whether its prompt had been computed elsewhere.
+        """
+        traits = call.service.engine
+        self._call = call
+        self._pace = pace
+        self._sent_at = sent_at
+        self._handed_over = handed_over
+        self._event_tokens = traits.event_tokens if traits is not None else 1
+        self._events = 0
+        self._stretch = 0
+        self._stretch_from = sent_at
+
+    def note_events(self, count: int, now: float) -> None:
+        """Note events that came."""
+        if not self._events:
+            if self._handed_over:
+                self._pace.note_start(now - self._sent_at)
+            self._events, self._stretch_from = count, now
+            return
+        self._events += count
+        self._stretch += count
+        if self._stretch >= _STRETCH_EVENTS:
+            self._pace.note_tokens(self._stretch * self._event_tokens, now - self._stretch_from)
+            self._stretch, self._stretch_from = 0, now
+
+    def note_end(self) -> None:
+        """Note that the stream came to its end; one that goes on another says no length."""
+        inbound = self._call.inbound
+        if inbound.last_event is None and self._call.sends == 1:
+            self._pace.note_length(inbound.output_hint, self._events * self._event_tokens)
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -7,14 +7,15 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import EngineTraits, RoutedEndpoint
+from cleatlink.routing.pace import ServicePace
 from cleatlink.routing.role_planner import DemandMeter
 
-__all__ = ["Capacity", "Reservation", "Usage"]
+__all__ = ["Capacity", "Reservation", "Usage", "peak_memory"]
 
 # An endpoint that failed is avoided for this long, doubled for each failure in a row.
 _AVOID_S = 0.5
@@ -28,11 +29,10 @@
 _REACHED_S = 0.5
 # An endpoint that several instances found slow gets nothing new for so long.
 _SLOW_S = 2.5
-# First guess, and how fast measurements replace it.
-_PREFILL_TOKEN_S = 0.00002
-_LEARN = 0.1
-_LEARN_PLAIN = 0.2
-_MOST_STRETCH = 4.0
+# Work that is overdue goes on for about this share of the time that it took so far: half of
+# the lengths that are spread like callers' estimates (by a half of the logarithm) and
+# passed a time end within three tenths of it.
+_OVERDUE_SHARE = 0.3
 
 
 class Reservation(NamedTuple):
@@ -54,12 +54,43 @@
     duration_s: float = 0.0
     grows: int = 0
 
+    def expected_end(self, now: float) -> float:
+        """Give when it should be over, as seen now: what is overdue takes longer."""
+        if self.ends_at > now:
+            return self.ends_at
+        return now + _OVERDUE_SHARE * (now - self.ends_at + self.duration_s)
+
     def memory_at(self, time: float) -> float:
         """Give the memory that it holds at a time, in tokens."""
-        if not self.grows or not self.duration_s:
-            return self.tokens
-        left = min(1.0, max(0.0, (self.ends_at - time) / self.duration_s))
-        return self.tokens - left * self.grows
+        return self.tokens - self._share_left(time) * self.grows
+
+    def open_growth(self, now: float) -> float:
+        """Give the part of its growth whose size is not known yet, in tokens."""
+        return self.grows * max(_OVERDUE_SHARE, self._share_left(now))
+
+    def _share_left(self, time: float) -> float:
+        if not self.duration_s:
+            return 0.0
+        return min(1.0, max(0.0, (self.ends_at - time) / self.duration_s))
+
+
+def peak_memory(work: Sequence[Reservation], now: float, spread: float = 0.0) -> float:
+    """Give the most memory that some work on one endpoint will hold at a time, in tokens.
+
+    Streams grow until they end, each at its own time, so that their final
+    sizes never stand together: the most is held just before one of the ends.
+
+    Args:
+        work: The work.
+        now: The time.
+        spread: How far answers' lengths deviate from their estimates, as a share of
+            them; room is kept for that.
+    """
+    if not work:
+        return 0.0
+    ends = [(item.expected_end(now), item) for item in work]
+    peak = max(sum(item.memory_at(time) for end, item in ends if end >= time) for time, _ in ends)
+    return peak + spread * math.hypot(*(item.open_growth(now) for item in work))
 
 
 class Usage(NamedTuple):
@@ -99,39 +130,11 @@
         self._leaving: set[str] = set()
         self._switching: dict[str, float] = {}
         self._meters: dict[str, DemandMeter] = {}
-        self._prefill_token_s = _PREFILL_TOKEN_S
-        self._stretch = 1.0
-        self._plain_s: dict[str, float] = {}
+        self._paces: dict[str, ServicePace] = {}
 
-    @property
-    def prefill_token_s(self) -> float:
-        """Seconds that an endpoint takes for a token of a prompt, as measured."""
-        return self._prefill_token_s
-
-    @property
-    def stretch(self) -> float:
-        """How much longer streams take than expected, as measured."""
-        return self._stretch
-
-    def note_prefill_time(self, tokens: int, seconds: float) -> None:
-        """Learn from a prefill that had an endpoint to itself."""
-        if tokens > 0:
-            self._prefill_token_s += _LEARN * (seconds / tokens - self._prefill_token_s)
-
-    def note_stream_time(self, expected_s: float, seconds: float) -> None:
-        """Learn from a stream that came to its end."""
-        if expected_s > 0:
-            ratio = min(_MOST_STRETCH, seconds / expected_s)
-            self._stretch += _LEARN * (ratio - self._stretch)
-
-    def note_plain_time(self, service: str, seconds: float) -> None:
-        """Learn from a plain call that was answered, or left after so long."""
-        before = self._plain_s.get(service, seconds)
-        self._plain_s[service] = before + _LEARN_PLAIN * (seconds - before)
-
-    def plain_time_s(self, service: str) -> float:
-        """Give how long plain calls of a service took lately; 0 before the first."""
-        return self._plain_s.get(service, 0.0)
+    def pace(self, service: str) -> ServicePace:
+        """Give what was learned of a service's pace."""
+        return self._paces.setdefault(service, ServicePace())
 
     def note_demand(self, reservation: Reservation, traits: EngineTraits, now: float) -> None:
         """Count placed work as demand on its service."""
@@ -139,7 +142,7 @@
         if endpoint is None:
             return
         if reservation.role is Role.PREFILL:
-            endpoint_s = reservation.tokens * self._prefill_token_s
+            endpoint_s = self.pace(endpoint.service).prompt_s(reservation.tokens)
         else:
             memory_share = reservation.tokens / max(1, traits.memory_tokens)
             endpoint_s = max(memory_share, 1 / max(1, traits.slots)) * reservation.duration_s
@@ -302,9 +305,13 @@
         self._peers.pop(peer, None)
 
     def expire_peers(self, now: float, slack_s: float) -> None:
-        """Forget peers' work that should have ended ``slack_s`` ago."""
+        """Forget peers' work that took twice the expected time, and ``slack_s`` more."""
         for peer, reservations in self._peers.items():
-            overdue = [key for key, item in reservations.items() if item.ends_at + slack_s < now]
+            overdue = [
+                key
+                for key, item in reservations.items()
+                if item.ends_at + item.duration_s + slack_s < now
+            ]
             for key in overdue:
                 self.peer_release(peer, key)
 
@@ -312,34 +319,21 @@
         """Give the work placed on an endpoint in a role."""
         return self._usage.get((name, role), _UNUSED)
 
-    def ends(self, names: Iterable[str], role: Role) -> list[float]:
+    def placed(self, name: str, role: Role) -> list[Reservation]:
+        """Give the work placed on an endpoint in a role."""
+        return self._placed.get((name, role), [])
+
+    def ends(self, names: Iterable[str], role: Role, now: float) -> list[float]:
         """Give when the work on some endpoints is expected to be over, soonest first."""
-        wanted = set(names)
-        sources = [self._own, *self._peers.values()]
-        return sorted(
-            item.ends_at
-            for source in sources
-            for item in source.values()
-            if item.role is role and item.endpoint in wanted
-        )
-
-    def peak_memory(self, work: Reservation, now: float) -> float:
-        """Give the most memory that an endpoint will hold if it takes some work too.
-
-        Streams grow until they end, each at its own time, so that their final
-        sizes never stand together: the most is held just before one of the ends.
-        """
-        together = [*self._placed.get((work.endpoint, work.role), ()), work]
-        expected = [item.ends_at for item in together if item.ends_at > now] or [now]
-        # What should be over already is not: it may stay as long as the first to end.
-        overdue = sum(item.tokens for item in together if item.ends_at <= now)
-        running = [item for item in together if item.ends_at > now]
-        first = min(expected)
-        peak = 0.0
-        for time in expected:
-            held = sum(item.memory_at(time) for item in running if item.ends_at >= time)
-            peak = max(peak, held + overdue * (time <= first))
-        return peak
+        return sorted(item.expected_end(now) for name in names for item in self.placed(name, role))
+
+    def free_at(self, name: str, role: Role, now: float) -> float:
+        """Give when an endpoint that works on one thing after the other is free."""
+        return max(self.ends([name], role, now), default=now)
+
+    def peak_memory(self, work: Reservation, now: float, spread: float = 0.0) -> float:
+        """Give the most memory that an endpoint will hold if it takes some work too."""
+        return peak_memory([*self.placed(work.endpoint, work.role), work], now, spread)
 
     def _add(self, reservation: Reservation, sign: int) -> None:
         key = (reservation.endpoint, reservation.role)
--- a/cleatlink/routing/relay_parts_test.py
+++ b/cleatlink/routing/relay_parts_test.py
@@ -19,6 +19,7 @@
 from cleatlink.request.shared_budget import SharedRetryBudget
 from cleatlink.routing.capacity import Capacity, Reservation
 from cleatlink.routing.fleet_records import EndpointRecord, FleetRecords
+from cleatlink.routing.pace import ServicePace
 from cleatlink.routing.relay_place import (
     Seeker,
     StreamSize,
@@ -183,10 +184,15 @@
 
 def test_hint_bounds_the_answer_of_a_stream() -> None:
     inbound = Inbound("r", b"POST", b"/", "h", (), b"", 0.0, prompt_tokens=100)
-    assert estimate_output(inbound._replace(max_output_tokens=1000)) == 1000
-    hinted = estimate_output(inbound._replace(max_output_tokens=1000, output_hint=200))
+    assert estimate_output(inbound._replace(max_output_tokens=1000), ServicePace()) == 1000
+    hinted = estimate_output(
+        inbound._replace(max_output_tokens=1000, output_hint=200), ServicePace()
+    )
     assert 200 <= hinted < 300
-    assert estimate_output(inbound._replace(max_output_tokens=50, output_hint=200)) == 50
+    assert (
+        estimate_output(inbound._replace(max_output_tokens=50, output_hint=200), ServicePace())
+        == 50
+    )
 
 
 def test_streams_that_end_at_different_times_share_memory() -> None:
--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -12,6 +12,7 @@
 from cleatlink.core.data import Role
 from cleatlink.core.routes import EngineTraits, Inbound, RoutedEndpoint
 from cleatlink.routing.capacity import Capacity, Reservation
+from cleatlink.routing.pace import ServicePace
 
 __all__ = [
     "Seeker",
@@ -23,10 +24,6 @@
     "room_in_s",
 ]
 
-# Estimates of an answer's length are right at the median; long ones weigh more.
-_HINT_FACTOR = 1.1
-# Share of an endpoint's memory that streams are expected to fill at the most.
-_MEMORY_SHARE = 0.85
 # Another data centre counts like this share of an endpoint's capacity.
 _DISTANCE = 0.08
 _DISTANCE_TOKENS = 1_500
@@ -68,11 +65,11 @@
         return Reservation(endpoint, Role.DECODE, tokens, ends_at, self.duration_s, self.output)
 
 
-def estimate_output(inbound: Inbound) -> int:
+def estimate_output(inbound: Inbound, pace: ServicePace) -> int:
     """Estimate the tokens of a stream's answer."""
     output = inbound.max_output_tokens
     if inbound.output_hint:
-        output = min(output, int(inbound.output_hint * _HINT_FACTOR))
+        output = min(output, int(inbound.output_hint * pace.length_ratio))
     return output
 
 
@@ -96,7 +93,7 @@
         computes_prompt: Whether the endpoint has to compute the prompt too; then
             one that is at another prompt has no room.
     """
-    memory = traits.memory_tokens * _MEMORY_SHARE
+    spread = capacity.pace(service).length_spread
     best: RoutedEndpoint | None = None
     best_cost = 0.0
     for endpoint in capacity.candidates(service, Role.DECODE, seeker.now):
@@ -105,10 +102,10 @@
         if computes_prompt and capacity.usage(endpoint.name, Role.PREFILL).running:
             continue
         usage = capacity.usage(endpoint.name, Role.DECODE)
-        peak = capacity.peak_memory(work.reserve(endpoint.name, seeker.now), seeker.now)
-        if usage.running >= traits.slots or (peak > memory and usage.running):
+        peak = capacity.peak_memory(work.reserve(endpoint.name, seeker.now), seeker.now, spread)
+        if usage.running >= traits.slots or (peak > traits.memory_tokens and usage.running):
             continue
-        cost = peak / memory + _distance(endpoint, seeker) * _DISTANCE
+        cost = peak / traits.memory_tokens + _distance(endpoint, seeker) * _DISTANCE
         cost += seeker.rng.random() * 0.01
         if best is None or cost < best_cost:
             best, best_cost = endpoint, cost
@@ -157,7 +154,7 @@
     endpoints = capacity.candidates(service, Role.DECODE, now)
     if not endpoints:
         return None
-    ends = capacity.ends((endpoint.name for endpoint in endpoints), Role.DECODE)
+    ends = capacity.ends((endpoint.name for endpoint in endpoints), Role.DECODE, now)
     if ahead >= len(ends):
         return ends[-1] - now if ends else 0.0
     return max(0.0, ends[ahead] - now)
