Room is foreseen by memory that frees; prompts go to decodes when prefills are too busy; one prefill may do

The forecast took the next end of any stream, whatever it freed. Two of five engines stayed with prefill while the decodes' memory was full, and with one prefill left a quarter of the prompts took more than 1.2 s of a target of 0.9 s. A prefill that went away was replaced at once, by a change of 6 s and more, although it was often back sooner; the engine taken could be the last decode of its data centre, which a cut then left without any.

Change: - routing/forecast.py: room for this stream's memory and slot, behind those that wait; what takes room frees it again at its end. A stream that surely is late is refused when that is known. - routing/prompt_plan.py: the decode computes the prompt when every prefill is too busy for the target and the pause it makes is one that the route bears. - Planner: one endpoint may stay alone in a role; nothing is planned around an endpoint that fell silent until it has been away for as long as a change takes; the engine that changes is chosen so that each data centre keeps a decode. - A stream that has begun and lost its decode goes first and waits for up to twice the target. - Lines of the log carry what is needed to compare forecasts with what came.

--- a/cleatlink/relay/call.py
+++ b/cleatlink/relay/call.py
@@ -88,6 +88,11 @@
         """Whether another endpoint may go on with the call's stream."""
         return self.route.kind is RouteKind.STREAMING and self.route.resumable
 
+    @property
+    def begun(self) -> bool:
+        """Whether a part of the call's stream has been made already, here or before."""
+        return self.ran is not Ran.NO or self.inbound.last_event is not None
+
     @property
     def left_s(self) -> float:
         """Seconds that are left of the call's time."""
--- a/cleatlink/relay/orders.py
+++ b/cleatlink/relay/orders.py
@@ -16,7 +16,12 @@
 from cleatlink.relay.protocol import Protocol
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.routing.capacity import Capacity
-from cleatlink.routing.role_planner import RoleShift, most_changing, plan_shift
+from cleatlink.routing.role_planner import (
+    PresenceWatch,
+    RoleShift,
+    most_changing,
+    plan_shift,
+)
 
 __all__ = ["RoleKeeper"]
 
@@ -59,6 +64,7 @@
         self._leads = False
         self._not_before: dict[str, float] = {}
         self._targets: dict[str, Role] = {}
+        self._watches: dict[str, PresenceWatch] = {}
 
     @property
     def leads(self) -> bool:
@@ -101,17 +107,19 @@
         for service in table.services.values():
             if service.engine is None:
                 continue
-            shift = self._plan(service.name)
+            shift = self._plan(service.name, service.engine)
             if shift is not None:
                 await self._order(service.name, shift, service.engine)
 
-    def _plan(self, service: str) -> RoleShift | None:
+    def _plan(self, service: str, traits: EngineTraits) -> RoleShift | None:
         capacity, now = self._capacity, trio.current_time()
-        if now < self._not_before.get(service, 0.0):
-            return None
         prefills = capacity.reached(service, Role.PREFILL, now)
         decodes = capacity.reached(service, Role.DECODE, now)
         endpoints = [*prefills, *decodes]
+        watch = self._watches.setdefault(service, PresenceWatch())
+        watch.note({item.name for item in endpoints}, capacity.leaving(service), now)
+        if now < self._not_before.get(service, 0.0):
+            return None
         changing = capacity.switching(now).keys() & {item.name for item in endpoints}
         # Where an engine goes that an earlier leader ordered to change is not known here.
         unknown = changing - self._targets.keys()
@@ -120,7 +128,8 @@
         targets = {name: self._targets[name] for name in changing}
         work = {endpoint.name: self._work_left_s(endpoint, now) for endpoint in endpoints}
         demand = capacity.meter(service).demand(now)
-        shift = plan_shift(prefills, decodes, demand, work, targets)
+        settled = watch.settled(traits.role_switch_s, now)
+        shift = plan_shift(prefills, decodes, demand, work, targets, settled=settled)
         if shift is not None:
             eliot.log_message(
                 message_type="orders: plans a shift",
--- a/cleatlink/relay/prefill.py
+++ b/cleatlink/relay/prefill.py
@@ -121,6 +121,13 @@
             with trio.fail_after(max(0.0, min(call.left_s, expected_s + _PREFILL_SLACK_S))):
                 self.handle = await self._ask_prefill(endpoint)
             taken_s = trio.current_time() - now
+            call.log(
+                "is prefilled",
+                endpoint=endpoint.name,
+                took_ms=int(1000 * taken_s),
+                expected_ms=int(1000 * expected_s),
+                queue_ms=int(1000 * queue_s),
+            )
             parts.metrics.observe_prefill(taken_s)
             if taken_s > _SLOW_FACTOR * expected_s + _SLOW_BASE_S:
                 call.note_slow(endpoint, taken_s)
@@ -150,7 +157,6 @@
             handle = str(msgspec.json.decode(body)[parts.protocol.paths.prefill_handle_field])
         except (msgspec.MsgspecError, KeyError, TypeError) as error:
             raise OutcomeUnknownError("the prefill's answer is not understood") from error
-        call.log("is prefilled", endpoint=endpoint.name)
         source = KvSource(endpoint.address, handle)
         return Handle(endpoint, source, trio.current_time())
 
--- a/cleatlink/relay/room.py
+++ b/cleatlink/relay/room.py
@@ -10,26 +10,30 @@
 from cleatlink.relay.call import Call, RelayParts
 from cleatlink.routing import WaitingRoom
 from cleatlink.routing.capacity import Reservation
+from cleatlink.routing.forecast import RoomForecast, StreamDemand
+from cleatlink.routing.prompt_plan import DIRECT_FACTOR, PromptPlan, plan_prompt
 from cleatlink.routing.relay_place import (
     StreamSize,
     estimate_output,
     place_decode,
-    room_in_s,
 )
 
 __all__ = ["DecodeRoom", "Room"]
 
-# An endpoint that decodes computes prompts at about half the pace, and its streams
-# need some time between two of them to make up for the pause.
-_DIRECT_FACTOR = 2.2
+# Streams of an endpoint that decodes need some time between two prompts that it computes,
+# to make up for the pause.
 _PROMPT_GAP_S = 0.08
 _PROMPT = "/p"
-# Share of the target that a stream may wait, so that its prefill still fits in.
-_WAIT_SHARE = 0.72
 # A refusal this early lets the caller's next try still count as in time.
 _EARLY_SHARE = 0.2
 _MIN_RETRY_S = 0.4
 _MAX_RETRY_S = 3.0
+# Where nothing can be foreseen, an endpoint that fell silent may be back by then.
+_NO_FORECAST_S = 1.0
+# A stream that has begun waits for so many times its route's target to go on: callers
+# leave a silent stream after some targets. It goes before all that have not begun.
+_BEGUN_PATIENCE = 2.0
+_BEGUN_URGENCY = 100
 
 
 class Room(NamedTuple):
@@ -38,12 +42,16 @@
     Attributes:
         endpoint: The endpoint.
         key: The reservation's key.
+        expected_s: How long the stream should take.
         output: Tokens of its answer, as estimated.
+        direct: Whether the endpoint computes the prompt itself.
     """
 
     endpoint: RoutedEndpoint
     key: str
+    expected_s: float
     output: int
+    direct: bool
 
 
 class DecodeRoom:
@@ -71,37 +79,70 @@
         self._parts.on_work(*released)
         self.offer()
 
-    async def find(self, call: Call) -> Room | Refusal:
+    async def find(self, call: Call, *, prompt_ready: bool = False) -> Room | Refusal:
         """Give room, after a wait if that still serves the call in time.
 
         A stream that waits takes room from those that come after it: one that
-        would be late anyway is refused, and early if that can be foreseen.
+        would be late anyway is refused, as early as that can be foreseen. One that
+        has begun goes first, and waits for as long as its caller bears a pause.
+
+        Args:
+            call: The call.
+            prompt_ready: Whether its prompt is computed already.
         """
+        if call.begun:
+            return await self._find_again(call, prompt_ready)
         service, urgency = call.service.name, -call.route.priority
         if not self._waiting.must_wait(service, urgency, trio.current_time()):
-            room = self._try(call)
+            room = self._try(call, prompt_ready)
             if room is not None:
                 return room
-        for share in (_EARLY_SHARE, _WAIT_SHARE):
-            wait_s = share * call.route.target_s - call.age_s
+        for share in (_EARLY_SHARE, 1.0):
+            plan = self._plan_prompt(call, prompt_ready)
             soon_s = self._soon_s(call)
-            if soon_s is None or soon_s > _WAIT_SHARE * call.route.target_s - call.age_s:
-                return self._refuse(call, soon_s)
-            room = await self._wait(call, urgency, wait_s)
+            if soon_s is None or soon_s > plan.spare_s:
+                return self._refuse(call, plan, soon_s)
+            wait_s = min(plan.spare_s, share * call.route.target_s - call.age_s)
+            room = await self._wait(call, urgency, wait_s, prompt_ready)
             if room is not None:
                 return room
-        return self._refuse(call, self._soon_s(call))
+        return self._refuse(call, self._plan_prompt(call, prompt_ready), self._soon_s(call))
+
+    async def _find_again(self, call: Call, prompt_ready: bool) -> Room | Refusal:
+        """Give room to a stream that has begun and has to go on."""
+        room = self._try(call, prompt_ready)
+        if room is None:
+            wait_s = _BEGUN_PATIENCE * call.route.target_s
+            room = await self._wait(call, _BEGUN_URGENCY, wait_s, prompt_ready)
+        if room is not None:
+            return room
+        return self._refuse(call, self._plan_prompt(call, prompt_ready), self._soon_s(call))
+
+    def _plan_prompt(self, call: Call, prompt_ready: bool) -> PromptPlan:
+        if prompt_ready:
+            return PromptPlan(False, 0.0, call.route.target_s - call.age_s)
+        seeker = call.seeker()
+        return plan_prompt(call.inbound, call.route, call.service, self._parts.capacity, seeker)
 
     def _soon_s(self, call: Call) -> float | None:
+        """Foresee when a call finds room, behind those of this instance that wait."""
+        traits = call.service.engine
+        assert traits is not None, "only engines decode"
         capacity, now = self._parts.capacity, trio.current_time()
-        return room_in_s(call.service.name, len(self._waiting), capacity, now)
+        forecast = RoomForecast(call.service.name, traits, capacity, now)
+        pace = capacity.pace(call.service.name)
+        output = estimate_output(call.inbound, pace)
+        stream = StreamDemand(call.inbound.prompt_tokens + output, pace.stream_s(output))
+        return forecast.room_in_s(stream, [stream] * len(self._waiting))
 
-    async def _wait(self, call: Call, urgency: int, wait_s: float) -> Room | None:
+    async def _wait(
+        self, call: Call, urgency: int, wait_s: float, prompt_ready: bool
+    ) -> Room | None:
         found: list[Room] = []
         done = trio.Event()
 
         def attempt() -> bool:
-            room = self._try(call)
+            room = self._try(call, prompt_ready)
             if room is None:
                 return False
             found.append(room)
@@ -124,20 +165,20 @@
         self._parts.metrics.observe_wait(trio.current_time() - began_at)
         return found[0]
 
-    def _try(self, call: Call) -> Room | None:
+    def _try(self, call: Call, prompt_ready: bool) -> Room | None:
         traits = call.service.engine
         assert traits is not None, "only engines decode"
         capacity = self._parts.capacity
+        plan = self._plan_prompt(call, prompt_ready)
+        if plan.spare_s < 0 and not plan.direct and not call.begun:
+            return None
         pace = capacity.pace(call.service.name)
         output = estimate_output(call.inbound, pace)
         seeker = call.seeker()
-        direct = not capacity.candidates(call.service.name, Role.PREFILL, seeker.now)
-        duration_s = pace.stream_s(output)
-        if direct:
-            duration_s += _DIRECT_FACTOR * pace.prompt_s(call.inbound.prompt_tokens)
+        duration_s = pace.stream_s(output) + plan.ready_s
         size = StreamSize(call.inbound.prompt_tokens, output, duration_s)
         endpoint = place_decode(
-            call.service.name, size, traits, capacity, seeker, computes_prompt=direct
+            call.service.name, size, traits, capacity, seeker, computes_prompt=plan.direct
         )
         if endpoint is None:
             return None
@@ -147,17 +188,24 @@
         capacity.reserve(key, work)
         capacity.note_demand(work, traits, now)
         self._parts.on_work(key)
-        if direct:
+        if plan.direct:
             self._reserve_prompt(call, endpoint, key, now)
         usage = capacity.usage(endpoint.name, Role.DECODE)
-        call.log("has room", endpoint=endpoint.name, tokens=work.tokens, reserved=usage.tokens)
-        return Room(endpoint, key, output)
+        call.log(
+            "has room",
+            endpoint=endpoint.name,
+            tokens=work.tokens,
+            reserved=usage.tokens,
+            running=usage.running,
+            computes_prompt=plan.direct,
+        )
+        return Room(endpoint, key, duration_s, output, plan.direct)
 
     def _reserve_prompt(self, call: Call, endpoint: RoutedEndpoint, key: str, now: float) -> None:
         """Let an endpoint that computes prompts between tokens have one at a time."""
         capacity = self._parts.capacity
         tokens = call.inbound.prompt_tokens
-        duration_s = _DIRECT_FACTOR * capacity.pace(call.service.name).prompt_s(tokens)
+        duration_s = DIRECT_FACTOR * capacity.pace(call.service.name).prompt_s(tokens)
         work = Reservation(endpoint.name, Role.PREFILL, tokens, now + duration_s, duration_s)
         capacity.reserve(key + _PROMPT, work)
         self._parts.on_work(key + _PROMPT)
@@ -171,8 +219,17 @@
         await trio.sleep(_PROMPT_GAP_S)
         self.release(key)
 
-    def _refuse(self, call: Call, soon_s: float | None) -> Refusal:
-        retry_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, soon_s or 1.0))
+    def _refuse(self, call: Call, plan: PromptPlan, soon_s: float | None) -> Refusal:
+        """Refuse a call, with the time at which both its room and its prompt are foreseen."""
+        retry_s = _NO_FORECAST_S if soon_s is None else max(soon_s, -plan.spare_s)
+        retry_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, retry_s))
         kind = ErrorKind.NO_ENDPOINT if soon_s is None else ErrorKind.NO_ROOM
-        call.log("has no room", waiting=len(self._waiting), room_in_s=soon_s)
+        call.log(
+            "has no room",
+            waiting=len(self._waiting),
+            room_in_s=None if soon_s is None else round(soon_s, 3),
+            prompt_in_s=round(plan.ready_s, 3),
+            spare_s=round(plan.spare_s, 3),
+            retry_after_s=round(retry_s, 3),
+        )
         return Refusal(kind, "no decode endpoint has room", retry_s)
--- a/cleatlink/relay/stream.py
+++ b/cleatlink/relay/stream.py
@@ -80,15 +80,16 @@
 
     async def _attempt(self) -> StreamEnd | None:
         """Try once; None asks for another try."""
-        found = await self._rooms.find(self._call)
+        found = await self._rooms.find(self._call, prompt_ready=self._prefill.lives())
         if isinstance(found, Refusal):
             return self._give_up(found)
         self._room = found
         if not await self._reach(found.endpoint) or not await self._take_hold(found):
             return None
-        refusal = await self._prefill.run(found.endpoint.data_centre)
-        if refusal is not None:
-            return self._give_up(refusal)
+        if not found.direct:
+            refusal = await self._prefill.run(found.endpoint.data_centre)
+            if refusal is not None:
+                return self._give_up(refusal)
         return await self._decode()
 
     async def _reach(self, endpoint: RoutedEndpoint) -> bool:
@@ -182,7 +183,8 @@
             raise OutcomeUnknownError("the answer has no signature")
         watch = StreamWatch(call, parts.capacity.pace(call.service.name), sent_at, handed_over)
         await self._relay(head, connection, watch)
-        watch.note_end()
+        assert self._room is not None, "it streamed in its room"
+        watch.note_end(self._room)
         parts.pool.give_back(endpoint, connection)
         parts.capacity.note_success(endpoint.name, trio.current_time())
         return StreamEnd(whole=True)
--- a/cleatlink/relay/watch.py
+++ b/cleatlink/relay/watch.py
@@ -1,6 +1,9 @@
 """Watches one run of a stream, so that later ones are better foreseen."""
 
+import trio
+
 from cleatlink.relay.call import Call
+from cleatlink.relay.room import Room
 from cleatlink.routing.pace import ServicePace
 
 __all__ = ["StreamWatch"]
@@ -44,8 +47,20 @@
             self._pace.note_tokens(self._stretch * self._event_tokens, now - self._stretch_from)
             self._stretch, self._stretch_from = 0, now
 
-    def note_end(self) -> None:
-        """Note that the stream came to its end; one that goes on another says no length."""
-        inbound = self._call.inbound
+    def note_end(self, room: Room) -> None:
+        """Note that the stream came to its end; one that goes on another says no length.
+
+        Args:
+            room: What had been expected of it.
+        """
+        inbound, tokens = self._call.inbound, self._events * self._event_tokens
         if inbound.last_event is None and self._call.sends == 1:
-            self._pace.note_length(inbound.output_hint, self._events * self._event_tokens)
+            self._pace.note_length(inbound.output_hint, tokens)
+        self._call.log(
+            "has streamed",
+            endpoint=room.endpoint.name,
+            tokens=tokens,
+            expected_tokens=room.output,
+            took_ms=int(1000 * (trio.current_time() - self._sent_at)),
+            expected_ms=int(1000 * room.expected_s),
+        )
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -168,6 +168,14 @@
             if endpoint.role is role and not endpoint.leaving and endpoint.name not in self._leaving
         ]
 
+    def leaving(self, service: str) -> set[str]:
+        """Give the names of a service's endpoints that take no new work."""
+        return {
+            endpoint.name
+            for endpoint in self._by_service.get(service, ())
+            if endpoint.leaving or endpoint.name in self._leaving
+        }
+
     @property
     def endpoints(self) -> dict[str, RoutedEndpoint]:
         """Endpoints by name."""
--- /dev/null
+++ b/cleatlink/routing/forecast.py
@@ -0,0 +1,104 @@
+"""Foresees when a stream that finds no room now will find some.
+
+Room comes when streams that run come to their ends. Those that wait already,
+here or at peers, and those that were asked to come back take theirs first.
+The forecast gives each of them, in turn, the endpoint that has room for it
+soonest, and then this stream.
+"""
+
+import math
+from bisect import bisect_left, insort
+from collections.abc import Iterable
+from itertools import accumulate
+from typing import NamedTuple
+
+from cleatlink.core.data import Role
+from cleatlink.core.routes import EngineTraits
+from cleatlink.routing.capacity import Capacity, peak_memory
+
+__all__ = ["RoomForecast", "StreamDemand"]
+
+
+class StreamDemand(NamedTuple):
+    """What a stream needs of a decode.
+
+    Attributes:
+        tokens: Memory that it holds at its end.
+        duration_s: How long it should take.
+    """
+
+    tokens: int
+    duration_s: float
+
+
+class _Opening:
+    """How an endpoint's room opens with time."""
+
+    def __init__(self, tokens: float, slots: int, ends: list[tuple[float, int]]) -> None:
+        self._tokens = tokens
+        self._slots = slots
+        self._ends = sorted(ends)
+        self._freed = [0, *accumulate(freed for _, freed in self._ends)]
+
+    def opens_at(self, tokens: int, now: float) -> float:
+        """Give when there is room for so many tokens.
+
+        One that is larger than the memory gets an endpoint that has nothing else to do.
+        """
+        needed = bisect_left(self._freed, tokens - self._tokens)
+        needed = min(max(needed, 1 - self._slots), len(self._ends))
+        return self._ends[needed - 1][0] if needed > 0 else now
+
+    def take(self, tokens: int, until: float) -> None:
+        """Give room to a stream, to be freed when it ends."""
+        self._tokens -= tokens
+        self._slots -= 1
+        insort(self._ends, (until, tokens))
+        self._freed = [0, *accumulate(freed for _, freed in self._ends)]
+
+
+class RoomForecast:
+    """What is foreseen of the room at a service's decodes."""
+
+    def __init__(self, service: str, traits: EngineTraits, capacity: Capacity, now: float) -> None:
+        self._now = now
+        spread = capacity.pace(service).length_spread
+        self._openings = [
+            _open(endpoint.name, traits, capacity, spread, now)
+            for endpoint in capacity.candidates(service, Role.DECODE, now)
+        ]
+
+    def room_in_s(self, stream: StreamDemand, ahead: Iterable[StreamDemand] = ()) -> float | None:
+        """Estimate when a stream finds room.
+
+        Args:
+            stream: The stream.
+            ahead: Streams that are served before it.
+
+        Returns:
+            Seconds from now, or None if no endpoint of the service decodes.
+        """
+        for earlier in ahead:
+            self._place(earlier)
+        opens_at = self._place(stream)
+        return opens_at - self._now if math.isfinite(opens_at) else None
+
+    def _place(self, stream: StreamDemand) -> float:
+        """Give a stream the endpoint that has room for it first, and tell when."""
+        best_at, best = math.inf, None
+        for opening in self._openings:
+            opens_at = opening.opens_at(stream.tokens, self._now)
+            if opens_at < best_at:
+                best_at, best = opens_at, opening
+        if best is not None:
+            best.take(stream.tokens, best_at + stream.duration_s)
+        return best_at
+
+
+def _open(
+    name: str, traits: EngineTraits, capacity: Capacity, spread: float, now: float
+) -> _Opening:
+    placed = capacity.placed(name, Role.DECODE)
+    ends = [(item.expected_end(now), item.tokens) for item in placed]
+    held = peak_memory(placed, now, spread)
+    return _Opening(traits.memory_tokens - held, traits.slots - len(placed), ends)
--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -21,12 +21,13 @@
     "place_decode",
     "place_plain",
     "place_prefill",
-    "room_in_s",
 ]
 
 # Another data centre counts like this share of an endpoint's capacity.
 _DISTANCE = 0.08
 _DISTANCE_TOKENS = 1_500
+# Endpoints that differ by less than this share of a distance count as equal.
+_TIE = 0.01
 
 
 class Seeker(NamedTuple):
@@ -118,12 +119,13 @@
     """Give the prefill endpoint with the least to do, preferring ``beside``'s data centre."""
     best: RoutedEndpoint | None = None
     best_cost = 0.0
+    far_s = capacity.pace(service).prompt_s(_DISTANCE_TOKENS)
     for endpoint in capacity.candidates(service, Role.PREFILL, seeker.now):
         if endpoint.name in seeker.excluded or capacity.is_full(endpoint.name, seeker.now):
             continue
-        cost = float(capacity.usage(endpoint.name, Role.PREFILL).tokens)
-        cost += _DISTANCE_TOKENS * (endpoint.data_centre != beside)
-        cost += seeker.rng.random()
+        cost = capacity.free_at(endpoint.name, Role.PREFILL, seeker.now) - seeker.now
+        cost += far_s * (endpoint.data_centre != beside)
+        cost += far_s * _TIE * seeker.rng.random()
         if best is None or cost < best_cost:
             best, best_cost = endpoint, cost
     return best
@@ -145,20 +147,5 @@
     return best
 
 
-def room_in_s(service: str, ahead: int, capacity: Capacity, now: float) -> float | None:
-    """Estimate when a decode that waits behind ``ahead`` others finds room.
-
-    Returns:
-        Seconds from now, or None if no endpoint of the service decodes.
-    """
-    endpoints = capacity.candidates(service, Role.DECODE, now)
-    if not endpoints:
-        return None
-    ends = capacity.ends((endpoint.name for endpoint in endpoints), Role.DECODE, now)
-    if ahead >= len(ends):
-        return ends[-1] - now if ends else 0.0
-    return max(0.0, ends[ahead] - now)
-
-
 def _distance(endpoint: RoutedEndpoint, seeker: Seeker) -> bool:
     return endpoint.data_centre != seeker.data_centre
--- a/cleatlink/routing/role_planner.py
+++ b/cleatlink/routing/role_planner.py
@@ -4,12 +4,20 @@
 themselves, so that a few requests after a change suffice. A shift is planned
 only if it takes the load of the busier role down by a fair part, and for few
 endpoints at a time: while one changes, it serves neither role. A service without any
-prefill gets one at once: decodes that compute prompts themselves hold up the
-tokens of every stream they run.
+prefill gets one: decodes that compute prompts themselves hold up the tokens of
+every stream they run.
+
+An endpoint that fell silent is often back soon. Nothing is planned around it until it
+has been away for as long as a change takes: whoever waits so long before paying a
+price loses at most twice what the best choice would have cost.
+
+Each data centre keeps a decode where it can, since a cut may leave it alone: a
+decode serves without a prefill, a prefill not without a decode.
 """
 
 import math
-from collections.abc import Mapping, Sequence
+from collections import Counter
+from collections.abc import Mapping, Sequence, Set
 from types import MappingProxyType
 from typing import NamedTuple
 
@@ -19,6 +27,7 @@
 __all__ = [
     "MIN_GAIN",
     "DemandMeter",
+    "PresenceWatch",
     "RoleDemand",
     "RoleShift",
     "choose_prefills",
@@ -34,8 +43,6 @@
 MIN_GAIN = 0.12
 # One endpoint in so many may change its role at a time.
 _ENDPOINTS_A_CHANGE = 6
-# From so many endpoints on no plan leaves a role with one that can't be spared.
-_SPARE_FROM = 5
 
 
 class RoleDemand(NamedTuple):
@@ -53,6 +60,30 @@
     role: Role
 
 
+class PresenceWatch:
+    """Tells whether an endpoint fell away so lately that it may be back soon."""
+
+    def __init__(self) -> None:
+        self._present: Set[str] = frozenset()
+        self._lost_at = -math.inf
+
+    def note(self, present: Set[str], leaving: Set[str], now: float) -> None:
+        """Take which endpoints are there.
+
+        Args:
+            present: Those that are reached.
+            leaving: Those that said that they go; they won't be back.
+            now: The time.
+        """
+        if self._present - present - leaving:
+            self._lost_at = now
+        self._present = present
+
+    def settled(self, patience_s: float, now: float) -> bool:
+        """Tell whether the last loss was at least so long ago."""
+        return now - self._lost_at >= patience_s
+
+
 class DemandMeter:
     """Sums demand, and forgets it with time."""
 
@@ -91,8 +122,7 @@
 
 def choose_prefills(count: int, demand: RoleDemand) -> int:
     """Give how many of ``count`` endpoints best serve prefill."""
-    least = 1 if count < _SPARE_FROM else 2
-    numbers = range(least, count - least + 1)
+    numbers = range(1, count)
     return min(numbers, key=lambda number: role_load(number, count, demand), default=0)
 
 
@@ -102,6 +132,8 @@
     demand: RoleDemand,
     work: Mapping[str, float],
     targets: Mapping[str, Role] = MappingProxyType({}),
+    *,
+    settled: bool = True,
 ) -> RoleShift | None:
     """Give the endpoint that is to change its role now, if any.
 
@@ -113,18 +145,23 @@
             is free first changes.
         targets: The roles of those that are changing by the names of the endpoints;
             they count there and are left alone.
+        settled: Whether no endpoint is away that may be back soon; without any
+            decode a change does not wait for that.
     """
     endpoints = [*prefills, *decodes]
     roles = [targets.get(endpoint.name, endpoint.role) for endpoint in endpoints]
     role = _wanted_change(roles.count(Role.PREFILL), roles.count(Role.DECODE), demand)
-    if role is None:
+    if role is None or (decodes and not settled):
         return None
     free = [
         endpoint
         for endpoint in endpoints
         if endpoint.role is not role and endpoint.name not in targets
     ]
-    return RoleShift(_freest(free, work), role) if free else None
+    if not free:
+        return None
+    kept = Counter(endpoint.data_centre for endpoint in decodes)
+    return RoleShift(_best_to_change(free, role, kept, work), role)
 
 
 def _wanted_change(prefills: int, decodes: int, demand: RoleDemand) -> Role | None:
@@ -151,5 +188,25 @@
     return max(demand.prefill / prefills, demand.decode / decodes)
 
 
-def _freest(endpoints: list[RoutedEndpoint], work: Mapping[str, float]) -> RoutedEndpoint:
-    return min(endpoints, key=lambda endpoint: (work.get(endpoint.name, 0.0), endpoint.name))
+def _best_to_change(
+    endpoints: list[RoutedEndpoint],
+    role: Role,
+    decodes: Mapping[str, int],
+    work: Mapping[str, float],
+) -> RoutedEndpoint:
+    """Give the endpoint that best takes a role.
+
+    Args:
+        endpoints: Those that may.
+        role: The role.
+        decodes: Number of decodes by data centre.
+        work: Seconds until its work is over by the name of an endpoint.
+    """
+
+    def cost(endpoint: RoutedEndpoint) -> tuple[bool, float, str]:
+        here = decodes.get(endpoint.data_centre, 0)
+        # A new decode is worth most where there is none; a last one is kept.
+        uncovers = here > 0 if role is Role.DECODE else here < 2
+        return uncovers, work.get(endpoint.name, 0.0), endpoint.name
+
+    return min(endpoints, key=cost)
