Roles are planned with prompts that decodes share; a prompt at a decode is foreseen as such

Cause: with one prefill of five the planner saw a load of 0.5 against 0.57 with two, a gain below its threshold, because it did not know that decodes take over prompts that find the prefill busy. The forecast said "room now" where a decode was at another prompt of its own (refused after 0.6 s, room_in_s 0.0).

Change: the load of a number of prefills is that of the best share of prompts at decodes; the forecast knows until when a decode is at a prompt.

--- a/cleatlink/relay/room.py
+++ b/cleatlink/relay/room.py
@@ -11,7 +11,8 @@
 from cleatlink.routing import WaitingRoom
 from cleatlink.routing.capacity import Reservation
 from cleatlink.routing.forecast import RoomForecast, StreamDemand
-from cleatlink.routing.prompt_plan import DIRECT_FACTOR, PromptPlan, plan_prompt
+from cleatlink.routing.pace import DIRECT_FACTOR
+from cleatlink.routing.prompt_plan import PromptPlan, plan_prompt
 from cleatlink.routing.relay_place import (
     StreamSize,
     estimate_output,
@@ -99,14 +100,14 @@
                 return room
         for share in (_EARLY_SHARE, 1.0):
             plan = self._plan_prompt(call, prompt_ready)
-            soon_s = self._soon_s(call)
+            soon_s = self._soon_s(call, plan)
             if soon_s is None or soon_s > plan.spare_s:
-                return self._refuse(call, plan, soon_s)
+                return self._refuse(call, prompt_ready)
             wait_s = min(plan.spare_s, share * call.route.target_s - call.age_s)
             room = await self._wait(call, urgency, wait_s, prompt_ready)
             if room is not None:
                 return room
-        return self._refuse(call, self._plan_prompt(call, prompt_ready), self._soon_s(call))
+        return self._refuse(call, prompt_ready)
 
     async def _find_again(self, call: Call, prompt_ready: bool) -> Room | Refusal:
         """Give room to a stream that has begun and has to go on."""
@@ -116,7 +117,7 @@
             room = await self._wait(call, _BEGUN_URGENCY, wait_s, prompt_ready)
         if room is not None:
             return room
-        return self._refuse(call, self._plan_prompt(call, prompt_ready), self._soon_s(call))
+        return self._refuse(call, prompt_ready)
 
     def _plan_prompt(self, call: Call, prompt_ready: bool) -> PromptPlan:
         if prompt_ready:
@@ -124,7 +125,7 @@
         seeker = call.seeker()
         return plan_prompt(call.inbound, call.route, call.service, self._parts.capacity, seeker)
 
-    def _soon_s(self, call: Call) -> float | None:
+    def _soon_s(self, call: Call, plan: PromptPlan) -> float | None:
         """Foresee when a call finds room, behind those of this instance that wait."""
         traits = call.service.engine
         assert traits is not None, "only engines decode"
@@ -132,7 +133,9 @@
         forecast = RoomForecast(call.service.name, traits, capacity, now)
         pace = capacity.pace(call.service.name)
         output = estimate_output(call.inbound, pace)
-        stream = StreamDemand(call.inbound.prompt_tokens + output, pace.stream_s(output))
+        prompt_s = plan.ready_s + _PROMPT_GAP_S if plan.direct else 0.0
+        duration_s = plan.ready_s + pace.stream_s(output)
+        stream = StreamDemand(call.inbound.prompt_tokens + output, duration_s, prompt_s)
         return forecast.room_in_s(stream, [stream] * len(self._waiting))
 
     async def _wait(
@@ -219,8 +222,10 @@
         await trio.sleep(_PROMPT_GAP_S)
         self.release(key)
 
-    def _refuse(self, call: Call, plan: PromptPlan, soon_s: float | None) -> Refusal:
+    def _refuse(self, call: Call, prompt_ready: bool) -> Refusal:
         """Refuse a call, with the time at which both its room and its prompt are foreseen."""
+        plan = self._plan_prompt(call, prompt_ready)
+        soon_s = self._soon_s(call, plan)
         retry_s = _NO_FORECAST_S if soon_s is None else max(soon_s, -plan.spare_s)
         retry_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, retry_s))
         kind = ErrorKind.NO_ENDPOINT if soon_s is None else ErrorKind.NO_ROOM
--- a/cleatlink/routing/forecast.py
+++ b/cleatlink/routing/forecast.py
@@ -25,36 +25,44 @@
     Attributes:
         tokens: Memory that it holds at its end.
         duration_s: How long it should take.
+        prompt_s: How long the decode computes its prompt; 0 if a prefill does.
     """
 
     tokens: int
     duration_s: float
+    prompt_s: float = 0.0
 
 
 class _Opening:
     """How an endpoint's room opens with time."""
 
-    def __init__(self, tokens: float, slots: int, ends: list[tuple[float, int]]) -> None:
+    def __init__(
+        self, tokens: float, slots: int, ends: list[tuple[float, int]], prompts_until: float
+    ) -> None:
+        self._prompts_until = prompts_until
         self._tokens = tokens
         self._slots = slots
         self._ends = sorted(ends)
         self._freed = [0, *accumulate(freed for _, freed in self._ends)]
 
-    def opens_at(self, tokens: int, now: float) -> float:
-        """Give when there is room for so many tokens.
+    def opens_at(self, stream: StreamDemand, now: float) -> float:
+        """Give when there is room for a stream.
 
         One that is larger than the memory gets an endpoint that has nothing else to do.
         """
-        needed = bisect_left(self._freed, tokens - self._tokens)
+        needed = bisect_left(self._freed, stream.tokens - self._tokens)
         needed = min(max(needed, 1 - self._slots), len(self._ends))
-        return self._ends[needed - 1][0] if needed > 0 else now
+        opens_at = self._ends[needed - 1][0] if needed > 0 else now
+        return max(opens_at, self._prompts_until) if stream.prompt_s else opens_at
 
-    def take(self, tokens: int, until: float) -> None:
+    def take(self, stream: StreamDemand, at: float) -> None:
         """Give room to a stream, to be freed when it ends."""
-        self._tokens -= tokens
+        self._tokens -= stream.tokens
         self._slots -= 1
-        insort(self._ends, (until, tokens))
+        insort(self._ends, (at + stream.duration_s, stream.tokens))
         self._freed = [0, *accumulate(freed for _, freed in self._ends)]
+        if stream.prompt_s:
+            self._prompts_until = at + stream.prompt_s
 
 
 class RoomForecast:
@@ -87,11 +95,11 @@
         """Give a stream the endpoint that has room for it first, and tell when."""
         best_at, best = math.inf, None
         for opening in self._openings:
-            opens_at = opening.opens_at(stream.tokens, self._now)
+            opens_at = opening.opens_at(stream, self._now)
             if opens_at < best_at:
                 best_at, best = opens_at, opening
         if best is not None:
-            best.take(stream.tokens, best_at + stream.duration_s)
+            best.take(stream, best_at)
         return best_at
 
 
@@ -101,4 +109,5 @@
     placed = capacity.placed(name, Role.DECODE)
     ends = [(item.expected_end(now), item.tokens) for item in placed]
     held = peak_memory(placed, now, spread)
-    return _Opening(traits.memory_tokens - held, traits.slots - len(placed), ends)
+    prompts_until = capacity.free_at(name, Role.PREFILL, now)
+    return _Opening(traits.memory_tokens - held, traits.slots - len(placed), ends, prompts_until)
--- a/cleatlink/routing/forecast_test.py
+++ b/cleatlink/routing/forecast_test.py
@@ -51,6 +51,15 @@
     assert room_in_s(capacity, 10, 10) == 5.0
 
 
+def test_prompts_at_a_decode_come_one_after_the_other() -> None:
+    capacity = fleet("x")
+    capacity.reserve("1/p", Reservation("x", Role.PREFILL, 100, 1.5, 0.5))
+    forecast = RoomForecast("s", TRAITS, capacity, 1.0)
+    assert forecast.room_in_s(StreamDemand(100, 10.0)) == 0.0
+    direct = StreamDemand(100, 10.0, prompt_s=0.2)
+    assert forecast.room_in_s(direct, [direct]) == pytest.approx(0.7)
+
+
 def test_overdue_streams_are_expected_to_go_on_for_a_while() -> None:
     capacity = fleet("x")
     capacity.reserve("1", Reservation("x", Role.DECODE, 900, 4.0, 4.0, 500))
--- a/cleatlink/routing/pace.py
+++ b/cleatlink/routing/pace.py
@@ -8,7 +8,10 @@
 
 import math
 
-__all__ = ["Estimate", "ServicePace"]
+__all__ = ["DIRECT_FACTOR", "Estimate", "ServicePace"]
+
+# A decode computes prompts at about half the pace of a prefill, between other tokens.
+DIRECT_FACTOR = 2.2
 
 # Once an estimate rests on measurements, each new one moves it by this share.
 _LEARN = 0.1
--- a/cleatlink/routing/prompt_plan.py
+++ b/cleatlink/routing/prompt_plan.py
@@ -12,12 +12,11 @@
 from cleatlink.core.data import Role
 from cleatlink.core.routes import Inbound, Route, RoutedService
 from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.pace import DIRECT_FACTOR
 from cleatlink.routing.relay_place import Seeker
 
-__all__ = ["DIRECT_FACTOR", "PromptPlan", "plan_prompt"]
+__all__ = ["PromptPlan", "plan_prompt"]
 
-# A decode computes prompts at about half the pace of a prefill, between other tokens.
-DIRECT_FACTOR = 2.2
 # Share of the target that waiting, prompt and start together may take: what is foreseen
 # is right at the median only.
 _TARGET_SHARE = 0.9
--- a/cleatlink/routing/role_planner.py
+++ b/cleatlink/routing/role_planner.py
@@ -23,6 +23,7 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import RoutedEndpoint
+from cleatlink.routing.pace import DIRECT_FACTOR
 
 __all__ = [
     "MIN_GAIN",
@@ -45,6 +46,10 @@
 _ENDPOINTS_A_CHANGE = 6
 
 
+# Shares of the prompts that decodes may compute, of which the best is taken.
+_DIRECT_SHARES = tuple(step / 10 for step in range(10))
+
+
 class RoleDemand(NamedTuple):
     """Demand on one service, in endpoint-seconds a second, and requests lately."""
 
@@ -183,9 +188,18 @@
 
 
 def role_load(prefills: int, count: int, demand: RoleDemand) -> float:
-    """Give the load of the busier role."""
+    """Give the load of the busier role, with prompts shared between them at the best.
+
+    Decodes compute prompts that find every prefill busy, which takes them longer.
+    """
     decodes = count - prefills
-    return max(demand.prefill / prefills, demand.decode / decodes)
+    return min(
+        max(
+            (1 - share) * demand.prefill / prefills,
+            (demand.decode + share * demand.prefill * DIRECT_FACTOR) / decodes,
+        )
+        for share in _DIRECT_SHARES
+    )
 
 
 def _best_to_change(
