Refused callers are known when they are back, and served before newcomers

Change: a refusal books the room that it names, as a reservation under no endpoint's name that peers hear of like of any work, until half a second after it. Forecasts put it before later ones. From 0.2 s before it is due, newcomers leave that room alone. A caller that is back, known at any instance by a hash of what it asks for, stands where it stood before and waits for up to twice the target. Retry-After stays within what callers heed, a third of their time.

Test: refused_caller_is_known_at_another_instance, failed before (503), passes now. Relay's and routing's tests passed.

--- a/cleatlink/core/routes.py
+++ b/cleatlink/core/routes.py
@@ -10,6 +10,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+import xxhash
+
 from cleatlink.core.data import Role
 
 __all__ = [
@@ -184,3 +186,9 @@
     def path(self) -> str:
         """Path without the query."""
         return self.target.partition(b"?")[0].decode("latin-1")
+
+    @property
+    def fingerprint(self) -> str:
+        """What it asks for, whoever asks: a caller's next try has the same one."""
+        asked = b"\n".join((self.host.encode(), self.method, self.target, self.body))
+        return xxhash.xxh3_64_hexdigest(asked)
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -301,6 +301,6 @@
         while True:
             await trio.sleep(_HOUSEKEEPING_S)
             self._pool.prune()
-            self._offer_room()
+            self._service.room.keep_house()
             if self._writer is not None:
                 self._writer.flush()
--- a/cleatlink/relay/room.py
+++ b/cleatlink/relay/room.py
@@ -18,6 +18,7 @@
     estimate_output,
     place_decode,
 )
+from cleatlink.routing.returns import Returns
 
 __all__ = ["DecodeRoom", "Room"]
 
@@ -31,9 +32,13 @@
 _MAX_RETRY_S = 3.0
 # Where nothing can be foreseen, an endpoint that fell silent may be back by then.
 _NO_FORECAST_S = 1.0
-# A stream that has begun waits for so many times its route's target to go on: callers
-# leave a silent stream after some targets. It goes before all that have not begun.
-_BEGUN_PATIENCE = 2.0
+# Room is kept for callers that are due back within this time.
+_KEPT_S = 0.2
+# Callers heed a time to come back up to a third of what is left of theirs.
+_RETRY_SHARE = 0.33
+# A stream that has begun, or that was refused before, waits for so many times its route's
+# target: callers leave a silent stream after some targets. What has begun goes first.
+_PATIENCE = 2.0
 _BEGUN_URGENCY = 100
 
 
@@ -55,12 +60,31 @@
     direct: bool
 
 
+class _Standing(NamedTuple):
+    """Where a call stands among those that wait for room.
+
+    Attributes:
+        urgency: Its priority; larger goes first.
+        since: When it came first.
+        prompt_ready: Whether its prompt is computed already.
+        patience_s: How long it waits although it is late; 0 if it is not to be late.
+        keeps: Whether it may take room that is kept for those that are due back.
+    """
+
+    urgency: int
+    since: float
+    prompt_ready: bool
+    patience_s: float
+    keeps: bool
+
+
 class DecodeRoom:
     """Gives streams room at decode endpoints."""
 
     def __init__(self, parts: RelayParts) -> None:
         self._parts = parts
         self._waiting = WaitingRoom()
+        self._returns = Returns(parts.capacity)
 
     @property
     def waiting(self) -> int:
@@ -85,42 +109,47 @@
 
         A stream that waits takes room from those that come after it: one that
         would be late anyway is refused, as early as that can be foreseen. One that
-        has begun goes first, and waits for as long as its caller bears a pause.
+        has begun goes first, and waits for as long as its caller bears a pause;
+        one that was refused and is back stands where it stood before.
 
         Args:
             call: The call.
             prompt_ready: Whether its prompt is computed already.
         """
-        if call.begun:
-            return await self._find_again(call, prompt_ready)
-        service, urgency = call.service.name, -call.route.priority
-        if not self._waiting.must_wait(service, urgency, trio.current_time()):
-            room = self._try(call, prompt_ready)
+        standing = self._stand(call, prompt_ready)
+        if not self._waiting.must_wait(call.service.name, standing.urgency, standing.since):
+            room = self._try(call, standing)
             if room is not None:
                 return room
+        if standing.patience_s:
+            room = await self._wait(call, standing, standing.patience_s)
+            return room if room is not None else self._refuse(call, standing)
         for share in (_EARLY_SHARE, 1.0):
-            plan = self._plan_prompt(call, prompt_ready)
+            plan = self._plan_prompt(call, standing)
             soon_s = self._soon_s(call, plan)
             if soon_s is None or soon_s > plan.spare_s:
-                return self._refuse(call, prompt_ready)
+                return self._refuse(call, standing)
             wait_s = min(plan.spare_s, share * call.route.target_s - call.age_s)
-            room = await self._wait(call, urgency, wait_s, prompt_ready)
+            room = await self._wait(call, standing, wait_s)
             if room is not None:
                 return room
-        return self._refuse(call, prompt_ready)
-
-    async def _find_again(self, call: Call, prompt_ready: bool) -> Room | Refusal:
-        """Give room to a stream that has begun and has to go on."""
-        room = self._try(call, prompt_ready)
-        if room is None:
-            wait_s = _BEGUN_PATIENCE * call.route.target_s
-            room = await self._wait(call, _BEGUN_URGENCY, wait_s, prompt_ready)
-        if room is not None:
-            return room
-        return self._refuse(call, prompt_ready)
-
-    def _plan_prompt(self, call: Call, prompt_ready: bool) -> PromptPlan:
-        if prompt_ready:
+        return self._refuse(call, standing)
+
+    def _stand(self, call: Call, prompt_ready: bool) -> _Standing:
+        """Give where a call stands among those that wait."""
+        now = trio.current_time()
+        patience_s = _PATIENCE * call.route.target_s
+        if call.begun:
+            return _Standing(_BEGUN_URGENCY, now, prompt_ready, patience_s, keeps=True)
+        urgency = -call.route.priority
+        back = self._returns.take(call.inbound, now)
+        if back is None:
+            return _Standing(urgency, now, prompt_ready, 0.0, keeps=False)
+        call.log("is back", refused_ago_s=round(now - back.refused_at, 3))
+        return _Standing(urgency, back.refused_at, prompt_ready, patience_s, keeps=True)
+
+    def _plan_prompt(self, call: Call, standing: _Standing) -> PromptPlan:
+        if standing.prompt_ready:
             return PromptPlan(False, 0.0, call.route.target_s - call.age_s)
         seeker = call.seeker()
         return plan_prompt(call.inbound, call.route, call.service, self._parts.capacity, seeker)
@@ -136,16 +165,24 @@
         prompt_s = plan.ready_s + _PROMPT_GAP_S if plan.direct else 0.0
         duration_s = plan.ready_s + pace.stream_s(output)
         stream = StreamDemand(call.inbound.prompt_tokens + output, duration_s, prompt_s)
-        return forecast.room_in_s(stream, [stream] * len(self._waiting))
+        ahead = [stream] * len(self._waiting)
+        soon_s = forecast.room_in_s(stream, [*ahead, *self._due_back(call, duration_s, 0.0)])
+        if not soon_s:
+            return soon_s
+        forecast = RoomForecast(call.service.name, traits, capacity, now)
+        return forecast.room_in_s(stream, [*ahead, *self._due_back(call, duration_s, soon_s)])
+
+    def _due_back(self, call: Call, duration_s: float, within_s: float) -> list[StreamDemand]:
+        """Give what is kept for those that are due back by a time."""
+        due = self._returns.due(call.service.name, trio.current_time(), _KEPT_S + within_s)
+        return [StreamDemand(item.tokens, duration_s) for item in due]
 
-    async def _wait(
-        self, call: Call, urgency: int, wait_s: float, prompt_ready: bool
-    ) -> Room | None:
+    async def _wait(self, call: Call, standing: _Standing, wait_s: float) -> Room | None:
         found: list[Room] = []
         done = trio.Event()
 
         def attempt() -> bool:
-            room = self._try(call, prompt_ready)
+            room = self._try(call, standing)
             if room is None:
                 return False
             found.append(room)
@@ -153,7 +190,8 @@
             return True
 
         began_at = trio.current_time()
-        ticket = self._waiting.add(call.service.name, urgency, began_at, attempt)
+        service, urgency = call.service.name, standing.urgency
+        ticket = self._waiting.add(service, urgency, standing.since, attempt)
         try:
             with trio.move_on_after(max(0.0, min(wait_s, call.left_s))):
                 await done.wait()
@@ -168,12 +206,14 @@
         self._parts.metrics.observe_wait(trio.current_time() - began_at)
         return found[0]
 
-    def _try(self, call: Call, prompt_ready: bool) -> Room | None:
+    def _try(self, call: Call, standing: _Standing) -> Room | None:
         traits = call.service.engine
         assert traits is not None, "only engines decode"
         capacity = self._parts.capacity
-        plan = self._plan_prompt(call, prompt_ready)
-        if plan.spare_s < 0 and not plan.direct and not call.begun:
+        plan = self._plan_prompt(call, standing)
+        if plan.spare_s < 0 and not plan.direct and not standing.patience_s:
+            return None
+        if not standing.keeps and self._is_kept(call, plan):
             return None
         pace = capacity.pace(call.service.name)
         output = estimate_output(call.inbound, pace)
@@ -222,12 +262,19 @@
         await trio.sleep(_PROMPT_GAP_S)
         self.release(key)
 
-    def _refuse(self, call: Call, prompt_ready: bool) -> Refusal:
+    def _is_kept(self, call: Call, plan: PromptPlan) -> bool:
+        """Tell whether what room there is stands kept for those that are due back."""
+        due = self._returns.due(call.service.name, trio.current_time(), _KEPT_S)
+        return bool(due) and self._soon_s(call, plan) != 0.0
+
+    def _refuse(self, call: Call, standing: _Standing) -> Refusal:
         """Refuse a call, with the time at which both its room and its prompt are foreseen."""
-        plan = self._plan_prompt(call, prompt_ready)
+        plan = self._plan_prompt(call, standing)
         soon_s = self._soon_s(call, plan)
         retry_s = _NO_FORECAST_S if soon_s is None else max(soon_s, -plan.spare_s)
-        retry_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, retry_s))
+        retry_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, retry_s), _RETRY_SHARE * call.left_s)
+        if not standing.keeps:
+            self._expect_back(call, retry_s)
         kind = ErrorKind.NO_ENDPOINT if soon_s is None else ErrorKind.NO_ROOM
         call.log(
             "has no room",
@@ -238,3 +285,17 @@
             retry_after_s=round(retry_s, 3),
         )
         return Refusal(kind, "no decode endpoint has room", retry_s)
+
+    def _expect_back(self, call: Call, retry_s: float) -> None:
+        """Keep room for a call that is refused, from when it is asked to be back."""
+        capacity, now = self._parts.capacity, trio.current_time()
+        output = estimate_output(call.inbound, capacity.pace(call.service.name))
+        tokens = call.inbound.prompt_tokens + output
+        service = call.service.name
+        key = self._returns.expect(call.inbound, service, tokens, now + retry_s, now)
+        self._parts.on_work(key)
+
+    def keep_house(self) -> None:
+        """Forget those that did not come back, and let those who wait try again."""
+        self._parts.on_work(*self._returns.forget(trio.current_time()))
+        self.offer()
--- a/cleatlink/relay/stream_test.py
+++ b/cleatlink/relay/stream_test.py
@@ -203,3 +203,26 @@
         for number in (0, 1, 0, 1, 0, 1):
             await fleet.caller(number).ask("/quick/x", "POST", body=b"p", headers=STREAM)
         assert len(first.runs) <= met + 1
+
+
+async def test_refused_caller_is_known_at_another_instance_and_waits_there() -> None:
+    async with open_fleet() as fleet:
+        prefill, decode, _ = engines()
+        decode.events, decode.event_s = 24, 0.05
+        await start(fleet, prefill, decode)
+        fleet.start_instance()
+        version = fleet.configure({"kv_cache_tokens": 150})
+        await fleet.ready()
+        await fleet.until(lambda: all(item._peers.alive == 2 for item in fleet.instances))
+        await fleet.until(
+            lambda: all(item.records.table_revision == version for item in fleet.instances)
+        )
+        await fleet.caller().send("/stream/x", "POST", body=b"p", headers=STREAM)
+        await fleet.until(lambda: bool(decode.runs))
+        # Room is further away than a newcomer's target of 0.4 s.
+        refused = await fleet.caller().ask("/stream/x", "POST", body=b"mine", headers=STREAM)
+        assert refused.status == 503
+        await trio.sleep(min(0.5, float(refused.headers["retry-after"])))
+        newcomer = await fleet.caller(1).ask("/stream/x", "POST", body=b"new", headers=STREAM)
+        back = await fleet.caller(1).ask("/stream/x", "POST", body=b"mine", headers=STREAM)
+        assert (newcomer.status, back.status, back.whole) == (503, 200, True)
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -323,6 +323,11 @@
             for key in overdue:
                 self.peer_release(peer, key)
 
+    def find(self, key: str) -> Reservation | None:
+        """Give the work under a key, this instance's or a peer's."""
+        sources = (self._own, *self._peers.values())
+        return next((source[key] for source in sources if key in source), None)
+
     def usage(self, name: str, role: Role) -> Usage:
         """Give the work placed on an endpoint in a role."""
         return self._usage.get((name, role), _UNUSED)
