cleatlink analyze: from logs to where requests were lost

Lines that can't be read are counted by what is wrong.

Lines gained in_time (answers), so that a late one is known without the route table.

--- /dev/null
+++ b/cleatlink/analysis/report_test.py
@@ -0,0 +1,162 @@
+"""The analysis of lines that the relay's programs wrote, on our stand-in's fleet."""
+
+import json
+import os
+from collections.abc import Iterator
+from pathlib import Path
+
+import eliot
+import pytest
+import trio
+from click.testing import CliRunner
+
+from cleatlink.analysis import LogReader, Report, Story, render_html, render_text
+from cleatlink.analysis.outcomes import Outcome
+from cleatlink.relay.logs import LineWriter
+from cleatlink.scripts.main import main
+from standins.relay import Fault
+from standins.relay.example import STREAM, engines, start
+from standins.relay.fleet import open_fleet
+
+
+@pytest.fixture
+def log(tmp_path: Path) -> Iterator[Path]:
+    file = tmp_path / "n1.log"
+    descriptor = os.open(file, os.O_CREAT | os.O_WRONLY | os.O_APPEND)
+    writer = LineWriter(descriptor)
+    eliot.add_destinations(writer)
+    yield file
+    eliot.remove_destination(writer)
+    writer.flush()
+    os.close(descriptor)
+
+
+def flush() -> None:
+    """Write what the destinations still hold."""
+    for destination in eliot._output.Logger._destinations._destinations:
+        if isinstance(destination, LineWriter):
+            destination.flush()
+
+
+def read(file: Path) -> Report:
+    flush()
+    report = Report()
+    for line in LogReader([file]):
+        report.add(line)
+    report.outcomes.close()
+    return report
+
+
+async def test_streams_prompts_and_refusals_are_counted(log: Path) -> None:
+    async with open_fleet() as fleet:
+        prefill, decode, _ = engines()
+        decode.events, decode.event_s = 24, 0.05
+        await start(fleet, prefill, decode)
+        version = fleet.configure({"kv_cache_tokens": 150})
+        await fleet.until(lambda: fleet.instances[0].records.table_revision == version)
+        served = fleet.caller()
+        await served.send("/stream/x", "POST", body=b"p", headers=STREAM)
+        await fleet.until(lambda: bool(decode.runs))
+        refused = await fleet.caller().ask("/stream/x", "POST", body=b"mine", headers=STREAM)
+        assert refused.status == 503
+        await trio.sleep(min(0.5, float(refused.headers["retry-after"])))
+        back = await fleet.caller().ask("/stream/x", "POST", body=b"mine", headers=STREAM)
+        assert back.status == 200
+        assert (await served.receive()).whole
+    report = read(log)
+    totals = report.outcomes.totals()
+    assert totals[Outcome.REFUSED] == 1
+    assert totals[Outcome.IN_TIME] + totals[Outcome.LATE] == 2
+    assert report.outcomes.refusals == {"no_room: no decode endpoint has room": 1}
+    assert report.outcomes.returned.total() == 1
+    lengths = report.engines.length_errors.quantiles()
+    assert lengths is not None
+    assert lengths.figures == 2
+    streams = sum(use.streams for use in report.engines.uses.values())
+    prompts = sum(use.prompts for use in report.engines.uses.values())
+    assert (streams, prompts) == (2, 2)
+    rows = list(report.outcomes.rows())
+    assert {row.route for row in rows} == {"r-stream"}
+
+
+async def test_broken_stream_is_a_prompt_for_nothing(log: Path) -> None:
+    async with open_fleet() as fleet:
+        workers = engines()
+        await start(fleet, *workers)
+        for worker in workers[1:]:
+            worker.faults = [Fault.CUT]
+        await fleet.caller().ask("/stream/x", "POST", body=b"p", headers=STREAM)
+        await trio.sleep(0.05)
+    report = read(log)
+    assert report.outcomes.totals() == {Outcome.BROKEN: 1}
+    assert report.outcomes.prompts_lost == {"broken off": 1}
+
+
+async def test_one_request_is_told_from_its_arrival_to_its_end(log: Path) -> None:
+    async with open_fleet() as fleet:
+        await start(fleet, *engines())
+        caller = fleet.caller()
+        request = await caller.send("/stream/x", "POST", body=b"p", headers=STREAM)
+        await caller.receive()
+        await fleet.caller().ask("/stream/x", "POST", body=b"other", headers=STREAM)
+        await trio.sleep(0.05)
+    flush()
+    story = Story(request)
+    for line in LogReader([log]):
+        story.add(line)
+    text = story.render().splitlines()
+    assert len(text) >= 4
+    assert "has room" in text[0]
+    assert "is answered" in text[-1]
+    assert Story("no such").render() == "no such: no line tells of it"
+
+
+def test_command_writes_tables_and_a_page(tmp_path: Path) -> None:
+    rows = [
+        {"message_type": "relay: has room", "timestamp": 5.2, "request": "a", "route": "r",
+         "age_ms": 200, "endpoint": "e1", "reserved": 70, "running": 1},
+        {"message_type": "relay: is answered", "timestamp": 6.0, "request": "a", "route": "r",
+         "age_ms": 1000},
+        {"message_type": "relay: has room", "timestamp": 7.0, "request": "b", "route": "r",
+         "age_ms": 0, "endpoint": "e<1>"},
+        {"message_type": "orders: plans a shift", "timestamp": 4.0, "endpoint": "e1",
+         "role": "decode", "prefill_demand": 0.5, "decode_demand": 2.0},
+    ]  # fmt: skip
+    file, page = tmp_path / "n1.log", tmp_path / "page.html"
+    file.write_text("".join(json.dumps(row) + "\n" for row in rows) + "not a line\n")
+    ran = CliRunner().invoke(main, ["analyze", str(file), "--html", str(page)])
+    assert ran.exit_code == 0, ran.output
+    assert "4 lines read, 1 not" in ran.output
+    assert "end not seen" in ran.output
+    # Planned at 4.0 and serving as a decode at 5.2.
+    assert [line for line in ran.output.splitlines() if line.startswith("e1") and "1.2" in line]
+    text = page.read_text()
+    assert "e&lt;1&gt;" in text
+    assert "e<1>" not in text
+    story = CliRunner().invoke(main, ["analyze", str(file), "--request", "b"])
+    assert "has room" in story.output
+
+
+def test_tables_render_without_any_line(tmp_path: Path) -> None:
+    file = tmp_path / "empty.log"
+    file.write_text("")
+    reader = LogReader([file])
+    report = Report()
+    for line in reader:
+        report.add(line)
+    tables = report.tables(reader)
+    assert "Forecasts" in render_text(tables)
+    assert render_html(tables).startswith("<!doctype html>")
+
+
+def test_plot_is_a_picture_of_all_outcomes(tmp_path: Path) -> None:
+    rows = [
+        {"message_type": "relay: is answered", "timestamp": second + 0.5, "request": f"a{second}",
+         "route": "r", "age_ms": 100, "in_time": second % 2 == 0}
+        for second in range(6)
+    ]  # fmt: skip
+    file, picture = tmp_path / "n1.log", tmp_path / "outcomes.png"
+    file.write_text("".join(json.dumps(row) + "\n" for row in rows))
+    ran = CliRunner().invoke(main, ["analyze", str(file), "--plot", str(picture)])
+    assert ran.exit_code == 0, ran.output
+    assert picture.read_bytes().startswith(b"\x89PNG")
--- a/cleatlink/relay/call.py
+++ b/cleatlink/relay/call.py
@@ -103,6 +103,11 @@
         """Seconds since the call arrived."""
         return trio.current_time() - self.inbound.arrived_at
 
+    @property
+    def in_time(self) -> bool:
+        """Whether an answer that begins now is in time."""
+        return self.age_s <= self.route.target_s
+
     def seeker(self) -> Seeker:
         """Give who seeks a place, now."""
         parts = self._parts
--- a/cleatlink/relay/service.py
+++ b/cleatlink/relay/service.py
@@ -199,7 +199,7 @@
         metrics = self._parts.metrics
         status = answer.head.status
         metrics.count_answer(call.route.kind.value, status, call.age_s)
-        call.log("is answered", status=status, sends=call.sends)
+        call.log("is answered", status=status, sends=call.sends, in_time=call.in_time)
         headers = self._parts.protocol.passed_back(answer.head)
         if exchange.request.method == b"HEAD":
             length = answer.head.get(b"content-length")
--- a/cleatlink/relay/stream.py
+++ b/cleatlink/relay/stream.py
@@ -253,7 +253,7 @@
     async def _start(self, head: ReplyHead) -> None:
         call, parts = self._call, self._parts
         parts.metrics.count_answer(call.route.kind.value, head.status, call.age_s)
-        call.log("begins its answer", status=head.status)
+        call.log("begins its answer", status=head.status, in_time=call.in_time)
         if self._room is not None:
             self._rooms.prompt_computed(self._room.key)
         await self._exchange.start(head.status, parts.protocol.passed_back(head))
--- a/cleatlink/scripts/main.py
+++ b/cleatlink/scripts/main.py
@@ -24,6 +24,7 @@
 )
 from cleatlink.relay.daemon import run_relay
 from cleatlink.relay.settings import RelaySettings
+from cleatlink.routing.mechanisms import Mechanism
 
 __all__ = ["main"]
 
@@ -71,6 +72,12 @@
 @click.option(
     "--metrics-listen", type=_ADDRESS, default=None, help="Metrics' address with --settings-file."
 )
+@click.option(
+    "--without",
+    type=click.Choice([mechanism.value for mechanism in Mechanism]),
+    multiple=True,
+    help="Mechanism to switch off, for an experiment with --settings-file.",
+)
 @click.option("--name", default=None, help="Name of this instance in the instance list.")
 @click.option("--data-centre", default=None, help="Data centre in which it runs.")
 @click.option("--listen", type=_ADDRESS, default="127.0.0.1:8000", help="Callers' address.")
@@ -85,23 +92,30 @@
 @click.option("--prefill-timeout-s", default=30.0, help="Seconds for a prefill to be done.")
 @click.option("--stall-timeout-s", default=2.0, help="Seconds without a token until a resume.")
 @click.option("--caller-timeout-s", default=10.0, help="Seconds a caller may take no byte.")
-def entry(settings_file: Path | None, metrics_listen: Address | None, **flags: Any) -> None:
+def entry(
+    settings_file: Path | None,
+    metrics_listen: Address | None,
+    without: tuple[str, ...],
+    **flags: Any,
+) -> None:
     """Run an entry instance until SIGTERM; then finish all work and exit with 0.
 
     Without a settings file it needs --name and --data-centre, and prints one
     line of JSON with its addresses once it listens.
     """
     if settings_file is not None:
-        _run_relay(settings_file, metrics_listen)
+        _run_relay(settings_file, metrics_listen, frozenset(map(Mechanism, without)))
     else:
         _run_entry(**flags)
 
 
-def _run_relay(settings_file: Path, metrics_listen: Address | None) -> None:
+def _run_relay(
+    settings_file: Path, metrics_listen: Address | None, without: frozenset[Mechanism]
+) -> None:
     """Run the relay with a platform's settings file."""
 
     def load() -> RelaySettings:
-        return load_settings(settings_file, metrics_listen)
+        return load_settings(settings_file, metrics_listen)._replace(without=without)
 
     faults: list[str] = []
     try:
@@ -153,6 +167,27 @@
     click.echo(json.dumps({"address": str(callers), "peer_address": str(peers)}))
 
 
+class _Lazy(click.Command):
+    """A command whose module is imported when it is used: a relay has to start fast."""
+
+    def __init__(self, name: str, module: str, short_help: str) -> None:
+        super().__init__(name, short_help=short_help)
+        self._module = module
+
+    def make_context(self, *args: Any, **kwargs: Any) -> click.Context:
+        """Hand over to the command itself."""
+        return self._load().make_context(*args, **kwargs)
+
+    def _load(self) -> click.Command:
+        found: click.Command = getattr(import_module(self._module), self.name or "")
+        return found
+
+
+main.add_command(
+    _Lazy("analyze", "cleatlink.scripts.analyze", "Tell from logs where requests were lost.")
+)
+
+
 @main.group()
 def config() -> None:
     """Work with configurations."""
