Streams stay in their data centre while there is room; work is told near where it is; switches for experiments

Cause: a decode of another data centre counted as 0.08 of an engine, so streams crossed between data centres for small differences in load; each cut then broke them off.

Change: - Streams go to a decode of another data centre only when none here has room.

Relay's, routing's, platform's and analysis' tests passed.

--- a/cleatlink/relay/hold.py
+++ b/cleatlink/relay/hold.py
@@ -16,6 +16,7 @@
 from cleatlink.relay.connection import EndpointConnection
 from cleatlink.relay.pool import IDLE_LIMIT_S, Reply
 from cleatlink.relay.protocol import OutgoingRequest
+from cleatlink.routing.mechanisms import Mechanism
 
 __all__ = ["HoldOutcome", "StreamHold"]
 
@@ -72,7 +73,8 @@
             output: Tokens of the answer, as estimated.
         """
         traits = self._call.service.engine
-        if traits is None or not traits.hold_s:
+        uses_holds = self._parts.capacity.switches.uses(Mechanism.HOLDS)
+        if traits is None or not traits.hold_s or not uses_holds:
             return HoldOutcome.NOT_OFFERED
         self.drop()
         tokens = self._call.inbound.prompt_tokens + int(_OUTPUT_SHARE * output)
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -29,6 +29,7 @@
 from cleatlink.request.shared_budget import SharedRetryBudget
 from cleatlink.routing.capacity import Capacity, Reservation
 from cleatlink.routing.fleet_records import FleetRecords
+from cleatlink.routing.mechanisms import Switches
 
 __all__ = ["RelayInstance"]
 
@@ -59,7 +60,7 @@
         self._source = source
         self._incarnation = incarnation
         self._writer = writer
-        self._capacity = Capacity()
+        self._capacity = Capacity(Switches(settings.without))
         self._metrics = RelayMetrics()
         self._pool = ConnectionPool(self._allowed_connections)
         self._budgets: dict[str, SharedRetryBudget] = {}
@@ -194,6 +195,7 @@
                 name=self._settings.name,
                 data_centre=self._settings.data_centre,
                 incarnation=self._incarnation,
+                without=self._capacity.switches.without,
             )
             await stop.wait()
             await self._stop()
--- a/cleatlink/relay/orders.py
+++ b/cleatlink/relay/orders.py
@@ -16,6 +16,7 @@
 from cleatlink.relay.protocol import Protocol
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.role_planner import (
     PresenceWatch,
     RoleShift,
@@ -93,7 +94,7 @@
                 if leads:
                     self._take_fence()
                     self._targets.clear()
-            if leads:
+            if leads and self._capacity.switches.uses(Mechanism.ROLE_SHIFTS):
                 await self._plan_all()
 
     def _take_fence(self) -> None:
@@ -128,7 +129,8 @@
         targets = {name: self._targets[name] for name in changing}
         work = {endpoint.name: self._work_left_s(endpoint, now) for endpoint in endpoints}
         demand = capacity.meter(service).demand(now)
-        settled = watch.settled(traits.role_switch_s, now)
+        waits = self._capacity.switches.uses(Mechanism.SHIFT_PATIENCE)
+        settled = not waits or watch.settled(traits.role_switch_s, now)
         shift = plan_shift(prefills, decodes, demand, work, targets, settled=settled)
         if shift is not None:
             eliot.log_message(
--- a/cleatlink/relay/peers.py
+++ b/cleatlink/relay/peers.py
@@ -10,6 +10,7 @@
 import math
 import random
 import socket
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Set
 from typing import NamedTuple
 
@@ -36,6 +37,7 @@
 )
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.relay.sockets import bind
+from cleatlink.relay.work_news import WorkNews
 from cleatlink.routing.capacity import Capacity, Reservation
 from cleatlink.routing.shared_hints import SharedHints
 
@@ -55,6 +57,9 @@
 _ROSTERS = 3
 _MOST_BYTES = 60_000
 _WORK_SLACK_S = 2.0
+# Changes that come within so long of each other go in one datagram: about the pause
+# between two steps of one stream.
+_GATHER_S = 0.002
 # An endpoint that is still not reached is told of again after so long.
 _TELL_AGAIN_S = 0.4
 # Reports of peers have to come within so long of each other.
@@ -111,6 +116,7 @@
         self._peers: dict[str, _Peer] = {}
         self._addresses: dict[str, float] = {}
         self._changed: set[str] = set()
+        self._news = WorkNews(settings.name, incarnation, settings.data_centre, capacity)
         self._wake = trio.Event()
         self._hints = {
             HintKind.UNREACHED: SharedHints(_UNREACHED_S),
@@ -255,13 +261,14 @@
             await self._wake.wait()
             self._wake = trio.Event()
             changed, self._changed = self._changed, set()
+            addresses: dict[str, list[str]] = defaultdict(list)
+            for peer in self._peers.values():
+                addresses[peer.beat.data_centre].append(peer.address)
             now = trio.current_time()
-            own = self._capacity.own
-            placed = [WorkItem.of(key, own[key], now) for key in sorted(changed) if key in own]
-            over = [key for key in sorted(changed) if key not in own]
-            changes = Changes(self._settings.name, self._incarnation, placed, over)
-            self._send(changes, self._addresses)
-            await trio.sleep(0.002)
+            told = self._news.changes(changed, addresses, len(self._peers), now)
+            for data_centre, changes in told.items():
+                self._send(changes, addresses[data_centre])
+            await trio.sleep(_GATHER_S)
 
     def _forget_silent(self) -> None:
         now = trio.current_time()
--- a/cleatlink/relay/plain.py
+++ b/cleatlink/relay/plain.py
@@ -14,6 +14,7 @@
 from cleatlink.relay.pool import FRESH_LIMIT_S, IDLE_LIMIT_S, Reply
 from cleatlink.relay.protocol import OutgoingRequest, ReplyHead
 from cleatlink.routing.capacity import Reservation
+from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.relay_place import place_plain
 
 __all__ = ["PlainCall"]
@@ -91,7 +92,9 @@
     def _patience_s(self) -> float:
         """Give how long to wait for an endpoint when there may be a better one."""
         call = self._call
-        if not call.repeatable or call.sends + 1 >= call.route.max_attempts:
+        impatient = self._parts.capacity.switches.uses(Mechanism.PATIENCE)
+        may_leave = call.repeatable and call.sends + 1 < call.route.max_attempts
+        if not may_leave or not impatient:
             return max(0.0, call.left_s)
         usual_s = _USUAL_FACTOR * self._parts.capacity.pace(call.service.name).plain_s
         return max(_MIN_PATIENCE_S, _PATIENCE * call.route.target_s, usual_s)
--- a/cleatlink/relay/room.py
+++ b/cleatlink/relay/room.py
@@ -11,6 +11,7 @@
 from cleatlink.routing import WaitingRoom
 from cleatlink.routing.capacity import Reservation
 from cleatlink.routing.forecast import RoomForecast, StreamDemand
+from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.pace import DIRECT_FACTOR
 from cleatlink.routing.prompt_plan import PromptPlan, plan_prompt
 from cleatlink.routing.relay_place import (
@@ -159,6 +160,8 @@
         traits = call.service.engine
         assert traits is not None, "only engines decode"
         capacity, now = self._parts.capacity, trio.current_time()
+        if not capacity.switches.uses(Mechanism.FORECAST):
+            return 0.0 if capacity.candidates(call.service.name, Role.DECODE, now) else None
         forecast = RoomForecast(call.service.name, traits, capacity, now)
         pace = capacity.pace(call.service.name)
         output = estimate_output(call.inbound, pace)
@@ -273,7 +276,7 @@
         soon_s = self._soon_s(call, plan)
         retry_s = _NO_FORECAST_S if soon_s is None else max(soon_s, -plan.spare_s)
         retry_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, retry_s), _RETRY_SHARE * call.left_s)
-        if not standing.keeps:
+        if not standing.keeps and self._parts.capacity.switches.uses(Mechanism.RETURNS):
             self._expect_back(call, retry_s)
         kind = ErrorKind.NO_ENDPOINT if soon_s is None else ErrorKind.NO_ROOM
         call.log(
--- a/cleatlink/relay/settings.py
+++ b/cleatlink/relay/settings.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from cleatlink.core.address import Address
+from cleatlink.routing.mechanisms import Mechanism
 
 __all__ = ["RelaySettings"]
 
@@ -26,6 +27,7 @@
         leaving_s: Time within which an endpoint that leaves gets nothing more.
         lease_s: Silence after which another instance may give orders.
         history_s: Time for which the configuration service keeps its history.
+        without: Mechanisms that are switched off for an experiment.
     """
 
     name: str
@@ -43,3 +45,4 @@
     leaving_s: float = 2.0
     lease_s: float = 3.0
     history_s: float = 20.0
+    without: frozenset[Mechanism] = frozenset()
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -12,6 +12,7 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import EngineTraits, RoutedEndpoint
+from cleatlink.routing.mechanisms import Mechanism, Switches
 from cleatlink.routing.pace import ServicePace
 from cleatlink.routing.role_planner import DemandMeter
 
@@ -119,7 +120,8 @@
 class Capacity:
     """The mutable view; every method takes the time as an argument."""
 
-    def __init__(self) -> None:
+    def __init__(self, switches: Switches | None = None) -> None:
+        self.switches = switches or Switches()
         self._endpoints: dict[str, RoutedEndpoint] = {}
         self._by_service: dict[str, list[RoutedEndpoint]] = {}
         self._own: dict[str, Reservation] = {}
@@ -134,7 +136,7 @@
 
     def pace(self, service: str) -> ServicePace:
         """Give what was learned of a service's pace."""
-        return self._paces.setdefault(service, ServicePace())
+        return self._paces.setdefault(service, ServicePace(self.switches))
 
     def note_demand(self, reservation: Reservation, traits: EngineTraits, now: float) -> None:
         """Count placed work as demand on its service."""
@@ -221,6 +223,8 @@
     def note_unreached_by_peers(self, name: str, now: float) -> None:
         """Note that peers that share this instance's links can't reach an endpoint."""
         outcomes = self._outcomes.setdefault(name, _Outcomes())
+        if not self.switches.uses(Mechanism.HINTS):
+            return
         if now - outcomes.succeeded_at > _REACHED_S:
             outcomes.avoid_until = max(outcomes.avoid_until, now + _HINT_S)
 
@@ -233,7 +237,8 @@
 
     def note_slow(self, name: str, now: float) -> None:
         """Note that several instances found an endpoint slow."""
-        self._outcomes.setdefault(name, _Outcomes()).slow_until = now + _SLOW_S
+        if self.switches.uses(Mechanism.HINTS):
+            self._outcomes.setdefault(name, _Outcomes()).slow_until = now + _SLOW_S
 
     def note_full(self, name: str, now: float) -> None:
         """Note that an endpoint had no room just now."""
--- /dev/null
+++ b/cleatlink/routing/mechanisms.py
@@ -0,0 +1,53 @@
+"""Mechanisms that can be switched off, to measure what each one is worth.
+
+This is for experiments: an instance that runs without one of them keeps every
+promise, but decides worse somewhere.
+"""
+
+from collections.abc import Set
+from enum import StrEnum
+
+__all__ = ["Mechanism", "Switches"]
+
+
+class Mechanism(StrEnum):
+    """What can be switched off."""
+
+    # Engines' paces and answers' lengths as measured; off: as routes promise.
+    LEARNED_PACE = "learned-pace"
+    # Room kept for answers that get longer than estimated.
+    SPREAD_ROOM = "spread-room"
+    # Refusals as soon as it is known that a stream would be late; off: all wait.
+    FORECAST = "forecast"
+    # Refused callers known when they are back, and room kept for them.
+    RETURNS = "returns"
+    # Prompts computed by decodes when every prefill is too busy.
+    SHARED_PROMPTS = "shared-prompts"
+    # Engines that change between prefill and decode as demand moves.
+    ROLE_SHIFTS = "role-shifts"
+    # Changes of role that wait for their time: an endpoint may be back, others busy.
+    SHIFT_PATIENCE = "shift-patience"
+    # Room held at the decode before a prompt is computed.
+    HOLDS = "holds"
+    # Endpoints that peers found slow or out of reach.
+    HINTS = "hints"
+    # Decodes of this data centre before others.
+    LOCALITY = "locality"
+    # Safe calls that leave a silent endpoint for another one.
+    PATIENCE = "patience"
+
+
+class Switches:
+    """Tells which mechanisms are in use."""
+
+    def __init__(self, without: Set[Mechanism] = frozenset()) -> None:
+        self._without = without
+
+    @property
+    def without(self) -> list[str]:
+        """Names of those that are switched off."""
+        return sorted(self._without)
+
+    def uses(self, mechanism: Mechanism) -> bool:
+        """Tell whether a mechanism is in use."""
+        return mechanism not in self._without
--- a/cleatlink/routing/pace.py
+++ b/cleatlink/routing/pace.py
@@ -8,6 +8,8 @@
 
 import math
 
+from cleatlink.routing.mechanisms import Mechanism, Switches
+
 __all__ = ["DIRECT_FACTOR", "Estimate", "ServicePace"]
 
 # A decode computes prompts at about half the pace of a prefill, between other tokens.
@@ -42,6 +44,12 @@
     __slots__ = ("_learn", "count", "value")
 
     def __init__(self, prior: float, learn: float = _LEARN) -> None:
+        """Begin with a prior.
+
+        Args:
+            prior: The figure until it is measured.
+            learn: Share by which a later measurement moves it; 0 to learn nothing.
+        """
         self.value = prior
         self.count = 0
         self._learn = learn
@@ -53,7 +61,7 @@
 
     def note(self, sample: float) -> None:
         """Learn from a measurement; the first ones are averaged."""
-        if not math.isfinite(sample) or sample <= 0:
+        if not self._learn or not math.isfinite(sample) or sample <= 0:
             return
         if self.count >= _SETTLED:
             sample = min(self.value * _MOST_JUMP, max(self.value / _MOST_JUMP, sample))
@@ -65,12 +73,14 @@
 class ServicePace:
     """How fast the endpoints of one service are, as far as this instance has seen."""
 
-    def __init__(self) -> None:
-        self._token_s = Estimate(_TOKEN_S)
-        self._prompt_token_s = Estimate(_PROMPT_TOKEN_S)
-        self._start_s = Estimate(_START_S)
-        self._ratio = Estimate(1.0)
-        self._variance = Estimate(_SPREAD**2)
+    def __init__(self, switches: Switches | None = None) -> None:
+        self._switches = switches or Switches()
+        learn = _LEARN if self._switches.uses(Mechanism.LEARNED_PACE) else 0.0
+        self._token_s = Estimate(_TOKEN_S, learn)
+        self._prompt_token_s = Estimate(_PROMPT_TOKEN_S, learn)
+        self._start_s = Estimate(_START_S, learn)
+        self._ratio = Estimate(1.0, learn)
+        self._variance = Estimate(_SPREAD**2, learn)
         self._plain_s = Estimate(0.0, learn=0.2)
 
     @property
@@ -96,6 +106,8 @@
     @property
     def length_spread(self) -> float:
         """Deviation of answers' lengths from the estimate, as a share of it."""
+        if not self._switches.uses(Mechanism.SPREAD_ROOM):
+            return 0.0
         return math.sqrt(self._variance.value)
 
     @property
--- a/cleatlink/routing/prompt_plan.py
+++ b/cleatlink/routing/prompt_plan.py
@@ -12,6 +12,7 @@
 from cleatlink.core.data import Role
 from cleatlink.core.routes import Inbound, Route, RoutedService
 from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.pace import DIRECT_FACTOR
 from cleatlink.routing.relay_place import Seeker
 
@@ -55,7 +56,8 @@
         return PromptPlan(True, direct_s, left_s - direct_s - pace.token_s)
     apart = PromptPlan(False, queue_s + alone_s, left_s - queue_s - alone_s - pace.start_s)
     pause_s = direct_s + service.engine.event_tokens * pace.token_s
-    if apart.spare_s >= 0 or pause_s > route.event_gap_s:
+    shares = capacity.switches.uses(Mechanism.SHARED_PROMPTS)
+    if apart.spare_s >= 0 or pause_s > route.event_gap_s or not shares:
         return apart
     direct = PromptPlan(True, direct_s, left_s - direct_s - pace.token_s)
     return direct if direct.spare_s >= 0 else apart
--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -12,6 +12,7 @@
 from cleatlink.core.data import Role
 from cleatlink.core.routes import EngineTraits, Inbound, RoutedEndpoint
 from cleatlink.routing.capacity import Capacity, Reservation
+from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.pace import ServicePace
 
 __all__ = [
@@ -23,8 +24,13 @@
     "place_prefill",
 ]
 
-# Another data centre counts like this share of an endpoint's capacity.
-_DISTANCE = 0.08
+# A stream goes to a decode of another data centre only when none here has room: a cut
+# between the two would break it off, and each of its bytes would cross. Loads that are
+# compared stay below this figure.
+_STREAM_DISTANCE = 2.0
+# A plain call is over before a cut is likely, and its endpoint may be full unseen: another
+# data centre counts like this share of an endpoint's slots.
+_PLAIN_DISTANCE = 0.08
 _DISTANCE_TOKENS = 1_500
 # Endpoints that differ by less than this share of a distance count as equal.
 _TIE = 0.01
@@ -106,7 +112,8 @@
         peak = capacity.peak_memory(work.reserve(endpoint.name, seeker.now), seeker.now, spread)
         if usage.running >= traits.slots or (peak > traits.memory_tokens and usage.running):
             continue
-        cost = peak / traits.memory_tokens + _distance(endpoint, seeker) * _DISTANCE
+        cost = peak / traits.memory_tokens
+        cost += _STREAM_DISTANCE * _is_far(endpoint, capacity, seeker)
         cost += seeker.rng.random() * 0.01
         if best is None or cost < best_cost:
             best, best_cost = endpoint, cost
@@ -140,12 +147,15 @@
             continue
         usage = capacity.usage(endpoint.name, Role.PLAIN)
         cost = usage.running / max(1, endpoint.slots)
-        cost += _distance(endpoint, seeker) * _DISTANCE
+        cost += _PLAIN_DISTANCE * _is_far(endpoint, capacity, seeker)
         cost += seeker.rng.random() * 0.02
         if best is None or cost < best_cost:
             best, best_cost = endpoint, cost
     return best
 
 
-def _distance(endpoint: RoutedEndpoint, seeker: Seeker) -> bool:
+def _is_far(endpoint: RoutedEndpoint, capacity: Capacity, seeker: Seeker) -> bool:
+    """Tell whether an endpoint counts as one of another data centre."""
+    if not capacity.switches.uses(Mechanism.LOCALITY):
+        return False
     return endpoint.data_centre != seeker.data_centre
