--- a/cleatlink/relay/hold_test.py
+++ b/cleatlink/relay/hold_test.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from cleatlink.routing.mechanisms import Mechanism
 from standins.relay import Fault, Worker
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import Fleet, open_fleet
@@ -90,3 +91,13 @@
             assert await ask(fleet) == 200
         assert len(prefill.arrivals) == 4
         assert gone.runs == []
+
+
+async def test_without_holds_no_room_is_asked_for() -> None:
+    async with open_fleet() as fleet:
+        prefill, first, second = engines()
+        await begin(fleet, prefill, first, second)
+        fleet.start_instance("a", Mechanism.HOLDS)
+        await fleet.ready()
+        reply = await fleet.caller(1).ask("/stream/x", "POST", body=b"p", headers=STREAM)
+        assert (reply.status, first.held, second.held) == (200, [], [])
--- a/cleatlink/relay/stream_test.py
+++ b/cleatlink/relay/stream_test.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from cleatlink.routing.mechanisms import Mechanism
 from standins.relay import Fault, Worker
 from standins.relay.example import STREAM, engines, runs, start
 from standins.relay.fleet import open_fleet
@@ -226,3 +227,22 @@
         newcomer = await fleet.caller(1).ask("/stream/x", "POST", body=b"new", headers=STREAM)
         back = await fleet.caller(1).ask("/stream/x", "POST", body=b"mine", headers=STREAM)
         assert (newcomer.status, back.status, back.whole) == (503, 200, True)
+
+
+async def test_without_returns_a_caller_that_is_back_stands_like_any_other() -> None:
+    async with open_fleet() as fleet:
+        prefill, decode, _ = engines()
+        decode.events, decode.event_s = 24, 0.05
+        await start(fleet, prefill, decode)
+        fleet.start_instance("a", Mechanism.RETURNS)
+        version = fleet.configure({"kv_cache_tokens": 150})
+        await fleet.ready()
+        await fleet.until(
+            lambda: all(item.records.table_revision == version for item in fleet.instances)
+        )
+        await fleet.caller(1).send("/stream/x", "POST", body=b"p", headers=STREAM)
+        await fleet.until(lambda: bool(decode.runs))
+        for _ in range(2):
+            reply = await fleet.caller(1).ask("/stream/x", "POST", body=b"mine", headers=STREAM)
+            assert reply.status == 503
+        assert not any("back/" in key for key in fleet.instances[1].capacity.own)
--- a/standins/relay/fleet.py
+++ b/standins/relay/fleet.py
@@ -10,6 +10,7 @@
 from cleatlink.platform import PROTOCOL, PlatformStore
 from cleatlink.relay.instance import RelayInstance
 from cleatlink.relay.settings import RelaySettings
+from cleatlink.routing.mechanisms import Mechanism
 from standins.relay.client import Caller
 from standins.relay.store import Store
 from standins.relay.worker import Worker
@@ -89,8 +90,13 @@
         self.store.put("op/config", value)
         return self._version
 
-    def start_instance(self, data_centre: str = "a") -> RelayInstance:
-        """Start an instance; earlier ones are its peers."""
+    def start_instance(self, data_centre: str = "a", *without: Mechanism) -> RelayInstance:
+        """Start an instance; earlier ones are its peers.
+
+        Args:
+            data_centre: Where it runs.
+            *without: Mechanisms that are switched off in it.
+        """
         number = len(self.instances) + 1
         settings = RelaySettings(
             name=f"n{number}",
@@ -104,6 +110,7 @@
             retry_ratio=0.2,
             retry_allowance=50.0,
             lease_s=0.2,
+            without=frozenset(without),
         )
         instance = RelayInstance(settings, PROTOCOL, PlatformStore(settings.store), number)
         stop, ended = trio.Event(), trio.Event()
