--- a/cleatlink/members/view.py
+++ b/cleatlink/members/view.py
@@ -16,6 +16,8 @@
 
 __all__ = ["Heartbeat", "Members", "Peer", "PeerState", "State"]
 
+# Heartbeats are so far apart; after two that were lost a peer is in doubt, and it is taken for
+# dead once others had time to say otherwise.
 HEARTBEAT_S = 1.0
 SUSPECT_S = 2.5
 DEAD_S = 4.5
--- a/cleatlink/relay/catch_up.py
+++ b/cleatlink/relay/catch_up.py
@@ -21,7 +21,9 @@
 
 __all__ = ["CatchUp", "KnownState"]
 
+# A peer answers with all that it knows in milliseconds; one that does not is left.
 _FETCH_S = 1.0
+# Far above the largest table and list: a store's value holds a megabyte.
 _FETCH_BYTES = 64_000_000
 # Pauses before the configuration service is asked, and the peer.
 _HEAR_OF_IT_S = 0.15
--- a/cleatlink/relay/connection.py
+++ b/cleatlink/relay/connection.py
@@ -18,7 +18,9 @@
 
 __all__ = ["EndpointConnection"]
 
+# Bytes read at a time: what a socket's buffer usually holds.
 _READ_BYTES = 65_536
+# Far above the longest head that an endpoint writes.
 _MAX_HEAD_BYTES = 65_536
 # A body up to this size fits the socket's buffer, so that sending it cannot block for long.
 _SMALL_BODY_BYTES = 16_384
--- a/cleatlink/relay/events.py
+++ b/cleatlink/relay/events.py
@@ -5,6 +5,7 @@
 __all__ = ["EventCutter", "StreamEvent"]
 
 _END = b"\n\n"
+# Far above the longest event; more is no event stream.
 _MOST_EVENT_BYTES = 1_048_576
 
 
--- a/cleatlink/relay/follower.py
+++ b/cleatlink/relay/follower.py
@@ -18,6 +18,8 @@
 
 __all__ = ["Follower", "FollowerHooks"]
 
+# Pauses after a failed call, doubled from the first to the longest: the source answers in
+# milliseconds, and many ask it at once when it is back.
 _RETRY_FIRST_S = 0.05
 _RETRY_MOST_S = 0.6
 # Longest wait for changes. A wait that the other side forgot is only noticed at its
@@ -25,10 +27,12 @@
 _WATCH_S = 2.0
 _MOST_WATCH_S = 6.0
 _PEERS_A_WATCH = 8
+# A source that was silent is asked for one item, which takes so long at the most.
 _PROBE_S = 0.05
 # Changes come in groups, and each ends a wait of every instance: where there are many,
 # each lets changes gather for a while before it asks again.
 _GATHER_S = 0.25
+# Fleets in between gather in proportion; measured at 7, 62 and 85 instances.
 _FEW_INSTANCES = 8
 _MANY_INSTANCES = 50
 # Removals seen so soon after the source was found again are in doubt.
--- a/cleatlink/relay/hold.py
+++ b/cleatlink/relay/hold.py
@@ -20,7 +20,9 @@
 
 __all__ = ["HoldOutcome", "StreamHold"]
 
+# Far above the few bytes of an answer.
 _MOST_REPLY_BYTES = 65_536
+# An engine that takes longer for this has no room in time either; a third of usual targets.
 _ANSWER_S = 0.3
 _OTHER_ENDPOINT = 421
 _FULL = frozenset({429, 503})
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -34,10 +34,13 @@
 __all__ = ["RelayInstance"]
 
 
+# Idle connections and overdue work are looked at so often; nothing waits for it.
 _HOUSEKEEPING_S = 0.25
+# The platform asks for readiness each second and takes out who fails twice.
 _MIN_STOP_S = 2.2
 # New requests are taken for so long after a planned stop began.
 _TAKE_NEW_S = 3.2
+# How soon the end of the last request is noticed.
 _STOP_POLL_S = 0.05
 # An exit in time of its own: the platform kills what is left at the end of the grace.
 _EXIT_S = 0.5
--- a/cleatlink/relay/logs.py
+++ b/cleatlink/relay/logs.py
@@ -14,6 +14,7 @@
 
 __all__ = ["LineWriter", "write_lines"]
 
+# About a megabyte, and seconds of lines under load.
 _MOST_LINES = 4_000
 # A pipe that polls as writable takes this many bytes without blocking.
 _BLOCK_BYTES = 4_096
--- a/cleatlink/relay/orders.py
+++ b/cleatlink/relay/orders.py
@@ -26,8 +26,11 @@
 
 __all__ = ["RoleKeeper"]
 
+# Four times within the shortest silence that counts.
 _JUDGE_S = 0.25
+# Engines answer orders at once; one that is silent for so long may have taken it.
 _ORDER_S = 1.0
+# Far above the few bytes of an answer.
 _MOST_REPLY_BYTES = 65_536
 # An endpoint that does not show its new role by then has not taken the order.
 _SWITCH_SLACK_S = 2.0
--- a/cleatlink/relay/peers.py
+++ b/cleatlink/relay/peers.py
@@ -46,6 +46,7 @@
 # A peer that was silent for so long counts as gone for the choice of a leader.
 SILENCE_S = 2.5
 
+# Two lost heartbeats in a row still leave a peer within the silence that counts.
 _BEAT_S = 1.0
 # A peer that is silent for so long is gone; its work is forgotten.
 _GONE_S = 4.0
@@ -55,7 +56,9 @@
 _LEFT_S = 60.0
 # Peers that get a roster with each heartbeat.
 _ROSTERS = 3
+# A datagram holds no more.
 _MOST_BYTES = 60_000
+# Two heartbeats: work that is over is usually told before.
 _WORK_SLACK_S = 2.0
 # Changes that come within so long of each other go in one datagram: about the pause
 # between two steps of one stream.
--- a/cleatlink/relay/plain.py
+++ b/cleatlink/relay/plain.py
@@ -19,15 +19,19 @@
 
 __all__ = ["PlainCall"]
 
+# Far above the largest answer of a plain service.
 _MOST_BODY_BYTES = 16_777_216
 # Endpoints that could not be reached cost nothing but time; so many are tried.
 _MOST_UNREACHABLE = 4
 # A safe call leaves a silent endpoint after this share of the route's target.
 _PATIENCE = 0.6
+# Connections across data centres and a lost packet take so long.
 _MIN_PATIENCE_S = 0.15
 # It stays for longer where all calls take long: sent again, they would take longer still.
 _USUAL_FACTOR = 3.0
+# A place for the work to stand in until it is over; nothing is decided by it.
 _EXPECTED_S = 0.1
+# Time in which an endpoint that was full frees some places.
 _RETRY_AFTER_S = 0.5
 
 
--- a/cleatlink/relay/pool.py
+++ b/cleatlink/relay/pool.py
@@ -12,12 +12,15 @@
 
 __all__ = ["FRESH_LIMIT_S", "IDLE_LIMIT_S", "ConnectionPool", "Reply"]
 
+# The kernel gives a connection up whose data is not acknowledged for so long.
 _SILENCE_S = 1.5
+# Several times the way between data centres; a lost first packet costs a second anyway.
 _CONNECT_S = 0.15
 # Endpoints close idle connections after a time; callers' requests must not meet that.
 IDLE_LIMIT_S = 4.0
 # What may not be repeated goes out on a connection that was in use just now, or a new one.
 FRESH_LIMIT_S = 1.0
+# Kept at the most to one endpoint: its slots, shared with other instances, need fewer.
 _MOST_IDLE = 16
 # Share of an endpoint's connections that all instances may leave idle.
 _IDLE_SHARE = 0.5
--- a/cleatlink/relay/prefill.py
+++ b/cleatlink/relay/prefill.py
@@ -21,19 +21,24 @@
 
 __all__ = ["Handle", "Prefill"]
 
+# Far above the few bytes of an answer.
 _MOST_REPLY_BYTES = 65_536
 # What a call takes beside the work that it asks for.
 _PREFILL_BASE_S = 0.01
 # A prefill that is silent for this much longer than expected is left.
 _PREFILL_SLACK_S = 0.7
+# Endpoints out of reach cost only time; after so many the decode does it.
 _MOST_UNREACHABLE = 3
 # A prefill that took so much longer than expected is a slow endpoint's.
 _SLOW_FACTOR = 2.5
+# And at least so much, so that short prompts say nothing.
 _SLOW_BASE_S = 0.1
 # A handle is offered again while it surely lives.
 _HANDLE_SHARE = 0.7
+# A handle lapses by itself soon; so many tries within that time are worth it.
 _FREE_TRIES = 3
 _FREE_PAUSE_S = 0.2
+# Time in which a prefill that was busy works some prompts off.
 _RETRY_AFTER_S = 0.6
 
 
--- a/cleatlink/relay/room.py
+++ b/cleatlink/relay/room.py
@@ -29,6 +29,8 @@
 _PROMPT = "/p"
 # A refusal this early lets the caller's next try still count as in time.
 _EARLY_SHARE = 0.2
+# Sooner, a caller meets what it has just left; later than the longest, it is forgotten.
+# The longest is what a third of a deadline of 9 s allows.
 _MIN_RETRY_S = 0.4
 _MAX_RETRY_S = 3.0
 # Where nothing can be foreseen, an endpoint that fell silent may be back by then.
@@ -40,6 +42,7 @@
 # A stream that has begun, or that was refused before, waits for so many times its route's
 # target: callers leave a silent stream after some targets. What has begun goes first.
 _PATIENCE = 2.0
+# Above every priority of a route.
 _BEGUN_URGENCY = 100
 
 
--- a/cleatlink/relay/server.py
+++ b/cleatlink/relay/server.py
@@ -16,11 +16,15 @@
 
 __all__ = ["Exchange", "Handler", "RawRequest", "serve_connections"]
 
+# Bytes read at a time: what a socket's buffer usually holds.
 _READ_BYTES = 65_536
 # Bytes of a caller's next request that are read before its first is answered.
 _READ_AHEAD_BYTES = 65_536
+# The kernel gives a caller up that acknowledges nothing for so long.
 _CALLER_SILENCE_S = 6.0
+# Heads up to this size are read even if a table allows less, to answer them properly.
 _MIN_HEAD_BYTES = 16_384
+# Pause after an accept failed, as when descriptors run out.
 _ACCEPT_PAUSE_S = 0.05
 
 
--- a/cleatlink/relay/service.py
+++ b/cleatlink/relay/service.py
@@ -28,6 +28,7 @@
     431: ErrorKind.BAD_REQUEST,
 }
 _DEFAULT_LIMITS = CallerLimits()
+# A new table is usually in force by then.
 _NO_SERVICE_RETRY_S = 1.0
 
 
--- a/cleatlink/relay/sockets.py
+++ b/cleatlink/relay/sockets.py
@@ -8,8 +8,10 @@
 
 __all__ = ["bind", "connect", "listen", "quicken"]
 
+# Silent peers are found after three seconds at the most.
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_PROBES = 2
+# New connections that wait to be accepted; a herd after a restart fits.
 _BACKLOG = 512
 
 
--- a/cleatlink/relay/stream.py
+++ b/cleatlink/relay/stream.py
@@ -27,14 +27,19 @@
 
 __all__ = ["StreamCall", "StreamEnd"]
 
+# Far above the body of a failure.
 _MOST_REPLY_BYTES = 65_536
+# An engine that is full just now has room after some steps.
 _OFFER_AGAIN_S = 0.08
+# With the pause between them this stays within a handle's life.
 _MOST_REFUSALS = 2
 # Resumable streams leave an endpoint that is silent for so long.
 _FIRST_EVENT_S = 1.5
+# So many of the route's longest pauses count as silence, within these bounds.
 _PAUSES = 3.0
 _MIN_SILENCE_S = 0.5
 _MOST_SILENCE_S = 1.5
+# Time in which a decode that was full ends a stream.
 _RETRY_AFTER_S = 0.6
 
 
--- a/cleatlink/relay/tasks.py
+++ b/cleatlink/relay/tasks.py
@@ -10,6 +10,7 @@
 
 Task = Callable[..., Awaitable[None]]
 
+# Pause before a task that failed is started again.
 _RESTART_S = 0.5
 
 
--- a/cleatlink/request/budget.py
+++ b/cleatlink/request/budget.py
@@ -6,6 +6,7 @@
 
 __all__ = ["RetryBudget"]
 
+# Retries saved up for a burst of failures, at the most.
 _CAP = 10.0
 
 
--- a/cleatlink/request/classify.py
+++ b/cleatlink/request/classify.py
@@ -32,6 +32,7 @@
 ORGANISATION_HEADER = "x-organisation"
 
 _ANONYMOUS = "anonymous"
+# Characters of a model's or organisation's name; longer ones are a mistake.
 _MAX_NAME = 128
 # A rough measure that needs no tokenizer; engines report the true counts.
 _BYTES_PER_TOKEN = 4
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -20,6 +20,7 @@
 
 # An endpoint that failed is avoided for this long, doubled for each failure in a row.
 _AVOID_S = 0.5
+# The longest; an endpoint that is back is found within it.
 _MOST_AVOID_S = 8.0
 # After one success an endpoint that failed often is trusted again by degrees.
 _FULL_AVOID_S = 0.15
--- a/cleatlink/routing/pace.py
+++ b/cleatlink/routing/pace.py
@@ -29,6 +29,7 @@
 _PAUSE_SHARE = 0.2
 # Streams begin within this share of their target on an engine that has room.
 _START_SHARE = 0.2
+# Seconds; only until a route is known.
 _START_S = 0.15
 # Spread of callers' estimates of an answer's length, as the deviation of its logarithm.
 _SPREAD = 0.5
--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -31,6 +31,7 @@
 # A plain call is over before a cut is likely, and its endpoint may be full unseen: another
 # data centre counts like this share of an endpoint's slots.
 _PLAIN_DISTANCE = 0.08
+# Another data centre counts like so many tokens of a prompt: its hand-over takes twice as long.
 _DISTANCE_TOKENS = 1_500
 # Endpoints that differ by less than this share of a distance count as equal.
 _TIE = 0.01
--- a/cleatlink/routing/role_planner.py
+++ b/cleatlink/routing/role_planner.py
@@ -39,6 +39,8 @@
 
 # Requests seen lately that a plan needs.
 _MIN_REQUESTS = 6.0
+# Demand is that of about the last so many seconds: longer than a burst's edge, shorter than
+# the hours in which it moves with the day.
 _MEMORY_S = 10.0
 # The busier role's load must fall by this share.
 MIN_GAIN = 0.12
--- a/cleatlink/routing/shared_hints.py
+++ b/cleatlink/routing/shared_hints.py
@@ -7,6 +7,7 @@
 
 __all__ = ["SharedHints"]
 
+# One instance may be wrong by itself.
 _REPORTERS = 2
 
 
