A prefill's queue follows from its prompts' sizes; unseen waits are no pace; a broken answer ends at once

A late prompt's expected end moved by three tenths of its time, the next one stood behind it with a longer time of its own, and so on; and prompts that waited behind those of peers not heard yet passed for slow ones (0.7 and 17 s expected in the same second). Change: Capacity.queue_s from sizes alone; ServiceTime takes the shortest of the first measurements and moves by a quarter for longer ones.

Change: an answer under way that nothing can go on with is broken off at once; callers back with their last event still wait.

Tests, failed before: queue_of_a_prefill, waits_that_were_not_seen, begun_stream. prompt_plan_test's and mechanisms_test's busy prefills got sizes that take as long as before, since sizes decide now.

--- a/cleatlink/relay/prefill.py
+++ b/cleatlink/relay/prefill.py
@@ -115,7 +115,7 @@
         now = trio.current_time()
         tokens = call.inbound.prompt_tokens
         pace = parts.capacity.pace(call.service.name)
-        queue_s = max(0.0, parts.capacity.free_at(endpoint.name, Role.PREFILL, now) - now)
+        queue_s = parts.capacity.queue_s(endpoint.name)
         expected_s = queue_s + pace.prompt_s(tokens)
         work = Reservation(endpoint.name, Role.PREFILL, tokens, now + expected_s, expected_s)
         parts.capacity.reserve(key, work)
--- a/cleatlink/relay/room.py
+++ b/cleatlink/relay/room.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from cleatlink.core.data import Refusal, Role
+from cleatlink.core.data import Ran, Refusal, Role
 from cleatlink.core.errors import ErrorKind
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.call import Call, RelayParts
@@ -113,8 +113,8 @@
 
         A stream that waits takes room from those that come after it: one that
         would be late anyway is refused, as early as that can be foreseen. One that
-        has begun goes first, and waits for as long as its caller bears a pause;
-        one that was refused and is back stands where it stood before.
+        has begun goes first; one that was refused and is back stands where it stood
+        before. Both wait for longer, unless a part of the answer was passed on here.
 
         Args:
             call: The call.
@@ -144,6 +144,9 @@
         now = trio.current_time()
         patience_s = _PATIENCE * call.route.target_s
         if call.begun:
+            # An answer that is under way is broken off at once when nothing can go on with
+            # it: its caller can come back with the last event that it has.
+            patience_s = patience_s if call.ran is Ran.NO else 0.0
             return _Standing(_BEGUN_URGENCY, now, prompt_ready, patience_s, keeps=True)
         urgency = -call.route.priority
         back = self._returns.take(call.inbound, now)
@@ -217,7 +220,7 @@
         assert traits is not None, "only engines decode"
         capacity = self._parts.capacity
         plan = self._plan_prompt(call, standing)
-        if plan.spare_s < 0 and not plan.direct and not standing.patience_s:
+        if plan.spare_s < 0 and not plan.direct and not standing.keeps:
             return None
         if not standing.keeps and self._is_kept(call, plan):
             return None
--- a/cleatlink/relay/stream_test.py
+++ b/cleatlink/relay/stream_test.py
@@ -246,3 +246,17 @@
             reply = await fleet.caller(1).ask("/stream/x", "POST", body=b"mine", headers=STREAM)
             assert reply.status == 503
         assert not any("back/" in key for key in fleet.instances[1].capacity.own)
+
+
+async def test_begun_stream_that_no_decode_can_go_on_with_is_broken_off_at_once() -> None:
+    async with open_fleet() as fleet:
+        prefill, decode, _ = engines()
+        await start(fleet, prefill, decode)
+        decode.faults = [Fault.CUT]
+        caller = fleet.caller()
+        began_at = trio.current_time()
+        await caller.send("/resume/x", "POST", body=b"prompt", headers=STREAM)
+        reply = await caller.receive()
+        assert not reply.whole
+        # The caller can come back with its last event; a wait would only hide that.
+        assert trio.current_time() - began_at < 0.6
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -347,9 +347,24 @@
         return sorted(item.expected_end(now) for name in names for item in self.placed(name, role))
 
     def free_at(self, name: str, role: Role, now: float) -> float:
-        """Give when an endpoint that works on one thing after the other is free."""
+        """Give when all work on an endpoint is expected to be over."""
         return max(self.ends([name], role, now), default=now)
 
+    def queue_s(self, name: str) -> float:
+        """Give how long a prefill still takes for the prompts that it has.
+
+        It follows from their sizes alone: when each one was expected to be computed
+        depends on those before it, and an error there would grow from one to the next.
+        """
+        endpoint = self._endpoints.get(name)
+        placed = self.placed(name, Role.PREFILL)
+        if endpoint is None or not placed:
+            return 0.0
+        first = min(placed, key=lambda work: work.ends_at)
+        # The first one is under way: half of it is done, on the average.
+        tokens = sum(work.tokens for work in placed) - first.tokens // 2
+        return self.pace(endpoint.service).prompt_s(tokens)
+
     def peak_memory(self, work: Reservation, now: float, spread: float = 0.0) -> float:
         """Give the most memory that an endpoint will hold if it takes some work too."""
         return peak_memory([*self.placed(work.endpoint, work.role), work], now, spread)
--- a/cleatlink/routing/mechanisms_test.py
+++ b/cleatlink/routing/mechanisms_test.py
@@ -32,7 +32,7 @@
         capacity.set_endpoint(RoutedEndpoint(name, "127.0.0.1:1", place, "s", role, 64))
     capacity.set_endpoint(RoutedEndpoint("p1", "127.0.0.1:1", "a", "s", Role.PREFILL, 64))
     capacity.reserve("1", Reservation("d1", Role.DECODE, 20_000, 5.0, 5.0, 1_000))
-    capacity.reserve("2", Reservation("p1", Role.PREFILL, 9_000, 3.0, 3.0))
+    capacity.reserve("2", Reservation("p1", Role.PREFILL, 90_000, 3.0, 3.0))
     return capacity
 
 
--- a/cleatlink/routing/pace.py
+++ b/cleatlink/routing/pace.py
@@ -21,6 +21,9 @@
 _SETTLED = 4
 # A later measurement counts as at most so many times the estimate, or one part in so many.
 _MOST_JUMP = 3.0
+# A measurement that is longer than the estimate moves it by this share of what a shorter one
+# would: four in five of them may have waited unseen before the two are in balance.
+_LONGER_SHARE = 0.25
 # Priors, before a route or a measurement tells better: the middle of what engines do
 # (0.2 to 20 ms a token of the answer, 5 to 60 tokens of a prompt a millisecond).
 _TOKEN_S = 0.002
@@ -71,6 +74,28 @@
         self.value = (1 - weight) * self.value + weight * sample
 
 
+class ServiceTime(Estimate):
+    """A time that is learned although waits that are not seen may add to it.
+
+    The shortest of the first measurements counts; later on a longer one moves it
+    by less than a shorter one does.
+    """
+
+    __slots__ = ()
+
+    def note(self, sample: float) -> None:
+        """Learn from a measurement."""
+        if not self._learn or not math.isfinite(sample) or sample <= 0:
+            return
+        self.count += 1
+        if self.count <= _SETTLED:
+            self.value = sample if self.count == 1 else min(self.value, sample)
+            return
+        sample = min(self.value * _MOST_JUMP, max(self.value / _MOST_JUMP, sample))
+        weight = self._learn if sample < self.value else self._learn * _LONGER_SHARE
+        self.value += weight * (sample - self.value)
+
+
 class ServicePace:
     """How fast the endpoints of one service are, as far as this instance has seen."""
 
@@ -78,7 +103,7 @@
         self._switches = switches or Switches()
         learn = _LEARN if self._switches.uses(Mechanism.LEARNED_PACE) else 0.0
         self._token_s = Estimate(_TOKEN_S, learn)
-        self._prompt_token_s = Estimate(_PROMPT_TOKEN_S, learn)
+        self._prompt_token_s = ServiceTime(_PROMPT_TOKEN_S, learn)
         self._start_s = Estimate(_START_S, learn)
         self._ratio = Estimate(1.0, learn)
         self._variance = Estimate(_SPREAD**2, learn)
--- a/cleatlink/routing/pace_test.py
+++ b/cleatlink/routing/pace_test.py
@@ -26,6 +26,24 @@
     assert pace.prompt_s(tokens) == pytest.approx(taken_s)
 
 
+def test_waits_that_were_not_seen_do_not_pass_for_the_time_of_prompts() -> None:
+    pace, rng = ServicePace(), random.Random(1)
+    for _ in range(200):
+        # Half of the prompts found others that this instance had not heard of.
+        waited_s = rng.choice((0.0, rng.uniform(0.1, 1.0)))
+        pace.note_prompt(pace.prompt_s(3000), 0.1 + waited_s)
+    assert 0.09 < pace.prompt_s(3000) < 0.2
+
+
+def test_prompts_that_take_longer_for_good_are_followed() -> None:
+    pace = ServicePace()
+    for _ in range(10):
+        pace.note_prompt(pace.prompt_s(3000), 0.1)
+    for _ in range(100):
+        pace.note_prompt(pace.prompt_s(3000), 0.3)
+    assert pace.prompt_s(3000) == pytest.approx(0.3, rel=0.1)
+
+
 def test_pace_follows_engines_that_change() -> None:
     pace = ServicePace()
     for _ in range(20):
--- a/cleatlink/routing/prompt_plan.py
+++ b/cleatlink/routing/prompt_plan.py
@@ -65,10 +65,6 @@
 
 def _shortest_queue_s(service: str, capacity: Capacity, seeker: Seeker) -> float | None:
     """Give how long the prefill that is free first is still busy; None without any."""
-    names = [item.name for item in capacity.candidates(service, Role.PREFILL, seeker.now)]
-    ends = [
-        capacity.free_at(name, Role.PREFILL, seeker.now)
-        for name in names
-        if name not in seeker.excluded
-    ]
-    return max(0.0, min(ends) - seeker.now) if ends else None
+    names = (item.name for item in capacity.candidates(service, Role.PREFILL, seeker.now))
+    queues = (capacity.queue_s(name) for name in names if name not in seeker.excluded)
+    return min(queues, default=None)
--- a/cleatlink/routing/prompt_plan_test.py
+++ b/cleatlink/routing/prompt_plan_test.py
@@ -18,6 +18,7 @@
 
 TRAITS = EngineTraits(64, 40_000, 0.5, 6.0, event_tokens=10)
 SERVICE = RoutedService("s", 100, TRAITS)
+TOKENS_A_SECOND = 20_000
 
 
 def fleet(*roles: Role) -> Capacity:
@@ -44,7 +45,9 @@
 
 
 def busy(capacity: Capacity, name: str, until: float) -> None:
-    capacity.reserve(name, Reservation(name, Role.PREFILL, 100, until, until))
+    """Give a prefill a prompt whose second half takes until then."""
+    tokens = int(2 * until * TOKENS_A_SECOND)
+    capacity.reserve(name, Reservation(name, Role.PREFILL, tokens, until, until))
 
 
 def test_prefill_computes_it_while_the_stream_is_in_time() -> None:
--- a/cleatlink/routing/relay_parts_test.py
+++ b/cleatlink/routing/relay_parts_test.py
@@ -141,6 +141,25 @@
     assert found.name == "far"
 
 
+def test_queue_of_a_prefill_does_not_grow_by_prompts_that_are_late() -> None:
+    capacity = Capacity()
+    capacity.set_endpoint(endpoint("p", Role.PREFILL))
+    pace = capacity.pace("s")
+    for _ in range(9):
+        pace.note_prompt(pace.prompt_s(1000), 0.1)
+    assert capacity.queue_s("p") == 0.0
+    now = 0.0
+    for number in range(20):
+        # Each takes longer than was expected of it and of those before it.
+        expected_s = capacity.queue_s("p") + pace.prompt_s(1000)
+        work = Reservation("p", Role.PREFILL, 1000, now + expected_s, expected_s)
+        capacity.reserve(str(number), work)
+        now += 0.2
+        if number >= 3:
+            capacity.release(str(number - 3))
+        assert capacity.queue_s("p") <= 0.4
+
+
 def test_endpoint_that_fails_is_avoided_longer_each_time_and_used_if_alone() -> None:
     capacity = Capacity()
     for name in ("x", "y"):
--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -131,7 +131,7 @@
     for endpoint in capacity.candidates(service, Role.PREFILL, seeker.now):
         if endpoint.name in seeker.excluded or capacity.is_full(endpoint.name, seeker.now):
             continue
-        cost = capacity.free_at(endpoint.name, Role.PREFILL, seeker.now) - seeker.now
+        cost = capacity.queue_s(endpoint.name)
         cost += far_s * (endpoint.data_centre != beside)
         cost += far_s * _TIE * seeker.rng.random()
         if best is None or cost < best_cost:
