--- a/cleatlink/routing/forecast.py
+++ b/cleatlink/routing/forecast.py
@@ -1,7 +1,7 @@
 """Foresees when a stream that finds no room now will find some.
 
-Room comes when streams that run come to their ends. Those that wait already,
-here or at peers, and those that were asked to come back take theirs first.
+Room comes when streams that run come to their ends. Those that wait at this
+instance, and those that were asked to come back to any, take theirs first.
 The forecast gives each of them, in turn, the endpoint that has room for it
 soonest, and then this stream.
 """
