--- a/cleatlink/relay/room.py
+++ b/cleatlink/relay/room.py
@@ -12,7 +12,6 @@
 from cleatlink.routing.capacity import Reservation
 from cleatlink.routing.forecast import RoomForecast, StreamDemand
 from cleatlink.routing.mechanisms import Mechanism
-from cleatlink.routing.pace import DIRECT_FACTOR
 from cleatlink.routing.prompt_plan import PromptPlan, plan_prompt
 from cleatlink.routing.relay_place import (
     StreamSize,
@@ -241,7 +240,7 @@
         capacity.note_demand(work, traits, now)
         self._parts.on_work(key)
         if plan.direct:
-            self._reserve_prompt(call, endpoint, key, now)
+            self._reserve_prompt(call, endpoint, key, now + plan.ready_s, plan.ready_s)
         usage = capacity.usage(endpoint.name, Role.DECODE)
         call.log(
             "has room",
@@ -253,13 +252,13 @@
         )
         return Room(endpoint, key, duration_s, output, plan.direct)
 
-    def _reserve_prompt(self, call: Call, endpoint: RoutedEndpoint, key: str, now: float) -> None:
+    def _reserve_prompt(
+        self, call: Call, endpoint: RoutedEndpoint, key: str, ends_at: float, duration_s: float
+    ) -> None:
         """Let an endpoint that computes prompts between tokens have one at a time."""
-        capacity = self._parts.capacity
         tokens = call.inbound.prompt_tokens
-        duration_s = DIRECT_FACTOR * capacity.pace(call.service.name).prompt_s(tokens)
-        work = Reservation(endpoint.name, Role.PREFILL, tokens, now + duration_s, duration_s)
-        capacity.reserve(key + _PROMPT, work)
+        work = Reservation(endpoint.name, Role.PREFILL, tokens, ends_at, duration_s)
+        self._parts.capacity.reserve(key + _PROMPT, work)
         self._parts.on_work(key + _PROMPT)
 
     def prompt_computed(self, key: str) -> None:
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from cleatlink.core.data import Role
@@ -342,13 +342,9 @@
         """Give the work placed on an endpoint in a role."""
         return self._placed.get((name, role), [])
 
-    def ends(self, names: Iterable[str], role: Role, now: float) -> list[float]:
-        """Give when the work on some endpoints is expected to be over, soonest first."""
-        return sorted(item.expected_end(now) for name in names for item in self.placed(name, role))
-
     def free_at(self, name: str, role: Role, now: float) -> float:
         """Give when all work on an endpoint is expected to be over."""
-        return max(self.ends([name], role, now), default=now)
+        return max((work.expected_end(now) for work in self.placed(name, role)), default=now)
 
     def queue_s(self, name: str) -> float:
         """Give how long a prefill still takes for the prompts that it has.
