--- /dev/null
+++ b/tools/kinds/__init__.py
@@ -0,0 +1,1 @@
+"""Plays kinds of engines that nobody tuned for, beside an earlier commit."""
