--- a/cleatlink/analysis/engines.py
+++ b/cleatlink/analysis/engines.py
@@ -37,16 +37,16 @@
         at: When it was planned.
         endpoint: The engine.
         role: Its new role.
-        prefill_demand: Demand on prefills, in engines.
-        decode_demand: Demand on decodes, in engines.
+        rate: Streams that arrived a second.
+        late_share: Share of them that was foreseen to be late without the change.
         served_after_s: Seconds until it served in that role; None if that was not seen.
     """
 
     at: float
     endpoint: str
     role: str
-    prefill_demand: float
-    decode_demand: float
+    rate: float
+    late_share: float
     served_after_s: float | None = None
 
 
@@ -128,8 +128,8 @@
             line.at,
             endpoint,
             str(line.fields.get("role", "")),
-            line.number("prefill_demand"),
-            line.number("decode_demand"),
+            line.number("rate"),
+            line.number("late_share"),
         )
         self._changes.append(change)
 
--- a/cleatlink/analysis/report.py
+++ b/cleatlink/analysis/report.py
@@ -112,13 +112,13 @@
             change.endpoint,
             f"{change.at:.1f}",
             change.role,
-            f"{change.prefill_demand:.2f}",
-            f"{change.decode_demand:.2f}",
+            f"{change.rate:.2f}",
+            f"{change.late_share:.3f}",
             "not seen" if change.served_after_s is None else f"{change.served_after_s:.1f}",
         )
         for change in changes
     ]
-    head = ("engine", "planned at", "role", "prefill demand", "decode demand", "served after s")
+    head = ("engine", "planned at", "role", "streams a second", "late without it", "served after s")
     return Table("Changes of role", head, list(rows))
 
 
--- a/cleatlink/core/routes.py
+++ b/cleatlink/core/routes.py
@@ -61,6 +61,9 @@
         max_attempts: Most endpoints that one call may be sent to.
         resumable: Whether a stream may be continued at another endpoint.
         event_gap_s: Longest pause between events that is in time.
+        patience_s: Silence after which callers leave a stream, also before its first event.
+        heeded_share: Share of the time that is left to a caller up to which it heeds a
+            time to come back.
     """
 
     name: str
@@ -74,6 +77,8 @@
     max_attempts: int = 1
     resumable: bool = False
     event_gap_s: float = math.inf
+    patience_s: float = math.inf
+    heeded_share: float = 1.0
 
 
 class EngineTraits(NamedTuple):
--- a/cleatlink/platform/store.py
+++ b/cleatlink/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import math
 from typing import Any
 from urllib.parse import quote
 
@@ -35,6 +36,13 @@
 _SILENCE_S = 1.5
 _MOST_BYTES = 64_000_000
 _MS = 1000.0
+# Callers leave a stream that is silent for the longest of: so many seconds, so many times its
+# route's target, so many of its longest pauses. These are the platform's own figures.
+_MIN_PATIENCE_S = 2.0
+_PATIENCE_TARGETS = 4.0
+_PATIENCE_PAUSES = 8.0
+# The platform's callers heed a time to come back up to this share of what is left of theirs.
+_HEEDED_SHARE = 1 / 3
 
 
 class PlatformStore(ConfigurationSource):
@@ -191,16 +199,26 @@
     shares = entry.get("traffic_split")
     if not shares:
         shares = [{"service": entry["service"], "weight": 1}]
+    target_s = entry.get("target_latency_ms", entry["timeout_ms"]) / _MS
+    event_gap_s = entry.get("gap_target_ms", math.inf) / _MS
     return Route(
         name=entry["name"],
         host=entry["host"],
         path_prefix=entry["path_prefix"],
         kind=RouteKind(entry["kind"]),
         timeout_s=entry["timeout_ms"] / _MS,
-        target_s=entry.get("target_latency_ms", entry["timeout_ms"]) / _MS,
+        target_s=target_s,
         priority=int(entry.get("priority", 0)),
         shares=tuple(ServiceShare(share["service"], int(share["weight"])) for share in shares),
         max_attempts=int(entry.get("attempts", 1)),
         resumable=bool(entry.get("resumable", False)),
-        event_gap_s=entry.get("gap_target_ms", float("inf")) / _MS,
+        event_gap_s=event_gap_s,
+        patience_s=_patience_s(target_s, event_gap_s),
+        heeded_share=_HEEDED_SHARE,
     )
+
+
+def _patience_s(target_s: float, event_gap_s: float) -> float:
+    """Give the silence after which the platform's callers leave a stream."""
+    pauses_s = _PATIENCE_PAUSES * event_gap_s if math.isfinite(event_gap_s) else 0.0
+    return max(_MIN_PATIENCE_S, _PATIENCE_TARGETS * target_s, pauses_s)
--- a/cleatlink/relay/hold.py
+++ b/cleatlink/relay/hold.py
@@ -118,6 +118,7 @@
         except (msgspec.MsgspecError, KeyError, TypeError):
             return HoldOutcome.NOT_OFFERED
         self._endpoint = endpoint
+        capacity.note_room(endpoint.name)
         return HoldOutcome.HELD
 
     async def _free(self, endpoint: RoutedEndpoint, name: str) -> None:
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -283,13 +283,7 @@
 
     def _note_peer_demand(self, work: Reservation) -> None:
         """Count work that a peer placed as demand."""
-        table = self._follower.records.table
-        endpoint = self._capacity.endpoints.get(work.endpoint)
-        if table is None or endpoint is None:
-            return
-        service = table.services.get(endpoint.service)
-        if service is not None and service.engine is not None:
-            self._capacity.note_demand(work, service.engine, trio.current_time())
+        self._capacity.note_demand(work, trio.current_time())
 
     def snapshot(self) -> bytes:
         """Give all that this instance knows, encoded for a peer."""
--- a/cleatlink/relay/orders.py
+++ b/cleatlink/relay/orders.py
@@ -16,6 +16,7 @@
 from cleatlink.relay.protocol import Protocol
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.demand import RoleDemand, StreamPromise
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.role_planner import (
     PresenceWatch,
@@ -34,6 +35,8 @@
 _MOST_REPLY_BYTES = 65_536
 # An endpoint that does not show its new role by then has not taken the order.
 _SWITCH_SLACK_S = 2.0
+# A plan rests on seconds of arrivals: more often it would be the same.
+_PLAN_S = 1.0
 # Seconds between two shifts of a service that has few engines, and of one that has many.
 _PAUSE_S = 3.0
 _SHORT_PAUSE_S = 0.5
@@ -124,6 +127,7 @@
         watch.note({item.name for item in endpoints}, capacity.leaving(service), now)
         if now < self._not_before.get(service, 0.0):
             return None
+        self._not_before[service] = now + _PLAN_S
         changing = capacity.switching(now).keys() & {item.name for item in endpoints}
         # Where an engine goes that an earlier leader ordered to change is not known here.
         unknown = changing - self._targets.keys()
@@ -131,23 +135,49 @@
             return None
         targets = {name: self._targets[name] for name in changing}
         work = {endpoint.name: self._work_left_s(endpoint, now) for endpoint in endpoints}
-        demand = capacity.meter(service).demand(now)
+        demand = capacity.demand(service, traits, self._promise(service), now)
         waits = self._capacity.switches.uses(Mechanism.SHIFT_PATIENCE)
         settled = not waits or watch.settled(traits.role_switch_s, now)
-        shift = plan_shift(prefills, decodes, demand, work, targets, settled=settled)
+        change_s = traits.role_switch_s
+        shift = plan_shift(
+            prefills, decodes, demand, work, targets, change_s=change_s, settled=settled
+        )
         if shift is not None:
-            eliot.log_message(
-                message_type="orders: plans a shift",
-                endpoint=shift.endpoint.name,
-                role=shift.role.value,
-                prefills=len(prefills),
-                decodes=len(decodes),
-                prefill_demand=round(demand.prefill, 3),
-                decode_demand=round(demand.decode, 3),
-                requests=round(demand.requests, 1),
-            )
+            self._log_plan(shift, len(prefills), len(decodes), demand)
         return shift
 
+    def _promise(self, service: str) -> StreamPromise:
+        """Give what the routes of a service promise."""
+        table = self._table()
+        routes = table.routes if table is not None else ()
+        return StreamPromise.of(
+            route for route in routes if any(share.service == service for share in route.shares)
+        )
+
+    def _log_plan(
+        self, shift: RoleShift, prefills: int, decodes: int, demand: RoleDemand | None
+    ) -> None:
+        """Log a shift with what it rests on."""
+        seen: dict[str, float] = {}
+        if demand is not None:
+            seen = {
+                "rate": round(demand.rate, 2),
+                "most_rate": round(max(demand.rates, default=0.0), 2),
+                "prompt_s": round(demand.prompt_s, 4),
+                "stream_s": round(demand.stream_s, 3),
+                "places": round(demand.places, 1),
+                "late_share": round(demand.late_share(prefills, decodes), 3),
+                "seconds": len(demand.rates),
+            }
+        eliot.log_message(
+            message_type="orders: plans a shift",
+            endpoint=shift.endpoint.name,
+            role=shift.role.value,
+            prefills=prefills,
+            decodes=decodes,
+            **seen,
+        )
+
     def _work_left_s(self, endpoint: RoutedEndpoint, now: float) -> float:
         """Give how long an endpoint still works on what it has; it changes after that."""
         return max(0.0, self._capacity.free_at(endpoint.name, endpoint.role, now) - now)
--- a/cleatlink/relay/peer_messages.py
+++ b/cleatlink/relay/peer_messages.py
@@ -8,6 +8,7 @@
 from cleatlink.core.routes import RouteTable
 from cleatlink.routing.capacity import Reservation
 from cleatlink.routing.fleet_records import EndpointRecord
+from cleatlink.routing.pace import PaceSummary
 
 __all__ = [
     "Beat",
@@ -16,6 +17,7 @@
     "HintKind",
     "Member",
     "Message",
+    "PaceNews",
     "Roster",
     "Snapshot",
     "WorkItem",
@@ -108,6 +110,18 @@
     members: list[Member]
 
 
+class PaceNews(msgspec.Struct, array_like=True, frozen=True, tag="p"):
+    """What the sender knows of services' paces; it goes to few peers at a time.
+
+    Attributes:
+        name: Sender.
+        paces: What was measured by the name of a service, and how many seconds ago.
+    """
+
+    name: str
+    paces: dict[str, tuple[PaceSummary, float]]
+
+
 class Changes(msgspec.Struct, array_like=True, frozen=True, tag="c"):
     """Work that an instance has placed, and the keys of work that is over."""
 
@@ -140,7 +154,7 @@
     revision: int
 
 
-Message = Beat | Changes | Roster | EndpointHint
+Message = Beat | Changes | Roster | PaceNews | EndpointHint
 _DECODER = msgspec.msgpack.Decoder(Message)
 
 
--- a/cleatlink/relay/peers.py
+++ b/cleatlink/relay/peers.py
@@ -29,6 +29,7 @@
     HintKind,
     Member,
     Message,
+    PaceNews,
     Roster,
     Snapshot,
     WorkItem,
@@ -221,9 +222,13 @@
         self._send(beat, self._addresses)
 
     def _send_rosters(self) -> None:
-        """Tell a few peers, picked anew each time, who is there."""
+        """Tell a few peers, picked anew each time, who is there and what was measured."""
         addresses = [peer.address for peer in self._peers.values()]
-        self._send(self._roster(), self._rng.sample(addresses, min(_ROSTERS, len(addresses))))
+        chosen = self._rng.sample(addresses, min(_ROSTERS, len(addresses)))
+        self._send(self._roster(), chosen)
+        paces = self._capacity.pace_summaries(trio.current_time())
+        if paces:
+            self._send(PaceNews(self._settings.name, paces), chosen)
 
     def _roster(self) -> Roster:
         names = sorted(self.members | self._peers.keys())
@@ -310,6 +315,8 @@
                 self._take_hint(message)
             elif isinstance(message, Roster):
                 self._take_roster(message)
+            elif isinstance(message, PaceNews):
+                self._take_paces(message)
             else:
                 self._metrics.count_message("not_understood")
 
@@ -359,6 +366,13 @@
             if member.address and member.address not in self._addresses:
                 self._addresses[member.address] = now
 
+    def _take_paces(self, news: PaceNews) -> None:
+        """Take over what a peer measured, where this instance has not."""
+        self._metrics.count_message("paces")
+        now = trio.current_time()
+        for service, (summary, age_s) in news.paces.items():
+            self._capacity.pace(service).adopt(summary, age_s, now)
+
     def tell_hint(self, endpoint: str, kind: HintKind) -> None:
         """Tell peers of an endpoint that was slow, or in this data centre not reached."""
         now = trio.current_time()
--- a/cleatlink/relay/plain.py
+++ b/cleatlink/relay/plain.py
@@ -23,11 +23,10 @@
 _MOST_BODY_BYTES = 16_777_216
 # Endpoints that could not be reached cost nothing but time; so many are tried.
 _MOST_UNREACHABLE = 4
-# A safe call leaves a silent endpoint after this share of the route's target.
-_PATIENCE = 0.6
 # Connections across data centres and a lost packet take so long.
 _MIN_PATIENCE_S = 0.15
-# It stays for longer where all calls take long: sent again, they would take longer still.
+# A safe call leaves an endpoint that is silent for so many times what calls usually take:
+# sent again sooner, it would only add to a queue.
 _USUAL_FACTOR = 3.0
 # A place for the work to stand in until it is over; nothing is decided by it.
 _EXPECTED_S = 0.1
@@ -98,10 +97,10 @@
         call = self._call
         impatient = self._parts.capacity.switches.uses(Mechanism.PATIENCE)
         may_leave = call.repeatable and call.sends + 1 < call.route.max_attempts
-        if not may_leave or not impatient:
+        usual_s = self._parts.capacity.pace(call.service.name).plain_s
+        if not may_leave or not impatient or not usual_s:
             return max(0.0, call.left_s)
-        usual_s = _USUAL_FACTOR * self._parts.capacity.pace(call.service.name).plain_s
-        return max(_MIN_PATIENCE_S, _PATIENCE * call.route.target_s, usual_s)
+        return min(max(_MIN_PATIENCE_S, _USUAL_FACTOR * usual_s), max(0.0, call.left_s))
 
     async def _exchange(self, endpoint: RoutedEndpoint) -> Reply:
         call, parts = self._call, self._parts
@@ -130,6 +129,7 @@
             call.excluded.add(endpoint.name)
             return None
         parts.capacity.note_success(endpoint.name, trio.current_time())
+        parts.capacity.note_room(endpoint.name)
         return answer
 
     def _note_refusal(self, endpoint: RoutedEndpoint, head: ReplyHead) -> None:
--- a/cleatlink/relay/room.py
+++ b/cleatlink/relay/room.py
@@ -26,21 +26,14 @@
 # to make up for the pause.
 _PROMPT_GAP_S = 0.08
 _PROMPT = "/p"
-# A refusal this early lets the caller's next try still count as in time.
-_EARLY_SHARE = 0.2
-# Sooner, a caller meets what it has just left; later than the longest, it is forgotten.
-# The longest is what a third of a deadline of 9 s allows.
+# A call that waits is judged anew so often: what was foreseen may not come.
+_LOOK_AGAIN_S = 0.25
+# Sooner, a caller meets what it has just left.
 _MIN_RETRY_S = 0.4
-_MAX_RETRY_S = 3.0
 # Where nothing can be foreseen, an endpoint that fell silent may be back by then.
 _NO_FORECAST_S = 1.0
 # Room is kept for callers that are due back within this time.
 _KEPT_S = 0.2
-# Callers heed a time to come back up to a third of what is left of theirs.
-_RETRY_SHARE = 0.33
-# A stream that has begun, or that was refused before, waits for so many times its route's
-# target: callers leave a silent stream after some targets. What has begun goes first.
-_PATIENCE = 2.0
 # Above every priority of a route.
 _BEGUN_URGENCY = 100
 
@@ -70,15 +63,15 @@
         urgency: Its priority; larger goes first.
         since: When it came first.
         prompt_ready: Whether its prompt is computed already.
-        patience_s: How long it waits although it is late; 0 if it is not to be late.
         keeps: Whether it may take room that is kept for those that are due back.
+        may_wait: Whether it waits at all.
     """
 
     urgency: int
     since: float
     prompt_ready: bool
-    patience_s: float
     keeps: bool
+    may_wait: bool = True
 
 
 class DecodeRoom:
@@ -108,12 +101,12 @@
         self.offer()
 
     async def find(self, call: Call, *, prompt_ready: bool = False) -> Room | Refusal:
-        """Give room, after a wait if that still serves the call in time.
+        """Give room, after a wait if the call is foreseen to be served before its caller leaves.
 
-        A stream that waits takes room from those that come after it: one that
-        would be late anyway is refused, as early as that can be foreseen. One that
-        has begun goes first; one that was refused and is back stands where it stood
-        before. Both wait for longer, unless a part of the answer was passed on here.
+        A call that can't be is refused as early as that is foreseen, also one that is
+        back. One that has begun goes first; one that was refused and is back stands
+        where it stood before; one that will be late goes behind those that can be in
+        time and takes only room that is left over.
 
         Args:
             call: The call.
@@ -124,16 +117,12 @@
             room = self._try(call, standing)
             if room is not None:
                 return room
-        if standing.patience_s:
-            room = await self._wait(call, standing, standing.patience_s)
-            return room if room is not None else self._refuse(call, standing)
-        for share in (_EARLY_SHARE, 1.0):
+        while standing.may_wait:
             plan = self._plan_prompt(call, standing)
-            soon_s = self._soon_s(call, plan)
-            if soon_s is None or soon_s > plan.spare_s:
-                return self._refuse(call, standing)
-            wait_s = min(plan.spare_s, share * call.route.target_s - call.age_s)
-            room = await self._wait(call, standing, wait_s)
+            soon_s = self._served_in_s(call, plan, standing)
+            if soon_s is None or soon_s > plan.stay_s or plan.stay_s <= 0:
+                break
+            room = await self._wait(call, standing, min(plan.stay_s, _LOOK_AGAIN_S))
             if room is not None:
                 return room
         return self._refuse(call, standing)
@@ -141,24 +130,39 @@
     def _stand(self, call: Call, prompt_ready: bool) -> _Standing:
         """Give where a call stands among those that wait."""
         now = trio.current_time()
-        patience_s = _PATIENCE * call.route.target_s
         if call.begun:
             # An answer that is under way is broken off at once when nothing can go on with
             # it: its caller can come back with the last event that it has.
-            patience_s = patience_s if call.ran is Ran.NO else 0.0
-            return _Standing(_BEGUN_URGENCY, now, prompt_ready, patience_s, keeps=True)
+            may_wait = call.ran is Ran.NO
+            return _Standing(_BEGUN_URGENCY, now, prompt_ready, keeps=True, may_wait=may_wait)
         urgency = -call.route.priority
         back = self._returns.take(call.inbound, now)
         if back is None:
-            return _Standing(urgency, now, prompt_ready, 0.0, keeps=False)
+            return _Standing(urgency, now, prompt_ready, keeps=False)
         call.log("is back", refused_ago_s=round(now - back.refused_at, 3))
-        return _Standing(urgency, back.refused_at, prompt_ready, patience_s, keeps=True)
+        return _Standing(urgency, back.refused_at, prompt_ready, keeps=True)
 
     def _plan_prompt(self, call: Call, standing: _Standing) -> PromptPlan:
-        if standing.prompt_ready:
-            return PromptPlan(False, 0.0, call.route.target_s - call.age_s)
         seeker = call.seeker()
-        return plan_prompt(call.inbound, call.route, call.service, self._parts.capacity, seeker)
+        if not standing.prompt_ready:
+            return plan_prompt(call.inbound, call.route, call.service, self._parts.capacity, seeker)
+        start_s = self._parts.capacity.pace(call.service.name).start_s
+        first_s = call.age_s + start_s
+        stay_s = min(call.route.patience_s - first_s, call.left_s - start_s)
+        return PromptPlan(False, 0.0, 0.0, call.route.target_s - first_s, stay_s)
+
+    def _yields(self, call: Call, standing: _Standing) -> bool:
+        """Tell whether a call lets those that can still be in time go first."""
+        return not standing.keeps and self._plan_prompt(call, standing).is_late
+
+    def _served_in_s(self, call: Call, plan: PromptPlan, standing: _Standing) -> float | None:
+        """Foresee when a call finds room and may begin its prompt."""
+        soon_s = self._soon_s(call, plan)
+        if soon_s is None:
+            # What has begun waits for an engine that may be back.
+            return _NO_FORECAST_S if call.begun else None
+        yields = plan.is_late and not standing.keeps
+        return max(soon_s, plan.queue_s) if yields else soon_s
 
     def _soon_s(self, call: Call, plan: PromptPlan) -> float | None:
         """Foresee when a call finds room, behind those of this instance that wait."""
@@ -199,7 +203,9 @@
 
         began_at = trio.current_time()
         service, urgency = call.service.name, standing.urgency
-        ticket = self._waiting.add(service, urgency, standing.since, attempt)
+        ticket = self._waiting.add(
+            service, urgency, standing.since, attempt, lambda: self._yields(call, standing)
+        )
         try:
             with trio.move_on_after(max(0.0, min(wait_s, call.left_s))):
                 await done.wait()
@@ -219,17 +225,24 @@
         assert traits is not None, "only engines decode"
         capacity = self._parts.capacity
         plan = self._plan_prompt(call, standing)
-        if plan.spare_s < 0 and not plan.direct and not standing.keeps:
+        pace = capacity.pace(call.service.name)
+        yields = plan.is_late and not standing.keeps
+        if yields and plan.queue_s > pace.prompt_s(call.inbound.prompt_tokens):
             return None
         if not standing.keeps and self._is_kept(call, plan):
             return None
-        pace = capacity.pace(call.service.name)
         output = estimate_output(call.inbound, pace)
         seeker = call.seeker()
         duration_s = pace.stream_s(output) + plan.ready_s
         size = StreamSize(call.inbound.prompt_tokens, output, duration_s)
         endpoint = place_decode(
-            call.service.name, size, traits, capacity, seeker, computes_prompt=plan.direct
+            call.service.name,
+            size,
+            traits,
+            capacity,
+            seeker,
+            computes_prompt=plan.direct,
+            leaves_room=yields,
         )
         if endpoint is None:
             return None
@@ -237,7 +250,7 @@
         now = seeker.now
         work = size.reserve(endpoint.name, now)
         capacity.reserve(key, work)
-        capacity.note_demand(work, traits, now)
+        capacity.note_demand(work, now)
         self._parts.on_work(key)
         if plan.direct:
             self._reserve_prompt(call, endpoint, key, now + plan.ready_s, plan.ready_s)
@@ -280,7 +293,7 @@
         plan = self._plan_prompt(call, standing)
         soon_s = self._soon_s(call, plan)
         retry_s = _NO_FORECAST_S if soon_s is None else max(soon_s, -plan.spare_s)
-        retry_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, retry_s), _RETRY_SHARE * call.left_s)
+        retry_s = min(max(_MIN_RETRY_S, retry_s), call.route.heeded_share * call.left_s)
         if not standing.keeps and self._parts.capacity.switches.uses(Mechanism.RETURNS):
             self._expect_back(call, retry_s)
         kind = ErrorKind.NO_ENDPOINT if soon_s is None else ErrorKind.NO_ROOM
--- a/cleatlink/relay/stream.py
+++ b/cleatlink/relay/stream.py
@@ -138,6 +138,12 @@
         call = self._call
         assert self._room is not None, "room comes before the decode"
         endpoint = self._room.endpoint
+        if not self._parts.capacity.takes_work(endpoint.name):
+            # A prompt can take longer than an endpoint that leaves takes new work: on engines
+            # with prompts of seconds one was sent 2.5 s after the endpoint had said so.
+            call.log("finds its endpoint leaving", endpoint=endpoint.name)
+            self._move_on()
+            return None
         if not call.may_send(endpoint):
             return self._give_up(call.failure("no attempt is left", _RETRY_AFTER_S))
         if call.sends and not call.spend("decode"):
@@ -181,6 +187,7 @@
         if not parts.protocol.belongs(head, call.inbound):
             raise OutcomeUnknownError("the answer is another request's")
         call.ran = Ran.YES
+        parts.capacity.note_room(endpoint.name)
         self._prefill.drop("taken")
         if head.status != 200:
             return await self._pass_failure(head, connection)
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -12,9 +12,9 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import EngineTraits, RoutedEndpoint
+from cleatlink.routing.demand import DemandMeter, RoleDemand, StreamPromise
 from cleatlink.routing.mechanisms import Mechanism, Switches
-from cleatlink.routing.pace import ServicePace
-from cleatlink.routing.role_planner import DemandMeter
+from cleatlink.routing.pace import PaceSummary, ServicePace
 
 __all__ = ["Capacity", "Reservation", "Usage", "peak_memory"]
 
@@ -22,8 +22,10 @@
 _AVOID_S = 0.5
 # The longest; an endpoint that is back is found within it.
 _MOST_AVOID_S = 8.0
-# After one success an endpoint that failed often is trusted again by degrees.
+# An endpoint that had no room gets nothing new for so long, doubled for each time in a row:
+# what was believed of its room is wrong then, and nothing tells when it will be right.
 _FULL_AVOID_S = 0.15
+_MOST_FULL_AVOID_S = 1.2
 # Failures in a row after which an endpoint counts as out of reach.
 _OUT_OF_REACH_FAILURES = 3
 # What peers could not reach is avoided for so long, unless it answered here just now.
@@ -35,6 +37,9 @@
 # the lengths that are spread like callers' estimates (by a half of the logarithm) and
 # passed a time end within three tenths of it.
 _OVERDUE_SHARE = 0.3
+# Share of what a stream takes on idle engines that it may take longer, where that is too long
+# for its target already.
+_IDLE_SLACK = 0.5
 
 
 class Reservation(NamedTuple):
@@ -108,13 +113,21 @@
 class _Outcomes:
     """What calls to one endpoint came to lately."""
 
-    __slots__ = ("avoid_until", "failures", "full_until", "slow_until", "succeeded_at")
+    __slots__ = (
+        "avoid_until",
+        "failures",
+        "full_until",
+        "refusals",
+        "slow_until",
+        "succeeded_at",
+    )
 
     def __init__(self) -> None:
         self.failures = 0
         self.succeeded_at = -math.inf
         self.avoid_until = 0.0
         self.full_until = 0.0
+        self.refusals = 0
         self.slow_until = 0.0
 
 
@@ -139,20 +152,48 @@
         """Give what was learned of a service's pace."""
         return self._paces.setdefault(service, ServicePace(self.switches))
 
-    def note_demand(self, reservation: Reservation, traits: EngineTraits, now: float) -> None:
-        """Count placed work as demand on its service."""
-        endpoint = self._endpoints.get(reservation.endpoint)
-        if endpoint is None:
-            return
-        if reservation.role is Role.PREFILL:
-            endpoint_s = self.pace(endpoint.service).prompt_s(reservation.tokens)
-        else:
-            memory_share = reservation.tokens / max(1, traits.memory_tokens)
-            endpoint_s = max(memory_share, 1 / max(1, traits.slots)) * reservation.duration_s
-        self.meter(endpoint.service).note(reservation.role, endpoint_s, now)
-
-    def meter(self, service: str) -> DemandMeter:
-        """Give the demand on a service."""
+    def pace_summaries(self, now: float) -> dict[str, tuple[PaceSummary, float]]:
+        """Give what peers may take over of services' paces, with its age in seconds."""
+        found = {name: pace.summary(now) for name, pace in self._paces.items()}
+        return {name: item for name, item in found.items() if item is not None}
+
+    def note_demand(self, work: Reservation, now: float) -> None:
+        """Count a stream that was placed at a decode as demand on its service."""
+        endpoint = self._endpoints.get(work.endpoint)
+        if endpoint is not None and work.role is Role.DECODE:
+            self._meter(endpoint.service).note(work.tokens - work.grows, work.grows, now)
+
+    def demand(
+        self, service: str, traits: EngineTraits, promise: StreamPromise, now: float
+    ) -> RoleDemand | None:
+        """Give the demand on a service's engines; None while their paces are not known.
+
+        Args:
+            service: The service.
+            traits: What its engines have in common.
+            promise: What the service's routes promise.
+            now: The time.
+        """
+        pace, meter = self.pace(service), self._meter(service)
+        if not pace.is_known:
+            return None
+        prompt, output = meter.mean_prompt, meter.mean_output
+        # Answers grow, each at its own time: they hold half of their size on the average.
+        held = max(1.0, prompt + output / 2)
+        places = min(float(traits.slots), traits.memory_tokens / held)
+        prompt_s = pace.prompt_s(int(prompt))
+        stream_s = prompt_s + pace.stream_s(int(output))
+        rates, place_rates = meter.rates(now), meter.rates(now, stream_s)
+        # Where even idle engines are too slow for the target, some more counts as in time.
+        idle_s = prompt_s + pace.start_s
+        slack_s = max(promise.target_s - idle_s, _IDLE_SLACK * idle_s)
+        pause_s = pace.direct_pause_s(prompt_s, traits.event_tokens)
+        shares_prompts = pause_s <= promise.event_gap_s
+        return RoleDemand(
+            rates, place_rates, prompt_s, stream_s, places, slack_s, shares_prompts, meter.requests
+        )
+
+    def _meter(self, service: str) -> DemandMeter:
         return self._meters.setdefault(service, DemandMeter())
 
     def note_switching(self, name: str, until: float) -> None:
@@ -217,6 +258,7 @@
     def note_success(self, name: str, now: float) -> None:
         """Note that an endpoint did what it was asked."""
         outcomes = self._outcomes.setdefault(name, _Outcomes())
+        # One that failed often is trusted again by degrees.
         outcomes.failures = max(0, outcomes.failures - 1)
         outcomes.avoid_until = 0.0
         outcomes.succeeded_at = now
@@ -243,7 +285,21 @@
 
     def note_full(self, name: str, now: float) -> None:
         """Note that an endpoint had no room just now."""
-        self._outcomes.setdefault(name, _Outcomes()).full_until = now + _FULL_AVOID_S
+        outcomes = self._outcomes.setdefault(name, _Outcomes())
+        full_s = min(_MOST_FULL_AVOID_S, _FULL_AVOID_S * 2**outcomes.refusals)
+        outcomes.refusals += 1
+        outcomes.full_until = now + full_s
+
+    def note_room(self, name: str) -> None:
+        """Note that an endpoint had room just now."""
+        outcomes = self._outcomes.get(name)
+        if outcomes is not None:
+            outcomes.refusals = 0
+
+    def takes_work(self, name: str) -> bool:
+        """Tell whether an endpoint is registered and does not leave."""
+        endpoint = self._endpoints.get(name)
+        return endpoint is not None and not endpoint.leaving and name not in self._leaving
 
     def candidates(self, service: str, role: Role, now: float) -> list[RoutedEndpoint]:
         """Give a service's endpoints that may get work; avoided ones if there are no others."""
@@ -271,8 +327,12 @@
 
     def is_full(self, name: str, now: float) -> bool:
         """Tell whether an endpoint turned work away for lack of room just now."""
+        return now < self.full_until(name)
+
+    def full_until(self, name: str) -> float:
+        """Give until when an endpoint gets nothing new because it had no room."""
         outcomes = self._outcomes.get(name)
-        return outcomes is not None and now < outcomes.full_until
+        return outcomes.full_until if outcomes is not None else 0.0
 
     def _avoided(self, name: str, now: float) -> bool:
         outcomes = self._outcomes.get(name)
@@ -357,13 +417,15 @@
         if endpoint is None or not placed:
             return 0.0
         first = min(placed, key=lambda work: work.ends_at)
+        pace = self.pace(endpoint.service)
         # The first one is under way: half of it is done, on the average.
-        tokens = sum(work.tokens for work in placed) - first.tokens // 2
-        return self.pace(endpoint.service).prompt_s(tokens)
+        return sum(pace.prompt_s(work.tokens) for work in placed) - pace.prompt_s(first.tokens) / 2
 
-    def peak_memory(self, work: Reservation, now: float, spread: float = 0.0) -> float:
-        """Give the most memory that an endpoint will hold if it takes some work too."""
-        return peak_memory([*self.placed(work.endpoint, work.role), work], now, spread)
+    def peak_memory(
+        self, name: str, work: Sequence[Reservation], now: float, spread: float = 0.0
+    ) -> float:
+        """Give the most memory that a decode will hold if it takes some work too."""
+        return peak_memory([*self.placed(name, Role.DECODE), *work], now, spread)
 
     def _add(self, reservation: Reservation, sign: int) -> None:
         key = (reservation.endpoint, reservation.role)
--- /dev/null
+++ b/cleatlink/routing/demand.py
@@ -0,0 +1,173 @@
+"""What streams asked of a service lately, and how many would be late with given roles.
+
+Arrivals are counted by second with the tokens of their prompts and answers, not with
+the time that these take: paces that are learned later hold for all of them. The rates of
+the last seconds, calm ones and bursts, each count as often as they were seen.
+"""
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from cleatlink.core.routes import Route
+from cleatlink.routing.pace import DIRECT_FACTOR
+from cleatlink.routing.queueing import in_time_share
+
+__all__ = ["MEMORY_S", "DemandMeter", "RoleDemand", "StreamPromise"]
+
+# Seconds of arrivals that are remembered: longer than a burst and the calm between two,
+# shorter than the hours in which demand moves with the day.
+MEMORY_S = 30.0
+# Rates are means over so many seconds at the least: what a queue of some prompts evens out.
+_SPAN_S = 3
+# Shares of the prompts that decodes compute, of which the best is taken.
+_DIRECT_SHARES = (0.0, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0)
+
+
+class StreamPromise(NamedTuple):
+    """What the routes of a service promise together: the shortest of each.
+
+    Attributes:
+        target_s: Time within which a stream begins.
+        event_gap_s: Longest pause between events.
+    """
+
+    target_s: float = math.inf
+    event_gap_s: float = math.inf
+
+    @classmethod
+    def of(cls, routes: Iterable[Route]) -> "StreamPromise":
+        """Give what some routes promise together."""
+        found = list(routes)
+        target_s = min((route.target_s for route in found), default=math.inf)
+        return cls(target_s, min((route.event_gap_s for route in found), default=math.inf))
+
+
+class RoleDemand(NamedTuple):
+    """Demand on one service's engines.
+
+    Attributes:
+        rates: Streams that arrived a second, one figure for each of the last seconds.
+        place_rates: The same, each as the mean over as long as a stream holds its place: a
+            burst that is shorter than that fills only so many places.
+        prompt_s: Seconds that a prefill takes for a prompt, on the average.
+        stream_s: Seconds for which a stream holds its place at a decode, on the average.
+        places: Streams of average size that fit on a decode at once.
+        slack_s: Seconds that a stream may wait, and take longer, and be in time.
+        shares_prompts: Whether decodes may compute prompts beside prefills.
+        requests: Streams that were counted.
+    """
+
+    rates: tuple[float, ...]
+    place_rates: tuple[float, ...]
+    prompt_s: float
+    stream_s: float
+    places: float
+    slack_s: float
+    shares_prompts: bool
+    requests: int
+
+    @property
+    def rate(self) -> float:
+        """Mean arrivals a second."""
+        return sum(self.rates) / len(self.rates) if self.rates else 0.0
+
+    def late_share(self, prefills: int, decodes: int) -> float:
+        """Estimate the share of streams that are late or refused with given roles.
+
+        Decodes compute the share of the prompts that is best computed there.
+        """
+        shares = _DIRECT_SHARES if self.shares_prompts else (0.0,)
+        if not prefills:
+            shares = (1.0,)
+        places = max(1, round(self.places * decodes))
+        late = 0.0
+        for rate, place_rate in zip(self.rates, self.place_rates, strict=True):
+            placed = in_time_share(place_rate, self.stream_s, places, self.slack_s)
+            prompts = (self._prompts_in_time(rate, share, prefills, decodes) for share in shares)
+            late += rate * (1.0 - placed * max(prompts))
+        return late / sum(self.rates) if late else 0.0
+
+    def _prompts_in_time(self, rate: float, share: float, prefills: int, decodes: int) -> float:
+        """Estimate the share of prompts that are done in time.
+
+        Args:
+            rate: Prompts a second.
+            share: Share of them that decodes compute.
+            prefills: Engines that compute prompts apart.
+            decodes: Engines that compute them beside their streams.
+        """
+        direct_s = DIRECT_FACTOR * self.prompt_s
+        apart = in_time_share((1 - share) * rate, self.prompt_s, prefills, self.slack_s)
+        slack_s = self.slack_s - (direct_s - self.prompt_s)
+        beside = in_time_share(share * rate, direct_s, decodes, slack_s)
+        return (1 - share) * apart + share * beside
+
+
+class _Second(NamedTuple):
+    """Streams that arrived within one second."""
+
+    second: int
+    streams: int
+    prompt: int
+    output: int
+
+
+class DemandMeter:
+    """Counts the streams that arrive."""
+
+    def __init__(self) -> None:
+        self._seconds: deque[_Second] = deque()
+
+    def note(self, prompt: int, output: int, now: float) -> None:
+        """Count a stream.
+
+        Args:
+            prompt: Tokens of its prompt.
+            output: Tokens of its answer, as estimated.
+            now: The time.
+        """
+        second = int(now)
+        last = _Second(second, 0, 0, 0)
+        if self._seconds and self._seconds[-1].second >= second:
+            last = self._seconds.pop()
+        self._seconds.append(
+            _Second(last.second, last.streams + 1, last.prompt + prompt, last.output + output)
+        )
+        self._forget(second)
+
+    @property
+    def requests(self) -> int:
+        """Streams that are remembered."""
+        return sum(item.streams for item in self._seconds)
+
+    @property
+    def mean_prompt(self) -> float:
+        """Tokens of a prompt, on the average."""
+        return sum(item.prompt for item in self._seconds) / max(1, self.requests)
+
+    @property
+    def mean_output(self) -> float:
+        """Tokens of an answer, on the average."""
+        return sum(item.output for item in self._seconds) / max(1, self.requests)
+
+    def rates(self, now: float, span_s: float = 0.0) -> tuple[float, ...]:
+        """Give the arrivals a second in each whole second since the oldest remembered.
+
+        Args:
+            now: The time.
+            span_s: Each figure is the mean of at least so many seconds that end with it.
+        """
+        self._forget(int(now))
+        if not self._seconds:
+            return ()
+        first, end = self._seconds[0].second, int(now)
+        span = max(_SPAN_S, round(span_s))
+        streams = {item.second: item.streams for item in self._seconds}
+        counts = [streams.get(second, 0) for second in range(first, end)]
+        return tuple(sum(counts[max(0, at - span) : at]) / span for at in range(1, len(counts) + 1))
+
+    def _forget(self, second: int) -> None:
+        while self._seconds and self._seconds[0].second < second - MEMORY_S:
+            self._seconds.popleft()
--- a/cleatlink/routing/forecast.py
+++ b/cleatlink/routing/forecast.py
@@ -37,9 +37,15 @@
     """How an endpoint's room opens with time."""
 
     def __init__(
-        self, tokens: float, slots: int, ends: list[tuple[float, int]], prompts_until: float
+        self,
+        tokens: float,
+        slots: int,
+        ends: list[tuple[float, int]],
+        prompts_until: float,
+        full_until: float,
     ) -> None:
         self._prompts_until = prompts_until
+        self._full_until = full_until
         self._tokens = tokens
         self._slots = slots
         self._ends = sorted(ends)
@@ -53,6 +59,7 @@
         needed = bisect_left(self._freed, stream.tokens - self._tokens)
         needed = min(max(needed, 1 - self._slots), len(self._ends))
         opens_at = self._ends[needed - 1][0] if needed > 0 else now
+        opens_at = max(opens_at, self._full_until)
         return max(opens_at, self._prompts_until) if stream.prompt_s else opens_at
 
     def take(self, stream: StreamDemand, at: float) -> None:
@@ -110,4 +117,5 @@
     ends = [(item.expected_end(now), item.tokens) for item in placed]
     held = peak_memory(placed, now, spread)
     prompts_until = capacity.free_at(name, Role.PREFILL, now)
-    return _Opening(traits.memory_tokens - held, traits.slots - len(placed), ends, prompts_until)
+    tokens, slots = traits.memory_tokens - held, traits.slots - len(placed)
+    return _Opening(tokens, slots, ends, prompts_until, capacity.full_until(name))
--- a/cleatlink/routing/forecast_test.py
+++ b/cleatlink/routing/forecast_test.py
@@ -79,3 +79,18 @@
     assert room_in_s(capacity, 2000) == 0.0
     capacity.reserve("1", Reservation("x", Role.DECODE, 10, 5.0))
     assert room_in_s(capacity, 2000) == 4.0
+
+
+def test_endpoint_that_turned_work_away_opens_later_each_time() -> None:
+    capacity = fleet("x")
+    assert room_in_s(capacity, 300) == 0.0
+    for _ in range(5):
+        capacity.note_full("x", 1.0)
+    doubled = room_in_s(capacity, 300)
+    assert doubled is not None
+    assert 1.0 < doubled < 2.0
+    capacity.note_room("x")
+    capacity.note_full("x", 3.0)
+    once = room_in_s(capacity, 300, now=3.0)
+    assert once is not None
+    assert once < 0.2
--- a/cleatlink/routing/pace.py
+++ b/cleatlink/routing/pace.py
@@ -7,10 +7,11 @@
 """
 
 import math
+from typing import NamedTuple
 
 from cleatlink.routing.mechanisms import Mechanism, Switches
 
-__all__ = ["DIRECT_FACTOR", "Estimate", "ServicePace"]
+__all__ = ["DIRECT_FACTOR", "Estimate", "PaceSummary", "ServicePace"]
 
 # A decode computes prompts at about half the pace of a prefill, between other tokens.
 DIRECT_FACTOR = 2.2
@@ -36,12 +37,34 @@
 _START_S = 0.15
 # Spread of callers' estimates of an answer's length, as the deviation of its logarithm.
 _SPREAD = 0.5
+# What was measured longer ago than this is told no more: engines may have changed.
+_NEWS_S = 30.0
 # Answers shorter than this say too little about the estimate of their length.
 _MIN_RATIO = 0.02
 # Estimates that were right lately may still be off by this share.
 _MIN_SPREAD = 0.02
 
 
+class PaceSummary(NamedTuple):
+    """What was measured of a service, for an instance that has measured nothing yet.
+
+    Attributes:
+        token_s: Seconds between two tokens of an answer.
+        prompt_base_s: Seconds that every prompt takes.
+        prompt_token_s: Seconds that a prompt takes for each of its tokens.
+        start_s: Seconds from the hand-over to a decode until its first event.
+        length_ratio: Length of answers as a share of what their callers estimated.
+        length_variance: Squared deviation of that share.
+    """
+
+    token_s: float
+    prompt_base_s: float
+    prompt_token_s: float
+    start_s: float
+    length_ratio: float
+    length_variance: float
+
+
 class Estimate:
     """A positive figure that is learned from measurements."""
 
@@ -63,6 +86,11 @@
         if not self.count:
             self.value = prior
 
+    def adopt(self, value: float) -> None:
+        """Take what a peer measured, while there are few measurements of our own."""
+        if self._learn and self.count < _SETTLED:
+            self.value = value
+
     def note(self, sample: float) -> None:
         """Learn from a measurement; the first ones are averaged."""
         if not self._learn or not math.isfinite(sample) or sample <= 0:
@@ -74,26 +102,75 @@
         self.value = (1 - weight) * self.value + weight * sample
 
 
-class ServiceTime(Estimate):
-    """A time that is learned although waits that are not seen may add to it.
+class PromptTime:
+    """The time of a prompt by its tokens: a fixed part and one for each token.
 
-    The shortest of the first measurements counts; later on a longer one moves it
-    by less than a shorter one does.
+    Both are fitted to measurements by least squares, of which the latest count most.
+    Waits that are not seen may add to a measurement: one that is longer than the estimate
+    counts in part only.
     """
 
-    __slots__ = ()
+    __slots__ = ("_learn", "_mean_s", "_mean_tokens", "_product", "_square", "_weight", "count")
 
-    def note(self, sample: float) -> None:
+    def __init__(self, token_s: float, learn: float = _LEARN) -> None:
+        """Begin with a prior.
+
+        Args:
+            token_s: Seconds a token until there are measurements.
+            learn: Share of what is known that a measurement replaces; 0 to learn nothing.
+        """
+        self.count = 0
+        self._learn = learn
+        self._weight = 0.0
+        self._mean_tokens = 1.0
+        self._mean_s = token_s
+        self._square = 0.0
+        self._product = 0.0
+
+    @property
+    def line(self) -> tuple[float, float]:
+        """Seconds that every prompt takes, and those for each of its tokens."""
+        token_s = self._product / self._square if self._square > 0 else -1.0
+        base_s = self._mean_s - token_s * self._mean_tokens
+        if token_s < 0 or base_s < 0:
+            return 0.0, self._mean_s / self._mean_tokens
+        return base_s, token_s
+
+    def estimate(self, tokens: int) -> float:
+        """Estimate the seconds that a prompt takes."""
+        base_s, token_s = self.line
+        return base_s + token_s * tokens
+
+    def adopt(self, base_s: float, token_s: float) -> None:
+        """Take what a peer measured, while there are few measurements of our own."""
+        if self._learn and self.count < _SETTLED:
+            self._weight = 1.0
+            self._mean_s = base_s + token_s * self._mean_tokens
+            self._square, self._product = 1.0, token_s
+
+    def note(self, tokens: int, seconds: float) -> None:
         """Learn from a measurement."""
-        if not self._learn or not math.isfinite(sample) or sample <= 0:
+        if not self._learn or not math.isfinite(seconds) or seconds <= 0 or tokens <= 0:
             return
         self.count += 1
-        if self.count <= _SETTLED:
-            self.value = sample if self.count == 1 else min(self.value, sample)
-            return
-        sample = min(self.value * _MOST_JUMP, max(self.value / _MOST_JUMP, sample))
-        weight = self._learn if sample < self.value else self._learn * _LONGER_SHARE
-        self.value += weight * (sample - self.value)
+        weight = 1.0
+        if self.count > _SETTLED:
+            expected_s = self.estimate(tokens)
+            seconds = min(expected_s * _MOST_JUMP, max(expected_s / _MOST_JUMP, seconds))
+            weight = 1.0 if seconds < expected_s else _LONGER_SHARE
+        self._take(tokens, seconds, weight)
+
+    def _take(self, tokens: int, seconds: float, weight: float) -> None:
+        """Add a measurement to the weighted means and moments."""
+        known = self._weight * (1 - self._learn * weight)
+        self._weight = known + weight
+        share = weight / self._weight
+        tokens_off = tokens - self._mean_tokens
+        seconds_off = seconds - self._mean_s
+        self._mean_tokens += share * tokens_off
+        self._mean_s += share * seconds_off
+        self._square = (1 - share) * (self._square + share * tokens_off**2)
+        self._product = (1 - share) * (self._product + share * tokens_off * seconds_off)
 
 
 class ServicePace:
@@ -103,22 +180,27 @@
         self._switches = switches or Switches()
         learn = _LEARN if self._switches.uses(Mechanism.LEARNED_PACE) else 0.0
         self._token_s = Estimate(_TOKEN_S, learn)
-        self._prompt_token_s = ServiceTime(_PROMPT_TOKEN_S, learn)
+        self._prompt_s = PromptTime(_PROMPT_TOKEN_S, learn)
         self._start_s = Estimate(_START_S, learn)
         self._ratio = Estimate(1.0, learn)
         self._variance = Estimate(_SPREAD**2, learn)
         self._plain_s = Estimate(0.0, learn=0.2)
+        self._measured_at = -math.inf
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the paces of prompts and of answers rest on measurements, here or at a peer."""
+        return self._is_measured or math.isfinite(self._measured_at)
+
+    @property
+    def _is_measured(self) -> bool:
+        return min(self._token_s.count, self._prompt_s.count) >= _SETTLED
 
     @property
     def token_s(self) -> float:
         """Seconds between two tokens of an answer."""
         return self._token_s.value
 
-    @property
-    def prompt_token_s(self) -> float:
-        """Seconds that a prefill takes for a token of a prompt."""
-        return self._prompt_token_s.value
-
     @property
     def start_s(self) -> float:
         """Seconds from the hand-over to a decode until its first event."""
@@ -141,6 +223,45 @@
         """Seconds that plain calls took lately; 0 before the first."""
         return self._plain_s.value
 
+    def summary(self, now: float) -> tuple[PaceSummary, float] | None:
+        """Give what peers may take over, with the seconds since it was measured.
+
+        None while nothing is known, or what is known is old.
+        """
+        if self._is_measured:
+            self._measured_at = now
+        age_s = now - self._measured_at
+        if age_s > _NEWS_S:
+            return None
+        base_s, token_s = self._prompt_s.line
+        summary = PaceSummary(
+            self._token_s.value,
+            base_s,
+            token_s,
+            self._start_s.value,
+            self._ratio.value,
+            self._variance.value,
+        )
+        return summary, age_s
+
+    def adopt(self, summary: PaceSummary, age_s: float, now: float) -> None:
+        """Take over what a peer tells, while too little was measured here.
+
+        Args:
+            summary: What the peer knows.
+            age_s: Seconds since it was measured.
+            now: The time.
+        """
+        measured_at = now - age_s
+        if self._is_measured or measured_at <= self._measured_at:
+            return
+        self._measured_at = measured_at
+        self._token_s.adopt(summary.token_s)
+        self._prompt_s.adopt(summary.prompt_base_s, summary.prompt_token_s)
+        self._start_s.adopt(summary.start_s)
+        self._ratio.adopt(summary.length_ratio)
+        self._variance.adopt(summary.length_variance)
+
     def expect(self, target_s: float, event_gap_s: float, event_tokens: int) -> None:
         """Take what a route promises as prior, until there are measurements.
 
@@ -158,9 +279,18 @@
         """Estimate how long a stream holds its place at a decode."""
         return self.start_s + self.token_s * output
 
+    def direct_pause_s(self, prompt_s: float, event_tokens: int) -> float:
+        """Estimate the pause of a decode's streams while it computes a prompt.
+
+        Args:
+            prompt_s: Seconds that a prefill takes for the prompt.
+            event_tokens: Tokens that an event of a stream carries.
+        """
+        return DIRECT_FACTOR * prompt_s + event_tokens * self.token_s
+
     def prompt_s(self, tokens: int) -> float:
         """Estimate how long a prefill takes for a prompt."""
-        return self.prompt_token_s * tokens
+        return self._prompt_s.estimate(tokens)
 
     def note_tokens(self, tokens: int, seconds: float) -> None:
         """Learn from a stretch of a stream."""
@@ -184,10 +314,23 @@
         self._variance.note(max(_MIN_SPREAD, abs(ratio / self._ratio.value - 1)) ** 2)
         self._ratio.note(ratio)
 
-    def note_prompt(self, expected_s: float, seconds: float) -> None:
-        """Learn from a prefill, by how much it differed from what was expected."""
-        if expected_s > 0:
-            self._prompt_token_s.note(self.prompt_token_s * seconds / expected_s)
+    def note_prompt(self, tokens: int, queue_s: float, seconds: float) -> None:
+        """Learn from a prefill.
+
+        Once there are measurements, only prompts that found no queue count: a queue that
+        is seen too long makes the prompts behind it look quick. On engines that compute
+        5 tokens a millisecond, half busy, they came out a third too quick.
+
+        Args:
+            tokens: Tokens of the prompt.
+            queue_s: Seconds that the queue before it was expected to take.
+            seconds: Seconds that queue and prompt took.
+        """
+        if self._prompt_s.count < _SETTLED:
+            alone_s = self.prompt_s(tokens)
+            self._prompt_s.note(tokens, seconds * alone_s / (queue_s + alone_s))
+        elif not queue_s:
+            self._prompt_s.note(tokens, seconds)
 
     def note_plain(self, seconds: float) -> None:
         """Learn from a plain call that was answered, or left after so long."""
--- a/cleatlink/routing/prompt_plan.py
+++ b/cleatlink/routing/prompt_plan.py
@@ -14,13 +14,10 @@
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.pace import DIRECT_FACTOR
-from cleatlink.routing.relay_place import Seeker
+from cleatlink.routing.relay_place import Seeker, estimate_output
 
 __all__ = ["PromptPlan", "plan_prompt"]
 
-# Share of the target that waiting, prompt and start together may take: what is foreseen
-# is right at the median only.
-_TARGET_SHARE = 0.9
 # A stream that is late on an idle fleet may take so many times what it takes there: a short
 # queue, which is seen with an error of about a half, does not count.
 _IDLE_FACTOR = 1.5
@@ -32,13 +29,22 @@
     Attributes:
         direct: Whether the decode computes it.
         ready_s: Seconds until it should be done, queue included.
+        queue_s: Seconds until it should begin.
         spare_s: Seconds for which the stream may still wait for room and be in time;
             negative if it can't be.
+        stay_s: Seconds for which it may still wait and be served before its caller leaves.
     """
 
     direct: bool
     ready_s: float
+    queue_s: float
     spare_s: float
+    stay_s: float
+
+    @property
+    def is_late(self) -> bool:
+        """Whether the stream will be late even if it has room now."""
+        return self.spare_s < 0
 
 
 def plan_prompt(
@@ -52,20 +58,31 @@
     assert service.engine is not None, "only engines compute prompts"
     pace = capacity.pace(service.name)
     alone_s = pace.prompt_s(inbound.prompt_tokens)
+    age_s = seeker.now - inbound.arrived_at
     # Where even an idle prefill is too slow for the target, nothing is won by a refusal.
-    target_s = max(_TARGET_SHARE * route.target_s, _IDLE_FACTOR * (alone_s + pace.start_s))
-    left_s = target_s - (seeker.now - inbound.arrived_at)
+    idle_s = _IDLE_FACTOR * (alone_s + pace.start_s)
+    in_time_s = max(route.target_s, idle_s) - age_s
+    # Callers leave a stream that does not begin, and one that they have no time left to read.
+    rest_s = pace.token_s * estimate_output(inbound, pace)
+    lasts_s = min(route.timeout_s, inbound.deadline - inbound.arrived_at)
+    leaves_s = max(min(route.patience_s, lasts_s - rest_s), idle_s) - age_s
+
+    def plan(direct: bool, queue_s: float, prompt_s: float, start_s: float) -> PromptPlan:
+        ready_s = queue_s + prompt_s
+        first_s = ready_s + start_s
+        return PromptPlan(direct, ready_s, queue_s, in_time_s - first_s, leaves_s - first_s)
+
     direct_s = DIRECT_FACTOR * alone_s
+    direct = plan(True, 0.0, direct_s, pace.token_s)
     queue_s = _shortest_queue_s(service.name, capacity, seeker)
     if queue_s is None:
-        return PromptPlan(True, direct_s, left_s - direct_s - pace.token_s)
-    apart = PromptPlan(False, queue_s + alone_s, left_s - queue_s - alone_s - pace.start_s)
-    pause_s = direct_s + service.engine.event_tokens * pace.token_s
+        return direct
+    apart = plan(False, queue_s, alone_s, pace.start_s)
+    pause_s = pace.direct_pause_s(alone_s, service.engine.event_tokens)
     shares = capacity.switches.uses(Mechanism.SHARED_PROMPTS)
-    if apart.spare_s >= 0 or pause_s > route.event_gap_s or not shares:
+    if not apart.is_late or pause_s > route.event_gap_s or not shares:
         return apart
-    direct = PromptPlan(True, direct_s, left_s - direct_s - pace.token_s)
-    return direct if direct.spare_s >= 0 else apart
+    return apart if direct.is_late else direct
 
 
 def _shortest_queue_s(service: str, capacity: Capacity, seeker: Seeker) -> float | None:
--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -89,6 +89,7 @@
     seeker: Seeker,
     *,
     computes_prompt: bool = False,
+    leaves_room: bool = False,
 ) -> RoutedEndpoint | None:
     """Give the decode endpoint with the most room, None if none has enough.
 
@@ -100,7 +101,10 @@
         seeker: Who seeks.
         computes_prompt: Whether the endpoint has to compute the prompt too; then
             one that is at another prompt has no room.
+        leaves_room: Whether room for one more such stream has to be left, on an endpoint
+            that is not idle.
     """
+    count = 2 if leaves_room else 1
     spread = capacity.pace(service).length_spread
     best: RoutedEndpoint | None = None
     best_cost = 0.0
@@ -110,8 +114,10 @@
         if computes_prompt and capacity.usage(endpoint.name, Role.PREFILL).running:
             continue
         usage = capacity.usage(endpoint.name, Role.DECODE)
-        peak = capacity.peak_memory(work.reserve(endpoint.name, seeker.now), seeker.now, spread)
-        if usage.running >= traits.slots or (peak > traits.memory_tokens and usage.running):
+        reserved = [work.reserve(endpoint.name, seeker.now)] * count
+        peak = capacity.peak_memory(endpoint.name, reserved, seeker.now, spread)
+        is_full = usage.running + count > traits.slots or peak > traits.memory_tokens
+        if usage.running and is_full:
             continue
         cost = peak / traits.memory_tokens
         cost += _STREAM_DISTANCE * _is_far(endpoint, capacity, seeker)
--- a/cleatlink/routing/role_planner.py
+++ b/cleatlink/routing/role_planner.py
@@ -1,9 +1,10 @@
 """Decides which endpoint changes its role as demand moves between prefill and decode.
 
-Demand is counted in endpoint-seconds a second, from the sizes of the requests
-themselves, so that a few requests after a change suffice. A shift is planned
-only if it takes the load of the busier role down by a fair part, and for few
-endpoints at a time: while one changes, it serves neither role. A service without any
+A change costs seconds of an engine, which serves neither role meanwhile. It is planned
+only on what was seen: learned paces, and the arrivals of some seconds at the least. From
+them follows how many streams are late, for their prompt or for a place at a decode, with so
+many engines in each role. A change has to win back within some time what it costs, and the
+same estimate takes it back when what is seen later contradicts it. A service without any
 prefill gets one: decodes that compute prompts themselves hold up the tokens of
 every stream they run.
 
@@ -23,43 +24,29 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.routing.pace import DIRECT_FACTOR
+from cleatlink.routing.demand import MEMORY_S, RoleDemand
 
 __all__ = [
-    "MIN_GAIN",
-    "DemandMeter",
     "PresenceWatch",
-    "RoleDemand",
     "RoleShift",
     "choose_prefills",
     "most_changing",
     "plan_shift",
-    "role_load",
 ]
 
-# Requests seen lately that a plan needs.
-_MIN_REQUESTS = 6.0
-# Demand is that of about the last so many seconds: longer than a burst's edge, shorter than
-# the hours in which it moves with the day.
-_MEMORY_S = 10.0
-# The busier role's load must fall by this share.
-MIN_GAIN = 0.12
+# Streams that a plan rests on at the least.
+_MIN_REQUESTS = 12
+# Seconds of arrivals that a plan rests on at the least: a burst's edge is no demand yet.
+_MIN_SECONDS = 3
+# A change has to spare at least this share of the streams from being late: what is estimated
+# of short queues is off by about as much.
+_MIN_GAIN = 0.02
+# A change wins back its cost within the time for which demand has been seen.
+_WIN_BACK_S = MEMORY_S
 # One endpoint in so many may change its role at a time.
 _ENDPOINTS_A_CHANGE = 6
 
 
-# Shares of the prompts that decodes may compute, of which the best is taken.
-_DIRECT_SHARES = tuple(step / 10 for step in range(10))
-
-
-class RoleDemand(NamedTuple):
-    """Demand on one service, in endpoint-seconds a second, and requests lately."""
-
-    prefill: float
-    decode: float
-    requests: float
-
-
 class RoleShift(NamedTuple):
     """An endpoint that is to take another role."""
 
@@ -91,55 +78,31 @@
         return now - self._lost_at >= patience_s
 
 
-class DemandMeter:
-    """Sums demand, and forgets it with time."""
-
-    def __init__(self) -> None:
-        self._prefill_s = 0.0
-        self._decode_s = 0.0
-        self._requests = 0.0
-        self._at = 0.0
-
-    def note(self, role: Role, endpoint_s: float, now: float) -> None:
-        """Count work that takes an endpoint so many seconds."""
-        self._forget(now)
-        if role is Role.PREFILL:
-            self._prefill_s += endpoint_s
-        elif role is Role.DECODE:
-            self._decode_s += endpoint_s
-            self._requests += 1.0
-
-    def demand(self, now: float) -> RoleDemand:
-        """Give the demand lately."""
-        self._forget(now)
-        return RoleDemand(self._prefill_s / _MEMORY_S, self._decode_s / _MEMORY_S, self._requests)
-
-    def _forget(self, now: float) -> None:
-        share = math.exp(-max(0.0, now - self._at) / _MEMORY_S)
-        self._prefill_s *= share
-        self._decode_s *= share
-        self._requests *= share
-        self._at = max(self._at, now)
-
-
 def most_changing(count: int) -> int:
     """Give how many of ``count`` endpoints may change their role at a time."""
     return max(1, count // _ENDPOINTS_A_CHANGE)
 
 
-def choose_prefills(count: int, demand: RoleDemand) -> int:
-    """Give how many of ``count`` endpoints best serve prefill."""
-    numbers = range(1, count)
-    return min(numbers, key=lambda number: role_load(number, count, demand), default=0)
+def choose_prefills(prefills: int, count: int, demand: RoleDemand) -> int:
+    """Give how many of ``count`` endpoints best serve prefill, at most one from now.
+
+    Args:
+        prefills: How many serve it now.
+        count: All endpoints.
+        demand: Demand on them.
+    """
+    numbers = [number for number in (prefills, prefills - 1, prefills + 1) if 1 <= number < count]
+    return min(numbers, key=lambda number: demand.late_share(number, count - number))
 
 
 def plan_shift(
     prefills: Sequence[RoutedEndpoint],
     decodes: Sequence[RoutedEndpoint],
-    demand: RoleDemand,
+    demand: RoleDemand | None,
     work: Mapping[str, float],
     targets: Mapping[str, Role] = MappingProxyType({}),
     *,
+    change_s: float = 0.0,
     settled: bool = True,
 ) -> RoleShift | None:
     """Give the endpoint that is to change its role now, if any.
@@ -147,17 +110,19 @@
     Args:
         prefills: Endpoints in the role of prefill.
         decodes: Endpoints in the role of decode.
-        demand: Demand on their service.
+        demand: Demand on their service; None while its paces are not known.
         work: Seconds until its work is over by the name of an endpoint; the one that
             is free first changes.
         targets: The roles of those that are changing by the names of the endpoints;
             they count there and are left alone.
+        change_s: Seconds that a change takes once an endpoint is free.
         settled: Whether no endpoint is away that may be back soon; without any
             decode a change does not wait for that.
     """
     endpoints = [*prefills, *decodes]
     roles = [targets.get(endpoint.name, endpoint.role) for endpoint in endpoints]
-    role = _wanted_change(roles.count(Role.PREFILL), roles.count(Role.DECODE), demand)
+    counts = roles.count(Role.PREFILL), roles.count(Role.DECODE)
+    role = _wanted_change(*counts, demand, change_s)
     if role is None or (decodes and not settled):
         return None
     free = [
@@ -171,7 +136,9 @@
     return RoleShift(_best_to_change(free, role, kept, work), role)
 
 
-def _wanted_change(prefills: int, decodes: int, demand: RoleDemand) -> Role | None:
+def _wanted_change(
+    prefills: int, decodes: int, demand: RoleDemand | None, change_s: float
+) -> Role | None:
     """Give the role that one more endpoint is to take, if any."""
     count = prefills + decodes
     if count < 2:
@@ -180,28 +147,22 @@
         return Role.DECODE
     if not prefills:
         return Role.PREFILL
-    if demand.requests < _MIN_REQUESTS:
+    if demand is None or demand.requests < _MIN_REQUESTS or len(demand.rates) < _MIN_SECONDS:
         return None
-    wanted = choose_prefills(count, demand)
-    before, after = role_load(prefills, count, demand), role_load(wanted, count, demand)
-    if wanted == prefills or after > (1 - MIN_GAIN) * before:
+    wanted = choose_prefills(prefills, count, demand)
+    if wanted == prefills or not _wins_back(prefills, wanted, count, demand, change_s):
         return None
     return Role.DECODE if wanted < prefills else Role.PREFILL
 
 
-def role_load(prefills: int, count: int, demand: RoleDemand) -> float:
-    """Give the load of the busier role, with prompts shared between them at the best.
-
-    Decodes compute prompts that find every prefill busy, which takes them longer.
-    """
-    decodes = count - prefills
-    return min(
-        max(
-            (1 - share) * demand.prefill / prefills,
-            (demand.decode + share * demand.prefill * DIRECT_FACTOR) / decodes,
-        )
-        for share in _DIRECT_SHARES
-    )
+def _wins_back(prefills: int, wanted: int, count: int, demand: RoleDemand, change_s: float) -> bool:
+    """Tell whether a change spares more streams from being late than it costs while it lasts."""
+    before = demand.late_share(prefills, count - prefills)
+    gain = before - demand.late_share(wanted, count - wanted)
+    if gain < _MIN_GAIN:
+        return False
+    during = demand.late_share(min(prefills, wanted), count - max(prefills, wanted))
+    return gain * _WIN_BACK_S > (during - before) * change_s
 
 
 def _best_to_change(
--- a/cleatlink/routing/waiting.py
+++ b/cleatlink/routing/waiting.py
@@ -1,8 +1,9 @@
 """Requests that wait for room, in an order that favours priority but starves nobody.
 
-Each point of priority is worth a head start of a fixed time, so the order is
-fixed at arrival: an urgent request overtakes what came shortly before, never
-what has waited for long.
+Those that can still be in time go before those that will be late anyway. Among them
+each point of priority is worth a head start of a fixed time, so the order is fixed at
+arrival: an urgent request overtakes what came shortly before, never what has waited
+for long.
 """
 
 from bisect import insort
@@ -27,12 +28,18 @@
         number: Breaks ties in the order of arrival.
         request_class: Class of the request.
         attempt: Tries to place the request; true ends its wait.
+        is_late: Tells whether the request will be late even if it is placed now.
     """
 
     due: float
     number: int
     request_class: str
     attempt: Callable[[], bool]
+    is_late: Callable[[], bool]
+
+
+def _never_late() -> bool:
+    return False
 
 
 class WaitingRoom:
@@ -49,15 +56,21 @@
         """Tell whether a request that arrives now stands behind one of its class."""
         due = now - priority * PRIORITY_S
         return any(
-            ticket.due <= due and ticket.request_class == request_class for ticket in self._tickets
+            ticket.due <= due and ticket.request_class == request_class and not ticket.is_late()
+            for ticket in self._tickets
         )
 
     def add(
-        self, request_class: str, priority: int, now: float, attempt: Callable[[], bool]
+        self,
+        request_class: str,
+        priority: int,
+        now: float,
+        attempt: Callable[[], bool],
+        is_late: Callable[[], bool] = _never_late,
     ) -> Ticket:
         """Let a request wait."""
         self._count += 1
-        ticket = Ticket(now - priority * PRIORITY_S, self._count, request_class, attempt)
+        ticket = Ticket(now - priority * PRIORITY_S, self._count, request_class, attempt, is_late)
         insort(self._tickets, ticket)
         return ticket
 
@@ -69,7 +82,7 @@
     def offer(self) -> None:
         """Let those who wait try, in order, after something has changed."""
         failures: Counter[str] = Counter()
-        for ticket in list(self._tickets):
+        for ticket in sorted(self._tickets, key=lambda item: item.is_late()):
             if failures[ticket.request_class] >= _TRIES:
                 continue
             if ticket.attempt():
--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -70,6 +70,7 @@
         self.held: list[int] = []
         self.dropped_holds: list[str] = []
         self.offers_holds = True
+        self.refused_holds = 0
         self.room = 1_000_000
         self.orders: list[dict[str, Any]] = []
         self.highest_fence = 0
@@ -134,6 +135,7 @@
             return answer(200, {})
         tokens = int(json.loads(call.body)["tokens"])
         if sum(self.holds.values()) + tokens > self.room:
+            self.refused_holds += 1
             return answer(503, {})
         name = f"hold{len(self.held)}{self.name}"
         self.held.append(tokens)
