A late stream whose prompt is computed lets nobody go first

Cause, found by reading: such a stream waited for room for two of its size, while its result at the prefill lives for half a second; computed again, it is a prompt for nothing and an extra send.

Change: it takes any room, like those that have begun or were refused before.

--- a/cleatlink/relay/room.py
+++ b/cleatlink/relay/room.py
@@ -151,9 +151,13 @@
         stay_s = min(call.route.patience_s - first_s, call.left_s - start_s)
         return PromptPlan(False, 0.0, 0.0, call.route.target_s - first_s, stay_s)
 
-    def _yields(self, call: Call, standing: _Standing) -> bool:
-        """Tell whether a call lets those that can still be in time go first."""
-        return not standing.keeps and self._plan_prompt(call, standing).is_late
+    @staticmethod
+    def _yields(plan: PromptPlan, standing: _Standing) -> bool:
+        """Tell whether a call lets those that can still be in time go first.
+
+        One whose prompt is computed does not: the prompt would be for nothing if it lapsed.
+        """
+        return plan.is_late and not standing.keeps and not standing.prompt_ready
 
     def _served_in_s(self, call: Call, plan: PromptPlan, standing: _Standing) -> float | None:
         """Foresee when a call finds room and may begin its prompt."""
@@ -161,8 +165,7 @@
         if soon_s is None:
             # What has begun waits for an engine that may be back.
             return _NO_FORECAST_S if call.begun else None
-        yields = plan.is_late and not standing.keeps
-        return max(soon_s, plan.queue_s) if yields else soon_s
+        return max(soon_s, plan.queue_s) if self._yields(plan, standing) else soon_s
 
     def _soon_s(self, call: Call, plan: PromptPlan) -> float | None:
         """Foresee when a call finds room, behind those of this instance that wait."""
@@ -203,9 +206,11 @@
 
         began_at = trio.current_time()
         service, urgency = call.service.name, standing.urgency
-        ticket = self._waiting.add(
-            service, urgency, standing.since, attempt, lambda: self._yields(call, standing)
-        )
+
+        def yields() -> bool:
+            return self._yields(self._plan_prompt(call, standing), standing)
+
+        ticket = self._waiting.add(service, urgency, standing.since, attempt, yields)
         try:
             with trio.move_on_after(max(0.0, min(wait_s, call.left_s))):
                 await done.wait()
@@ -226,7 +231,7 @@
         capacity = self._parts.capacity
         plan = self._plan_prompt(call, standing)
         pace = capacity.pace(call.service.name)
-        yields = plan.is_late and not standing.keeps
+        yields = self._yields(plan, standing)
         if yields and plan.queue_s > pace.prompt_s(call.inbound.prompt_tokens):
             return None
         if not standing.keeps and self._is_kept(call, plan):
