Read once more: one rule for slow engines, one bound for measurements, nobody judged in vain

Found in the change, behaviour as before: - The rule for engines that are too slow for a limit stood twice, as 1.5 in prompt_plan and as 0.5 in capacity: ServicePace.bearable_s serves both. - Estimate and PromptTime each wrote the check of a sample and its bound: _is_usable, _bounded. - ServicePace.summary changed state when it was asked: the age of own measurements follows from the counts; what is kept is only when a peer's were made. - WaitingRoom.offer judged everybody's lateness, a plan each, before the first four of a class had tried: judged as they come, nobody beyond those. Tests of the order by lateness, which had none. - Follower's gathering in one expression with two cases inside another; RoleKeeper asked for the table that its caller had; four tests opened their listener in the same three lines.

--- a/cleatlink/relay/follower.py
+++ b/cleatlink/relay/follower.py
@@ -130,11 +130,17 @@
                 await self._let_changes_gather()
 
     async def _let_changes_gather(self) -> None:
+        gather_s = self._gather_s()
+        if gather_s > 0:
+            await trio.sleep(gather_s)
+
+    def _gather_s(self) -> float:
+        """Give how long changes gather, by how many instances there are."""
         members = self._hooks.members()
-        share = (members - _FEW_INSTANCES) / (_MANY_INSTANCES - _FEW_INSTANCES)
-        longer_s = min(_GATHER_SHARE * self._leaving_s, _GATHER_S * members / _MANY_INSTANCES)
-        if share > 0:
-            await trio.sleep(max(_GATHER_S, longer_s) if share > 1 else _GATHER_S * share)
+        if members <= _MANY_INSTANCES:
+            return _GATHER_S * (members - _FEW_INSTANCES) / (_MANY_INSTANCES - _FEW_INSTANCES)
+        most_s = max(_GATHER_S, _GATHER_SHARE * self._leaving_s)
+        return min(most_s, _GATHER_S * members / _MANY_INSTANCES)
 
     def look_again(self) -> None:
         """End a wait for changes, which the other side may have forgotten, and ask anew."""
--- a/cleatlink/relay/hold_test.py
+++ b/cleatlink/relay/hold_test.py
@@ -58,7 +58,7 @@
         reply = await fleet.caller().ask("/stream/x", "POST", body=b"p", headers=STREAM)
         assert (reply.status, "retry-after" in reply.headers) == (503, True)
         # After few vain calls: an endpoint without room is left alone for longer each time.
-        assert trio.current_time() - began_at < 2.5
+        assert trio.current_time() - began_at < 1.5
         assert prefill.arrivals == []
         assert 2 <= first.refused_holds + second.refused_holds <= 8
 
--- a/cleatlink/relay/orders.py
+++ b/cleatlink/relay/orders.py
@@ -114,11 +114,11 @@
         for service in table.services.values():
             if service.engine is None:
                 continue
-            shift = self._plan(service.name, service.engine)
+            shift = self._plan(service.name, service.engine, table)
             if shift is not None:
                 await self._order(service.name, shift, service.engine)
 
-    def _plan(self, service: str, traits: EngineTraits) -> RoleShift | None:
+    def _plan(self, service: str, traits: EngineTraits, table: RouteTable) -> RoleShift | None:
         capacity, now = self._capacity, trio.current_time()
         prefills = capacity.reached(service, Role.PREFILL, now)
         decodes = capacity.reached(service, Role.DECODE, now)
@@ -135,8 +135,8 @@
             return None
         targets = {name: self._targets[name] for name in changing}
         work = {endpoint.name: self._work_left_s(endpoint, now) for endpoint in endpoints}
-        demand = capacity.demand(service, traits, self._promise(service), now)
-        waits = self._capacity.switches.uses(Mechanism.SHIFT_PATIENCE)
+        demand = capacity.demand(service, traits, _promise(service, table), now)
+        waits = capacity.switches.uses(Mechanism.SHIFT_PATIENCE)
         settled = not waits or watch.settled(traits.role_switch_s, now)
         change_s = traits.role_switch_s
         shift = plan_shift(
@@ -146,14 +146,6 @@
             self._log_plan(shift, len(prefills), len(decodes), demand)
         return shift
 
-    def _promise(self, service: str) -> StreamPromise:
-        """Give what the routes of a service promise."""
-        table = self._table()
-        routes = table.routes if table is not None else ()
-        return StreamPromise.of(
-            route for route in routes if any(share.service == service for share in route.shares)
-        )
-
     def _log_plan(
         self, shift: RoleShift, prefills: int, decodes: int, demand: RoleDemand | None
     ) -> None:
@@ -216,3 +208,10 @@
             fence=fence,
             status=status,
         )
+
+
+def _promise(service: str, table: RouteTable) -> StreamPromise:
+    """Give what the routes of a service promise."""
+    return StreamPromise.of(
+        route for route in table.routes if any(share.service == service for share in route.shares)
+    )
--- a/cleatlink/relay/peers_test.py
+++ b/cleatlink/relay/peers_test.py
@@ -66,6 +66,14 @@
         listener.close()
 
 
+async def open_listener(nursery: trio.Nursery) -> Listener:
+    """Start a listener that is closed with the nursery."""
+    listener = Listener()
+    await listener.start(nursery)
+    nursery.start_soon(close_at_the_end, listener)
+    return listener
+
+
 def beat(
     name: str, address: str, *, leaving: bool = False, members: int = 1, data_centre: str = "a"
 ) -> Beat:
@@ -105,9 +113,7 @@
 
 async def test_heartbeat_stays_small_however_many_there_are() -> None:
     async with trio.open_nursery() as nursery:
-        listener = Listener()
-        await listener.start(nursery)
-        nursery.start_soon(close_at_the_end, listener)
+        listener = await open_listener(nursery)
         async with open_group(nursery, "front-data-centre-1", listener.address) as group:
             for number in range(MANY):
                 name = f"front-data-centre-{number + 2}"
@@ -129,9 +135,7 @@
 
 async def test_peer_without_work_wakes_nobody_and_one_that_is_done_does() -> None:
     async with trio.open_nursery() as nursery:
-        listener = Listener()
-        await listener.start(nursery)
-        nursery.start_soon(close_at_the_end, listener)
+        listener = await open_listener(nursery)
         async with open_group(nursery, "n1", listener.address) as group:
             woken: list[float] = []
             group._hooks = group._hooks._replace(on_work=lambda: woken.append(trio.current_time()))
@@ -160,9 +164,7 @@
 
 async def test_instance_that_left_is_not_present_on_the_word_of_others() -> None:
     async with trio.open_nursery() as nursery:
-        listener = Listener()
-        await listener.start(nursery)
-        nursery.start_soon(close_at_the_end, listener)
+        listener = await open_listener(nursery)
         async with open_group(nursery, "n1") as group:
             for name in ("n2", "n3"):
                 await listener.tell(group.listen, beat(name, listener.address))
@@ -179,9 +181,7 @@
 
 async def test_majority_is_of_the_most_instances_that_anybody_knows() -> None:
     async with trio.open_nursery() as nursery:
-        listener = Listener()
-        await listener.start(nursery)
-        nursery.start_soon(close_at_the_end, listener)
+        listener = await open_listener(nursery)
         async with open_group(nursery, "n1") as group:
             await listener.tell(group.listen, beat("n2", listener.address, members=7))
             await listener.tell(group.listen, beat("n3", listener.address, members=5))
@@ -192,10 +192,7 @@
 
 async def test_endpoint_that_was_not_reached_is_told_in_the_data_centre_alone() -> None:
     async with trio.open_nursery() as nursery:
-        near, far = Listener(), Listener()
-        for listener in (near, far):
-            await listener.start(nursery)
-            nursery.start_soon(close_at_the_end, listener)
+        near, far = await open_listener(nursery), await open_listener(nursery)
         async with open_group(nursery, "n1") as group:
             await near.tell(group.listen, beat("n2", near.address))
             await far.tell(group.listen, beat("n3", far.address, data_centre="b"))
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -37,9 +37,6 @@
 # the lengths that are spread like callers' estimates (by a half of the logarithm) and
 # passed a time end within three tenths of it.
 _OVERDUE_SHARE = 0.3
-# Share of what a stream takes on idle engines that it may take longer, where that is too long
-# for its target already.
-_IDLE_SLACK = 0.5
 
 
 class Reservation(NamedTuple):
@@ -184,9 +181,7 @@
         prompt_s = pace.prompt_s(int(prompt))
         stream_s = prompt_s + pace.stream_s(int(output))
         rates, place_rates = meter.rates(now), meter.rates(now, stream_s)
-        # Where even idle engines are too slow for the target, some more counts as in time.
-        idle_s = prompt_s + pace.start_s
-        slack_s = max(promise.target_s - idle_s, _IDLE_SLACK * idle_s)
+        slack_s = pace.bearable_s(promise.target_s, prompt_s) - prompt_s - pace.start_s
         pause_s = pace.direct_pause_s(prompt_s, traits.event_tokens)
         shares_prompts = pause_s <= promise.event_gap_s
         return RoleDemand(
--- a/cleatlink/routing/pace.py
+++ b/cleatlink/routing/pace.py
@@ -35,6 +35,9 @@
 _START_SHARE = 0.2
 # Seconds; only until a route is known.
 _START_S = 0.15
+# Where even an idle engine is too slow for a target, a stream may take so many times what it
+# takes there: a short queue, which is seen with an error of about a half, does not count.
+_IDLE_FACTOR = 1.5
 # Spread of callers' estimates of an answer's length, as the deviation of its logarithm.
 _SPREAD = 0.5
 # What was measured longer ago than this is told no more: engines may have changed.
@@ -65,6 +68,16 @@
     length_variance: float
 
 
+def _is_usable(sample: float) -> bool:
+    """Tell whether a measurement can be learned from."""
+    return math.isfinite(sample) and sample > 0
+
+
+def _bounded(sample: float, estimate: float) -> float:
+    """Give a measurement, but no further from the estimate than one may count."""
+    return min(estimate * _MOST_JUMP, max(estimate / _MOST_JUMP, sample))
+
+
 class Estimate:
     """A positive figure that is learned from measurements."""
 
@@ -93,10 +106,10 @@
 
     def note(self, sample: float) -> None:
         """Learn from a measurement; the first ones are averaged."""
-        if not self._learn or not math.isfinite(sample) or sample <= 0:
+        if not self._learn or not _is_usable(sample):
             return
         if self.count >= _SETTLED:
-            sample = min(self.value * _MOST_JUMP, max(self.value / _MOST_JUMP, sample))
+            sample = _bounded(sample, self.value)
         self.count += 1
         weight = max(self._learn, 1 / self.count)
         self.value = (1 - weight) * self.value + weight * sample
@@ -150,13 +163,13 @@
 
     def note(self, tokens: int, seconds: float) -> None:
         """Learn from a measurement."""
-        if not self._learn or not math.isfinite(seconds) or seconds <= 0 or tokens <= 0:
+        if not self._learn or not _is_usable(seconds) or tokens <= 0:
             return
         self.count += 1
         weight = 1.0
         if self.count > _SETTLED:
             expected_s = self.estimate(tokens)
-            seconds = min(expected_s * _MOST_JUMP, max(expected_s / _MOST_JUMP, seconds))
+            seconds = _bounded(seconds, expected_s)
             weight = 1.0 if seconds < expected_s else _LONGER_SHARE
         self._take(tokens, seconds, weight)
 
@@ -185,12 +198,13 @@
         self._ratio = Estimate(1.0, learn)
         self._variance = Estimate(_SPREAD**2, learn)
         self._plain_s = Estimate(0.0, learn=0.2)
-        self._measured_at = -math.inf
+        # When what a peer told was measured.
+        self._told_at = -math.inf
 
     @property
     def is_known(self) -> bool:
         """Whether the paces of prompts and of answers rest on measurements, here or at a peer."""
-        return self._is_measured or math.isfinite(self._measured_at)
+        return self._is_measured or math.isfinite(self._told_at)
 
     @property
     def _is_measured(self) -> bool:
@@ -228,9 +242,7 @@
 
         None while nothing is known, or what is known is old.
         """
-        if self._is_measured:
-            self._measured_at = now
-        age_s = now - self._measured_at
+        age_s = 0.0 if self._is_measured else now - self._told_at
         if age_s > _NEWS_S:
             return None
         base_s, token_s = self._prompt_s.line
@@ -253,9 +265,9 @@
             now: The time.
         """
         measured_at = now - age_s
-        if self._is_measured or measured_at <= self._measured_at:
+        if self._is_measured or measured_at <= self._told_at:
             return
-        self._measured_at = measured_at
+        self._told_at = measured_at
         self._token_s.adopt(summary.token_s)
         self._prompt_s.adopt(summary.prompt_base_s, summary.prompt_token_s)
         self._start_s.adopt(summary.start_s)
@@ -279,6 +291,17 @@
         """Estimate how long a stream holds its place at a decode."""
         return self.start_s + self.token_s * output
 
+    def bearable_s(self, limit_s: float, prompt_s: float) -> float:
+        """Give the time within which a stream begins in time, or longer on slow engines.
+
+        Where even idle engines are too slow for a limit, nothing is won by a refusal.
+
+        Args:
+            limit_s: Time within which it should begin.
+            prompt_s: Seconds that a prefill takes for its prompt.
+        """
+        return max(limit_s, _IDLE_FACTOR * (prompt_s + self.start_s))
+
     def direct_pause_s(self, prompt_s: float, event_tokens: int) -> float:
         """Estimate the pause of a decode's streams while it computes a prompt.
 
--- a/cleatlink/routing/prompt_plan.py
+++ b/cleatlink/routing/prompt_plan.py
@@ -18,10 +18,6 @@
 
 __all__ = ["PromptPlan", "plan_prompt"]
 
-# A stream that is late on an idle fleet may take so many times what it takes there: a short
-# queue, which is seen with an error of about a half, does not count.
-_IDLE_FACTOR = 1.5
-
 
 class PromptPlan(NamedTuple):
     """Where a prompt is to be computed.
@@ -59,13 +55,11 @@
     pace = capacity.pace(service.name)
     alone_s = pace.prompt_s(inbound.prompt_tokens)
     age_s = seeker.now - inbound.arrived_at
-    # Where even an idle prefill is too slow for the target, nothing is won by a refusal.
-    idle_s = _IDLE_FACTOR * (alone_s + pace.start_s)
-    in_time_s = max(route.target_s, idle_s) - age_s
+    in_time_s = pace.bearable_s(route.target_s, alone_s) - age_s
     # Callers leave a stream that does not begin, and one that they have no time left to read.
     rest_s = pace.token_s * estimate_output(inbound, pace)
     lasts_s = min(route.timeout_s, inbound.deadline - inbound.arrived_at)
-    leaves_s = max(min(route.patience_s, lasts_s - rest_s), idle_s) - age_s
+    leaves_s = pace.bearable_s(min(route.patience_s, lasts_s - rest_s), alone_s) - age_s
 
     def plan(direct: bool, queue_s: float, prompt_s: float, start_s: float) -> PromptPlan:
         ready_s = queue_s + prompt_s
--- a/cleatlink/routing/waiting.py
+++ b/cleatlink/routing/waiting.py
@@ -82,10 +82,21 @@
     def offer(self) -> None:
         """Let those who wait try, in order, after something has changed."""
         failures: Counter[str] = Counter()
-        for ticket in sorted(self._tickets, key=lambda item: item.is_late()):
+        late = []
+        for ticket in list(self._tickets):
             if failures[ticket.request_class] >= _TRIES:
                 continue
-            if ticket.attempt():
-                self.remove(ticket)
+            if ticket.is_late():
+                late.append(ticket)
             else:
-                failures[ticket.request_class] += 1
+                self._attempt(ticket, failures)
+        for ticket in late:
+            if failures[ticket.request_class] < _TRIES:
+                self._attempt(ticket, failures)
+
+    def _attempt(self, ticket: Ticket, failures: Counter[str]) -> None:
+        """Let one try; counts a failure of its class."""
+        if ticket.attempt():
+            self.remove(ticket)
+        else:
+            failures[ticket.request_class] += 1
--- a/cleatlink/routing/waiting_test.py
+++ b/cleatlink/routing/waiting_test.py
@@ -1,6 +1,7 @@
 """The waiting room: priority goes first, and nobody starves."""
 
 from collections.abc import Callable
+from functools import partial
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -74,6 +75,33 @@
     assert places.served == ["question"]
 
 
+def test_those_that_will_be_late_go_last_in_their_order() -> None:
+    room, places = WaitingRoom(), Places()
+    room.add("lm", 0, 0.0, places.waiting("first late"), lambda: True)
+    room.add("lm", 0, 1.0, places.waiting("second late"), lambda: True)
+    room.add("lm", 0, 2.0, places.waiting("in time"))
+    assert not room.must_wait("lm", 0, 1.5)
+    assert room.must_wait("lm", 0, 2.5)
+    places.open(room, 2)
+    assert places.served == ["in time", "first late"]
+    places.open(room, 1)
+    assert places.served == ["in time", "first late", "second late"]
+
+
+def test_nobody_is_judged_once_enough_of_a_class_have_tried_in_vain() -> None:
+    room = WaitingRoom()
+    judged: list[int] = []
+
+    def is_late(number: int) -> bool:
+        judged.append(number)
+        return False
+
+    for number in range(30):
+        room.add("lm", 0, float(number), lambda: False, partial(is_late, number))
+    room.offer()
+    assert judged == [0, 1, 2, 3]
+
+
 @given(st.lists(st.integers(0, 100), min_size=1, max_size=60))
 def test_nobody_waits_longer_than_the_greatest_head_start(priorities: list[int]) -> None:
     """One arrival and one place a second: all wait at most for those with a head start."""
