Short answers teach the pace too: without that no engine changed its role

Cause, found while tracing the soak's red test: a pace was measured on stretches of 8 events after the first. Where every answer is shorter, paces are never known, and since plans rest on known paces no role is ever changed.

--- a/cleatlink/relay/stream_test.py
+++ b/cleatlink/relay/stream_test.py
@@ -316,3 +316,15 @@
         extra = len(prefill.arrivals) + len(first.arrivals) + len(second.arrivals) - 2
         assert extra >= 2
         assert len(budget._extras) == extra
+
+
+async def test_short_answers_teach_the_pace_too() -> None:
+    async with open_fleet() as fleet:
+        await start(fleet, *engines())
+        for _ in range(5):
+            reply = await fleet.caller().ask("/stream/x", "POST", body=b"p", headers=STREAM)
+            assert reply.status == 200
+        pace = fleet.instances[0].capacity.pace("model")
+        assert pace.is_known
+        # Five events, 5 ms apart, of a token each.
+        assert 0.004 < pace.token_s < 0.02
