--- a/cleatlink/relay/watch.py
+++ b/cleatlink/relay/watch.py
@@ -33,7 +33,6 @@
         self._events = 0
         self._stretch = 0
         self._stretch_from = sent_at
-        self._has_measured = False
 
     def note_events(self, count: int, now: float) -> None:
         """Note events that came."""
@@ -45,13 +44,8 @@
         self._events += count
         self._stretch += count
         if self._stretch >= _STRETCH_EVENTS:
-            self._measure(now)
-
-    def _measure(self, now: float) -> None:
-        """Learn from the stretch that ends now."""
-        self._pace.note_tokens(self._stretch * self._event_tokens, now - self._stretch_from)
-        self._stretch, self._stretch_from = 0, now
-        self._has_measured = True
+            self._pace.note_tokens(self._stretch * self._event_tokens, now - self._stretch_from)
+            self._stretch, self._stretch_from = 0, now
 
     def note_end(self, room: Room) -> None:
         """Note that the stream came to its end; one that goes on another says no length.
@@ -59,10 +53,6 @@
         Args:
             room: What had been expected of it.
         """
-        # Where all answers are shorter than a stretch, paces would never be known, and no
-        # engine would change its role.
-        if not self._has_measured:
-            self._measure(trio.current_time())
         inbound, tokens = self._call.inbound, self._events * self._event_tokens
         if inbound.last_event is None and self._call.sends == 1:
             self._pace.note_length(inbound.output_hint, tokens)
