Sight: a request that a stop cuts off is told from a caller that left

Change: 'relay: is cut off by the stop' with arrived_after_stop_ms and silent_ms, a counter of its own, an outcome of its own in analyze; 'instance: stops' tells the grace and who waits, 'has stopped' the time taken. No decision changes. Test: operations_test, a stream cut at the end of a stop beside one whose caller left.

--- a/cleatlink/analysis/outcomes.py
+++ b/cleatlink/analysis/outcomes.py
@@ -24,6 +24,7 @@
     BROKEN = "broken off"
     FAILED = "failed"
     GONE = "caller left"
+    CUT = "cut off by a stop"
     UNKNOWN = "end not seen"
 
 
@@ -63,6 +64,7 @@
     "relay: breaks its answer off": Outcome.BROKEN,
     "relay: ran out of time": Outcome.FAILED,
     "relay: lost its caller": Outcome.GONE,
+    "relay: is cut off by the stop": Outcome.CUT,
 }
 _ENDPOINT_FAULTS = frozenset({"endpoint_failed", "internal", "deadline_passed"})
 
--- a/cleatlink/analysis/plot.py
+++ b/cleatlink/analysis/plot.py
@@ -18,6 +18,7 @@
     Outcome.BROKEN: "#b33951",
     Outcome.FAILED: "#6b2737",
     Outcome.GONE: "#8d99ae",
+    Outcome.CUT: "#5c4d7d",
     Outcome.UNKNOWN: "#cccccc",
 }
 _INCHES = (11.0, 4.5)
--- a/cleatlink/relay/call.py
+++ b/cleatlink/relay/call.py
@@ -12,6 +12,7 @@
 from cleatlink.core.routes import Inbound, Route, RoutedEndpoint, RoutedService, RouteKind
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peer_messages import HintKind
+from cleatlink.relay.planned_stop import PlannedStop
 from cleatlink.relay.pool import ConnectionPool
 from cleatlink.relay.protocol import Protocol
 from cleatlink.request.shared_budget import SharedRetryBudget
@@ -33,6 +34,7 @@
         protocol: Names on the wire.
         pool: Connections to endpoints.
         capacity: What is believed of endpoints.
+        stop: The planned stop of this instance.
         metrics: Counters and histograms.
         rng: The seeded generator.
         budget: Gives the retry budget of a service.
@@ -46,6 +48,7 @@
     protocol: Protocol
     pool: ConnectionPool
     capacity: Capacity
+    stop: PlannedStop
     metrics: RelayMetrics
     rng: random.Random
     budget: Callable[[str], SharedRetryBudget]
@@ -74,6 +77,7 @@
         self.excluded: set[str] = set()
         self.sends = 0
         self.revision = revision
+        self.heard_at = inbound.arrived_at
         self._parts = parts
         self._sent_to: set[str] = set()
         self._ran_before = Ran.NO
@@ -169,6 +173,22 @@
         self.log("found an endpoint slow", endpoint=endpoint.name, took_ms=int(1000 * seconds))
         self._parts.on_hint(endpoint.name, HintKind.SLOW)
 
+    def note_heard(self, now: float) -> None:
+        """Note that an endpoint sent a part of the call's answer."""
+        self.heard_at = now
+
+    def log_end_by_stop(self) -> None:
+        """Log that the end of a planned stop cuts the call off."""
+        now = trio.current_time()
+        stop_age_s = self._parts.stop.age_s(now)
+        self.log(
+            "is cut off by the stop",
+            sends=self.sends,
+            ran=self.ran.value,
+            arrived_after_stop_ms=int(1000 * (stop_age_s - self.age_s)),
+            silent_ms=int(1000 * (now - self.heard_at)),
+        )
+
     def log(self, outcome: str, **fields: object) -> None:
         """Log a decision about this call."""
         eliot.log_message(
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -17,6 +17,7 @@
 from cleatlink.relay.orders import RoleKeeper
 from cleatlink.relay.peer_messages import HintKind, Snapshot, encode
 from cleatlink.relay.peers import PeerGroup, PeerHooks
+from cleatlink.relay.planned_stop import PlannedStop
 from cleatlink.relay.pool import ConnectionPool
 from cleatlink.relay.protocol import Protocol
 from cleatlink.relay.server import Handler, serve_connections
@@ -68,12 +69,13 @@
         self._metrics = RelayMetrics()
         self._pool = ConnectionPool(self._allowed_connections)
         self._budgets: dict[str, SharedRetryBudget] = {}
-        self._stopping_since: float | None = None
+        self._planned_stop = PlannedStop()
         self._parts = RelayParts(
             settings.data_centre,
             protocol,
             self._pool,
             self._capacity,
+            self._planned_stop,
             self._metrics,
             random.Random(incarnation),
             self._budget,
@@ -115,14 +117,14 @@
             peers=self._peers,
             metrics=self._metrics,
             table=lambda: self._follower.records.table,
-            stopping=lambda: self._stopping_since is not None,
+            stopping=lambda: self._planned_stop.has_begun,
         )
         self._nursery: trio.Nursery | None = None
 
     @property
     def ready(self) -> bool:
         """Whether this instance takes new connections."""
-        return self._follower.complete and self._stopping_since is None
+        return self._follower.complete and not self._planned_stop.has_begun
 
     @property
     def leads(self) -> bool:
@@ -214,22 +216,29 @@
 
     async def _stop(self) -> None:
         """Stop as planned: no longer ready, then finish everything that was taken."""
-        self._stopping_since = trio.current_time()
-        eliot.log_message(message_type="instance: stops", in_flight=self._service.in_flight)
+        stop = self._planned_stop
+        stop.begin(trio.current_time(), self._settings.drain_s - _EXIT_S)
+        eliot.log_message(
+            message_type="instance: stops",
+            in_flight=self._service.in_flight,
+            waiting=self._service.room.waiting,
+            grace_s=self._settings.drain_s,
+        )
         self._service.begin_stop(self._refuses_new)
         self._peers.send_beat()
-        last = self._stopping_since + self._settings.drain_s - _EXIT_S
-        while trio.current_time() < last:
-            age_s = trio.current_time() - self._stopping_since
-            if age_s >= _MIN_STOP_S and self._service.in_flight == 0:
+        while (now := trio.current_time()) < stop.ends_at:
+            if stop.age_s(now) >= _MIN_STOP_S and self._service.in_flight == 0:
                 break
             await trio.sleep(_STOP_POLL_S)
-        eliot.log_message(message_type="instance: has stopped", in_flight=self._service.in_flight)
+        stop.end()
+        eliot.log_message(
+            message_type="instance: has stopped",
+            in_flight=self._service.in_flight,
+            took_ms=int(1000 * stop.age_s(trio.current_time())),
+        )
 
     def _refuses_new(self) -> bool:
-        if self._stopping_since is None:
-            return False
-        return trio.current_time() - self._stopping_since > _TAKE_NEW_S
+        return self._planned_stop.age_s(trio.current_time()) > _TAKE_NEW_S
 
     def take_table(self, table: RouteTable, source: str) -> None:
         """Put a table in force if it is newer, wherever it came from."""
@@ -280,7 +289,7 @@
 
     def _state(self) -> KnownState:
         records = self._follower.records
-        return KnownState(self._stopping_since is not None, records.table_revision, records.newest)
+        return KnownState(self._planned_stop.has_begun, records.table_revision, records.newest)
 
     def _note_peer_demand(self, work: Reservation) -> None:
         """Count work that a peer placed as demand."""
--- a/cleatlink/relay/metrics.py
+++ b/cleatlink/relay/metrics.py
@@ -22,6 +22,9 @@
         self._retries = self._counter("cleatlink_relay_retries_total", "Retries, by reason.")
         self._broken = self._counter("cleatlink_relay_broken_total", "Answers broken off.")
         self._gone = self._counter("cleatlink_relay_callers_gone_total", "Callers that left.")
+        self._cut = self._counter(
+            "cleatlink_relay_cut_by_stop_total", "Requests cut off by the end of a planned stop."
+        )
         self._handles = self._counter("cleatlink_relay_handles_total", "Handles, by their fate.")
         self._reads = self._counter(
             "cleatlink_relay_reads_total", "Calls to the configuration service, by outcome."
@@ -76,6 +79,10 @@
         """Count a caller that left before its answer was whole."""
         self._gone.inc({"kind": kind})
 
+    def count_cut_by_stop(self, kind: str) -> None:
+        """Count a request that the end of a planned stop cut off."""
+        self._cut.inc({"kind": kind})
+
     def count_handle(self, fate: str) -> None:
         """Count what became of a prefill's result."""
         self._handles.inc({"fate": fate})
--- a/cleatlink/relay/operations_test.py
+++ b/cleatlink/relay/operations_test.py
@@ -115,6 +115,37 @@
         assert rows[3]["endpoint"] == decode.name
 
 
+async def test_request_that_a_stop_cuts_off_is_told_from_a_caller_that_left(lines: Lines) -> None:
+    async with open_fleet() as fleet:
+        decode = Worker("model", "decode")
+        decode.events, decode.event_s = 200, 0.05
+        await start(fleet, Worker("model", "prefill"), decode)
+        for route in fleet.routes:
+            route["timeout_ms"] = 9000
+        version = fleet.configure({"kv_cache_tokens": 10_000})
+        await fleet.until(lambda: fleet.instances[0].records.table_revision == version)
+        headers = {**STREAM, "Deadline-Milliseconds": "9000"}
+        stays, leaves = fleet.caller(), fleet.caller()
+        cut = await stays.send("/stream/x", "POST", body=b"p", headers=headers)
+        left = await leaves.send("/stream/x", "POST", body=b"p", headers=headers)
+        await fleet.until(lambda: len(decode.runs) == 2)
+        leaves.close()
+        await trio.sleep(0.2)
+        fleet.stops[0].set()
+        assert not (await stays.receive()).whole
+        await fleet.ended[0].wait()
+        assert kinds(lines.of(left))[-1] == "relay: lost its caller"
+        last = lines.of(cut)[-1]
+        assert last["message_type"] == "relay: is cut off by the stop"
+        assert last["ran"] == "yes"
+        assert -2000 < last["arrived_after_stop_ms"] < 0
+        # The engine was at work to the end.
+        assert last["silent_ms"] < 500
+        metrics = fleet.instances[0].render_metrics()
+        assert b'cleatlink_relay_cut_by_stop_total{kind="streaming"} 1' in metrics
+        assert b'cleatlink_relay_callers_gone_total{kind="streaming"} 1' in metrics
+
+
 def test_page_names_only_lines_that_the_programs_write() -> None:
     sources = "".join(
         path.read_text()
--- a/cleatlink/relay/service.py
+++ b/cleatlink/relay/service.py
@@ -149,8 +149,7 @@
                 await self._drive(call, exchange)
                 finished = True
         except trio.Cancelled:
-            self._parts.metrics.count_gone(call.route.kind.value)
-            call.log("lost its caller", sends=call.sends)
+            self._note_cancelled(call)
             raise
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller's connection broke while it was written to.
@@ -168,6 +167,15 @@
             call.log("ran out of time", sends=call.sends, ran=call.ran.value)
             await self._finish_late(call, exchange)
 
+    def _note_cancelled(self, call: Call) -> None:
+        """Tell a caller that left from a call that the end of a planned stop cuts off."""
+        if self._parts.stop.is_over:
+            self._parts.metrics.count_cut_by_stop(call.route.kind.value)
+            call.log_end_by_stop()
+            return
+        self._parts.metrics.count_gone(call.route.kind.value)
+        call.log("lost its caller", sends=call.sends)
+
     async def _drive(self, call: Call, exchange: Exchange) -> None:
         if call.service.engine is None:
             result = await PlainCall(call, self._parts).run()
--- a/cleatlink/relay/stream.py
+++ b/cleatlink/relay/stream.py
@@ -239,6 +239,7 @@
                 chunk = await connection.read_chunk()
             now = trio.current_time()
             longest_s, heard_at = max(longest_s, now - heard_at), now
+            call.note_heard(now)
             if chunk is None:
                 break
             events = self._cutter.feed(chunk)
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -48,7 +48,7 @@
 
 
 async def _stop_at_once(self: RelayInstance) -> None:
-    self._stopping_since = 0.0
+    self._planned_stop.begin(0.0, 0.0)
 
 
 def _forget_that_it_left(self: Call, endpoint: Any) -> None:
