Failing test: a stopping instance cuts off streams that it took during the stop

Cause: during the first 3.2 s of a planned stop whatever comes is taken; how long it will last is not asked.

--- a/standins/relay/fleet.py
+++ b/standins/relay/fleet.py
@@ -37,6 +37,8 @@
         self.routes: list[dict[str, Any]] = []
         self.plain_services = ["plain", "other"]
         self.published: list[dict[str, Any]] = []
+        # Grace of planned stops, for instances that are started from now on.
+        self.drain_s = 3.0
         self.limits: dict[str, int] = {"idle_timeout_ms": 2000, "header_timeout_ms": 500}
 
     async def add_worker(self, worker: Worker) -> Worker:
@@ -106,7 +108,7 @@
             peer_listen=free_address(),
             peers=tuple(item.peer_listen for item in self._settings),
             store=Address("127.0.0.1", int(self.store.address.rpartition(":")[2])),
-            drain_s=3.0,
+            drain_s=self.drain_s,
             retry_ratio=0.2,
             retry_allowance=50.0,
             lease_s=0.2,
