A silent endpoint is left only for one that is ready to go on

Cause: a wait without an answer was taken for the loss of the endpoint. A resumable stream closed its connection after a silence (0.5 to 1.5 s) and only then looked for room, a hold, a prompt and budget elsewhere; without any of these its answer was broken off while the engine was at work. The same stood in plain calls: a safe call left an endpoint that took three times the usual and failed when there was no other, or no budget. Change: Succession listens on and makes another DecodePlace (room, connection, hold, prompt, budget) ready meanwhile; only then is the old connection closed. If the endpoint speaks first, the search ends and gives everything back. A plain call leaves only for an endpoint that may be asked, with the budget spent. Also: what nests a nursery raises one cancellation, not a group (such requests wrote no last line), and an answer that is being sent as the instance ends is sent.

--- a/cleatlink/core/errors.py
+++ b/cleatlink/core/errors.py
@@ -16,6 +16,7 @@
     "ConfigurationError",
     "EndpointError",
     "EndpointRefusedError",
+    "EndpointSilentError",
     "EndpointUnreachableError",
     "ErrorKind",
     "FenceError",
@@ -154,5 +155,9 @@
     """The order may have left, and no answer says whether it ran."""
 
 
+class EndpointSilentError(EndpointError):
+    """The endpoint said nothing for too long, and another one goes on with its work."""
+
+
 class StreamBrokenError(EndpointError):
     """A stream ended or stalled before its last event."""
--- a/cleatlink/relay/connection.py
+++ b/cleatlink/relay/connection.py
@@ -15,6 +15,7 @@
 )
 from cleatlink.relay.protocol import OutgoingRequest, ReplyHead
 from cleatlink.relay.sockets import connect
+from cleatlink.relay.tasks import run_watched
 
 __all__ = ["EndpointConnection"]
 
@@ -94,17 +95,8 @@
     async def _send_and_read(self, data: bytes) -> ReplyHead:
         """Send a long request while reading: the answer may come before its end."""
         self._sent_whole = False
-        head: ReplyHead | None = None
-        failure: Exception | None = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send_long, data)
-            try:
-                head = await self._read_head()
-            except (trio.BrokenResourceError, h11.ProtocolError, OutcomeUnknownError) as error:
-                failure = error
-            nursery.cancel_scope.cancel()
-        if head is None:
-            raise OutcomeUnknownError(repr(failure))
+        head = await run_watched(self._read_head, lambda _: self._send_long(data))
+        assert head is not None, "sending does not end the reading"
         return head
 
     async def _send_long(self, data: bytes) -> None:
--- a/cleatlink/relay/plain.py
+++ b/cleatlink/relay/plain.py
@@ -4,6 +4,7 @@
 
 from cleatlink.core.data import Ran, Refusal, Role
 from cleatlink.core.errors import (
+    EndpointSilentError,
     EndpointUnreachableError,
     ErrorKind,
     OutcomeUnknownError,
@@ -13,6 +14,7 @@
 from cleatlink.relay.call import Call, RelayParts
 from cleatlink.relay.pool import FRESH_LIMIT_S, IDLE_LIMIT_S, Reply
 from cleatlink.relay.protocol import OutgoingRequest, ReplyHead
+from cleatlink.relay.tasks import run_watched
 from cleatlink.routing.capacity import Reservation
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.relay_place import place_plain
@@ -41,17 +43,20 @@
         self._call = call
         self._parts = parts
         self._failed: Reply | None = None
+        self._next: RoutedEndpoint | None = None
 
     async def run(self) -> Reply | Refusal:
         """Run the call until there is an answer or no way to get one."""
         call = self._call
         unreachable = 0
         while True:
-            endpoint = place_plain(call.service.name, self._parts.capacity, call.seeker())
-            if endpoint is None or not call.may_send(endpoint):
-                return self._give_up("no endpoint may be tried")
-            if call.sends and not call.spend("plain"):
-                return self._give_up("the retry budget is empty")
+            endpoint, self._next = self._next, None
+            if endpoint is None:
+                endpoint = place_plain(call.service.name, self._parts.capacity, call.seeker())
+                if endpoint is None or not call.may_send(endpoint):
+                    return self._give_up("no endpoint may be tried")
+                if call.sends and not call.spend("plain"):
+                    return self._give_up("the retry budget is empty")
             try:
                 answer = await self._send(endpoint)
             except EndpointUnreachableError as error:
@@ -60,7 +65,7 @@
                 if unreachable >= _MOST_UNREACHABLE:
                     return self._give_up("no endpoint could be reached")
                 continue
-            except (OutcomeUnknownError, StreamBrokenError, trio.TooSlowError) as error:
+            except (OutcomeUnknownError, StreamBrokenError, EndpointSilentError) as error:
                 call.note_failure(endpoint, error)
                 if not call.repeatable:
                     return call.failure("the call left, but no answer came")
@@ -81,26 +86,39 @@
         ends_at = began_at + _EXPECTED_S
         parts.capacity.reserve(key, Reservation(endpoint.name, Role.PLAIN, 0, ends_at))
         try:
-            with trio.fail_after(self._patience_s()):
-                answer = await self._exchange(endpoint)
-        except trio.TooSlowError:
-            pace.note_plain(trio.current_time() - began_at)
-            raise
+            answer = await run_watched(
+                lambda: self._exchange(endpoint),
+                lambda leave: self._leave_when_silent(endpoint, leave),
+            )
         finally:
             parts.capacity.release(key)
+        if answer is None:
+            pace.note_plain(trio.current_time() - began_at)
+            raise EndpointSilentError("another endpoint is asked")
         if not parts.protocol.not_run(answer.head):
             pace.note_plain(trio.current_time() - began_at)
         return self._judge(endpoint, answer)
 
-    def _patience_s(self) -> float:
-        """Give how long to wait for an endpoint when there may be a better one."""
+    async def _leave_when_silent(self, endpoint: RoutedEndpoint, leave: trio.CancelScope) -> None:
+        """Have an endpoint left that is silent for long, once another one can be asked.
+
+        Without another one, or without budget for it, the call stays: its answer may still come.
+        """
         call = self._call
         impatient = self._parts.capacity.switches.uses(Mechanism.PATIENCE)
-        may_leave = call.repeatable and call.sends + 1 < call.route.max_attempts
         usual_s = self._parts.capacity.pace(call.service.name).plain_s
-        if not may_leave or not impatient or not usual_s:
-            return max(0.0, call.left_s)
-        return min(max(_MIN_PATIENCE_S, _USUAL_FACTOR * usual_s), max(0.0, call.left_s))
+        if not call.repeatable or not impatient or not usual_s:
+            return
+        while True:
+            await trio.sleep(max(_MIN_PATIENCE_S, _USUAL_FACTOR * usual_s))
+            call.excluded.add(endpoint.name)
+            other = place_plain(call.service.name, self._parts.capacity, call.seeker())
+            if other is None or not call.may_send(other):
+                continue
+            if call.spend("plain"):
+                self._next = other
+                leave.cancel()
+            return
 
     async def _exchange(self, endpoint: RoutedEndpoint) -> Reply:
         call, parts = self._call, self._parts
--- a/cleatlink/relay/planned_stop_test.py
+++ b/cleatlink/relay/planned_stop_test.py
@@ -147,6 +147,7 @@
     def __init__(self) -> None:
         self.request = RawRequest(b"GET", b"/safe/x", ((b"host", b"h.example"),), b"")
         self.started = False
+        self.ended = False
         self.answers: list[int] = []
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
--- a/cleatlink/relay/prefill.py
+++ b/cleatlink/relay/prefill.py
@@ -53,12 +53,19 @@
 class Prefill:
     """The prefill of one stream, and the handle that it left."""
 
-    def __init__(self, call: Call, parts: RelayParts) -> None:
+    def __init__(self, call: Call, parts: RelayParts, *, was_computed: bool = False) -> None:
+        """Begin without a result.
+
+        Args:
+            call: The call.
+            parts: What all calls share.
+            was_computed: Whether the prompt was computed before, for another decode.
+        """
         self.handle: Handle | None = None
+        self.was_computed = was_computed
         self._call = call
         self._parts = parts
         self._prefills = 0
-        self._made_one = False
 
     @property
     def source(self) -> KvSource | None:
@@ -86,7 +93,7 @@
             if self._prefills and not self._may_prefill_again():
                 return call.failure("no prefill came to an end", _RETRY_AFTER_S)
             # The result of an earlier one lapsed, or went down with its decode.
-            if self._made_one and not self._prefills and not call.spend("prefill"):
+            if self.was_computed and not self._prefills and not call.spend("prefill"):
                 return call.failure("the retry budget is empty", _RETRY_AFTER_S)
             try:
                 await self._prefill_at(endpoint)
@@ -127,7 +134,7 @@
         try:
             with trio.fail_after(max(0.0, min(call.left_s, expected_s + _PREFILL_SLACK_S))):
                 self.handle = await self._ask_prefill(endpoint)
-            self._made_one = True
+            self.was_computed = True
             taken_s = trio.current_time() - now
             call.log(
                 "is prefilled",
--- a/cleatlink/relay/service.py
+++ b/cleatlink/relay/service.py
@@ -177,14 +177,13 @@
 
     async def _finish_cancelled(self, call: Call, exchange: Exchange) -> None:
         """Tell a caller that left from a call that the end of a planned stop finds."""
+        if exchange.ended:
+            return
         if not self._parts.stop.is_over:
             self._parts.metrics.count_gone(call.route.kind.value)
             call.log("lost its caller", sends=call.sends)
             return
-        # What was read while the instance ended still gets an answer.
-        with trio.CancelScope(shield=True) as scope:
-            scope.deadline = trio.current_time() + ANSWER_S
-            await self._finish_for_stop(call, exchange)
+        await self._finish_for_stop(call, exchange)
 
     async def _finish_for_stop(self, call: Call, exchange: Exchange) -> None:
         """Answer a call that the end of a planned stop finds; a begun answer is cut off."""
@@ -261,4 +260,8 @@
             headers += ((self._parts.protocol.names.request_id, request_id.encode()),)
         if retry_after_s is not None:
             headers += ((b"Retry-After", b"%.2f" % retry_after_s),)
-        await exchange.answer(status or answer.status, headers, body)
+        # While the instance stops an answer that has begun is sent, whatever ends meanwhile.
+        with trio.CancelScope(shield=self._parts.stop.has_begun) as scope:
+            if self._parts.stop.has_begun:
+                scope.deadline = trio.current_time() + ANSWER_S
+            await exchange.answer(status or answer.status, headers, body)
--- a/cleatlink/relay/stream.py
+++ b/cleatlink/relay/stream.py
@@ -8,7 +8,7 @@
 from cleatlink.core.data import Ran, Refusal
 from cleatlink.core.errors import (
     EndpointError,
-    EndpointUnreachableError,
+    EndpointSilentError,
     ErrorKind,
     OutcomeUnknownError,
     StreamBrokenError,
@@ -16,15 +16,14 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.call import Call, RelayParts
 from cleatlink.relay.connection import EndpointConnection
+from cleatlink.relay.decode_place import DecodePlace
 from cleatlink.relay.events import EventCutter
-from cleatlink.relay.hold import HoldOutcome, StreamHold
-from cleatlink.relay.pool import FRESH_LIMIT_S
-from cleatlink.relay.prefill import Prefill
 from cleatlink.relay.protocol import ReplyHead
-from cleatlink.relay.room import DecodeRoom, Room
+from cleatlink.relay.room import DecodeRoom
 from cleatlink.relay.server import Exchange
+from cleatlink.relay.succession import Succession
+from cleatlink.relay.tasks import run_watched
 from cleatlink.relay.watch import StreamWatch
-from cleatlink.routing.relay_place import estimate_output, longest_stream_s
 
 __all__ = ["StreamCall", "StreamEnd"]
 
@@ -34,7 +33,7 @@
 _OFFER_AGAIN_S = 0.08
 # With the pause between them this stays within a handle's life.
 _MOST_REFUSALS = 2
-# Resumable streams leave an endpoint that is silent for so long.
+# A resumable stream looks for another endpoint when its own is silent for so long.
 _FIRST_EVENT_S = 1.5
 # So many of the route's longest pauses count as silence, within these bounds.
 _PAUSES = 3.0
@@ -65,11 +64,9 @@
         self._rooms = room
         self._parts = parts
         self._cutter = EventCutter(call.inbound.last_event)
-        self._prefill = Prefill(call, parts)
-        self._hold = StreamHold(call, parts)
+        self._place = DecodePlace(call, room, parts)
+        self._succession = Succession(call, room, parts)
         self._refusals = 0
-        self._room: Room | None = None
-        self._connection: EndpointConnection | None = None
 
     async def run(self) -> StreamEnd:
         """Serve the request until it is whole or given up."""
@@ -79,54 +76,21 @@
                 if end is not None:
                     return end
         finally:
-            self._prefill.drop("unused")
-            self._hold.drop()
-            self._leave_connection()
-            self._give_room_back()
+            self._place.close()
+            if self._succession.successor is not None:
+                self._succession.successor.close()
 
     async def _attempt(self) -> StreamEnd | None:
         """Try once; None asks for another try."""
-        found = await self._rooms.find(self._call, prompt_ready=self._prefill.lives())
-        if isinstance(found, Refusal):
-            return self._give_up(found)
-        self._room = found
-        if not await self._reach(found.endpoint) or not await self._take_hold(found):
-            return None
-        if not found.direct:
-            refusal = await self._prefill.run(found.endpoint.data_centre)
-            if refusal is not None:
-                return self._give_up(refusal)
+        successor, self._succession.successor = self._succession.successor, None
+        if successor is not None:
+            self._place = successor
+            return await self._decode()
+        refusal = await self._place.prepare()
+        if refusal is not None:
+            return self._give_up(refusal)
         return await self._decode()
 
-    async def _reach(self, endpoint: RoutedEndpoint) -> bool:
-        """Connect to the decode endpoint: a prompt computed for one out of reach is waste."""
-        self._leave_connection()
-        try:
-            self._connection = await self._parts.pool.take(endpoint, FRESH_LIMIT_S)
-        except EndpointUnreachableError as error:
-            self._call.note_failure(endpoint, error)
-            self._move_on()
-            return False
-        return True
-
-    async def _take_hold(self, room: Room) -> bool:
-        """Have the endpoint hold room; tells whether the stream may go on there."""
-        assert self._connection is not None, "the endpoint was reached"
-        outcome = await self._hold.take(room.endpoint, self._connection, room.output)
-        if outcome is HoldOutcome.FULL:
-            # Nothing is lost yet, and there may be room again soon.
-            self._parts.pool.keep(room.endpoint, self._connection)
-            self._connection = None
-            self._give_room_back()
-        elif outcome is HoldOutcome.FAILED:
-            self._move_on()
-        return outcome in (HoldOutcome.HELD, HoldOutcome.NOT_OFFERED)
-
-    def _leave_connection(self) -> None:
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            connection.close()
-
     def _give_up(self, refusal: Refusal) -> StreamEnd:
         if self._exchange.started:
             return StreamEnd()
@@ -136,64 +100,67 @@
 
     async def _decode(self) -> StreamEnd | None:
         """Hand the result to the decode endpoint and pass its stream on."""
-        call = self._call
-        assert self._room is not None, "room comes before the decode"
-        endpoint = self._room.endpoint
+        call, place = self._call, self._place
+        endpoint = place.endpoint
         if not self._parts.capacity.takes_work(endpoint.name):
             # A prompt can take longer than an endpoint that leaves takes new work: on engines
             # with prompts of seconds one was sent 2.5 s after the endpoint had said so.
             call.log("finds its endpoint leaving", endpoint=endpoint.name)
-            self._move_on()
+            place.move_on()
             return None
-        if not call.may_begin(self._rest_s()):
-            return self._give_up(call.refuse_for_stop(self._rest_s()))
-        if not call.may_send(endpoint):
-            return self._give_up(call.failure("no attempt is left", _RETRY_AFTER_S))
-        if call.sends and not call.spend("decode"):
-            return self._give_up(call.failure("the retry budget is empty", _RETRY_AFTER_S))
-        kept = self._connection is not None and self._connection.usable
-        if not kept and not await self._reach(endpoint):
+        refusal = place.clear_to_send()
+        if refusal is not None:
+            return self._give_up(refusal)
+        connection = await place.take_connection()
+        if connection is None:
             return None
-        connection, self._connection = self._connection, None
-        assert connection is not None, "the endpoint was reached"
+        call.note_sent(endpoint)
         try:
             return await self._converse(endpoint, connection)
         except (EndpointError, trio.TooSlowError, ValueError) as error:
             connection.close()
-            self._call.note_failure(endpoint, error)
-            self._prefill.drop("lost")
+            call.note_failure(endpoint, error)
+            place.prefill.drop("lost")
             return self._after_break()
         except BaseException:
             connection.close()
             raise
 
-    def _rest_s(self) -> float:
-        """Give how long the stream should take from here on.
+    async def _converse(
+        self, endpoint: RoutedEndpoint, connection: EndpointConnection
+    ) -> StreamEnd | None:
+        """Send the request and pass the answer on, and look for a successor if it is silent.
 
-        One whose prompt is computed is given up only if it is not even expected to end in time.
+        Raises:
+            EndpointSilentError: A successor is ready to go on.
         """
-        pace = self._parts.capacity.pace(self._call.service.name)
-        if self._prefill.source is None:
-            return longest_stream_s(self._call.inbound, pace)
-        return pace.stream_s(estimate_output(self._call.inbound, pace))
+        if not self._can_move():
+            return await self._send(endpoint, connection)
+        end = await run_watched(
+            lambda: self._send(endpoint, connection),
+            lambda leave: self._succession.run(self._place, leave),
+        )
+        if self._succession.successor is not None:
+            raise EndpointSilentError("another endpoint goes on")
+        return end
 
-    async def _converse(
+    async def _send(
         self, endpoint: RoutedEndpoint, connection: EndpointConnection
     ) -> StreamEnd | None:
         """Send the request on a connection and pass the answer on."""
-        call, parts = self._call, self._parts
-        call.note_sent(endpoint)
-        handed_over, sent_at = self._prefill.source is not None, trio.current_time()
+        call, parts, prefill = self._call, self._parts, self._place.prefill
+        handed_over, sent_at = prefill.source is not None, trio.current_time()
         request = parts.protocol.forward(
             call.inbound,
             endpoint.name,
             call.left_s,
-            kv_source=self._prefill.source,
-            hold=self._hold.use(endpoint),
+            kv_source=prefill.source,
+            hold=self._place.hold.use(endpoint),
             last_event=self._cutter.last,
         )
-        with trio.fail_after(_FIRST_EVENT_S if self._can_move() else max(0.0, call.left_s)):
-            head = await connection.exchange(request)
+        self._succession.listen(_FIRST_EVENT_S)
+        head = await connection.exchange(request)
+        self._note_heard()
         if parts.protocol.not_run(head):
             connection.close()
             return await self._note_refused(endpoint, head)
@@ -201,15 +168,14 @@
             raise OutcomeUnknownError("the answer is another request's")
         call.ran = Ran.YES
         parts.capacity.note_room(endpoint.name)
-        self._prefill.drop("taken")
+        prefill.drop("taken")
         if head.status != 200:
             return await self._pass_failure(head, connection)
         if not parts.protocol.signed(head):
             raise OutcomeUnknownError("the answer has no signature")
         watch = StreamWatch(call, parts.capacity.pace(call.service.name), sent_at, handed_over)
         await self._relay(head, connection, watch)
-        assert self._room is not None, "it streamed in its room"
-        watch.note_end(self._room)
+        watch.note_end(self._place.room)
         parts.pool.give_back(endpoint, connection)
         parts.capacity.note_success(endpoint.name, trio.current_time())
         return StreamEnd(whole=True)
@@ -218,6 +184,16 @@
         """Whether another endpoint may go on when this one is silent."""
         return self._call.resumable and self._call.may_try_another()
 
+    def _note_heard(self) -> None:
+        """Note that the endpoint spoke.
+
+        Raises:
+            EndpointSilentError: Another one has been found already and goes on from here.
+        """
+        self._succession.note_heard()
+        if self._succession.successor is not None:
+            raise EndpointSilentError("another endpoint goes on")
+
     async def _pass_failure(
         self, head: ReplyHead, connection: EndpointConnection
     ) -> StreamEnd | None:
@@ -228,7 +204,7 @@
             return StreamEnd()
         if head.status >= 500 and self._can_move():
             self._call.log("got a failure", status=head.status)
-            self._move_on()
+            self._place.move_on()
             return None
         headers = self._parts.protocol.passed_back(head)
         await self._exchange.answer(head.status, headers, body)
@@ -240,16 +216,16 @@
         """Pass a stream on, event by event, to its proper end.
 
         Raises:
-            StreamBrokenError: It ended, paused or skipped before that.
+            StreamBrokenError: It ended or skipped before that.
         """
         exchange, call = self._exchange, self._call
         self._cutter.restart()
         heard_at = trio.current_time()
         longest_s = 0.0
         while True:
-            silence_s = self._silence_s() if self._can_move() else max(0.0, call.left_s)
-            with trio.fail_after(silence_s):
-                chunk = await connection.read_chunk()
+            self._succession.listen(self._silence_s())
+            chunk = await connection.read_chunk()
+            self._note_heard()
             now = trio.current_time()
             longest_s, heard_at = max(longest_s, now - heard_at), now
             call.note_heard(now)
@@ -262,8 +238,8 @@
             if not exchange.started:
                 await self._start(head)
             await exchange.send(b"".join(event.data for event in events))
-            if longest_s > call.route.event_gap_s and self._room is not None:
-                call.note_slow(self._room.endpoint, longest_s)
+            if longest_s > call.route.event_gap_s:
+                call.note_slow(self._place.endpoint, longest_s)
                 longest_s = -math.inf
         if self._cutter.partial:
             raise StreamBrokenError("the stream ended within an event")
@@ -272,7 +248,7 @@
         await exchange.end()
 
     def _silence_s(self) -> float:
-        """Give how long an endpoint may be silent before another one goes on."""
+        """Give after how long a silence another endpoint is looked for."""
         pauses_s = _PAUSES * self._call.route.event_gap_s
         return min(_MOST_SILENCE_S, max(_MIN_SILENCE_S, pauses_s))
 
@@ -280,48 +256,37 @@
         call, parts = self._call, self._parts
         parts.metrics.count_answer(call.route.kind.value, head.status, call.age_s)
         call.log("begins its answer", status=head.status, in_time=call.in_time)
-        if self._room is not None:
-            self._rooms.prompt_computed(self._room.key)
+        self._rooms.prompt_computed(self._place.room.key)
         await self._exchange.start(head.status, parts.protocol.passed_back(head))
 
     async def _note_refused(self, endpoint: RoutedEndpoint, head: ReplyHead) -> StreamEnd | None:
         """Take a refusal: the handle may still serve here a little later, or elsewhere."""
-        call = self._call
+        call, place = self._call, self._place
         call.note_not_run()
         call.note_refused(endpoint, head.status)
         self._refusals += 1
         # Also after a 421: the address has another endpoint now.
         if call.may_try_another():
-            self._move_on()
+            place.move_on()
             return None
         if self._refusals > _MOST_REFUSALS or not call.may_send(endpoint):
             return self._give_up(call.failure("the decode endpoint has no room", _RETRY_AFTER_S))
         await trio.sleep(_OFFER_AGAIN_S)
-        if self._refusals > 1 or not self._prefill.lives():
+        if self._refusals > 1 or not place.prefill.lives():
             # The refusal may be the handle's: the endpoint can compute the prompt itself.
-            self._prefill.drop("refused")
+            place.prefill.drop("refused")
         return await self._decode()
 
     def _after_break(self) -> StreamEnd | None:
-        """Decide what follows a stream that broke off or never came."""
+        """Decide what follows a stream that broke off, never came or goes on elsewhere."""
         call = self._call
+        if self._succession.successor is not None:
+            self._place.close("lost")
+            return None
         if not call.resumable or not call.may_try_another():
             detail = "the stream broke off"
             if self._exchange.started:
                 return StreamEnd()
             return StreamEnd(Refusal(ErrorKind.ENDPOINT_FAILED, detail))
-        self._move_on()
+        self._place.move_on()
         return None
-
-    def _move_on(self) -> None:
-        """Leave the endpoint, with a handle that still lives."""
-        assert self._room is not None, "there is an endpoint to leave"
-        self._call.excluded.add(self._room.endpoint.name)
-        self._give_room_back()
-        if not self._prefill.lives():
-            self._prefill.drop("expired")
-
-    def _give_room_back(self) -> None:
-        room, self._room = self._room, None
-        if room is not None:
-            self._rooms.release(room.key)
--- a/cleatlink/relay/tasks.py
+++ b/cleatlink/relay/tasks.py
@@ -2,13 +2,15 @@
 
 from collections.abc import Awaitable, Callable
 from traceback import format_exc
+from typing import TypeVar
 
 import eliot
 import trio
 
-__all__ = ["Task", "run_once", "supervise"]
+__all__ = ["Task", "run_once", "run_watched", "supervise"]
 
 Task = Callable[..., Awaitable[None]]
+_Result = TypeVar("_Result")
 
 # Pause before a task that failed is started again.
 _RESTART_S = 0.5
@@ -26,6 +28,39 @@
         )
 
 
+async def run_watched(
+    work: Callable[[], Awaitable[_Result]], watch: Callable[[trio.CancelScope], Awaitable[None]]
+) -> _Result | None:
+    """Run some work beside a watch that may end it.
+
+    Args:
+        work: The work. What it raises is raised as it is, not in a group; so is a
+            cancellation from outside.
+        watch: Gets the scope of the work, to cancel it.
+
+    Returns:
+        The result; None if the watch ended the work.
+    """
+    result: _Result | None = None
+    failure: Exception | None = None
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch, nursery.cancel_scope)
+            try:
+                result = await work()
+            except Exception as error:
+                failure = error
+            nursery.cancel_scope.cancel()
+    except BaseExceptionGroup as group:
+        if group.split(trio.Cancelled)[1] is None:
+            # Both were cancelled from outside: raises one cancellation in place of the two.
+            await trio.lowlevel.checkpoint_if_cancelled()
+        raise
+    if failure is not None:
+        raise failure
+    return result
+
+
 async def supervise(task: Task) -> None:
     """Run a task for ever, again after a fault."""
     while True:
