Failing test: a new route table takes back the pace that peers told

Shown by: needs_s of refused streams 157 to 558 s before a configuration came, 3 to 20 s after it, on every instance that had been started anew; the streams took over 13 s.

--- a/cleatlink/routing/pace_test.py
+++ b/cleatlink/routing/pace_test.py
@@ -199,3 +199,29 @@
     assert told is not None
     newcomer.adopt(told[0], told[1], 1.0)
     assert newcomer.slow_token_s == pytest.approx(0.01)
+
+
+def test_new_route_table_does_not_take_back_what_a_peer_told() -> None:
+    """A prior replaces a prior, never what was measured somewhere.
+
+    On engines of 25 ms a token, instances that had been started anew were told so by their
+    peers. Then a configuration came, the pace fell back to what the route promises (0.9 ms),
+    was told on as measured, and streams of 14 s were taken during stops as if they took 3 s:
+
+        {"left_s":6.9,"needs_s":256.9,"message_type":"relay: is left to others by the stop"}
+        {"left_s":4.3,"needs_s":3.2,"message_type":"relay: is left to others by the stop"}
+    """
+    teacher, newcomer = ServicePace(), ServicePace()
+    for _ in range(6):
+        teacher.note_tokens(64, 64 * 0.025)
+        teacher.note_prompt(1000, 0.0, 0.1)
+        teacher.note_start(0.4)
+    told = teacher.summary(1.0)
+    assert told is not None
+    newcomer.adopt(told[0], told[1], 1.0)
+    newcomer.expect(0.9, 0.3, 64)
+    assert newcomer.token_s == pytest.approx(0.025)
+    assert newcomer.start_s == pytest.approx(0.4)
+    told_on = newcomer.summary(2.0)
+    assert told_on is not None
+    assert told_on[0].token_s == pytest.approx(0.025)
