What a peer told of a pace is not taken back by a new route table

Cause: Estimate.expect knew only 'measured here' and 'prior'; a told figure counted as prior. Change: what was told stays until it is measured here.

--- a/cleatlink/routing/pace.py
+++ b/cleatlink/routing/pace.py
@@ -90,7 +90,7 @@
 class Estimate:
     """A positive figure that is learned from measurements."""
 
-    __slots__ = ("_learn", "count", "value")
+    __slots__ = ("_learn", "_was_told", "count", "value")
 
     def __init__(self, prior: float, learn: float = _LEARN) -> None:
         """Begin with a prior.
@@ -102,16 +102,20 @@
         self.value = prior
         self.count = 0
         self._learn = learn
+        self._was_told = False
 
     def expect(self, prior: float) -> None:
-        """Take a better prior; measurements go before it."""
-        if not self.count:
+        """Take a better prior; measurements go before it, also those of peers."""
+        # Otherwise each new route table brought the prior back, and peers took it for measured:
+        # streams of 14 s were begun with 4 s left.
+        if not self.count and not self._was_told:
             self.value = prior
 
     def adopt(self, value: float) -> None:
         """Take what a peer measured, while there are few measurements of our own."""
         if self._learn and self.count < _SETTLED:
             self.value = value
+            self._was_told = True
 
     def note(self, sample: float) -> None:
         """Learn from a measurement; the first ones are averaged."""
