Short answers tell a stopping instance how slow engines can be

Cause: what a stream may need is unknown until a stretch of eight events was measured; services whose answers are shorter would have every stream refused from the signal on. Change: an answer shorter than a stretch counts among the stretches by which a stop foresees, and nowhere else: plans of roles rest on longer ones as before. Test: planned_stop_test, an answer of five events is taken a second after the signal.

--- a/cleatlink/relay/planned_stop_test.py
+++ b/cleatlink/relay/planned_stop_test.py
@@ -141,6 +141,20 @@
         assert trio.current_time() - stopped_at < 2.0
 
 
+async def test_short_answers_are_taken_during_a_stop() -> None:
+    async with open_fleet() as fleet:
+        await _start(fleet)
+        for decode in fleet.workers[1:3]:
+            decode.events, decode.event_s = 5, 0.02
+        await _learn_the_pace(fleet)
+        (caller,) = await _open_callers(fleet, 1)
+        fleet.stops[0].set()
+        await trio.sleep(1.0)
+        replies: dict[str, Reply] = {}
+        await _ask(caller, replies)
+        assert [(reply.status, reply.whole) for reply in replies.values()] == [(200, True)]
+
+
 class _LateExchange(Exchange):
     """A request that was read just as the instance ended."""
 
--- a/cleatlink/relay/watch.py
+++ b/cleatlink/relay/watch.py
@@ -54,6 +54,11 @@
             room: What had been expected of it.
         """
         inbound, tokens = self._call.inbound, self._events * self._event_tokens
+        now = trio.current_time()
+        if self._stretch and self._events <= _STRETCH_EVENTS:
+            self._pace.note_short_stretch(
+                self._stretch * self._event_tokens, now - self._stretch_from
+            )
         if inbound.last_event is None and self._call.sends == 1:
             self._pace.note_length(inbound.output_hint, tokens)
         self._call.log(
@@ -61,6 +66,6 @@
             endpoint=room.endpoint.name,
             tokens=tokens,
             expected_tokens=room.output,
-            took_ms=int(1000 * (trio.current_time() - self._sent_at)),
+            took_ms=int(1000 * (now - self._sent_at)),
             expected_ms=int(1000 * room.expected_s),
         )
--- a/cleatlink/routing/pace.py
+++ b/cleatlink/routing/pace.py
@@ -235,7 +235,7 @@
         stretches_s = sorted(self._stretches_s)
         if len(stretches_s) >= _FEW_STRETCHES:
             return stretches_s[int(_SLOW_SHARE * len(stretches_s))]
-        if not self._token_s.count and math.isinf(self._told_at):
+        if not stretches_s and math.isinf(self._told_at):
             return math.inf
         return max(_SLOW_FACTOR * self._token_s.value, *stretches_s, 0.0)
 
@@ -343,6 +343,11 @@
         """Learn from a stretch of a stream."""
         if tokens > 0:
             self._token_s.note(seconds / tokens)
+            self.note_short_stretch(tokens, seconds)
+
+    def note_short_stretch(self, tokens: int, seconds: float) -> None:
+        """Learn how slow engines can be from a stretch that is too short to tell their pace."""
+        if tokens > 0:
             self._stretches_s.append(seconds / tokens)
 
     def note_start(self, seconds: float) -> None:
