Failing test: a signal kills a process that starts or ends

Cause: SIGHUP and SIGTERM are handled from the moment when the settings are loaded until the work is done; before and after the kernel's default applies and ends the process.

--- a/cleatlink/relay/daemon_test.py
+++ b/cleatlink/relay/daemon_test.py
@@ -1,6 +1,7 @@
 """The program as a process: start, reload, planned stop, and what it writes."""
 
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -76,6 +77,44 @@
         assert "relay: is answered" in kinds
 
 
+async def test_signals_in_series_end_nothing_early(tmp_path: Path) -> None:
+    """Signals come at any moment, also while a process starts and while it ends.
+
+    SIGHUP killed a process that was still starting, or had just finished its stop, because nothing
+    handled it there: a reload of all instances during a restart of some took these out.
+    """
+    async with open_fleet() as fleet:
+        await fleet.add_worker(Worker("plain"))
+        fleet.add_route("/safe/", "safe", "plain")
+        fleet.configure()
+        file = tmp_path / "local.toml"
+        ports = write_settings(file, fleet)
+        settings = file.read_bytes()
+        file.unlink()
+        os.mkfifo(file)
+        process = subprocess.Popen([*PROGRAM, "--settings-file", str(file)])
+        try:
+            # Opens once the program reads its settings, and has it wait for them.
+            pipe = await trio.to_thread.run_sync(os.open, file, os.O_WRONLY)
+            process.send_signal(signal.SIGHUP)
+            await trio.sleep(0.1)
+            file.unlink()
+            file.write_bytes(settings)
+            os.write(pipe, settings)
+            os.close(pipe)
+            await wait_ready(ports.ready)
+            assert await ask(ports.front, "/safe/x") == 200
+            process.send_signal(signal.SIGTERM)
+            while process.poll() is None:
+                process.send_signal(signal.SIGHUP)
+                process.send_signal(signal.SIGTERM)
+                await trio.sleep(0.005)
+            assert process.returncode == 0
+        finally:
+            process.kill()
+            process.wait()
+
+
 def test_bad_settings_end_with_a_line_for_each_fault(tmp_path: Path) -> None:
     file = tmp_path / "local.toml"
     file.write_text('node = "n1"\nip = "127.0.0.1"\ninternal_ports = [1]\nseeds = []\n')
