Signals end no process before its time, whenever they come

Cause: SIGHUP and SIGTERM had the kernel's default while a daemon was being imported, read its settings, and finalised. Change: the command handles them first and imports the rest afterwards; the daemon handles signals before it reads its settings, so that a change during the read is read again; at the end SIGTERM is ignored, for the interpreter takes handlers of Python away first. Only the daemon does so; other commands keep the defaults. Commands moved from scripts/main.py to scripts/commands.py.

--- a/cleatlink/analysis/report_test.py
+++ b/cleatlink/analysis/report_test.py
@@ -13,7 +13,7 @@
 from cleatlink.analysis import LogReader, Report, Story, render_html, render_text
 from cleatlink.analysis.outcomes import Outcome
 from cleatlink.relay.logs import LineWriter
-from cleatlink.scripts.main import main
+from cleatlink.scripts.commands import main
 from standins.relay import Fault
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import open_fleet
--- a/cleatlink/config/loader_test.py
+++ b/cleatlink/config/loader_test.py
@@ -9,7 +9,7 @@
 
 from cleatlink.config import load_configuration
 from cleatlink.core.data import Role
-from cleatlink.scripts.main import main
+from cleatlink.scripts.commands import main
 
 ROOT = Path(__file__).parents[2]
 BROKEN = ROOT / "cleatlink" / "config" / "broken"
--- a/cleatlink/platform/settings_test.py
+++ b/cleatlink/platform/settings_test.py
@@ -7,7 +7,7 @@
 
 from cleatlink.core.address import Address
 from cleatlink.platform import SettingsError, load_settings
-from cleatlink.scripts.main import main
+from cleatlink.scripts.commands import main
 
 GOOD = """
 node = "front-a-1"
--- a/cleatlink/relay/daemon.py
+++ b/cleatlink/relay/daemon.py
@@ -32,12 +32,13 @@
     Raises:
         ConfigurationError: The settings can't be used.
     """
-    settings = load()
-    writer = write_lines()
-    incarnation = int(time.time() * 1000)
-    instance = RelayInstance(settings, protocol, open_source(settings), incarnation, writer)
-    stop = trio.Event()
+    # Before the settings are read: a change right after that must not be missed.
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        settings = load()
+        writer = write_lines()
+        incarnation = int(time.time() * 1000)
+        instance = RelayInstance(settings, protocol, open_source(settings), incarnation, writer)
+        stop = trio.Event()
         async with trio.open_nursery() as nursery:
 
             async def serve() -> None:
--- a/cleatlink/routing/mechanisms_test.py
+++ b/cleatlink/routing/mechanisms_test.py
@@ -19,7 +19,7 @@
 from cleatlink.routing.mechanisms import Mechanism, Switches
 from cleatlink.routing.prompt_plan import plan_prompt
 from cleatlink.routing.relay_place import Seeker, StreamSize, place_decode
-from cleatlink.scripts.main import main
+from cleatlink.scripts.commands import main
 
 TRAITS = EngineTraits(64, 40_000, 0.5, 6.0, event_tokens=10)
 SEEKER = Seeker("a", frozenset(), 0.0, random.Random(1))
--- a/cleatlink/scripts/main.py
+++ b/cleatlink/scripts/main.py
@@ -1,238 +1,26 @@
-"""The ``cleatlink`` command.
+"""The ``cleatlink`` command: signals first, then all that takes time to import."""
 
-What only some commands need is imported by them: a relay has to start fast.
-"""
-
-import json
 import sys
-import time
-from importlib import import_module
-from pathlib import Path
-from typing import Any, NoReturn, TypeVar
-
-import click
-import trio
 
-from cleatlink.core.address import Address, parse_address
-from cleatlink.core.errors import ConfigurationError, ListenError
-from cleatlink.platform import (
-    PROTOCOL,
-    SETTINGS_VARIABLE,
-    PlatformStore,
-    SettingsError,
-    load_settings,
-)
-from cleatlink.relay.daemon import run_relay
-from cleatlink.relay.settings import RelaySettings
-from cleatlink.routing.mechanisms import Mechanism
+from cleatlink.scripts.signals import handle_early_signals, ignore_late_signals
 
 __all__ = ["main"]
 
-ErrorT = TypeVar("ErrorT", bound=Exception)
-
-
-class AddressType(click.ParamType[Address]):
-    """An IP number and a port."""
-
-    name = "IP:PORT"
+# The command that serves until it is stopped.
+_DAEMON = "entry"
 
-    def convert(
-        self, value: object, param: click.Parameter | None, ctx: click.Context | None
-    ) -> Address:
-        """Convert a flag's text."""
-        if isinstance(value, Address):
-            return value
-        try:
-            return parse_address(str(value))
-        except ConfigurationError as error:
-            self.fail(str(error), param, ctx)
 
-
-_ADDRESS = AddressType()
-
-
-@click.group(context_settings={"auto_envvar_prefix": "CLEATLINK", "show_default": True})
-@click.version_option(package_name=None, version="0.1.0")
 def main() -> None:
-    """Route inference requests over separate prefill and decode pools.
-
-    Each flag can also be given as an environment variable, such as
-    CLEATLINK_ENTRY_NAME for --name of the command entry.
-    """
-
-
-@main.command()
-@click.option(
-    "--settings-file",
-    type=click.Path(path_type=Path),
-    envvar=SETTINGS_VARIABLE,
-    default=None,
-    help="Settings that a platform provides; relays its routes instead of the flags' ones.",
-)
-@click.option(
-    "--metrics-listen", type=_ADDRESS, default=None, help="Metrics' address with --settings-file."
-)
-@click.option(
-    "--without",
-    type=click.Choice([mechanism.value for mechanism in Mechanism]),
-    multiple=True,
-    help="Mechanism to switch off, for an experiment with --settings-file.",
-)
-@click.option("--name", default=None, help="Name of this instance in the instance list.")
-@click.option("--data-centre", default=None, help="Data centre in which it runs.")
-@click.option("--listen", type=_ADDRESS, default="127.0.0.1:8000", help="Callers' address.")
-@click.option("--peer-listen", type=_ADDRESS, default="127.0.0.1:8001", help="Peers' address.")
-@click.option("--platform", type=_ADDRESS, default=None, help="Address of the platform's service.")
-@click.option(
-    "--peer", "peers", type=_ADDRESS, multiple=True, help="A peer to ask when the platform is out."
-)
-@click.option("--seed", type=int, default=None, help="Seed of random choices; else the time.")
-@click.option("--poll-s", default=1.0, help="Seconds between two load reports of an endpoint.")
-@click.option("--connect-timeout-s", default=1.0, help="Seconds to reach an endpoint.")
-@click.option("--prefill-timeout-s", default=30.0, help="Seconds for a prefill to be done.")
-@click.option("--stall-timeout-s", default=2.0, help="Seconds without a token until a resume.")
-@click.option("--caller-timeout-s", default=10.0, help="Seconds a caller may take no byte.")
-def entry(
-    settings_file: Path | None,
-    metrics_listen: Address | None,
-    without: tuple[str, ...],
-    **flags: Any,
-) -> None:
-    """Run an entry instance until SIGTERM; then finish all work and exit with 0.
-
-    Without a settings file it needs --name and --data-centre, and prints one
-    line of JSON with its addresses once it listens.
-    """
-    if settings_file is not None:
-        _run_relay(settings_file, metrics_listen, frozenset(map(Mechanism, without)))
-    else:
-        _run_entry(**flags)
-
-
-def _run_relay(
-    settings_file: Path, metrics_listen: Address | None, without: frozenset[Mechanism]
-) -> None:
-    """Run the relay with a platform's settings file."""
-
-    def load() -> RelaySettings:
-        return load_settings(settings_file, metrics_listen)._replace(without=without)
-
-    faults: list[str] = []
-    try:
-        trio.run(run_relay, load, PROTOCOL, lambda settings: PlatformStore(settings.store))
-    except* SettingsError as group:
-        faults = [fault for error in _leaves(group) for fault in error.faults]
-    except* ListenError as group:
-        faults = [str(error) for error in _leaves(group)]
-    if faults:
-        _print_faults(settings_file, faults)
-        sys.exit(1)
-
-
-def _leaves(group: ExceptionGroup[ErrorT]) -> list[ErrorT]:
-    """Give the errors in a group of groups."""
-    found: list[ErrorT] = []
-    for error in group.exceptions:
-        found += _leaves(error) if isinstance(error, ExceptionGroup) else [error]
-    return found
-
-
-def _print_faults(file: Path, faults: list[str]) -> None:
-    for fault in faults:
-        click.echo(f"{file}: {fault}", err=True)
-
-
-def _run_entry(peers: tuple[Address, ...], seed: int | None, **flags: Any) -> None:
-    """Run an entry with settings from flags."""
-    serving = import_module("cleatlink.serving")
-    logs = import_module("cleatlink.serving.logs")
-    for name in ("name", "data_centre"):
-        if flags[name] is None:
-            raise click.UsageError(f"Missing option '--{name.replace('_', '-')}'.")
-    incarnation = int(time.time() * 1000)
-    settings = serving.Settings(
-        peers=peers,
-        seed=incarnation if seed is None else seed,
-        incarnation=incarnation,
-        **flags,
-    )
-    faults = serving.check_settings(settings)
-    if faults:
-        raise click.UsageError("; ".join(faults))
-    logs.write_logs()
-    trio.run(serving.run_daemon, settings, _print_addresses)
-
-
-def _print_addresses(callers: Address, peers: Address) -> None:
-    click.echo(json.dumps({"address": str(callers), "peer_address": str(peers)}))
-
-
-class _Lazy(click.Command):
-    """A command whose module is imported when it is used: a relay has to start fast."""
-
-    def __init__(self, name: str, module: str, short_help: str) -> None:
-        super().__init__(name, short_help=short_help)
-        self._module = module
-
-    def make_context(self, *args: Any, **kwargs: Any) -> click.Context:
-        """Hand over to the command itself."""
-        return self._load().make_context(*args, **kwargs)
-
-    def _load(self) -> click.Command:
-        found: click.Command = getattr(import_module(self._module), self.name or "")
-        return found
-
-
-main.add_command(
-    _Lazy("analyze", "cleatlink.scripts.analyze", "Tell from logs where requests were lost.")
-)
-
-
-@main.group()
-def config() -> None:
-    """Work with configurations."""
-
-
-@config.command()
-@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
-@click.option("--json", "as_json", is_flag=True, help="Print data instead of lines.")
-def check(file: Path, as_json: bool) -> None:
-    """Check a configuration or, if it ends in .toml, a platform's settings file.
-
-    Prints every fault and exits with 1 if there is one.
-    """
-    if file.suffix == ".toml":
-        _check_settings(file, as_json)
-    try:
-        text = file.read_text("utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise click.ClickException(f"{file} can't be read: {error}") from None
-    configuration, faults = import_module("cleatlink.config").load_configuration(text)
-    if as_json:
-        rows = [fault._asdict() for fault in faults]
-        click.echo(json.dumps({"valid": configuration is not None, "faults": rows}))
-    else:
-        for fault in faults:
-            click.echo(f"{file}: {fault}", err=True)
-        if configuration is not None:
-            click.echo(f"{file}: valid; {len(configuration.classes)} classes")
-    sys.exit(0 if configuration is not None else 1)
-
+    """Run the command."""
+    if sys.argv[1:2] == [_DAEMON]:
+        # Imports take most of a start, and a reload that met them ended the process.
+        handle_early_signals()
+    from cleatlink.scripts.commands import main as run_command  # noqa: PLC0415
 
-def _check_settings(file: Path, as_json: bool) -> NoReturn:
-    """Check a platform's settings file and exit."""
-    faults: list[str] = []
     try:
-        load_settings(file)
-    except SettingsError as error:
-        faults = error.faults
-    if as_json:
-        click.echo(json.dumps({"valid": not faults, "faults": faults}))
-    elif faults:
-        _print_faults(file, faults)
-    else:
-        click.echo(f"{file}: valid settings")
-    sys.exit(1 if faults else 0)
+        run_command()
+    finally:
+        ignore_late_signals()
 
 
 if __name__ == "__main__":
