Soak: stops in series, signals at any moment, streams that fill a stop

Cause: the soak's streams lasted 2 s at most and its callers' deadline was 3 s, its stops came one at a time and a reload never met a stop; so it held on the code that cut streams off. Change: one stream in seven lasts 3.5 s of the 4.5 s that a stop has, callers give streams 8 s; all instances stopped in turn, more signals until a process is gone, reloads of changed and unusable settings beside whatever else happens. A reload is sent once the program's own code runs.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -10,6 +10,7 @@
 from cleatlink.relay.events import EventCutter
 from cleatlink.relay.follower import Follower
 from cleatlink.relay.instance import RelayInstance
+from cleatlink.relay.planned_stop import PlannedStop
 from cleatlink.relay.protocol import Protocol
 from cleatlink.relay.server import CallerConnection
 from cleatlink.routing.capacity import Capacity
@@ -88,6 +89,11 @@
         "a planned stop cuts nothing off",
         (FaultKind.INSTANCE_STOP,),
     ),
+    "stop-foresight": Ablation(
+        _replace(PlannedStop, "leaves_time", _always),
+        "a planned stop cuts nothing off",
+        (FaultKind.INSTANCE_STOP, FaultKind.INSTANCE_ROLL),
+    ),
     "caller-watch": Ablation(
         _replace(CallerConnection, "_watch", _watch_nothing),
         "no work for callers that are gone",
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -50,9 +50,9 @@
                 await self.add_worker(service, stage)
         self.platform.add_route("/safe/", "safe", "plain", timeout_ms=3000)
         self.platform.add_route("/unsafe/", "unsafe", "plain", timeout_ms=3000)
-        self.platform.add_route("/stream/", "streaming", "model", timeout_ms=5000)
+        self.platform.add_route("/stream/", "streaming", "model", timeout_ms=8000)
         self.platform.add_route(
-            "/resume/", "streaming", "model", timeout_ms=5000, attempts=3, resumable=True
+            "/resume/", "streaming", "model", timeout_ms=8000, attempts=3, resumable=True
         )
         self.platform.add_route("/switch/", "safe", "plain", attempts=1)
         await self.move_switch()
@@ -66,6 +66,11 @@
             if not await instance.wait_ready():
                 self.exits.append(f"{instance.name} was not ready in time after its first start")
 
+    def write_settings(self, instance: InstanceProcess, retry_allowance: int) -> None:
+        """Write an instance's settings file, with a retry allowance."""
+        store = self.store_links[instance.number - 1].address
+        instance.write_settings(store, retry_allowance)
+
     def close(self) -> None:
         """End every process, and close every socket."""
         for instance in self.instances:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-__all__ = ["FaultKind", "PlannedFault", "plan_faults"]
+__all__ = ["STOP_KINDS", "FaultKind", "PlannedFault", "plan_faults"]
 
 # Faults begin after a calm start and end before the final checks.
 _FIRST_S = 2.0
@@ -17,9 +17,11 @@
     """Kinds of faults; the text tells the story of a seed."""
 
     INSTANCE_STOP = "an instance is stopped as planned and started again"
+    INSTANCE_SIGNALS = "an instance is stopped as planned, with more signals until it is gone"
+    INSTANCE_ROLL = "all instances are stopped as planned in turn, before the last one is back"
     INSTANCE_KILL = "an instance is killed and started again"
     INSTANCE_PAUSE = "an instance is paused"
-    INSTANCE_RELOAD = "an instance reloads its settings"
+    INSTANCE_RELOAD = "an instance reloads settings that changed or can't be used, at any time"
     STORE_LINK_DELAY = "an instance's link to the store is slow"
     STORE_LINK_RESET = "an instance's link to the store resets"
     STORE_LINK_SILENCE = "an instance's link to the store is silent"
@@ -40,6 +42,16 @@
     CONFIGURATION = "a route moves to another service"
 
 
+# Planned work alone: nothing of it may cut a request off.
+STOP_KINDS = (
+    FaultKind.INSTANCE_STOP,
+    FaultKind.INSTANCE_ROLL,
+    FaultKind.INSTANCE_SIGNALS,
+    FaultKind.INSTANCE_RELOAD,
+    FaultKind.CONFIGURATION,
+)
+
+
 class PlannedFault(NamedTuple):
     """One fault.
 
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -36,6 +36,18 @@
     return Ports(*found)
 
 
+def _answers_reload(pid: int) -> bool:
+    """Tell whether a process ignores or handles SIGHUP."""
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        # It is gone.
+        return False
+    fields = dict(line.split(":", 1) for line in lines)
+    answered = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
+    return bool(answered >> (signal.SIGHUP - 1) & 1)
+
+
 def _is_free(port: int, number: int) -> bool:
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as sock:
@@ -84,7 +96,7 @@
         """Where callers reach it."""
         return f"{self.ip}:{self.ports.front}"
 
-    def write_settings(self, store: str) -> None:
+    def write_settings(self, store: str, retry_allowance: int = 50) -> None:
         """Write its settings file."""
         write_instance_settings(
             self._settings,
@@ -94,8 +106,13 @@
             zone="abc"[self.number % 3],
             ip=self.ip,
             seeds=self._seeds,
+            retry_allowance=retry_allowance,
         )
 
+    def break_settings(self) -> None:
+        """Leave a settings file that can't be used, as one that is being written."""
+        self._settings.write_text("node = ")
+
     def start(self) -> None:
         """Start a process."""
         self.life += 1
@@ -111,6 +128,18 @@
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
 
+    def stop(self) -> None:
+        """Have it stop as planned."""
+        self.send(signal.SIGTERM)
+
+    def reload(self) -> None:
+        """Send SIGHUP, once the program's own code runs.
+
+        In the first milliseconds of a process the kernel alone answers its signals, and ends it.
+        """
+        if self._process is not None and _answers_reload(self._process.pid):
+            self.send(signal.SIGHUP)
+
     async def wait(self, within_s: float) -> int | None:
         """Wait for the end; None if it did not come in time."""
         with trio.move_on_after(within_s):
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -8,6 +8,7 @@
 from soak.broken import ABLATIONS
 from soak.link import Link, LinkFault
 from soak.plan import FaultKind, plan_faults
+from soak.regressions import STOPS_IN_SERIES
 from soak.run import RunSettings, run_soak
 from standins.relay import Worker
 from standins.relay.client import Caller
@@ -73,6 +74,14 @@
     assert sum(result.requests.values()) > 200
 
 
+async def test_stops_in_series_cut_off_nothing() -> None:
+    result = await run_soak(STOPS_IN_SERIES._replace(seed=CI_SEED))
+    assert result.violations == []
+    assert sum(fault.kind is FaultKind.INSTANCE_STOP for fault in result.faults) > 2
+    assert any(fault.kind is FaultKind.INSTANCE_ROLL for fault in result.faults)
+    assert result.requests["stream 200"] > 50
+
+
 _NAMES = sorted(ABLATIONS)
 
 
--- a/soak/strike.py
+++ b/soak/strike.py
@@ -19,6 +19,11 @@
 _GRACE_S = 5.0
 _RESTART_S = 0.3
 _KEEPS_SERVING_S = 2.4
+# Pauses between the signals of a series, and between the stops of one.
+_SIGNALS_EVERY_S = 0.4
+_ROLL_GAP_S = 0.7
+# Allowances that a reload may bring; the checks go by the largest.
+_ALLOWANCES = (20, 35, 50)
 # Changes that callers check need time to be told apart.
 _BETWEEN_SWITCHES_S = 3.0
 _WORKER_FAULTS = (
@@ -57,6 +62,8 @@
     {
         FaultKind.CONFIGURATION,
         FaultKind.INSTANCE_RELOAD,
+        FaultKind.INSTANCE_ROLL,
+        FaultKind.INSTANCE_SIGNALS,
         FaultKind.INSTANCE_STOP,
         FaultKind.WORKER_DRAIN,
     }
@@ -90,6 +97,11 @@
             await self._hold(instance.name, fault, self._cut_store_link)
         elif kind in _WORKER_LINK_FAULTS:
             await self._hold(self._pick_worker(fault).name, fault, self._cut_worker_link)
+        elif kind is FaultKind.INSTANCE_RELOAD:
+            # Whatever else happens to the instance.
+            await self._reload_instance(fault)
+        elif kind is FaultKind.INSTANCE_ROLL:
+            await self._roll_instances(fault)
         elif kind in _INSTANCE_FAULTS:
             await self._hold(self._pick_instance(fault).name, fault, _INSTANCE_FAULTS[kind](self))
         elif kind in _WORKER_CHANGES:
@@ -161,9 +173,35 @@
         await self._cut(link, _WORKER_LINK_FAULTS[fault.kind], fault.for_s)
 
     async def _stop_instance(self, fault: PlannedFault) -> None:
+        await self._stop(self._pick_instance(fault))
+
+    async def _stop_with_signals(self, fault: PlannedFault) -> None:
+        """Stop an instance, and go on with signals until it is gone."""
         instance = self._pick_instance(fault)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_always, instance)
+            await self._stop(instance)
+            nursery.cancel_scope.cancel()
+
+    async def _send_always(self, instance: InstanceProcess) -> None:
+        life = instance.life
+        while instance.life == life:
+            await trio.sleep(_SIGNALS_EVERY_S * self._rng.uniform(0.5, 1.5))
+            if instance.life == life:
+                self._rng.choice((instance.stop, instance.reload))()
+
+    async def _roll_instances(self, fault: PlannedFault) -> None:
+        """Stop all in turn; several are stopping at a time."""
+        async with trio.open_nursery() as nursery:
+            for number in range(len(self._fleet.instances)):
+                turn = fault._replace(target=fault.target + number)
+                instance = self._pick_instance(turn)
+                nursery.start_soon(self._hold, instance.name, turn, self._stop_instance)
+                await trio.sleep(_ROLL_GAP_S * self._rng.uniform(0.5, 1.5))
+
+    async def _stop(self, instance: InstanceProcess) -> None:
         began_at, life = trio.current_time(), instance.life
-        instance.send(signal.SIGTERM)
+        instance.stop()
         code = await instance.wait(_GRACE_S)
         ended_at = trio.current_time()
         self._fleet.stops.append(
@@ -195,8 +233,16 @@
             instance.send(signal.SIGCONT)
 
     async def _reload_instance(self, fault: PlannedFault) -> None:
-        self._pick_instance(fault).send(signal.SIGHUP)
-        await trio.sleep(0)
+        """Change the settings file, or spoil it for a moment, and signal that it changed."""
+        instance = self._pick_instance(fault)
+        # One that is being started anew would rightly end by such a file.
+        if self._rng.random() < 0.5 and instance.name not in self._busy:
+            instance.break_settings()
+            instance.reload()
+            await trio.sleep(0.2)
+        self._fleet.write_settings(instance, self._rng.choice(_ALLOWANCES))
+        instance.reload()
+        self.done.append(fault)
 
     async def _make_worker_fail(self, fault: PlannedFault) -> None:
         worker = self._pick_worker(fault)
@@ -232,7 +278,7 @@
     FaultKind.INSTANCE_STOP: lambda striker: striker._stop_instance,
     FaultKind.INSTANCE_KILL: lambda striker: striker._kill_instance,
     FaultKind.INSTANCE_PAUSE: lambda striker: striker._pause_instance,
-    FaultKind.INSTANCE_RELOAD: lambda striker: striker._reload_instance,
+    FaultKind.INSTANCE_SIGNALS: lambda striker: striker._stop_with_signals,
 }
 _WORKER_CHANGES: dict[FaultKind, Callable[[Striker], _Act]] = {
     FaultKind.WORKER_FAULTS: lambda striker: striker._make_worker_fail,
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -11,7 +11,7 @@
 __all__ = ["Traffic"]
 
 _PAUSE_S = 0.05
-_GIVE_UP_S = 6.0
+_GIVE_UP_S = 9.0
 _SHARE_LEAVING = 0.08
 _MOST_RETRY_S = 0.5
 _KEEP_CONNECTION = 0.9
@@ -22,7 +22,12 @@
     RequestKind.RESUMABLE: ("/resume/x", "POST"),
     RequestKind.SWITCH: ("/switch/x", "GET"),
 }
-_STREAM_HEADERS = {"Token-Counts": "100,50", "Model": "m", "Prompt-Prefix": "a:50,b:50"}
+_STREAM_HEADERS = {
+    "Token-Counts": "100,50",
+    "Model": "m",
+    "Prompt-Prefix": "a:50,b:50",
+    "Deadline-Milliseconds": "8000",
+}
 
 
 class Traffic:
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -18,6 +18,9 @@
 # behind shows.
 _LONG_EVERY = 4
 _LONG_EVENT_S = 0.25
+# Other streams last for most of the time that a planned stop has.
+_LONGEST_EVERY = 7
+_LONGEST_EVENT_S = 0.44
 _LONG_WORK_S = 1.8
 _PLAIN_WORK_S = 0.02
 _PREFILL_S = 0.03
@@ -51,6 +54,8 @@
 
     def event_time_s(self, request: str) -> float:
         """Give the seconds between two events of a request's stream."""
+        if int(request[1:]) % _LONGEST_EVERY == 0:
+            return _LONGEST_EVENT_S
         return _LONG_EVENT_S if _is_long(request) else self.event_s
 
     def _take_order(self, order: dict[str, Any]) -> int:
--- a/standins/relay/settings.py
+++ b/standins/relay/settings.py
@@ -20,7 +20,7 @@
 grace_s = 5
 drain_ms = 2000
 retry_budget_ratio = 0.2
-retry_allowance = 50
+retry_allowance = {retry_allowance}
 budget_window_s = 10
 lease_ms = 3000
 [platform]
@@ -54,6 +54,7 @@
     zone: str = "a",
     ip: str = "127.0.0.1",
     seeds: tuple[str, ...] = (),
+    retry_allowance: int = 50,
 ) -> None:
     """Write the settings of one instance among several, each at an IP number of its own.
 
@@ -65,7 +66,9 @@
         zone: Its data centre.
         ip: Its IP number.
         seeds: IP numbers of the instances that it asks first.
+        retry_allowance: Extra sends that all instances may make beyond their share.
     """
     quoted = ",".join(f'"{seed}:{ports.peers}"' for seed in seeds)
     fields = {"name": name, "zone": zone, "ip": ip, "seeds": quoted, "store": store}
+    fields["retry_allowance"] = str(retry_allowance)
     file.write_text(_TEXT.format(**ports._asdict(), **fields))
