--- a/cleatlink/relay/planned_stop_test.py
+++ b/cleatlink/relay/planned_stop_test.py
@@ -15,11 +15,15 @@
 
 import math
 
+import pytest
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cleatlink.core.data import Refusal
 from cleatlink.core.routes import Headers
+from cleatlink.relay import pool
+from cleatlink.relay.plain import PlainCall
 from cleatlink.relay.planned_stop import PlannedStop
 from cleatlink.relay.server import Exchange, RawRequest
 from standins.relay import Worker
@@ -201,3 +205,30 @@
     # Nothing is known of how long it takes: only its deadline can bound it.
     bounded = arrived_at + deadline_s <= stop.answers_by
     assert stop.leaves_time(arrived_at, arrived_at + deadline_s, math.inf, now) == bounded
+
+
+async def test_answer_that_is_ready_as_the_stop_ends_is_delivered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The end of the stop came between a ready answer and its sending, and cut it off.
+
+    "age_ms":1803,"status":200,"message_type":"relay: is answered"
+    "age_ms":1811,"ran":"yes","message_type":"relay: is cut off by the stop"
+    """
+    async with open_fleet() as fleet:
+        await _start(fleet)
+        service = fleet.instances[0].service
+        run = PlainCall.run
+
+        async def run_to_the_last_moment(self: PlainCall) -> pool.Reply | Refusal:
+            answer = await run(self)
+            for scope in service._scopes:
+                scope.cancel()
+            return answer
+
+        monkeypatch.setattr(PlainCall, "run", run_to_the_last_moment)
+        (caller,) = await _open_callers(fleet, 1)
+        fleet.stops[0].set()
+        await trio.sleep(0.2)
+        reply = await caller.ask("/unsafe/x", "POST", body=b"b")
+        assert (reply.status, reply.whole, reply.body) == (200, True, b"served")
