--- a/cleatlink/relay/service.py
+++ b/cleatlink/relay/service.py
@@ -234,7 +234,7 @@
         if exchange.request.method == b"HEAD":
             length = answer.head.get(b"content-length")
             headers = (*headers, (b"Content-Length", length)) if length else headers
-        await exchange.answer(status, headers, answer.body)
+        await self._deliver(exchange, status, headers, answer.body)
 
     async def _refuse_call(self, call: Call, exchange: Exchange, refusal: Refusal) -> None:
         call.log("is refused", kind=refusal.kind.value, detail=refusal.detail, sends=call.sends)
@@ -260,8 +260,15 @@
             headers += ((self._parts.protocol.names.request_id, request_id.encode()),)
         if retry_after_s is not None:
             headers += ((b"Retry-After", b"%.2f" % retry_after_s),)
-        # While the instance stops an answer that has begun is sent, whatever ends meanwhile.
-        with trio.CancelScope(shield=self._parts.stop.has_begun) as scope:
-            if self._parts.stop.has_begun:
+        await self._deliver(exchange, status or answer.status, headers, body)
+
+    async def _deliver(
+        self, exchange: Exchange, status: int, headers: Headers, body: bytes
+    ) -> None:
+        """Send a whole answer; while the instance stops, whatever else ends meanwhile."""
+        is_stopping = self._parts.stop.has_begun
+        # The end of the stop cut off answers that were ready, between the decision and the send.
+        with trio.CancelScope(shield=is_stopping) as scope:
+            if is_stopping:
                 scope.deadline = trio.current_time() + ANSWER_S
-            await exchange.answer(status or answer.status, headers, body)
+            await exchange.answer(status, headers, body)
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -50,6 +50,10 @@
         STOPS_IN_SERIES._replace(seed=1009),
         "the same with eight quick stretches measured, by chance none of a slow stream",
     ),
+    Regression(
+        STOPS_IN_SERIES._replace(seed=3101),
+        "the end of a stop cancelled the sending of an answer that was ready",
+    ),
     Regression(
         STOPS_IN_SERIES._replace(seed=521),
         "the soak's own: SIGHUP in the first milliseconds of a process, before its code runs",
