--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -77,7 +77,9 @@
 async def test_stops_in_series_cut_off_nothing() -> None:
     result = await run_soak(STOPS_IN_SERIES._replace(seed=CI_SEED))
     assert result.violations == []
-    assert sum(fault.kind is FaultKind.INSTANCE_STOP for fault in result.faults) > 2
+    # Which kind stops an instance that two of them want depends on the moment.
+    stops = {FaultKind.INSTANCE_STOP, FaultKind.INSTANCE_ROLL, FaultKind.INSTANCE_SIGNALS}
+    assert sum(fault.kind in stops for fault in result.faults) > 5
     assert any(fault.kind is FaultKind.INSTANCE_ROLL for fault in result.faults)
     assert result.requests["stream 200"] > 50
 
