Read once more: one time to come back for decodes, one set-up of the silence tests

Found on reading the whole change: the time after which a full decode is asked again stood in stream.py and in decode_place.py, and three silence tests began a stream by the same four lines.

--- a/cleatlink/relay/decode_place.py
+++ b/cleatlink/relay/decode_place.py
@@ -11,10 +11,10 @@
 from cleatlink.relay.room import DecodeRoom, Room
 from cleatlink.routing.relay_place import estimate_output, longest_stream_s
 
-__all__ = ["DecodePlace"]
+__all__ = ["RETRY_AFTER_S", "DecodePlace"]
 
 # Time in which a decode that was full ends a stream.
-_RETRY_AFTER_S = 0.6
+RETRY_AFTER_S = 0.6
 
 
 class DecodePlace:
@@ -72,9 +72,9 @@
         if not call.may_begin(self._rest_s()):
             return call.refuse_for_stop(self._rest_s())
         if not call.may_send(self.endpoint):
-            return call.failure("no attempt is left", _RETRY_AFTER_S)
+            return call.failure("no attempt is left", RETRY_AFTER_S)
         if call.sends and not call.spend("decode"):
-            return call.failure("the retry budget is empty", _RETRY_AFTER_S)
+            return call.failure("the retry budget is empty", RETRY_AFTER_S)
         self._is_cleared = True
         return None
 
--- a/cleatlink/relay/silence_test.py
+++ b/cleatlink/relay/silence_test.py
@@ -14,12 +14,14 @@
 import trio
 
 from standins.relay import Worker
-from standins.relay.client import Reply
+from standins.relay.client import Caller, Reply
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import Fleet, open_fleet
 
 # The route's longest pause of 100 ms makes half a second of silence too long.
 _SILENCE_S = 0.5
+# A caller that would wait for any of these answers.
+_PATIENT = {**STREAM, "Deadline-Milliseconds": "9000"}
 
 
 async def _start(fleet: Fleet, *workers: Worker) -> None:
@@ -39,8 +41,15 @@
 
 
 async def _ask(fleet: Fleet) -> Reply:
-    headers = {**STREAM, "Deadline-Milliseconds": "9000"}
-    return await fleet.caller().ask("/quick/x", "POST", body=b"prompt", headers=headers)
+    return await fleet.caller().ask("/quick/x", "POST", body=b"prompt", headers=_PATIENT)
+
+
+async def _begin(fleet: Fleet, *decodes: Worker) -> Caller:
+    """Ask for a stream, and give its caller once one of the decodes runs it."""
+    caller = fleet.caller()
+    await caller.send("/quick/x", "POST", body=b"prompt", headers=_PATIENT)
+    await fleet.until(lambda: any(decode.runs for decode in decodes))
+    return caller
 
 
 def _numbers(reply: Reply) -> list[bytes]:
@@ -67,10 +76,7 @@
         await _start(fleet, prefill, first, second)
         for decode in (first, second):
             decode.silent_from, decode.silent_s = 3, 1.0
-        caller = fleet.caller()
-        headers = {**STREAM, "Deadline-Milliseconds": "9000"}
-        await caller.send("/quick/x", "POST", body=b"prompt", headers=headers)
-        await fleet.until(lambda: bool(first.runs or second.runs))
+        caller = await _begin(fleet, first, second)
         # The prompt of the other one is not computed before the first speaks again.
         prefill.work_s = 3.0
         reply = await caller.receive()
@@ -88,10 +94,7 @@
         await _start(fleet, prefill, first, second)
         for decode in (first, second):
             decode.silent_from = 3
-        caller = fleet.caller()
-        headers = {**STREAM, "Deadline-Milliseconds": "9000"}
-        await caller.send("/quick/x", "POST", body=b"prompt", headers=headers)
-        await fleet.until(lambda: bool(first.runs or second.runs))
+        caller = await _begin(fleet, first, second)
         prefill.work_s = 0.4
         for decode in (first, second):
             if not decode.runs:
@@ -114,10 +117,7 @@
         await _start(fleet, prefill, first, second)
         for decode in (first, second):
             decode.silent_from = 3
-        caller = fleet.caller()
-        headers = {**STREAM, "Deadline-Milliseconds": "9000"}
-        await caller.send("/quick/x", "POST", body=b"prompt", headers=headers)
-        await fleet.until(lambda: bool(first.runs or second.runs))
+        caller = await _begin(fleet, first, second)
         prefill.work_s = 3.0
         instance = fleet.instances[0]
         await fleet.until(lambda: len(instance.capacity.own) == 3, within_s=1.5)
--- a/cleatlink/relay/stream.py
+++ b/cleatlink/relay/stream.py
@@ -16,7 +16,7 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.call import Call, RelayParts
 from cleatlink.relay.connection import EndpointConnection
-from cleatlink.relay.decode_place import DecodePlace
+from cleatlink.relay.decode_place import RETRY_AFTER_S, DecodePlace
 from cleatlink.relay.events import EventCutter
 from cleatlink.relay.protocol import ReplyHead
 from cleatlink.relay.room import DecodeRoom
@@ -39,8 +39,6 @@
 _PAUSES = 3.0
 _MIN_SILENCE_S = 0.5
 _MOST_SILENCE_S = 1.5
-# Time in which a decode that was full ends a stream.
-_RETRY_AFTER_S = 0.6
 
 
 class StreamEnd(NamedTuple):
@@ -270,7 +268,7 @@
             place.move_on()
             return None
         if self._refusals > _MOST_REFUSALS or not call.may_send(endpoint):
-            return self._give_up(call.failure("the decode endpoint has no room", _RETRY_AFTER_S))
+            return self._give_up(call.failure("the decode endpoint has no room", RETRY_AFTER_S))
         await trio.sleep(_OFFER_AGAIN_S)
         if self._refusals > 1 or not place.prefill.lives():
             # The refusal may be the handle's: the endpoint can compute the prompt itself.
