--- a/standins/relay/client.py
+++ b/standins/relay/client.py
@@ -53,8 +53,18 @@
         host: str = "h.example",
         body: bytes = b"",
         headers: dict[str, str] | None = None,
+        more: tuple[str, ...] = (),
     ) -> str:
-        """Send a request; gives its id."""
+        """Send a request; gives its id.
+
+        Args:
+            path: Path and query.
+            method: Method.
+            host: Host that is named.
+            body: Body; none is sent for an empty one, but with POST.
+            headers: Headers beside the usual ones.
+            more: Header lines as they are, also such as double others.
+        """
         await self.open()
         assert self._stream is not None
         name = f"r{next(_IDS)}"
@@ -62,8 +72,8 @@
         fields.update(headers or {})
         if body or method == "POST":
             fields["Content-Length"] = str(len(body))
-        lines = [f"{method} {path} HTTP/1.1", *(f"{key}: {fields[key]}" for key in fields)]
-        await self._stream.send_all(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+        lines = [f"{method} {path} HTTP/1.1", *(f"{key}: {fields[key]}" for key in fields), *more]
+        await self._stream.send_all(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body)
         return fields["Attempt-Id"]
 
     async def ask(
@@ -73,9 +83,10 @@
         host: str = "h.example",
         body: bytes = b"",
         headers: dict[str, str] | None = None,
+        more: tuple[str, ...] = (),
     ) -> Reply:
         """Send a request and receive its answer."""
-        await self.send(path, method, host, body, headers)
+        await self.send(path, method, host, body, headers, more)
         return await self.receive()
 
     async def receive(self) -> Reply:
--- a/standins/relay/fleet.py
+++ b/standins/relay/fleet.py
@@ -39,6 +39,8 @@
         self.published: list[dict[str, Any]] = []
         # Grace of planned stops, for instances that are started from now on.
         self.drain_s = 3.0
+        # Organisations of the next configuration; None publishes none.
+        self.organisations: list[dict[str, Any]] | None = None
         self.limits: dict[str, int] = {"idle_timeout_ms": 2000, "header_timeout_ms": 500}
 
     async def add_worker(self, worker: Worker) -> Worker:
@@ -88,6 +90,8 @@
             "services": services,
             "limits": self.limits,
         }
+        if self.organisations is not None:
+            value["tenants"] = [dict(organisation) for organisation in self.organisations]
         self.published.append(value)
         self.store.put("op/config", value)
         return self._version
