Organisations: keys are judged, endpoints are told whose a request is, limits hold over all instances

Change: the room cleatlink/organisations has the key table (keys by digest only), the gate and the limits; a route table carries organisations, routes that are public, and priorities. The key is withheld, the organisation's name is set by the relay alone, no or an unknown key gets 401 without its body being kept, and calls that wait are refused once their key is taken away. Each instance keeps a bucket of each whole limit, fed by totals that heartbeats carry; what is over gets 429 with the time at which the bucket has what it needs.

Ruled out: buckets that a large request may overdraw.

--- a/cleatlink/core/errors.py
+++ b/cleatlink/core/errors.py
@@ -40,6 +40,8 @@
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_CLASS = "unknown_class"
     NOT_FOUND = "not_found"
+    UNKNOWN_KEY = "unknown_key"
+    OVER_LIMIT = "over_limit"
     NOT_READY = "not_ready"
     STOPPING = "stopping"
     BUSY = "busy"
@@ -79,6 +81,8 @@
     ErrorKind.UNKNOWN_SERVICE: Answer(404, "no", None),
     ErrorKind.UNKNOWN_CLASS: Answer(400, "no", None),
     ErrorKind.NOT_FOUND: Answer(404, "no", None),
+    ErrorKind.UNKNOWN_KEY: Answer(401, "no", None),
+    ErrorKind.OVER_LIMIT: Answer(429, "no", 1.0),
     ErrorKind.NOT_READY: Answer(503, "no", 1.0),
     ErrorKind.STOPPING: Answer(503, "no", 0.0),
     ErrorKind.BUSY: Answer(503, "no", 1.0),
--- a/cleatlink/core/purity_test.py
+++ b/cleatlink/core/purity_test.py
@@ -5,7 +5,7 @@
 
 import cleatlink
 
-PURE = ("core", "config", "routing", "request", "members")
+PURE = ("core", "config", "routing", "request", "members", "organisations")
 FORBIDDEN = {
     "aioprometheus",
     "asyncio",
--- a/cleatlink/core/routes.py
+++ b/cleatlink/core/routes.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from cleatlink.core.data import Role
+from cleatlink.core.organisations import Organisation
 
 __all__ = [
     "CallerLimits",
@@ -64,6 +65,7 @@
         patience_s: Silence after which callers leave a stream, also before its first event.
         heeded_share: Share of the time that is left to a caller up to which it heeds a
             time to come back.
+        public: Whether callers need no key, also where there are organisations.
     """
 
     name: str
@@ -79,6 +81,7 @@
     event_gap_s: float = math.inf
     patience_s: float = math.inf
     heeded_share: float = 1.0
+    public: bool = False
 
 
 class EngineTraits(NamedTuple):
@@ -119,12 +122,21 @@
 
 
 class RouteTable(NamedTuple):
-    """One revision of all routes; ``revision`` orders tables and may have gaps."""
+    """One revision of all routes.
+
+    Attributes:
+        revision: Orders tables; may have gaps.
+        routes: The routes.
+        services: Services by name.
+        limits: Bounds on what callers may send.
+        organisations: Whose calls are served; None where everybody's are.
+    """
 
     revision: int
     routes: tuple[Route, ...]
     services: Mapping[str, RoutedService]
     limits: CallerLimits
+    organisations: tuple[Organisation, ...] | None = None
 
 
 class RoutedEndpoint(NamedTuple):
@@ -172,6 +184,7 @@
         max_output_tokens: Most tokens of the answer.
         output_hint: The caller's estimate of the answer's tokens; 0 for none.
         last_event: Last event that the caller has of a stream; None for none.
+        organisation: Name of the organisation that asks; empty for none.
     """
 
     request_id: str
@@ -186,6 +199,7 @@
     max_output_tokens: int = 0
     output_hint: int = 0
     last_event: int | None = None
+    organisation: str = ""
 
     @property
     def path(self) -> str:
--- a/cleatlink/platform/names.py
+++ b/cleatlink/platform/names.py
@@ -17,6 +17,7 @@
     kv_source=b"cache-source",
     hold=b"hold",
     priority=b"request-priority",
+    organisation=b"tenant",
     reserved=frozenset(
         {
             b"expected-instance",
--- a/cleatlink/platform/settings.py
+++ b/cleatlink/platform/settings.py
@@ -6,6 +6,7 @@
 
 from cleatlink.core.address import Address, parse_address
 from cleatlink.core.errors import ConfigurationError
+from cleatlink.organisations import LimitTolerance
 from cleatlink.relay.settings import RelaySettings
 
 __all__ = ["SettingsError", "load_settings", "read_settings"]
@@ -54,6 +55,14 @@
             self.faults.append(f"{path} is negative")
         return float(found or 0)
 
+    def optional_number(self, path: str, default: float) -> float:
+        """Give a number that is not negative, or the default where there is none."""
+        table, _, key = path.rpartition(".")
+        found = self._tables.get(table)
+        if not isinstance(found, dict) or found.get(key) is None:
+            return default
+        return self.number(path)
+
     def address(self, path: str) -> Address:
         """Give an IP number and a port."""
         text = self.text(path)
@@ -111,7 +120,18 @@
         leaving_s=reader.number("bounds.drain_ms") / _MS,
         lease_s=reader.number("bounds.lease_ms") / _MS,
         history_s=reader.number("platform.history_s"),
+        limit_tolerance=_read_tolerance(reader),
     )
     if reader.faults:
         raise SettingsError(reader.faults)
     return settings
+
+
+def _read_tolerance(reader: _Reader) -> LimitTolerance:
+    """Read by how much organisations may pass their limits; not every platform tells."""
+    usual = LimitTolerance()
+    return LimitTolerance(
+        reader.optional_number("bounds.quota_overshoot", usual.overshoot),
+        reader.optional_number("bounds.quota_slack", usual.slack),
+        reader.optional_number("bounds.quota_window_s", usual.window_s) or usual.window_s,
+    )
--- a/cleatlink/platform/store.py
+++ b/cleatlink/platform/store.py
@@ -12,6 +12,7 @@
 from cleatlink.core.address import Address
 from cleatlink.core.data import Role
 from cleatlink.core.errors import EndpointError, PlatformError
+from cleatlink.core.organisations import Organisation, TokenLimit, digest_key
 from cleatlink.core.routes import (
     CallerLimits,
     EngineTraits,
@@ -176,6 +177,31 @@
             limits.get("header_timeout_ms", default.header_timeout_s * _MS) / _MS,
             limits.get("idle_timeout_ms", default.idle_timeout_s * _MS) / _MS,
         ),
+        organisations=_read_organisations(value),
+    )
+
+
+def _read_organisations(value: dict[str, Any]) -> tuple[Organisation, ...] | None:
+    entries = value.get("tenants")
+    return None if entries is None else tuple(_read_organisation(entry) for entry in entries)
+
+
+def _read_organisation(entry: dict[str, Any]) -> Organisation:
+    priority = entry.get("priority")
+    rate = float(entry.get("rate_per_s") or 0.0)
+    limit = None
+    if rate > 0:
+        limit = TokenLimit(
+            rate,
+            float(entry.get("burst") or 0.0),
+            entry.get("unit") == "tokens",
+            int(entry.get("plain_tokens", 1)),
+        )
+    return Organisation(
+        name=entry["name"],
+        key_digests=tuple(digest_key(key.encode()) for key in entry.get("api_keys", ())),
+        priority=None if priority is None else int(priority),
+        limit=limit,
     )
 
 
@@ -215,6 +241,7 @@
         event_gap_s=event_gap_s,
         patience_s=_patience_s(target_s, event_gap_s),
         heeded_share=_HEEDED_SHARE,
+        public=bool(entry.get("public", False)),
     )
 
 
--- a/cleatlink/relay/call.py
+++ b/cleatlink/relay/call.py
@@ -10,6 +10,7 @@
 from cleatlink.core.data import Ran, Refusal
 from cleatlink.core.errors import EndpointRefusedError, EndpointUnreachableError, ErrorKind
 from cleatlink.core.routes import Inbound, Route, RoutedEndpoint, RoutedService, RouteKind
+from cleatlink.organisations import NOBODY, Admission, Holder, OrganisationGate
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peer_messages import HintKind
 from cleatlink.relay.planned_stop import PlannedStop
@@ -35,11 +36,13 @@
         pool: Connections to endpoints.
         capacity: What is believed of endpoints.
         stop: The planned stop of this instance.
+        gate: Whose requests are served, and how many.
         metrics: Counters and histograms.
         rng: The seeded generator.
         budget: Gives the retry budget of a service.
         members: Gives how many instances may share a budget.
         on_work: To be called when own reservations changed, with their keys.
+        on_spending: To be called when little is left of an organisation's limit.
         on_hint: To be called with an endpoint that was slow or out of reach.
         spawn: Runs what must go on although its caller has gone.
     """
@@ -49,11 +52,13 @@
     pool: ConnectionPool
     capacity: Capacity
     stop: PlannedStop
+    gate: OrganisationGate
     metrics: RelayMetrics
     rng: random.Random
     budget: Callable[[str], SharedRetryBudget]
     members: Callable[[], int]
     on_work: Callable[..., None]
+    on_spending: Callable[[], None]
     on_hint: Callable[[str, HintKind], None]
     spawn: Callable[..., None]
 
@@ -68,8 +73,11 @@
         service: RoutedService,
         revision: int,
         parts: RelayParts,
+        *,
+        holder: Holder = NOBODY,
     ) -> None:
         self.inbound = inbound
+        self.holder = holder
         self.route = route
         self.service = service
         self.deadline = min(inbound.deadline, inbound.arrived_at + route.timeout_s)
@@ -78,6 +86,7 @@
         self.sends = 0
         self.revision = revision
         self.heard_at = inbound.arrived_at
+        self.admission = Admission(True, 0)
         self._parts = parts
         self._sent_to: set[str] = set()
         self._ran_before = Ran.NO
@@ -97,6 +106,19 @@
         """Whether a part of the call's stream has been made already, here or before."""
         return self.ran is not Ran.NO or self.inbound.last_event is not None
 
+    @property
+    def priority(self) -> int:
+        """From 0, the most urgent: the organisation's, or else the route's."""
+        organisation = self.holder.organisation
+        if organisation is None or organisation.priority is None:
+            return self.route.priority
+        return organisation.priority
+
+    @property
+    def is_allowed(self) -> bool:
+        """Whether its key has not been taken away since it came; what has run goes on."""
+        return self.ran is not Ran.NO or self._parts.gate.still_holds(self.holder)
+
     @property
     def left_s(self) -> float:
         """Seconds that are left of the call's time."""
@@ -112,6 +134,13 @@
         """Whether an answer that begins now is in time."""
         return self.age_s <= self.route.target_s
 
+    def give_back(self) -> None:
+        """Give back to its organisation what a call that did not run was granted."""
+        organisation, admission = self.holder.organisation, self.admission
+        if organisation is not None and admission.granted and admission.cost:
+            self._parts.gate.limits.give_back(organisation, admission.cost)
+            self.admission = Admission(True, 0)
+
     def seeker(self) -> Seeker:
         """Give who seeks a place, now."""
         parts = self._parts
@@ -220,6 +249,12 @@
             **fields,
         )
 
+    def log_outcome(self, outcome: str, **fields: object) -> None:
+        """Log what a call came to, with whose it is and what it counts for its limit."""
+        if self.holder.organisation is not None:
+            fields.update(organisation=self.holder.name, cost=self.admission.cost)
+        self.log(outcome, **fields)
+
     def failure(self, detail: str, retry_after_s: float | None = None) -> Refusal:
         """Give the refusal that is true of the call now."""
         if self.ran is Ran.NO:
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -9,6 +9,7 @@
 from cleatlink.core.address import Address
 from cleatlink.core.errors import ListenError
 from cleatlink.core.routes import RoutedEndpoint, RouteTable
+from cleatlink.organisations import OrganisationGate, OrganisationLimits
 from cleatlink.relay.call import RelayParts
 from cleatlink.relay.catch_up import KnownState
 from cleatlink.relay.follower import Follower, FollowerHooks
@@ -68,17 +69,21 @@
         self._pool = ConnectionPool(self._allowed_connections)
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._planned_stop = PlannedStop()
+        limits = OrganisationLimits(settings.limit_tolerance, trio.current_time())
+        self._gate = OrganisationGate(limits)
         self._parts = RelayParts(
             settings.data_centre,
             protocol,
             self._pool,
             self._capacity,
             self._planned_stop,
+            self._gate,
             self._metrics,
             random.Random(incarnation),
             self._budget,
             self._members,
             self._note_work,
+            self._note_spending,
             self._tell_hint,
             self._spawn,
         )
@@ -106,7 +111,14 @@
             self._offer_room,
             self._note_peer_demand,
         )
-        self._peers = PeerGroup(settings, incarnation, self._capacity, self._metrics, hooks)
+        self._peers = PeerGroup(
+            settings,
+            incarnation,
+            self._capacity,
+            self._gate.limits,
+            metrics=self._metrics,
+            hooks=hooks,
+        )
         self._roles = RoleKeeper(
             settings,
             protocol,
@@ -210,6 +222,7 @@
         self._settings = settings
         for budget in self._budgets.values():
             budget.change(settings.retry_ratio, settings.retry_allowance, settings.retry_window_s)
+        self._gate.limits.change_tolerance(settings.limit_tolerance)
         eliot.log_message(message_type="instance: reloads its settings", name=settings.name)
 
     async def _stop(self) -> None:
@@ -268,6 +281,9 @@
     def _note_work(self, *keys: str) -> None:
         self._peers.note_work(*keys)
 
+    def _note_spending(self) -> None:
+        self._peers.note_spending()
+
     def _tell_hint(self, endpoint: str, kind: HintKind) -> None:
         self._peers.tell_hint(endpoint, kind)
 
--- a/cleatlink/relay/metrics.py
+++ b/cleatlink/relay/metrics.py
@@ -8,6 +8,11 @@
 
 _LATENCY_BUCKETS_S = [0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.7, 0.9, 1.5, 3.0, 6.0, 14.0]
 
+# Organisations that are counted by name: each is two lines of every scrape. The rest are
+# counted together.
+_MOST_ORGANISATIONS = 200
+_OTHER_ORGANISATIONS = "(others)"
+
 
 class RelayMetrics:
     """The relay's metrics; names and units stand in docs/operators/metrics.md."""
@@ -33,6 +38,10 @@
             "cleatlink_relay_peer_messages_total", "Datagrams of peers, by kind."
         )
         self._orders = self._counter("cleatlink_relay_orders_total", "Orders, by status.")
+        self._admissions = self._counter(
+            "cleatlink_relay_admissions_total", "Requests, by organisation and outcome."
+        )
+        self._organisations: set[str] = set()
         self._dropped = Gauge(
             "cleatlink_relay_log_lines_dropped", "Log lines dropped.", registry=self._registry
         )
@@ -67,6 +76,15 @@
         """Count a refusal."""
         self._refusals.inc({"kind": kind.value})
 
+    def count_admission(self, organisation: str, granted: bool) -> None:
+        """Count a request that is within its organisation's limit, or over it."""
+        if organisation not in self._organisations:
+            if len(self._organisations) >= _MOST_ORGANISATIONS:
+                organisation = _OTHER_ORGANISATIONS
+            self._organisations.add(organisation)
+        outcome = "granted" if granted else "over"
+        self._admissions.inc({"organisation": organisation, "outcome": outcome})
+
     def count_retry(self, reason: str) -> None:
         """Count a retry, or one that the budget did not allow."""
         self._retries.inc({"reason": reason})
--- a/cleatlink/relay/peer_messages.py
+++ b/cleatlink/relay/peer_messages.py
@@ -20,6 +20,7 @@
     "PaceNews",
     "Roster",
     "Snapshot",
+    "Spending",
     "WorkItem",
     "decode_datagram",
     "encode",
@@ -80,6 +81,9 @@
         switching: Endpoints that change their role, with the seconds that are left.
         vote: Instance that the sender takes for the leader; empty for none.
         members: How many instances the sender ever heard of.
+        totals: Units that the sender let pass since its start, by organisation, where that
+            changed lately.
+        spenders: How many organisations the sender let something pass for.
     """
 
     name: str
@@ -94,6 +98,8 @@
     switching: dict[str, float]
     vote: str
     members: int
+    totals: dict[str, int] = {}
+    spenders: int = 0
 
 
 class Member(msgspec.Struct, array_like=True, frozen=True):
@@ -122,6 +128,26 @@
     paces: dict[str, tuple[PaceSummary, float]]
 
 
+class Spending(msgspec.Struct, array_like=True, frozen=True, tag="s"):
+    """What the sender let pass for organisations, told at once.
+
+    Attributes:
+        name: Sender.
+        incarnation: Grows with each start of the sender.
+        totals: Units since its start, by organisation.
+        levels: What is left of limits, for a peer that starts; empty for others.
+        age_s: Seconds for which the sender has kept account.
+        spenders: How many organisations the sender let something pass for.
+    """
+
+    name: str
+    incarnation: int
+    totals: dict[str, int]
+    levels: dict[str, float]
+    age_s: float
+    spenders: int
+
+
 class Changes(msgspec.Struct, array_like=True, frozen=True, tag="c"):
     """Work that an instance has placed, and the keys of work that is over."""
 
@@ -154,7 +180,7 @@
     revision: int
 
 
-Message = Beat | Changes | Roster | PaceNews | EndpointHint
+Message = Beat | Changes | Roster | PaceNews | EndpointHint | Spending
 _DECODER = msgspec.msgpack.Decoder(Message)
 
 
--- a/cleatlink/relay/peers_test.py
+++ b/cleatlink/relay/peers_test.py
@@ -7,6 +7,7 @@
 import trio
 
 from cleatlink.core.address import Address, parse_address
+from cleatlink.organisations import OrganisationLimits
 from cleatlink.relay.catch_up import KnownState
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peer_messages import (
@@ -99,7 +100,8 @@
         lambda: None,
         lambda work: None,
     )
-    group = PeerGroup(settings, 1, Capacity(), RelayMetrics(), hooks)
+    limits = OrganisationLimits(settings.limit_tolerance, 0.0)
+    group = PeerGroup(settings, 1, Capacity(), limits, metrics=RelayMetrics(), hooks=hooks)
 
     def keep(task: Task) -> None:
         nursery.start_soon(task)
--- a/cleatlink/relay/protocol.py
+++ b/cleatlink/relay/protocol.py
@@ -56,6 +56,8 @@
     kv_source: bytes = b"x-kv-source"
     hold: bytes = b"x-hold"
     priority: bytes = b"x-priority"
+    organisation: bytes = b"x-organisation"
+    credentials: bytes = b"authorization"
     # Headers that callers may not set, and those that always reach the endpoint.
     reserved: frozenset[bytes] = frozenset()
     kept: frozenset[bytes] = frozenset()
@@ -118,13 +120,39 @@
         self.names = names
         self.paths = paths
         # What this process sets itself is never taken over from a caller.
-        self._own = _HOP_HEADERS | names.reserved | {names.deadline_ms, names.last_event}
+        self._own = _HOP_HEADERS | names.reserved
+        self._own |= {names.deadline_ms, names.last_event, names.organisation}
         self._kept = names.kept | {b"host", names.request_id, names.token_counts}
 
+    def read_host(self, headers: Headers) -> str:
+        """Give the host that a caller names, without its port."""
+        found = {name.lower(): value for name, value in headers}
+        return _without_port(found.get(b"host", b"").decode("latin-1"))
+
+    def read_credentials(self, headers: Headers) -> list[bytes]:
+        """Give the values of all headers that carry a key."""
+        return [value for name, value in headers if name.lower() == self.names.credentials]
+
     def read_inbound(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes, now: float
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        now: float,
+        *,
+        withholds_key: bool = False,
     ) -> Inbound:
-        """Read a caller's request."""
+        """Read a caller's request.
+
+        Args:
+            method: As sent.
+            target: Path and query as sent.
+            headers: As sent.
+            body: The whole body.
+            now: When the request's head was read.
+            withholds_key: Whether the caller's key is this process's to judge, and not passed on.
+        """
         found = {name.lower(): value for name, value in headers}
         host = found.get(b"host", b"").decode("latin-1")
         deadline_s = _number(found.get(self.names.deadline_ms), math.inf) / _MS
@@ -135,7 +163,7 @@
             method=method,
             target=target,
             host=_without_port(host),
-            headers=self._passed_on(headers),
+            headers=self._passed_on(headers, withholds_key),
             body=body,
             arrived_at=now,
             deadline=now + deadline_s,
@@ -145,9 +173,11 @@
             last_event=None if last_event is None else int(_number(last_event, 0)),
         )
 
-    def _passed_on(self, headers: Headers) -> Headers:
+    def _passed_on(self, headers: Headers, withholds_key: bool) -> Headers:
         """Drop hop headers, those the caller's Connection names, and the relay's own."""
         dropped = set(self._own)
+        if withholds_key:
+            dropped.add(self.names.credentials)
         for name, value in headers:
             if name.lower() == b"connection":
                 dropped |= {token.strip().lower() for token in value.split(b",")}
@@ -179,6 +209,8 @@
         names = self.names
         headers = list(inbound.headers)
         headers.append((names.expected_endpoint, endpoint.encode()))
+        if inbound.organisation:
+            headers.append((names.organisation, inbound.organisation.encode()))
         if left_s < math.inf:
             headers.append((names.deadline_ms, b"%d" % max(1, int(left_s * _MS))))
         if prefill:
--- a/cleatlink/relay/room.py
+++ b/cleatlink/relay/room.py
@@ -119,6 +119,8 @@
             if room is not None:
                 return room
         while standing.may_wait:
+            if not call.is_allowed:
+                return Refusal(ErrorKind.UNKNOWN_KEY, "its key was taken away")
             plan = self._plan_prompt(call, standing)
             longest_s = self._longest_s(call, plan)
             if not call.may_begin(longest_s):
@@ -139,7 +141,7 @@
             # it: its caller can come back with the last event that it has.
             may_wait = call.ran is Ran.NO
             return _Standing(_BEGUN_URGENCY, now, prompt_ready, keeps=True, may_wait=may_wait)
-        urgency = -call.route.priority
+        urgency = -call.priority
         back = self._returns.take(call.inbound, now)
         if back is None:
             return _Standing(urgency, now, prompt_ready, keeps=False)
@@ -240,7 +242,7 @@
         capacity = self._parts.capacity
         plan = self._plan_prompt(call, standing)
         pace = capacity.pace(call.service.name)
-        if not call.may_begin(self._longest_s(call, plan)):
+        if not call.is_allowed or not call.may_begin(self._longest_s(call, plan)):
             return None
         yields = self._yields(plan, standing)
         if yields and plan.queue_s > pace.prompt_s(call.inbound.prompt_tokens):
--- a/cleatlink/relay/server.py
+++ b/cleatlink/relay/server.py
@@ -92,6 +92,10 @@
     def closing(self) -> bool:
         """Whether answers ask callers to close their connection."""
 
+    def keeps_body(self, target: bytes, headers: Headers) -> bool:
+        """Tell by its head whether a request may be served; otherwise its body is not kept."""
+        return True
+
     @abstractmethod
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request; cancelled when the caller is gone."""
@@ -170,8 +174,16 @@
         size = sum(len(name) + len(value) + 4 for name, value in head.headers)
         if size + len(head.target) > self._handler.limits.header_bytes:
             raise _BadRequestError(431)
-        body = await self._read_body()
-        return RawRequest(head.method, head.target, tuple(head.headers.raw_items()), body)
+        headers = tuple(head.headers.raw_items())
+        keeps = not self._has_body(head) or self._handler.keeps_body(head.target, headers)
+        body = b""
+        if keeps or not self._http.they_are_waiting_for_100_continue:
+            body = await self._read_body(keeps)
+        return RawRequest(head.method, head.target, headers, body)
+
+    @staticmethod
+    def _has_body(head: h11.Request) -> bool:
+        return any(name in (b"content-length", b"transfer-encoding") for name, _ in head.headers)
 
     async def _read_head(self) -> h11.Request | None:
         started = bool(self._http.trailing_data[0])
@@ -198,7 +210,8 @@
                 started, began_at = True, trio.current_time()
             self._feed(data)
 
-    async def _read_body(self) -> bytes:
+    async def _read_body(self, keeps: bool) -> bytes:
+        """Read a body; one that is not kept is read past, so that its caller reads the answer."""
         parts: list[bytes] = []
         size = 0
         if self._http.they_are_waiting_for_100_continue:
@@ -208,7 +221,8 @@
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
             if isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
+                if keeps:
+                    parts.append(bytes(event.data))
                 size += len(event.data)
                 if size > self._handler.limits.body_bytes:
                     raise _BadRequestError(413)
--- a/cleatlink/relay/service.py
+++ b/cleatlink/relay/service.py
@@ -1,5 +1,6 @@
 """The relay's front: from a request to its route, its driver and its one answer."""
 
+import math
 from traceback import format_exc
 from typing import NamedTuple
 
@@ -9,7 +10,8 @@
 
 from cleatlink.core.data import Ran, Refusal
 from cleatlink.core.errors import ANSWERS, ErrorKind
-from cleatlink.core.routes import CallerLimits, Headers, Route, RoutedService, RouteTable
+from cleatlink.core.routes import CallerLimits, Headers, Inbound, Route, RoutedService, RouteTable
+from cleatlink.organisations import Admission, Holder
 from cleatlink.relay.call import Call, RelayParts
 from cleatlink.relay.plain import PlainCall
 from cleatlink.relay.planned_stop import ANSWER_S
@@ -73,6 +75,7 @@
     def use_table(self, table: RouteTable) -> None:
         """Use a table for requests that come from now on."""
         self._index = RouteIndex(table)
+        self._parts.gate.use_table(table.organisations)
         for route in table.routes:
             for share in route.shares:
                 self._expect_pace(route, table.services.get(share.service))
@@ -109,27 +112,87 @@
         eliot.log_message(message_type="relay: can't read a request", status=status)
         await self._send_refusal(exchange, Refusal(kind, "not a request", None), status)
 
+    def keeps_body(self, target: bytes, headers: Headers) -> bool:
+        """Tell by its head whether a request has a route and a caller who may use it."""
+        path = target.partition(b"?")[0].decode("latin-1")
+        found = self._find_route(self._parts.protocol.read_host(headers), path)
+        return not isinstance(found, Refusal) and self._identify(headers, found) is not None
+
     async def _serve(self, exchange: Exchange) -> None:
-        raw = exchange.request
+        raw, parts = exchange.request, self._parts
         now = trio.current_time()
-        inbound = self._parts.protocol.read_inbound(
-            raw.method, raw.target, raw.headers, raw.body, now
+        inbound = parts.protocol.read_inbound(
+            raw.method,
+            raw.target,
+            raw.headers,
+            raw.body,
+            now,
+            withholds_key=parts.gate.judges_keys,
         )
         found = self._find_route(inbound.host, inbound.path)
         if isinstance(found, Refusal):
-            eliot.log_message(
-                message_type="relay: refuses",
-                request=inbound.request_id,
-                kind=found.kind.value,
-                revision=self._index.table.revision if self._index else 0,
-            )
-            await self._send_refusal(exchange, found, request_id=inbound.request_id)
+            await self._refuse_unrouted(exchange, inbound, found)
+            return
+        holder = self._identify(raw.headers, found)
+        if holder is None:
+            refusal = Refusal(ErrorKind.UNKNOWN_KEY, "no organisation holds the request's key")
+            await self._refuse_unrouted(exchange, inbound, refusal)
             return
-        call = Call(inbound, found.route, found.service, found.revision, self._parts)
-        self._parts.metrics.count_request(found.route.kind.value)
-        self._parts.budget(found.service.name).count_request(now)
+        inbound = inbound._replace(organisation=holder.name)
+        call = Call(inbound, found.route, found.service, found.revision, parts, holder=holder)
+        parts.metrics.count_request(found.route.kind.value)
+        admission = self._admit(call, now)
+        if not admission.granted:
+            refusal = Refusal(ErrorKind.OVER_LIMIT, "its limit", admission.retry_after_s)
+            await self._refuse_call(call, exchange, refusal)
+            return
+        parts.budget(found.service.name).count_request(now)
         await self._run(call, exchange)
 
+    def _identify(self, headers: Headers, found: _Found) -> Holder | None:
+        """Give who sent a request; None if nobody who may call its route."""
+        credentials = self._parts.protocol.read_credentials(headers)
+        return self._parts.gate.identify(credentials, found.route)
+
+    def _admit(self, call: Call, now: float) -> Admission:
+        """Ask whether a call is within its organisation's limit, and log if it is not."""
+        organisation = call.holder.organisation
+        if organisation is None or organisation.limit is None:
+            return Admission(True, 0)
+        limits = self._parts.gate.limits
+        tokens = call.inbound.prompt_tokens + call.inbound.max_output_tokens
+        admission = limits.ask(organisation, tokens, now)
+        call.admission = admission
+        self._parts.metrics.count_admission(organisation.name, admission.granted)
+        if not admission.granted:
+            call.log(
+                "is over its organisation's limit",
+                organisation=organisation.name,
+                limit_per_s=organisation.limit.rate,
+                burst=organisation.limit.burst,
+                cost=admission.cost,
+                level=round(admission.level, 1),
+                share=round(admission.share, 3),
+                spent_here=limits.spent(organisation),
+                told_ago_s=limits.told_ago_s(now),
+                retry_after_s=round(admission.retry_after_s, 3),
+            )
+        elif limits.is_short(organisation):
+            self._parts.on_spending()
+        return admission
+
+    async def _refuse_unrouted(
+        self, exchange: Exchange, inbound: Inbound, refusal: Refusal
+    ) -> None:
+        """Refuse a request that has no route, or no caller who may use it."""
+        eliot.log_message(
+            message_type="relay: refuses",
+            request=inbound.request_id,
+            kind=refusal.kind.value,
+            revision=self._index.table.revision if self._index else 0,
+        )
+        await self._send_refusal(exchange, refusal, request_id=inbound.request_id)
+
     def _find_route(self, host: str, path: str) -> _Found | Refusal:
         index = self._index
         if index is None:
@@ -211,7 +274,7 @@
             self._parts.metrics.count_broken(call.route.kind.value)
             call.log("breaks its answer off", sends=call.sends)
         else:
-            call.log("is answered", sends=call.sends)
+            call.log_outcome("is answered", sends=call.sends)
 
     async def _finish_late(self, call: Call, exchange: Exchange) -> None:
         """Answer a call whose time is over; a begun answer is broken off."""
@@ -229,7 +292,7 @@
         metrics = self._parts.metrics
         status = answer.head.status
         metrics.count_answer(call.route.kind.value, status, call.age_s)
-        call.log("is answered", status=status, sends=call.sends, in_time=call.in_time)
+        call.log_outcome("is answered", status=status, sends=call.sends, in_time=call.in_time)
         headers = self._parts.protocol.passed_back(answer.head)
         if exchange.request.method == b"HEAD":
             length = answer.head.get(b"content-length")
@@ -237,7 +300,11 @@
         await self._deliver(exchange, status, headers, answer.body)
 
     async def _refuse_call(self, call: Call, exchange: Exchange, refusal: Refusal) -> None:
-        call.log("is refused", kind=refusal.kind.value, detail=refusal.detail, sends=call.sends)
+        call.log_outcome(
+            "is refused", kind=refusal.kind.value, detail=refusal.detail, sends=call.sends
+        )
+        if call.ran is Ran.NO:
+            call.give_back()
         await self._send_refusal(exchange, refusal, request_id=call.inbound.request_id)
 
     async def _send_refusal(
@@ -259,7 +326,8 @@
         if request_id:
             headers += ((self._parts.protocol.names.request_id, request_id.encode()),)
         if retry_after_s is not None:
-            headers += ((b"Retry-After", b"%.2f" % retry_after_s),)
+            # Rounded up: a caller that is back sooner by a hair would be refused again.
+            headers += ((b"Retry-After", b"%.2f" % (math.ceil(100 * retry_after_s) / 100)),)
         await self._deliver(exchange, status or answer.status, headers, body)
 
     async def _deliver(
--- a/cleatlink/relay/settings.py
+++ b/cleatlink/relay/settings.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from cleatlink.core.address import Address
+from cleatlink.organisations import LimitTolerance
 from cleatlink.routing.mechanisms import Mechanism
 
 __all__ = ["RelaySettings"]
@@ -27,6 +28,7 @@
         leaving_s: Time within which an endpoint that leaves gets nothing more.
         lease_s: Silence after which another instance may give orders.
         history_s: Time for which the configuration service keeps its history.
+        limit_tolerance: By how much organisations may pass their limits in a cut.
         without: Mechanisms that are switched off for an experiment.
     """
 
@@ -45,4 +47,5 @@
     leaving_s: float = 2.0
     lease_s: float = 3.0
     history_s: float = 20.0
+    limit_tolerance: LimitTolerance = LimitTolerance()
     without: frozenset[Mechanism] = frozenset()
--- a/standins/relay/client.py
+++ b/standins/relay/client.py
@@ -53,6 +53,7 @@
         host: str = "h.example",
         body: bytes = b"",
         headers: dict[str, str] | None = None,
+        *,
         more: tuple[str, ...] = (),
     ) -> str:
         """Send a request; gives its id.
@@ -83,10 +84,11 @@
         host: str = "h.example",
         body: bytes = b"",
         headers: dict[str, str] | None = None,
+        *,
         more: tuple[str, ...] = (),
     ) -> Reply:
         """Send a request and receive its answer."""
-        await self.send(path, method, host, body, headers, more)
+        await self.send(path, method, host, body, headers, more=more)
         return await self.receive()
 
     async def receive(self) -> Reply:
--- a/tools/constants.py
+++ b/tools/constants.py
@@ -12,7 +12,13 @@
 
 _ROOT = Path(__file__).parent.parent
 _PAGE = _ROOT / "docs" / "operators" / "constants.md"
-_FOLDERS = ("cleatlink/relay", "cleatlink/routing", "cleatlink/members", "cleatlink/request")
+_FOLDERS = (
+    "cleatlink/relay",
+    "cleatlink/routing",
+    "cleatlink/members",
+    "cleatlink/request",
+    "cleatlink/organisations",
+)
 _HEAD = """# Constants of the relay's path
 
 Written by `python -m tools.constants`; do not edit. Names end in their unit: `_S` seconds,
