--- a/cleatlink/analysis/outcomes.py
+++ b/cleatlink/analysis/outcomes.py
@@ -1,7 +1,7 @@
 """What became of requests, by second and route."""
 
 from collections import Counter, defaultdict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -72,7 +72,13 @@
 class OutcomeTable:
     """Follows requests to their ends."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_end: Callable[[LogLine, Outcome], None] | None = None) -> None:
+        """Begin without requests.
+
+        Args:
+            on_end: Told of the line that ends a request, and what became of it.
+        """
+        self._on_end = on_end or (lambda line, outcome: None)
         self._open: dict[str, _Open] = {}
         self._rows: dict[tuple[int, str], Counter[Outcome]] = defaultdict(Counter)
         self._retries: Counter[tuple[int, str]] = Counter()
@@ -120,6 +126,7 @@
         elif outcome is Outcome.IN_TIME and not found.in_time:
             outcome = Outcome.LATE
         self._rows[int(found.arrived_at // 1), found.route][outcome] += 1
+        self._on_end(line, outcome)
         if found.back:
             self.returned[outcome] += 1
         served = outcome in (Outcome.IN_TIME, Outcome.LATE)
--- a/cleatlink/analysis/report.py
+++ b/cleatlink/analysis/report.py
@@ -7,6 +7,7 @@
 
 from cleatlink.analysis.engines import EngineTable, EngineUse, RoleChange
 from cleatlink.analysis.lines import LogLine, LogReader
+from cleatlink.analysis.organisations import OrganisationRow, OrganisationTable
 from cleatlink.analysis.outcomes import Outcome, OutcomeTable, RouteSecond
 from cleatlink.analysis.quantiles import Sample
 
@@ -32,11 +33,13 @@
     """Everything that the logs tell."""
 
     def __init__(self) -> None:
-        self.outcomes = OutcomeTable()
+        self.organisations = OrganisationTable()
+        self.outcomes = OutcomeTable(self.organisations.count)
         self.engines = EngineTable()
 
     def add(self, line: LogLine) -> None:
         """Take a line."""
+        self.organisations.add(line)
         self.outcomes.add(line)
         self.engines.add(line)
 
@@ -47,6 +50,7 @@
             _seconds(self.outcomes.rows()),
             _counts("Requests, by what became of them", self.outcomes.totals()),
             _counts("Refusals, by kind and detail", self.outcomes.refusals),
+            _organisations(self.organisations.rows()),
             _counts("Refused callers that came back", self.outcomes.returned),
             _counts("Prompts computed for nothing", self.outcomes.prompts_lost),
             _counts("Calls that ask engines for room", self.engines.holds),
@@ -92,6 +96,23 @@
     return Table("Requests by second of arrival and route", head, shown)
 
 
+def _organisations(rows: Iterable[OrganisationRow]) -> Table:
+    shown = [
+        (
+            row.organisation,
+            row.data_centre,
+            str(row.counts.total()),
+            *(str(row.counts[outcome] or "") for outcome in Outcome),
+            str(row.over or ""),
+            "" if row.limit_per_s is None else f"{row.limit_per_s:.0f}",
+        )
+        for row in rows
+    ]
+    outcomes = (outcome.value for outcome in Outcome)
+    head = ("organisation", "data centre", "asked", *outcomes, "over its limit", "limit a second")
+    return Table("Organisations", head, shown)
+
+
 def _counts(title: str, counts: Counter[str] | Counter[Outcome]) -> Table:
     rows: list[Sequence[str]] = [(str(name), str(count)) for name, count in counts.most_common()]
     return Table(title, ("what", "count"), rows)
--- a/cleatlink/analysis/report_test.py
+++ b/cleatlink/analysis/report_test.py
@@ -14,7 +14,7 @@
 from cleatlink.analysis.outcomes import Outcome
 from cleatlink.relay.logs import LineWriter
 from cleatlink.scripts.commands import main
-from standins.relay import Fault
+from standins.relay import Fault, Worker
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import open_fleet
 
@@ -164,3 +164,22 @@
     ran = CliRunner().invoke(main, ["analyze", str(file), "--plot", str(picture)])
     assert ran.exit_code == 0, ran.output
     assert picture.read_bytes().startswith(b"\x89PNG")
+
+
+async def test_organisations_are_counted_by_data_centre(log: Path) -> None:
+    async with open_fleet() as fleet:
+        limit = {"unit": "tokens", "plain_tokens": 100, "rate_per_s": 100, "burst": 600}
+        fleet.organisations = [
+            {"name": "first", "api_keys": ["k1"], **limit},
+            {"name": "other", "api_keys": ["k2"]},
+        ]
+        await start(fleet, Worker("plain"))
+        caller = fleet.caller()
+        for key in (*(8 * ["k1"]), "k2"):
+            await caller.ask("/safe/x", headers={"Authorization": f"Bearer {key}"})
+    first, other = read(log).organisations.rows()
+    assert (first.organisation, first.data_centre, first.counts.total()) == ("first", "a", 8)
+    assert first.counts[Outcome.REFUSED] == first.over > 0
+    assert first.counts[Outcome.IN_TIME] == 8 - first.over
+    assert first.limit_per_s == 100
+    assert (other.counts[Outcome.IN_TIME], other.over, other.limit_per_s) == (1, 0, None)
--- a/cleatlink/relay/service.py
+++ b/cleatlink/relay/service.py
@@ -244,7 +244,7 @@
             return
         if not self._parts.stop.is_over:
             self._parts.metrics.count_gone(call.route.kind.value)
-            call.log("lost its caller", sends=call.sends)
+            call.log_outcome("lost its caller", sends=call.sends)
             return
         await self._finish_for_stop(call, exchange)
 
@@ -272,13 +272,13 @@
             await self._refuse_call(call, exchange, end.refusal)
         elif not end.whole:
             self._parts.metrics.count_broken(call.route.kind.value)
-            call.log("breaks its answer off", sends=call.sends)
+            call.log_outcome("breaks its answer off", sends=call.sends)
         else:
             call.log_outcome("is answered", sends=call.sends)
 
     async def _finish_late(self, call: Call, exchange: Exchange) -> None:
         """Answer a call whose time is over; a begun answer is broken off."""
-        call.log("ran out of time", sends=call.sends, ran=call.ran.value)
+        call.log_outcome("ran out of time", sends=call.sends, ran=call.ran.value)
         if exchange.started:
             self._parts.metrics.count_broken(call.route.kind.value)
             return
