--- a/soak/broken.py
+++ b/soak/broken.py
@@ -5,7 +5,9 @@
 from typing import Any, NamedTuple
 
 from cleatlink.core.data import Ran
+from cleatlink.core.organisations import Organisation
 from cleatlink.members.leadership import Leadership
+from cleatlink.organisations import Admission, KeyTable, OrganisationGate, OrganisationLimits
 from cleatlink.relay.call import Call
 from cleatlink.relay.events import EventCutter
 from cleatlink.relay.follower import Follower
@@ -70,6 +72,17 @@
         _take_table(self, table, source)
 
 
+_known: dict[bytes, Organisation] = {}
+
+
+def _keep_known(self: KeyTable, key: bytes) -> Organisation | None:
+    found = _find_key(self, key)
+    if found is not None:
+        _known[key] = found
+    return _known.get(key)
+
+
+_find_key = KeyTable.find
 _note_sent = Call.note_sent
 _take_table = Follower.take_table
 
@@ -124,6 +137,21 @@
         "events in order",
         (FaultKind.WORKER_FAULTS, FaultKind.WORKER_CRASH),
     ),
+    "key-table": Ablation(
+        _replace(KeyTable, "find", _keep_known),
+        "keys in force",
+        (FaultKind.KEY,),
+    ),
+    "shared-limits": Ablation(
+        _replace(OrganisationLimits, "ask", lambda *_: Admission(True, 0)),
+        "limits hold over all",
+        (FaultKind.LIMIT,),
+    ),
+    "key-withheld": Ablation(
+        _replace(OrganisationGate, "judges_keys", False),
+        "workers are told whose a request is",
+        (FaultKind.INSTANCE_RELOAD,),
+    ),
     "leadership": Ablation(
         _replace(Leadership, "judge", _always), "one gives orders", (FaultKind.INSTANCE_RELOAD,)
     ),
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,6 +20,10 @@
 _GONE_S = 0.5
 # A close that crosses a request on the way to the instance is nobody's fault.
 _CROSSING_S = 0.2
+# What the settings of the soak's instances say of limits.
+LIMIT_WINDOW_S = 8.0
+LIMIT_OVERSHOOT = 0.25
+LIMIT_SLACK = 12.0
 _NOT_RUN = frozenset({408, 421, 429, 503})
 _ONCE = frozenset({RequestKind.UNSAFE, RequestKind.STREAM})
 _STREAMS = frozenset({RequestKind.STREAM, RequestKind.RESUMABLE})
@@ -233,6 +237,68 @@
                 break
 
 
+def _told_whose_it_is(history: History) -> Iterator[Violation]:
+    """A worker is told whose a request is, and never the key."""
+    senders = {request.name: request for request in history.requests}
+    for arrival in history.arrivals:
+        request = senders.get(arrival.request)
+        if request is None:
+            continue
+        if arrival.organisation != request.caller.organisation:
+            detail = f"told {arrival.organisation!r} for {request.caller.organisation!r}"
+            yield Violation("", detail, (request.name,))
+        if arrival.key:
+            yield Violation("", "the key reached a worker", (request.name,))
+
+
+def _keys_in_force(history: History) -> Iterator[Violation]:
+    """A key that was taken away is refused in time, and a new one served."""
+    taken = {change.old: change.at for change in history.keys}
+    given = {change.new: change.at for change in history.keys}
+    ran = {run.request for run in history.runs}
+    for request in history.requests:
+        key, bound_s = request.caller.key, APPLY_S + _SLACK_S
+        holds = key not in taken
+        since = given.get(key, 0.0) if holds else taken[key]
+        is_late = request.sent_at > since + bound_s
+        if not is_late or not _in_touch(history, request, since - CONTACT_S, request.ended_at):
+            continue
+        if not holds and request.name in ran:
+            late_s = request.sent_at - since
+            detail = f"ran with a key {late_s:.2f} s after it was taken away"
+            yield Violation("", detail, (request.name,))
+        if holds and request.status == 401:
+            yield Violation("", "refused with a key that holds", (request.name,))
+
+
+def _limits_hold(history: History) -> Iterator[Violation]:
+    """What runs of an organisation stays within its limit, over all instances."""
+    senders = {request.name: request.caller.organisation for request in history.requests}
+    for organisation in {limit.organisation for limit in history.limits}:
+        times = sorted(
+            run.began_at for run in history.runs if senders.get(run.request) == organisation
+        )
+        for at in times:
+            count = sum(at - LIMIT_WINDOW_S < other <= at for other in times)
+            bound = _limit_bound(history, organisation, at)
+            if count > bound:
+                yield Violation("", f"{count} of {organisation} for {bound:.1f}")
+                break
+
+
+def _limit_bound(history: History, organisation: str, at: float) -> float:
+    """Give how much may run in the window before a time; a lower limit binds a window later."""
+    changes = [change for change in history.limits if change.organisation == organisation]
+    since = at - 2 * LIMIT_WINDOW_S - APPLY_S
+    before = [change for change in changes if change.at <= since][-1:]
+    bounds = [
+        change.rate * LIMIT_WINDOW_S + change.burst
+        for change in (*before, *changes)
+        if change.at > since or change in before
+    ]
+    return max(bounds) * (1 + LIMIT_OVERSHOOT) + LIMIT_SLACK
+
+
 def _goes_on(history: History) -> Iterator[Violation]:
     """No process ends by itself, and all serve again once everything has healed."""
     for text in history.exits:
@@ -254,6 +320,9 @@
     "no work for callers that are gone": _gone_callers_end_work,
     "one gives orders": _one_gives_orders,
     "retries within the budget": _retry_budget,
+    "workers are told whose a request is": _told_whose_it_is,
+    "keys in force": _keys_in_force,
+    "limits hold over all": _limits_hold,
     "it goes on": _goes_on,
 }
 
--- a/soak/checks_test.py
+++ b/soak/checks_test.py
@@ -7,7 +7,10 @@
 from soak.checks import CHECKS, judge
 from soak.records import (
     Arrival,
+    Caller,
     History,
+    KeyChange,
+    LimitChange,
     Order,
     Request,
     RequestKind,
@@ -76,6 +79,23 @@
     "retries within the budget": NOTHING._replace(
         arrivals=[arrival("r1", 50.0 + 0.01 * number) for number in range(20)]
     ),
+    "workers are told whose a request is": NOTHING._replace(
+        requests=[SERVED._replace(caller=Caller("first", "k1"))],
+        arrivals=[arrival("r1", 50.0)._replace(organisation="other")],
+    ),
+    "keys in force": NOTHING._replace(
+        requests=[SERVED._replace(caller=Caller("first", "k1"))],
+        runs=[run("r1")],
+        keys=(KeyChange("k1", "k2", 47.0),),
+    ),
+    "limits hold over all": NOTHING._replace(
+        requests=[
+            SERVED._replace(name=f"r{n}", owner=f"r{n}", caller=Caller("first", "k1"))
+            for n in range(35)
+        ],
+        runs=[run(f"r{n}") for n in range(35)],
+        limits=(LimitChange("first", 1.0, 2.0, 0.0), LimitChange("first", 0.5, 1.0, 45.0)),
+    ),
     "it goes on": NOTHING._replace(unserved=[2]),
 }
 
@@ -117,3 +137,15 @@
     assert judge(NOTHING._replace(orders=orders))
     gone = NOTHING._replace(requests=[CUT._replace(left=True)], runs=[run("r1", ended_at=math.inf)])
     assert judge(gone)
+
+
+def test_key_that_holds_is_served_and_reaches_no_worker() -> None:
+    given = (KeyChange("k0", "k1", 40.0),)
+    refused = SERVED._replace(status=401, owner="", signed=False, caller=Caller("first", "k1"))
+    assert [item.check for item in judge(NOTHING._replace(requests=[refused], keys=given))] == [
+        "keys in force"
+    ]
+    early = refused._replace(sent_at=41.0)
+    assert judge(NOTHING._replace(requests=[early], keys=given)) == []
+    leaked = arrival("r1", 50.0)._replace(key="Bearer k1")
+    assert judge(NOTHING._replace(requests=[SERVED], arrivals=[leaked]))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -5,6 +5,7 @@
 import trio
 
 from soak.link import Link
+from soak.organisations import SoakOrganisations
 from soak.processes import InstanceProcess, free_ports, instance_ip
 from soak.records import Spell, Stop, Switch, Withdrawal
 from soak.workers import SoakWorker
@@ -19,8 +20,16 @@
 class SoakFleet:
     """Everything that a run consists of, and the record of what was done to it."""
 
-    def __init__(self, nursery: trio.Nursery, folder: Path, instances: int, without: str) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        folder: Path,
+        instances: int,
+        without: str,
+        organisations: SoakOrganisations | None = None,
+    ) -> None:
         self.platform = Fleet(nursery)
+        self.organisations = organisations
         self.workers: list[SoakWorker] = []
         self.present: list[SoakWorker] = []
         self.links: dict[str, Link] = {}
@@ -107,9 +116,15 @@
         for route in self.platform.routes:
             if route["path_prefix"] == "/switch/":
                 route["service"] = service
-        self.platform.configure(_ENGINE)
+        self.publish()
         self.switches.append(Switch(service, trio.current_time()))
 
+    def publish(self) -> None:
+        """Publish the routes and organisations as they are now."""
+        if self.organisations is not None:
+            self.platform.organisations = self.organisations.entries()
+        self.platform.configure(_ENGINE)
+
     def note_spell(self, what: str, began_at: float) -> None:
         """Note that something was disturbed until now."""
         self.spells.append(Spell(what, began_at, trio.current_time()))
--- a/soak/main.py
+++ b/soak/main.py
@@ -31,6 +31,7 @@
     type=click.Choice([kind.name.lower() for kind in FaultKind]),
     help="Only faults of these kinds.",
 )
+@click.option("--organisations", is_flag=True, help="Callers with keys, one over its limit.")
 @click.option("--regressions", is_flag=True, help="Play the runs that failed once.")
 @click.option("--json", "as_json", is_flag=True, help="Print a line of JSON for each run.")
 def main(
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-__all__ = ["STOP_KINDS", "FaultKind", "PlannedFault", "plan_faults"]
+__all__ = ["ORGANISATION_KINDS", "STOP_KINDS", "FaultKind", "PlannedFault", "plan_faults"]
 
 # Faults begin after a calm start and end before the final checks.
 _FIRST_S = 2.0
@@ -40,6 +40,8 @@
     WORKER_CRASH = "a worker crashes; another comes at its address"
     WORKER_DRAIN = "a worker drains and leaves; another comes"
     CONFIGURATION = "a route moves to another service"
+    KEY = "a key is taken away while connections are open, and another one given"
+    LIMIT = "an organisation's limit changes"
 
 
 # Planned work alone: nothing of it may cut a request off.
@@ -52,6 +54,11 @@
 )
 
 
+# What needs organisations in a run.
+ORGANISATION_KINDS = (FaultKind.KEY, FaultKind.LIMIT)
+_USUAL_KINDS = tuple(kind for kind in FaultKind if kind not in ORGANISATION_KINDS)
+
+
 class PlannedFault(NamedTuple):
     """One fault.
 
@@ -77,12 +84,12 @@
         seed: Decides everything.
         seconds: Length of the traffic.
         rate: Faults a second; they overlap, and a part comes in series.
-        kinds: Kinds of faults; all if empty.
+        kinds: Kinds of faults; all that need no organisations if empty.
     """
     rng = random.Random(seed)
     faults: list[PlannedFault] = []
     at_s = _FIRST_S
-    kinds = kinds or tuple(FaultKind)
+    kinds = kinds or _USUAL_KINDS
     last = seconds - _LONGEST_S
     while at_s < last:
         kind = rng.choice(kinds)
--- a/soak/records.py
+++ b/soak/records.py
@@ -4,7 +4,10 @@
 
 __all__ = [
     "Arrival",
+    "Caller",
     "History",
+    "KeyChange",
+    "LimitChange",
     "Order",
     "Request",
     "RequestKind",
@@ -28,6 +31,30 @@
     SWITCH = "switch"
 
 
+class Caller(NamedTuple):
+    """Whose a request is, and its key; both are empty where there are no organisations."""
+
+    organisation: str = ""
+    key: str = ""
+
+
+class KeyChange(NamedTuple):
+    """A key that was taken away as of a time, and the one that was given instead."""
+
+    old: str
+    new: str
+    at: float
+
+
+class LimitChange(NamedTuple):
+    """An organisation's limit, in requests a second and on top, as of a time."""
+
+    organisation: str
+    rate: float
+    burst: float
+    at: float
+
+
 class Request(NamedTuple):
     """One request of a caller and what came of it.
 
@@ -46,6 +73,7 @@
         left: Whether the caller left before the answer.
         surplus: Bytes that followed the answer although nothing was asked.
         retry_after: What the answer says of when to come back; empty for nothing.
+        caller: Whose it is.
     """
 
     name: str
@@ -62,16 +90,29 @@
     left: bool = False
     surplus: bytes = b""
     retry_after: str = ""
+    caller: Caller = Caller()
 
 
 class Arrival(NamedTuple):
-    """A request as it reached a worker, run or not."""
+    """A request as it reached a worker, run or not.
+
+    Attributes:
+        request: Its id.
+        worker: The worker.
+        service: The worker's service.
+        at: When it arrived.
+        prefill: Whether only its prompt is to be computed.
+        organisation: Whose it is, as the worker was told; empty for nothing.
+        key: The caller's key if that reached the worker too; empty for none.
+    """
 
     request: str
     worker: str
     service: str
     at: float
     prefill: bool
+    organisation: str = ""
+    key: str = ""
 
 
 class WorkerRun(NamedTuple):
@@ -148,6 +189,8 @@
         unserved: Instances that serve nothing after all has healed.
         budget: Extra arrivals that any window may have, beyond its share of requests.
         ended_at: When the run was over.
+        keys: Keys that were taken away, in order.
+        limits: Limits, in order, the first ones among them.
     """
 
     requests: list[Request]
@@ -162,6 +205,8 @@
     unserved: list[int]
     budget: float
     ended_at: float
+    keys: tuple[KeyChange, ...] = ()
+    limits: tuple[LimitChange, ...] = ()
 
     def is_calm(self, what: str, since: float, until: float) -> bool:
         """Tell whether something was undisturbed throughout a time."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,6 +9,7 @@
 
 from soak.checks import Violation, judge
 from soak.fleet import SoakFleet
+from soak.organisations import SoakOrganisations
 from soak.plan import FaultKind, PlannedFault, plan_faults
 from soak.processes import InstanceProcess
 from soak.records import History
@@ -34,7 +35,8 @@
         callers: Connections of callers at a time.
         rate: Faults a second.
         without: A mechanism that is switched off in the program; empty for none.
-        kinds: Kinds of faults; all if empty.
+        kinds: Kinds of faults; all that need no organisations if empty.
+        organisations: Whether callers have keys of organisations, one of them over its limit.
     """
 
     seed: int
@@ -44,6 +46,7 @@
     rate: float = 1.2
     without: str = ""
     kinds: tuple[FaultKind, ...] = ()
+    organisations: bool = False
 
 
 class RunResult(NamedTuple):
@@ -69,7 +72,8 @@
     with tempfile.TemporaryDirectory(prefix="soak-") as name:
         folder = Path(name)
         async with trio.open_nursery() as nursery:
-            fleet = SoakFleet(nursery, folder, settings.instances, settings.without)
+            organisations = SoakOrganisations(settings.seed) if settings.organisations else None
+            fleet = SoakFleet(nursery, folder, settings.instances, settings.without, organisations)
             try:
                 await fleet.start()
                 traffic = Traffic(fleet, settings.seed)
@@ -114,16 +118,19 @@
         unserved=unserved,
         budget=_ALLOWANCE,
         ended_at=trio.current_time(),
+        keys=tuple(fleet.organisations.keys) if fleet.organisations is not None else (),
+        limits=tuple(fleet.organisations.limits) if fleet.organisations is not None else (),
     )
 
 
 async def _serves(instance: InstanceProcess) -> bool:
     """Tell whether an instance serves a safe call, within a few tries."""
+    headers = {"Authorization": "Bearer steady-0"}
     for _ in range(_TRIES):
         caller = Caller(instance.front)
         try:
             with trio.move_on_after(1.0):
-                if (await caller.ask("/safe/x")).status == 200:
+                if (await caller.ask("/safe/x", headers=headers)).status == 200:
                     return True
         except OSError:
             pass
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -7,7 +7,7 @@
 
 from soak.broken import ABLATIONS
 from soak.link import Link, LinkFault
-from soak.plan import FaultKind, plan_faults
+from soak.plan import ORGANISATION_KINDS, FaultKind, plan_faults
 from soak.regressions import STOPS_IN_SERIES
 from soak.run import RunSettings, run_soak
 from standins.relay import Worker
@@ -21,9 +21,11 @@
 def test_plan_follows_from_its_seed_and_overlaps() -> None:
     plans = [plan_faults(seed, 30.0, 2.0) for seed in (1, 1, 2)]
     assert plans[0] == plans[1] != plans[2]
-    assert {fault.kind for seed in range(40) for fault in plan_faults(seed, 30.0, 2.0)} == set(
-        FaultKind
-    )
+    usual = {fault.kind for seed in range(40) for fault in plan_faults(seed, 30.0, 2.0)}
+    assert usual == set(FaultKind) - set(ORGANISATION_KINDS)
+    kinds = tuple(FaultKind)
+    every = {fault.kind for seed in range(40) for fault in plan_faults(seed, 30.0, 2.0, kinds)}
+    assert every == set(FaultKind)
     assert any(
         later.at_s < fault.at_s + fault.for_s
         for fault, later in zip(plans[0], plans[0][1:], strict=False)
@@ -74,6 +76,14 @@
     assert sum(result.requests.values()) > 200
 
 
+async def test_short_run_with_organisations_holds_every_promise() -> None:
+    settings = RunSettings(CI_SEED, seconds=14.0, instances=3, rate=2.0, organisations=True)
+    result = await run_soak(settings._replace(kinds=tuple(FaultKind)))
+    assert result.violations == []
+    assert len(result.faults) > 5
+    assert sum(count for what, count in result.requests.items() if what.endswith(" 429")) > 20
+
+
 async def test_stops_in_series_cut_off_nothing() -> None:
     result = await run_soak(STOPS_IN_SERIES._replace(seed=CI_SEED))
     assert result.violations == []
@@ -84,10 +94,12 @@
     assert result.requests["stream 200"] > 50
 
 
-_NAMES = sorted(ABLATIONS)
+# What needs organisations comes last, so that the groups of the others stay what they were.
+_OF_ORGANISATIONS = ["key-table", "key-withheld", "shared-limits"]
+_NAMES = sorted(ABLATIONS.keys() - set(_OF_ORGANISATIONS))
 
 
-@pytest.mark.parametrize("names", [_NAMES[:4], _NAMES[4:8], _NAMES[8:]])
+@pytest.mark.parametrize("names", [_NAMES[:4], _NAMES[4:8], _NAMES[8:], _OF_ORGANISATIONS])
 async def test_broken_program_is_reported(names: list[str]) -> None:
     """A few at a time, each on a fleet of its own, by the first seeds that show it."""
     reported: dict[str, set[str]] = {name: set() for name in names}
@@ -95,7 +107,13 @@
     async def play(name: str) -> None:
         ablation = ABLATIONS[name]
         settings = RunSettings(
-            CI_SEED, seconds=11.0, instances=2, rate=3.0, without=name, kinds=ablation.kinds
+            CI_SEED,
+            seconds=11.0,
+            instances=2,
+            rate=3.0,
+            without=name,
+            kinds=ablation.kinds,
+            organisations=name in _OF_ORGANISATIONS,
         )
         for number in range(MOST_SEEDS):
             result = await run_soak(settings._replace(seed=CI_SEED + number))
--- a/soak/strike.py
+++ b/soak/strike.py
@@ -8,7 +8,7 @@
 
 from soak.fleet import SoakFleet
 from soak.link import Link, LinkFault
-from soak.plan import FaultKind, PlannedFault
+from soak.plan import ORGANISATION_KINDS, FaultKind, PlannedFault
 from soak.processes import InstanceProcess
 from soak.records import Stop, Withdrawal
 from soak.workers import SoakWorker
@@ -66,6 +66,8 @@
         FaultKind.INSTANCE_SIGNALS,
         FaultKind.INSTANCE_STOP,
         FaultKind.WORKER_DRAIN,
+        FaultKind.KEY,
+        FaultKind.LIMIT,
     }
 )
 
@@ -145,10 +147,22 @@
             store.forget_watches()
         elif fault.kind is FaultKind.STORE_OLD_READ:
             await self._show_old_configuration(fault)
+        elif fault.kind in ORGANISATION_KINDS:
+            self._change_organisations(fault)
         elif trio.current_time() - self._switched_at >= _BETWEEN_SWITCHES_S:
             self._switched_at = trio.current_time()
             await self._fleet.move_switch()
 
+    def _change_organisations(self, fault: PlannedFault) -> None:
+        organisations = self._fleet.organisations
+        if organisations is None:
+            return
+        if fault.kind is FaultKind.KEY:
+            organisations.move_key()
+        else:
+            organisations.change_limit()
+        self._fleet.publish()
+
     async def _show_old_configuration(self, fault: PlannedFault) -> None:
         platform = self._fleet.platform
         if len(platform.published) > 1:
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -5,6 +5,7 @@
 import trio
 
 from soak.fleet import SoakFleet
+from soak.organisations import NOBODY
 from soak.records import Request, RequestKind
 from standins.relay.client import Caller, Reply
 
@@ -72,19 +73,27 @@
         stream = kind in (RequestKind.STREAM, RequestKind.RESUMABLE)
         life = self._fleet.instances[number - 1].life
         surplus = caller.unread
+        organisations = self._fleet.organisations
+        whose = organisations.pick() if organisations is not None else NOBODY
+        fields = dict(_STREAM_HEADERS) if stream else {}
+        if whose.key:
+            fields["Authorization"] = f"Bearer {whose.key}"
         try:
             name = await caller.send(
                 path,
                 method,
                 body=b"body" if method == "POST" else b"",
-                headers=_STREAM_HEADERS if stream else None,
+                headers=fields,
             )
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return False
         sent_at = trio.current_time()
         leaves_s = 0.25 * self._rng.random() if self._rng.random() < _SHARE_LEAVING else None
         reply = await self._receive(caller, leaves_s)
-        request = Request(name, kind, number, life, sent_at, trio.current_time(), surplus=surplus)
+        ended_at = trio.current_time()
+        request = Request(
+            name, kind, number, life, sent_at, ended_at, surplus=surplus, caller=whose
+        )
         if reply is None:
             self.requests.append(request._replace(left=True))
             caller.close()
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -44,7 +44,11 @@
         if name is not None and expected == self.name:
             prefill = call.headers.get("stage") == "prefill"
             now = trio.current_time()
-            self.seen.append(Arrival(name, self.name, self.service, now, prefill))
+            organisation = call.headers.get("tenant", "")
+            key = call.headers.get("authorization", "")
+            self.seen.append(
+                Arrival(name, self.name, self.service, now, prefill, organisation, key)
+            )
         return await super().serve(call, stream)
 
     def work_time_s(self, call: RawCall) -> float:
--- a/standins/relay/settings.py
+++ b/standins/relay/settings.py
@@ -22,6 +22,9 @@
 retry_budget_ratio = 0.2
 retry_allowance = {retry_allowance}
 budget_window_s = 10
+quota_window_s = 8
+quota_overshoot = 0.25
+quota_slack = 12
 lease_ms = 3000
 [platform]
 address = "{store}"
