--- a/bench/main.py
+++ b/bench/main.py
@@ -8,6 +8,7 @@
 from bench.control import measure_control
 from bench.decisions import measure_decisions
 from bench.limits import PATTERNS, WAYS, measure_limit
+from bench.organisations import measure_organisations
 from bench.path import measure_path
 from bench.policy import FAULTS, POLICIES, WORKLOADS, Cell, measure_policy
 from bench.relay import measure_relay
@@ -97,5 +98,15 @@
     print_report(seed, rows, as_json)
 
 
+@main.command()
+@click.option("--counts", default="16,1000,32000", help="Numbers of organisations, with commas.")
+@click.option("--seed", default=0, help="Named in the output; this one draws nothing.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def organisations(counts: str, seed: int, as_json: bool) -> None:
+    """Measure key look-ups and the taking in of a new table."""
+    rows = [measure_organisations(int(count)) for count in counts.split(",")]
+    print_report(seed, rows, as_json)
+
+
 if __name__ == "__main__":
     main()
--- a/cleatlink/platform/store.py
+++ b/cleatlink/platform/store.py
@@ -71,7 +71,7 @@
                 break
             after = page["items"][-1]["private_key"]
         item = await self._get(f"/kv-key?private_key={quote(_CONFIG_KEY, safe='')}", _ANSWER_S)
-        table = None if item is None else _read_table(item)
+        table = None if item is None else read_table(item)
         return SourceChange(table, records, revision, whole=True)
 
     async def watch(self, after: int, wait_s: float) -> SourceChange:
@@ -84,7 +84,7 @@
         records = []
         for event in answer["events"]:
             if event["private_key"] == _CONFIG_KEY and "value" in event:
-                table = _read_table(event)
+                table = read_table(event)
             elif event["private_key"].startswith(_WORKERS):
                 records.append(_read_record(event))
         return SourceChange(table, records, int(answer["at"]), whole=False)
@@ -161,7 +161,7 @@
     return EndpointRecord(name, revision, endpoint)
 
 
-def _read_table(item: dict[str, Any]) -> RouteTable:
+def read_table(item: dict[str, Any]) -> RouteTable:
     """Read a configuration."""
     value = _decode(item)
     services = {entry["name"]: _read_service(entry) for entry in value["services"]}
