--- a/cleatlink/organisations/limits.py
+++ b/cleatlink/organisations/limits.py
@@ -25,10 +25,9 @@
 # costs little, since only that peer's part is left out; two sides of a cut let pass the whole
 # limit each until they notice.
 HEARD_S = 1.6
-# Part of the tolerance that organisations are given: what is counted a little late or never
-# runs must refuse nothing that lies below a limit. The rest is for what is on its way between
-# instances while an organisation asks for many times its limit.
-_LEEWAY_SHARE = 0.4
+# Part of the tolerance that is left for what is on its way between instances; the model's
+# fullest windows need no more.
+_NEWS_SHARE = 0.1
 # A bucket that is emptier than this part of its burst is told of at once.
 _SHORT_SHARE = 0.5
 # The shortest time to come back, in seconds: sooner, nothing has changed.
@@ -49,10 +48,17 @@
     window_s: float = 8.0
 
     def lenient(self, limit: TokenLimit) -> TokenLimit:
-        """Give a limit with the part of the tolerance that organisations are given."""
-        factor = 1 + _LEEWAY_SHARE * self.overshoot
-        slack = _LEEWAY_SHARE * self.slack / self.window_s
-        return limit._replace(rate=limit.rate * factor + slack, burst=limit.burst * factor)
+        """Give a limit with what of the tolerance organisations can be given.
+
+        What is counted a little late or never runs must refuse nothing below a limit. The rest
+        of the tolerance is for the two sides of a cut, which both let pass the whole limit until
+        they notice.
+        """
+        window_s = self.window_s
+        tolerance = self.overshoot * (limit.rate * window_s + limit.burst) + self.slack
+        unnoticed = HEARD_S * limit.rate
+        given = ((1 - _NEWS_SHARE) * tolerance - unnoticed) / (1 + HEARD_S / window_s)
+        return limit._replace(rate=limit.rate + max(0.0, given) / window_s)
 
 
 class Admission(NamedTuple):
