--- a/cleatlink/relay/service.py
+++ b/cleatlink/relay/service.py
@@ -114,9 +114,11 @@
 
     def keeps_body(self, target: bytes, headers: Headers) -> bool:
         """Tell by its head whether a request has a route and a caller who may use it."""
+        if self._index is None:
+            return False
         path = target.partition(b"?")[0].decode("latin-1")
-        found = self._find_route(self._parts.protocol.read_host(headers), path)
-        return not isinstance(found, Refusal) and self._identify(headers, found) is not None
+        route = self._index.find(self._parts.protocol.read_host(headers), path)
+        return route is not None and self._identify(headers, route) is not None
 
     async def _serve(self, exchange: Exchange) -> None:
         raw, parts = exchange.request, self._parts
@@ -133,7 +135,7 @@
         if isinstance(found, Refusal):
             await self._refuse_unrouted(exchange, inbound, found)
             return
-        holder = self._identify(raw.headers, found)
+        holder = self._identify(raw.headers, found.route)
         if holder is None:
             refusal = Refusal(ErrorKind.UNKNOWN_KEY, "no organisation holds the request's key")
             await self._refuse_unrouted(exchange, inbound, refusal)
@@ -149,10 +151,10 @@
         parts.budget(found.service.name).count_request(now)
         await self._run(call, exchange)
 
-    def _identify(self, headers: Headers, found: _Found) -> Holder | None:
+    def _identify(self, headers: Headers, route: Route) -> Holder | None:
         """Give who sent a request; None if nobody who may call its route."""
         credentials = self._parts.protocol.read_credentials(headers)
-        return self._parts.gate.identify(credentials, found.route)
+        return self._parts.gate.identify(credentials, route)
 
     def _admit(self, call: Call, now: float) -> Admission:
         """Ask whether a call is within its organisation's limit, and log if it is not."""
