--- /dev/null
+++ b/cleatlink/relay/limit_news.py
@@ -0,0 +1,71 @@
+"""Tells peers what this instance let pass for organisations, and takes what they tell."""
+
+import trio
+
+from cleatlink.members.presence import Presence
+from cleatlink.organisations import HEARD_S, OrganisationLimits, PeerTotals
+from cleatlink.relay.peer_messages import Beat, Spending
+
+__all__ = ["LimitNews"]
+
+# Where little is left of a limit, what was let pass is told so often, in seconds: in the model
+# an organisation at eight times its limit fills its fullest window to 0.83 of what may pass.
+_SPENDING_S = 0.1
+
+
+class LimitNews:
+    """One instance's side of limits that hold over all."""
+
+    def __init__(self, name: str, incarnation: int, limits: OrganisationLimits) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._limits = limits
+        self._presence = Presence()
+        self._is_spending = trio.Event()
+
+    def note_spending(self) -> None:
+        """Have peers told soon: little is left of an organisation's limit."""
+        self._is_spending.set()
+
+    async def next(self) -> Spending:
+        """Wait until there is something to tell at once, and give it."""
+        await trio.sleep(_SPENDING_S)
+        await self._is_spending.wait()
+        self._is_spending = trio.Event()
+        return self._spending(trio.current_time())
+
+    def introduction(self, now: float) -> Spending | None:
+        """Give all that is known, for a peer that is new; None if there is nothing."""
+        if not len(self._limits):
+            return None
+        return self._spending(now, whole=True)
+
+    def _spending(self, now: float, *, whole: bool = False) -> Spending:
+        """Give what this instance let pass: all of it with what is left, or what changed."""
+        limits = self._limits
+        totals = limits.totals(now, whole=whole)
+        levels = limits.levels(now) if whole else {}
+        age_s = round(limits.age_s(now), 3)
+        return Spending(self._name, self._incarnation, totals, levels, age_s, limits.spenders)
+
+    def take_spending(self, spending: Spending, now: float) -> None:
+        """Take what a peer let pass, and what is left of limits if it has seen more."""
+        if spending.levels:
+            self._limits.adopt(spending.levels, spending.age_s, now)
+        name, incarnation = spending.name, spending.incarnation
+        totals = PeerTotals(name, incarnation, spending.totals, spending.spenders, spending.age_s)
+        self._limits.take_totals(totals, now)
+
+    def take_beat(self, beat: Beat, now: float) -> None:
+        """Take what a peer let pass, and that it is there or leaves, by its own word."""
+        if beat.leaving:
+            self._presence.note_leaving(beat.name)
+        else:
+            self._presence.note_heard(beat.name, now)
+        totals = PeerTotals(beat.name, beat.incarnation, beat.totals, beat.spenders, beat.age_s)
+        self._limits.take_totals(totals, now)
+        self.look(now)
+
+    def look(self, now: float) -> None:
+        """Go by the part of all instances that is heard now."""
+        self._limits.note_heard(self._presence.heard_share(HEARD_S, now), now)
--- a/cleatlink/relay/peers.py
+++ b/cleatlink/relay/peers.py
@@ -20,9 +20,9 @@
 from cleatlink.core.address import Address
 from cleatlink.core.data import Role
 from cleatlink.members.leadership import Hearing
-from cleatlink.members.presence import Presence
-from cleatlink.organisations import HEARD_S, OrganisationLimits, PeerTotals
+from cleatlink.organisations import OrganisationLimits
 from cleatlink.relay.catch_up import CatchUp, KnownState
+from cleatlink.relay.limit_news import LimitNews
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peer_messages import (
     Beat,
@@ -71,9 +71,6 @@
 # Changes that come within so long of each other go in one datagram: about the pause
 # between two steps of one stream.
 _GATHER_S = 0.002
-# Where little is left of a limit, what was let pass is told so often, in seconds: at eight
-# times a limit, 60 instances let pass a fifth of a second's limit meanwhile.
-_SPENDING_S = 0.1
 # An endpoint that is still not reached is told of again after so long.
 _TELL_AGAIN_S = 0.4
 # Reports of peers have to come within so long of each other.
@@ -127,8 +124,7 @@
         self._incarnation = incarnation
         self._capacity = capacity
         self._limits = limits
-        self._presence = Presence()
-        self._is_spending = trio.Event()
+        self._limit_news = LimitNews(settings.name, incarnation, limits)
         self._metrics = metrics
         self._hooks = hooks
         self._address = str(settings.peer_listen)
@@ -223,25 +219,12 @@
 
     def note_spending(self) -> None:
         """Tell peers soon what was let pass: little is left of an organisation's limit."""
-        self._is_spending.set()
+        self._limit_news.note_spending()
 
     async def _tell_spending(self) -> None:
         while True:
-            await self._is_spending.wait()
-            self._is_spending = trio.Event()
-            now = trio.current_time()
-            spending = self._spending(now)
+            spending = await self._limit_news.next()
             self._send(spending, [peer.address for peer in self._peers.values()])
-            await trio.sleep(_SPENDING_S)
-
-    def _spending(self, now: float, *, whole: bool = False) -> Spending:
-        """Give what this instance let pass, all of it with what is left, or what changed."""
-        limits = self._limits
-        totals = limits.totals(now, whole=whole)
-        levels = limits.levels(now) if whole else {}
-        age_s = round(limits.age_s(now), 3)
-        name, incarnation = self._settings.name, self._incarnation
-        return Spending(name, incarnation, totals, levels, age_s, limits.spenders)
 
     def send_beat(self) -> None:
         """Send a heartbeat to every known address."""
@@ -328,7 +311,7 @@
 
     def _forget_silent(self) -> None:
         now = trio.current_time()
-        self._limits.note_heard(self._presence.heard_share(HEARD_S, now), now)
+        self._limit_news.look(now)
         self._capacity.expire_peers(now, _WORK_SLACK_S)
         for name, peer in list(self._peers.items()):
             if now - peer.heard_at > _GONE_S:
@@ -367,7 +350,8 @@
             elif isinstance(message, PaceNews):
                 self._take_paces(message)
             elif isinstance(message, Spending):
-                self._take_spending(message)
+                self._metrics.count_message("spending")
+                self._limit_news.take_spending(message, trio.current_time())
             else:
                 self._metrics.count_message("not_understood")
 
@@ -385,13 +369,13 @@
                 message_type="peers: heard a peer", peer=beat.name, alive=len(self._peers) + 1
             )
             self._send(self._roster(), [beat.address])
-            if len(self._limits):
-                self._send(self._spending(now, whole=True), [beat.address])
+            spending = self._limit_news.introduction(now)
+            if spending is not None:
+                self._send(spending, [beat.address])
         self._most_members = max(self._most_members, len(self._peers) + 1)
         self._addresses[beat.address] = now
         self._note_presence(beat, now)
-        totals = PeerTotals(beat.name, beat.incarnation, beat.totals, beat.spenders, beat.age_s)
-        self._limits.take_totals(totals, now)
+        self._limit_news.take_beat(beat, now)
         self.fence = max(self.fence, beat.fence)
         for endpoint, left_s in beat.switching.items():
             self._capacity.note_switching(endpoint, now + left_s)
@@ -410,13 +394,10 @@
     def _note_presence(self, beat: Beat, now: float) -> None:
         """Note whether a peer stays or leaves, by its own word."""
         if beat.leaving:
-            self._presence.note_leaving(beat.name)
             self._left[beat.name] = now
             self._told.discard(beat.name)
         else:
-            self._presence.note_heard(beat.name, now)
             self._left.pop(beat.name, None)
-        self._limits.note_heard(self._presence.heard_share(HEARD_S, now), now)
 
     def _take_roster(self, roster: Roster) -> None:
         """Take the names and addresses that a peer knows."""
@@ -436,16 +417,6 @@
         for service, (summary, age_s) in news.paces.items():
             self._capacity.pace(service).adopt(summary, age_s, now)
 
-    def _take_spending(self, spending: Spending) -> None:
-        """Take what a peer let pass, and what is left of limits if it has seen more."""
-        self._metrics.count_message("spending")
-        now = trio.current_time()
-        if spending.levels:
-            self._limits.adopt(spending.levels, spending.age_s, now)
-        name, incarnation = spending.name, spending.incarnation
-        totals = PeerTotals(name, incarnation, spending.totals, spending.spenders, spending.age_s)
-        self._limits.take_totals(totals, now)
-
     def tell_hint(self, endpoint: str, kind: HintKind) -> None:
         """Tell peers of an endpoint that was slow, or in this data centre not reached."""
         now = trio.current_time()
