Callers that are back and late let those go first that can still be in time

Cause: room was kept for refused callers that were due back, and each of them counted as demand before every newcomer.

--- a/cleatlink/relay/room.py
+++ b/cleatlink/relay/room.py
@@ -33,8 +33,6 @@
 _MIN_RETRY_S = 0.4
 # Where nothing can be foreseen, an endpoint that fell silent may be back by then.
 _NO_FORECAST_S = 1.0
-# Room is kept for callers that are due back within this time.
-_KEPT_S = 0.2
 # Above every priority of a route.
 _BEGUN_URGENCY = 100
 
@@ -64,14 +62,14 @@
         urgency: Its priority; larger goes first.
         since: When it came first.
         prompt_ready: Whether its prompt is computed already.
-        keeps: Whether it may take room that is kept for those that are due back.
+        first_ago_s: Seconds before it came for which its caller has waited already.
         may_wait: Whether it waits at all.
     """
 
     urgency: int
     since: float
     prompt_ready: bool
-    keeps: bool
+    first_ago_s: float = 0.0
     may_wait: bool = True
 
 
@@ -105,9 +103,9 @@
         """Give room, after a wait if the call is foreseen to be served before its caller leaves.
 
         A call that can't be is refused as early as that is foreseen, also one that is
-        back. One that has begun goes first; one that was refused and is back stands
-        where it stood before; one that will be late goes behind those that can be in
-        time and takes only room that is left over.
+        back. One that has begun goes first; one that will be late, counted from when its
+        caller asked first, goes behind those that can be in time and takes only room that
+        is left over. Among those the one that asked first goes first.
 
         Args:
             call: The call.
@@ -128,7 +126,7 @@
             soon_s = self._served_in_s(call, plan, standing)
             if soon_s is None or soon_s > plan.stay_s or plan.stay_s <= 0:
                 break
-            room = await self._wait(call, standing, min(plan.stay_s, _LOOK_AGAIN_S))
+            room = await self._wait(call, standing, min(plan.stay_s, _LOOK_AGAIN_S), soon_s)
             if room is not None:
                 return room
         return self._refuse(call, standing)
@@ -140,13 +138,14 @@
             # An answer that is under way is broken off at once when nothing can go on with
             # it: its caller can come back with the last event that it has.
             may_wait = call.ran is Ran.NO
-            return _Standing(_BEGUN_URGENCY, now, prompt_ready, keeps=True, may_wait=may_wait)
+            return _Standing(_BEGUN_URGENCY, now, prompt_ready, may_wait=may_wait)
         urgency = -call.priority
         back = self._returns.take(call.inbound, now)
         if back is None:
-            return _Standing(urgency, now, prompt_ready, keeps=False)
-        call.log("is back", refused_ago_s=round(now - back.refused_at, 3))
-        return _Standing(urgency, back.refused_at, prompt_ready, keeps=True)
+            return _Standing(urgency, now, prompt_ready)
+        ago_s = now - back.refused_at
+        call.log("is back", refused_ago_s=round(ago_s, 3))
+        return _Standing(urgency, back.refused_at, prompt_ready, first_ago_s=ago_s)
 
     def _plan_prompt(self, call: Call, standing: _Standing) -> PromptPlan:
         seeker = call.seeker()
@@ -163,23 +162,31 @@
         return longest_stream_s(call.inbound, pace, plan.ready_s)
 
     @staticmethod
-    def _yields(plan: PromptPlan, standing: _Standing) -> bool:
+    def _yields(plan: PromptPlan, standing: _Standing, soon_s: float = 0.0) -> bool:
         """Tell whether a call lets those that can still be in time go first.
 
         One whose prompt is computed does not: the prompt would be for nothing if it lapsed.
+        Nor does one that has begun.
+
+        Args:
+            plan: Where its prompt is computed if it has room.
+            standing: Where it stands.
+            soon_s: In how many seconds it has room.
         """
-        return plan.is_late and not standing.keeps and not standing.prompt_ready
+        if standing.prompt_ready or standing.urgency >= _BEGUN_URGENCY:
+            return False
+        return plan.spare_s < standing.first_ago_s + soon_s
 
     def _served_in_s(self, call: Call, plan: PromptPlan, standing: _Standing) -> float | None:
         """Foresee when a call finds room and may begin its prompt."""
-        soon_s = self._soon_s(call, plan)
+        soon_s = self._soon_s(call, plan, standing)
         if soon_s is None:
             # What has begun waits for an engine that may be back.
             return _NO_FORECAST_S if call.begun else None
         return max(soon_s, plan.queue_s) if self._yields(plan, standing) else soon_s
 
-    def _soon_s(self, call: Call, plan: PromptPlan) -> float | None:
-        """Foresee when a call finds room, behind those of this instance that wait."""
+    def _soon_s(self, call: Call, plan: PromptPlan, standing: _Standing) -> float | None:
+        """Foresee when a call finds room, behind those of this instance that go before it."""
         traits = call.service.engine
         assert traits is not None, "only engines decode"
         capacity, now = self._parts.capacity, trio.current_time()
@@ -191,19 +198,22 @@
         prompt_s = plan.ready_s + _PROMPT_GAP_S if plan.direct else 0.0
         duration_s = plan.ready_s + pace.stream_s(output)
         stream = StreamDemand(call.inbound.prompt_tokens + output, duration_s, prompt_s)
-        ahead = [stream] * len(self._waiting)
-        soon_s = forecast.room_in_s(stream, [*ahead, *self._due_back(call, duration_s, 0.0)])
-        if not soon_s:
-            return soon_s
-        forecast = RoomForecast(call.service.name, traits, capacity, now)
-        return forecast.room_in_s(stream, [*ahead, *self._due_back(call, duration_s, soon_s)])
+        is_late = plan.spare_s < standing.first_ago_s
+        ahead = self._waiting.count_ahead(standing.urgency, standing.since, is_late=is_late)
+        return forecast.room_in_s(stream, [stream] * ahead)
 
-    def _due_back(self, call: Call, duration_s: float, within_s: float) -> list[StreamDemand]:
-        """Give what is kept for those that are due back by a time."""
-        due = self._returns.due(call.service.name, trio.current_time(), _KEPT_S + within_s)
-        return [StreamDemand(item.tokens, duration_s) for item in due]
+    async def _wait(
+        self, call: Call, standing: _Standing, wait_s: float, soon_s: float
+    ) -> Room | None:
+        """Wait for room.
 
-    async def _wait(self, call: Call, standing: _Standing, wait_s: float) -> Room | None:
+        Args:
+            call: The call.
+            standing: Where it stands.
+            wait_s: How long to wait at the most.
+            soon_s: In how many seconds room is foreseen.
+        """
+        expected_at = trio.current_time() + soon_s
         found: list[Room] = []
         done = trio.Event()
 
@@ -219,7 +229,8 @@
         service, urgency = call.service.name, standing.urgency
 
         def yields() -> bool:
-            return self._yields(self._plan_prompt(call, standing), standing)
+            left_s = max(0.0, expected_at - trio.current_time())
+            return self._yields(self._plan_prompt(call, standing), standing, left_s)
 
         ticket = self._waiting.add(service, urgency, standing.since, attempt, yields)
         try:
@@ -247,8 +258,6 @@
         yields = self._yields(plan, standing)
         if yields and plan.queue_s > pace.prompt_s(call.inbound.prompt_tokens):
             return None
-        if not standing.keeps and self._is_kept(call, plan):
-            return None
         output = estimate_output(call.inbound, pace)
         seeker = call.seeker()
         duration_s = pace.stream_s(output) + plan.ready_s
@@ -301,18 +310,13 @@
         await trio.sleep(_PROMPT_GAP_S)
         self.release(key)
 
-    def _is_kept(self, call: Call, plan: PromptPlan) -> bool:
-        """Tell whether what room there is stands kept for those that are due back."""
-        due = self._returns.due(call.service.name, trio.current_time(), _KEPT_S)
-        return bool(due) and self._soon_s(call, plan) != 0.0
-
     def _refuse(self, call: Call, standing: _Standing) -> Refusal:
         """Refuse a call, with the time at which both its room and its prompt are foreseen."""
         plan = self._plan_prompt(call, standing)
-        soon_s = self._soon_s(call, plan)
+        soon_s = self._soon_s(call, plan, standing)
         retry_s = _NO_FORECAST_S if soon_s is None else max(soon_s, -plan.spare_s)
         retry_s = min(max(_MIN_RETRY_S, retry_s), call.route.heeded_share * call.left_s)
-        if not standing.keeps and self._parts.capacity.switches.uses(Mechanism.RETURNS):
+        if not standing.first_ago_s and self._parts.capacity.switches.uses(Mechanism.RETURNS):
             self._expect_back(call, retry_s)
         kind = ErrorKind.NO_ENDPOINT if soon_s is None else ErrorKind.NO_ROOM
         call.log(
--- a/cleatlink/relay/stream_test.py
+++ b/cleatlink/relay/stream_test.py
@@ -250,6 +250,30 @@
         assert len(decode.runs) == 2 or decode.runs[2].began_at > decode.runs[1].began_at
 
 
+async def test_newcomer_is_not_turned_away_for_callers_that_are_due_back() -> None:
+    """Room opens soon; callers that were refused before and will be late don't hold it up."""
+    async with open_fleet() as fleet:
+        prefill, decode, _ = engines()
+        decode.events, decode.event_s = 56, 0.05
+        await start(fleet, prefill, decode)
+        for route in fleet.routes:
+            route["timeout_ms"] = 9000
+        version = fleet.configure({"kv_cache_tokens": 150})
+        await fleet.until(lambda: fleet.instances[0].records.table_revision == version)
+        await fleet.caller().send("/stream/x", "POST", body=b"p", headers=LONG)
+        await fleet.until(lambda: bool(decode.runs))
+        for body in (b"first", b"second"):
+            refused = await fleet.caller().ask("/stream/x", "POST", body=body, headers=LONG)
+            assert refused.status == 503
+        left_s = 2.8 - (trio.current_time() - decode.runs[0].began_at)
+        await trio.sleep(max(0.0, left_s - 0.5))
+        newcomer = fleet.caller()
+        name = await newcomer.send("/stream/x", "POST", body=b"new", headers=LONG)
+        reply = await newcomer.receive()
+        assert (reply.status, reply.whole) == (200, True)
+        assert decode.runs[1].request == name
+
+
 async def test_without_returns_a_caller_that_is_back_stands_like_any_other() -> None:
     async with open_fleet() as fleet:
         prefill, decode, _ = engines()
--- a/cleatlink/routing/waiting.py
+++ b/cleatlink/routing/waiting.py
@@ -60,6 +60,21 @@
             for ticket in self._tickets
         )
 
+    def count_ahead(self, priority: int, now: float, *, is_late: bool) -> int:
+        """Give how many of those who wait go before a request.
+
+        Args:
+            priority: Its priority.
+            now: When it came.
+            is_late: Whether it will be late.
+        """
+        due = now - priority * PRIORITY_S
+        return sum(
+            (ticket.due <= due and ticket.is_late() == is_late)
+            or (is_late and not ticket.is_late())
+            for ticket in self._tickets
+        )
+
     def add(
         self,
         request_class: str,
--- a/cleatlink/routing/waiting_test.py
+++ b/cleatlink/routing/waiting_test.py
@@ -116,3 +116,17 @@
         places.open(room, 1)
         if "first" not in places.served:
             assert second <= 100 * PRIORITY_S + 1
+
+
+def test_who_goes_before_a_request() -> None:
+    room = WaitingRoom()
+    room.add("a", 0, 1.0, lambda: False)
+    room.add("a", 0, 3.0, lambda: False)
+    room.add("a", 0, 2.0, lambda: False, lambda: True)
+    # In time: behind what came before it and can be in time too.
+    assert room.count_ahead(0, 2.5, is_late=False) == 1
+    assert room.count_ahead(0, 3.5, is_late=False) == 2
+    assert room.count_ahead(1, 3.05, is_late=False) == 1
+    # Late: behind all that can be in time, and what is late and asked before.
+    assert room.count_ahead(0, 0.5, is_late=True) == 2
+    assert room.count_ahead(0, 2.5, is_late=True) == 3
