--- a/cleatlink/relay/organisations_test.py
+++ b/cleatlink/relay/organisations_test.py
@@ -76,6 +76,7 @@
         for _ in range(2):
             reply = await caller.ask("/unsafe/x", "POST", body=b"body", headers=headers, more=more)
             assert (reply.status, reply.whole) == (401, True)
+            assert reply.headers["www-authenticate"] == "Bearer"
             assert "k-first" not in repr(reply)
         assert (await caller.ask("/nowhere/x", headers=headers, more=more)).status == 404
         assert not fleet.workers[0].arrivals
--- a/cleatlink/relay/service.py
+++ b/cleatlink/relay/service.py
@@ -325,6 +325,8 @@
             {"error": {"code": refusal.kind.value, "message": refusal.detail, "ran": answer.ran}}
         )
         headers: Headers = ((b"Content-Type", b"application/json"),)
+        if refusal.kind is ErrorKind.UNKNOWN_KEY:
+            headers += ((b"WWW-Authenticate", b"Bearer"),)
         if request_id:
             headers += ((self._parts.protocol.names.request_id, request_id.encode()),)
         if retry_after_s is not None:
--- a/cleatlink/routing/returns.py
+++ b/cleatlink/routing/returns.py
@@ -1,9 +1,9 @@
 """Streams that were refused for want of room and are expected back.
 
-A refusal names a time at which there should be room. Until shortly after it, that
-room counts as demand on the service, here and at peers, so that those refused are
-not all asked back for the same room and newcomers leave it alone. A caller that
-comes back, to whichever instance, is known by what it asks for.
+A refusal names a time at which there should be room. Until shortly after it a caller that
+comes back, to whichever instance, is known by what it asks for, and so is the time at which
+it asked first. No room is kept for it: it is late by then as a rule, and those that can
+still be in time go first.
 """
 
 from typing import NamedTuple
@@ -56,22 +56,6 @@
         self._back[key] = work
         return _read(work)
 
-    def due(self, service: str, now: float, within_s: float) -> list[ExpectedReturn]:
-        """Give the streams that are due back, in the order in which they were refused.
-
-        Args:
-            service: The service.
-            now: The time.
-            within_s: How soon they are due.
-        """
-        back = self._back.values()
-        found = (
-            _read(work)
-            for work in self._capacity.placed(_queue(service), Role.DECODE)
-            if work.ends_at > now and work not in back
-        )
-        return sorted(item for item in found if item.due - within_s <= now)
-
     def forget(self, now: float) -> list[str]:
         """Forget own ones that did not come; gives their keys."""
         self._back = {key: work for key, work in self._back.items() if work.ends_at > now}
