Short answers teach the pace

Cause: a pace was measured on eight events after the first, so that a service whose answers are shorter never had one, and its roles were never planned (known red since).

--- a/cleatlink/relay/watch.py
+++ b/cleatlink/relay/watch.py
@@ -56,9 +56,8 @@
         inbound, tokens = self._call.inbound, self._events * self._event_tokens
         now = trio.current_time()
         if self._stretch and self._events <= _STRETCH_EVENTS:
-            self._pace.note_short_stretch(
-                self._stretch * self._event_tokens, now - self._stretch_from
-            )
+            # Without it a service of short answers has no pace, and roles are never planned.
+            self._pace.note_tokens(self._stretch * self._event_tokens, now - self._stretch_from)
         if inbound.last_event is None and self._call.sends == 1:
             self._pace.note_length(inbound.output_hint, tokens)
         self._call.log(
