The planted leadership fault has something to order

Cause: the soak's engines are never short, so that nobody ordered a change of role and two leaders stayed unseen (known red).

Change: the fleet on which this fault is planted begins without a prefill; a service without one gets one by order. Other runs begin as before.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -30,11 +30,13 @@
         switch_off: Switches it off in this process.
         check: The check that must then report it.
         kinds: Faults under which it shows.
+        prefills: Engines that begin as prefills.
     """
 
     switch_off: Callable[[], None]
     check: str
     kinds: tuple[FaultKind, ...]
+    prefills: int = 2
 
 
 def _replace(owner: Any, name: str, value: Any) -> Callable[[], None]:
@@ -153,7 +155,11 @@
         (FaultKind.INSTANCE_RELOAD,),
     ),
     "leadership": Ablation(
-        _replace(Leadership, "judge", _always), "one gives orders", (FaultKind.INSTANCE_RELOAD,)
+        _replace(Leadership, "judge", _always),
+        "one gives orders",
+        (FaultKind.INSTANCE_RELOAD,),
+        # Without a prefill there is something to order.
+        prefills=0,
     ),
 }
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,6 +14,7 @@
 __all__ = ["SoakFleet"]
 
 _SEEDS = 3
+_ENGINES = 5
 _ENGINE = {"slots": 16, "kv_cache_tokens": 4000, "role_switch_s": 2.0}
 
 
@@ -47,13 +48,18 @@
             for number in range(instances)
         ]
 
-    async def start(self) -> None:
-        """Start all and wait until it serves."""
+    async def start(self, prefills: int) -> None:
+        """Start all and wait until it serves.
+
+        Args:
+            prefills: How many of the engines begin as prefills; without any, whoever leads
+                orders one to become one.
+        """
         await self.platform.store.start(self._nursery)
         for service, stage, count in (
             ("plain", "", 3),
-            ("model", "prefill", 2),
-            ("model", "decode", 3),
+            ("model", "prefill", prefills),
+            ("model", "decode", _ENGINES - prefills),
         ):
             for _ in range(count):
                 await self.add_worker(service, stage)
--- a/soak/run.py
+++ b/soak/run.py
@@ -36,6 +36,7 @@
         rate: Faults a second.
         without: A mechanism that is switched off in the program; empty for none.
         kinds: Kinds of faults; all that need no organisations if empty.
+        prefills: How many of the five engines begin as prefills.
         organisations: Whether callers have keys of organisations, one of them over its limit.
     """
 
@@ -46,6 +47,7 @@
     rate: float = 1.2
     without: str = ""
     kinds: tuple[FaultKind, ...] = ()
+    prefills: int = 2
     organisations: bool = False
 
 
@@ -75,7 +77,7 @@
             organisations = SoakOrganisations(settings.seed) if settings.organisations else None
             fleet = SoakFleet(nursery, folder, settings.instances, settings.without, organisations)
             try:
-                await fleet.start()
+                await fleet.start(settings.prefills)
                 traffic = Traffic(fleet, settings.seed)
                 striker = Striker(fleet, settings.seed)
                 await _run_traffic(settings, traffic, striker)
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -113,6 +113,7 @@
             rate=3.0,
             without=name,
             kinds=ablation.kinds,
+            prefills=ablation.prefills,
             organisations=name in _OF_ORGANISATIONS,
         )
         for number in range(MOST_SEEDS):
