--- a/soak/broken.py
+++ b/soak/broken.py
@@ -74,6 +74,16 @@
         _take_table(self, table, source)
 
 
+def _lead_always() -> None:
+    """Let everybody lead, and not hear of what others ordered: else the second holds back."""
+    Leadership.judge = _always  # type: ignore[method-assign, assignment]
+    Capacity.switching = _know_no_change  # type: ignore[method-assign]
+
+
+def _know_no_change(self: Capacity, now: float) -> dict[str, float]:
+    return {}
+
+
 _known: dict[bytes, Organisation] = {}
 
 
@@ -155,7 +165,7 @@
         (FaultKind.INSTANCE_RELOAD,),
     ),
     "leadership": Ablation(
-        _replace(Leadership, "judge", _always),
+        _lead_always,
         "one gives orders",
         (FaultKind.INSTANCE_RELOAD,),
         # Without a prefill there is something to order.
