Read once more: a key is hashed once a look, a bucket knows its own rate, one way to take totals

Change, with the same behaviour: the gate hashed a known key twice, once within the table and once for the holder; the table takes digests alone now. A bucket is filled at a share of its own limit in place of a rate that four callers worked out. Heartbeats and news at once give their totals through one piece. The limit's field that bore a name of the platform's is default_tokens. A property that nobody read goes; two daemon tests share their set-up.

--- a/bench/organisations.py
+++ b/bench/organisations.py
@@ -6,6 +6,7 @@
 import tracemalloc
 from typing import Any
 
+from cleatlink.core.organisations import digest_key
 from cleatlink.organisations import KeyTable, LimitTolerance, OrganisationGate, OrganisationLimits
 from cleatlink.platform.store import read_table
 
@@ -55,7 +56,7 @@
     wanted = [b"key-%d-1-0123456789" % (number % count) for number in range(_LOOK_UPS)]
     began_at = time.perf_counter()
     for key in wanted:
-        keys.find(key)
+        keys.find(digest_key(key))
     look_up_s = (time.perf_counter() - began_at) / _LOOK_UPS
     return {
         "organisations": count,
--- a/cleatlink/core/organisations.py
+++ b/cleatlink/core/organisations.py
@@ -25,13 +25,13 @@
         rate: Units a second.
         burst: Units on top of that.
         counts_tokens: Whether a unit is a token; otherwise it is a request.
-        plain_tokens: Tokens of a request that tells none.
+        default_tokens: Tokens of a request that tells none.
     """
 
     rate: float
     burst: float
     counts_tokens: bool = False
-    plain_tokens: int = 1
+    default_tokens: int = 1
 
     def cost(self, tokens: int) -> int:
         """Give the units of a request.
@@ -41,7 +41,7 @@
         """
         if not self.counts_tokens:
             return 1
-        return tokens or self.plain_tokens
+        return tokens or self.default_tokens
 
 
 class Organisation(NamedTuple):
--- a/cleatlink/organisations/gate.py
+++ b/cleatlink/organisations/gate.py
@@ -59,14 +59,15 @@
         if self._keys is None:
             return NOBODY
         key = read_key(credentials)
-        organisation = self._keys.find(key) if key is not None else None
-        if key is None or organisation is None:
+        digest = digest_key(key) if key is not None else b""
+        organisation = self._keys.find(digest)
+        if organisation is None:
             return NOBODY if route.public else None
-        return Holder(organisation, digest_key(key))
+        return Holder(organisation, digest)
 
     def still_holds(self, holder: Holder) -> bool:
         """Tell whether a key that a request came with has not been taken away since."""
         if self._keys is None or holder.organisation is None:
             return True
-        found = self._keys.find_digest(holder.digest)
+        found = self._keys.find(holder.digest)
         return found is not None and found.name == holder.name
--- a/cleatlink/organisations/keys.py
+++ b/cleatlink/organisations/keys.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from cleatlink.core.organisations import Organisation, digest_key
+from cleatlink.core.organisations import Organisation
 
 __all__ = ["KeyTable", "read_key"]
 
@@ -45,10 +45,6 @@
     def __len__(self) -> int:
         return len(self._by_digest)
 
-    def find(self, key: bytes) -> Organisation | None:
-        """Give the organisation that holds a key."""
-        return self._by_digest.get(digest_key(key))
-
-    def find_digest(self, digest: bytes) -> Organisation | None:
+    def find(self, digest: bytes) -> Organisation | None:
         """Give the organisation that holds a key, by the key's digest."""
         return self._by_digest.get(digest)
--- a/cleatlink/organisations/keys_test.py
+++ b/cleatlink/organisations/keys_test.py
@@ -41,11 +41,11 @@
     second = Organisation("second", (digest_key(b"\xff\x00"),))
     table = KeyTable([first, second])
     assert len(table) == 3
-    assert table.find(b"k2") is first
-    assert table.find(b"\xff\x00") is second
-    assert table.find(b"k") is None
-    assert table.find(b"K1") is None
-    assert table.find(b"") is None
+    assert table.find(digest_key(b"k2")) is first
+    assert table.find(digest_key(b"\xff\x00")) is second
+    assert table.find(digest_key(b"k")) is None
+    assert table.find(digest_key(b"K1")) is None
+    assert table.find(digest_key(b"")) is None
 
 
 def test_no_key_is_kept_in_the_clear() -> None:
--- a/cleatlink/organisations/limits.py
+++ b/cleatlink/organisations/limits.py
@@ -110,11 +110,11 @@
         self.credit = 0
         self.changed_at = -_TELL_S
 
-    def refill(self, now: float, rate: float) -> None:
-        """Bring the bucket up to a time at a rate."""
+    def refill(self, now: float, share: float) -> None:
+        """Bring the bucket up to a time, at a share of its limit."""
         passed_s = max(0.0, now - self.at)
         self.at = max(self.at, now)
-        self.level = min(self.limit.burst, self.level + rate * passed_s)
+        self.level = min(self.limit.burst, self.level + share * self.limit.rate * passed_s)
 
     def change(self, limit: TokenLimit) -> None:
         """Use another limit: a larger burst is there at once, a smaller one too."""
@@ -174,11 +174,6 @@
     def __len__(self) -> int:
         return len(self._buckets)
 
-    @property
-    def share(self) -> float:
-        """Part of the limits that is this instance's and those it hears."""
-        return self._share
-
     def change_tolerance(self, tolerance: LimitTolerance) -> None:
         """Use another tolerance."""
         self._tolerance = tolerance
@@ -192,7 +187,7 @@
         if share == self._share:
             return
         for bucket in self._buckets.values():
-            bucket.refill(now, self._share * bucket.limit.rate)
+            bucket.refill(now, self._share)
         self._share = share
 
     def _bucket(self, name: str, now: float) -> _Bucket | None:
@@ -204,10 +199,9 @@
         bucket = self._buckets.get(name)
         if bucket is None:
             bucket = self._buckets[name] = _Bucket(limit, self._age_from)
+        bucket.refill(now, self._share)
         if bucket.limit != limit:
-            bucket.refill(now, self._share * bucket.limit.rate)
             bucket.change(limit)
-        bucket.refill(now, self._share * limit.rate)
         return bucket
 
     def ask(self, organisation: Organisation, tokens: int, now: float) -> Admission:
@@ -277,7 +271,7 @@
     def levels(self, now: float) -> dict[str, float]:
         """Give what is left in the buckets, for an instance that starts."""
         for bucket in self._buckets.values():
-            bucket.refill(now, self._share * bucket.limit.rate)
+            bucket.refill(now, self._share)
         return {name: round(bucket.level, 1) for name, bucket in self._buckets.items()}
 
     def age_s(self, now: float) -> float:
--- a/cleatlink/organisations/limits_test.py
+++ b/cleatlink/organisations/limits_test.py
@@ -17,7 +17,7 @@
 
 def organisation(rate: float = RATE, burst: float = BURST, name: str = "a") -> Organisation:
     return Organisation(
-        name, (), None, TokenLimit(rate, burst, counts_tokens=True, plain_tokens=20)
+        name, (), None, TokenLimit(rate, burst, counts_tokens=True, default_tokens=20)
     )
 
 
@@ -43,7 +43,7 @@
 
 
 def test_request_that_tells_no_tokens_counts_as_set() -> None:
-    limit = TokenLimit(1, 1, counts_tokens=True, plain_tokens=200)
+    limit = TokenLimit(1, 1, counts_tokens=True, default_tokens=200)
     assert (limit.cost(0), limit.cost(7)) == (200, 7)
     assert limit._replace(counts_tokens=False).cost(7000) == 1
 
--- a/cleatlink/platform/store.py
+++ b/cleatlink/platform/store.py
@@ -28,7 +28,7 @@
 from cleatlink.relay.source import ConfigurationSource, HistoryGoneError, SourceChange
 from cleatlink.routing.fleet_records import EndpointRecord
 
-__all__ = ["PlatformStore"]
+__all__ = ["PlatformStore", "read_table"]
 
 _CONFIG_KEY = "op/config"
 _WORKERS = "servers/"
--- a/cleatlink/relay/daemon_test.py
+++ b/cleatlink/relay/daemon_test.py
@@ -12,7 +12,7 @@
 
 from standins.relay import Worker
 from standins.relay.client import Caller
-from standins.relay.fleet import open_fleet
+from standins.relay.fleet import Fleet, open_fleet
 from standins.relay.settings import write_settings
 
 PROGRAM = [sys.executable, "-m", "cleatlink.scripts.main", "entry"]
@@ -34,11 +34,15 @@
             await trio.sleep(0.05)
 
 
+async def offer_plain_service(fleet: Fleet) -> None:
+    await fleet.add_worker(Worker("plain"))
+    fleet.add_route("/safe/", "safe", "plain")
+    fleet.configure()
+
+
 async def test_start_reload_and_planned_stop(tmp_path: Path) -> None:
     async with open_fleet() as fleet:
-        await fleet.add_worker(Worker("plain"))
-        fleet.add_route("/safe/", "safe", "plain")
-        fleet.configure()
+        await offer_plain_service(fleet)
         file = tmp_path / "local.toml"
         ports = write_settings(file, fleet)
         good = file.read_text()
@@ -84,9 +88,7 @@
     handled it there: a reload of all instances during a restart of some took these out.
     """
     async with open_fleet() as fleet:
-        await fleet.add_worker(Worker("plain"))
-        fleet.add_route("/safe/", "safe", "plain")
-        fleet.configure()
+        await offer_plain_service(fleet)
         file = tmp_path / "local.toml"
         ports = write_settings(file, fleet)
         settings = file.read_bytes()
--- a/cleatlink/relay/limit_news.py
+++ b/cleatlink/relay/limit_news.py
@@ -52,9 +52,7 @@
         """Take what a peer let pass, and what is left of limits if it has seen more."""
         if spending.levels:
             self._limits.adopt(spending.levels, spending.age_s, now)
-        name, incarnation = spending.name, spending.incarnation
-        totals = PeerTotals(name, incarnation, spending.totals, spending.spenders, spending.age_s)
-        self._limits.take_totals(totals, now)
+        self._take_totals(spending, now)
 
     def take_beat(self, beat: Beat, now: float) -> None:
         """Take what a peer let pass, and that it is there or leaves, by its own word."""
@@ -62,10 +60,13 @@
             self._presence.note_leaving(beat.name)
         else:
             self._presence.note_heard(beat.name, now)
-        totals = PeerTotals(beat.name, beat.incarnation, beat.totals, beat.spenders, beat.age_s)
-        self._limits.take_totals(totals, now)
+        self._take_totals(beat, now)
         self.look(now)
 
+    def _take_totals(self, told: Beat | Spending, now: float) -> None:
+        totals = PeerTotals(told.name, told.incarnation, told.totals, told.spenders, told.age_s)
+        self._limits.take_totals(totals, now)
+
     def look(self, now: float) -> None:
         """Go by the part of all instances that is heard now."""
         self._limits.note_heard(self._presence.heard_share(HEARD_S, now), now)
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -87,11 +87,11 @@
 _known: dict[bytes, Organisation] = {}
 
 
-def _keep_known(self: KeyTable, key: bytes) -> Organisation | None:
-    found = _find_key(self, key)
+def _keep_known(self: KeyTable, digest: bytes) -> Organisation | None:
+    found = _find_key(self, digest)
     if found is not None:
-        _known[key] = found
-    return _known.get(key)
+        _known[digest] = found
+    return _known.get(digest)
 
 
 _find_key = KeyTable.find
