Sight: a request that comes again is known in the log, and an endpoint that crashed

Ruled out: xxhash for the digest, as it had been: whoever can make two requests collide could have one taken for another. Change: 'failed at an endpoint' carries a digest of organisation, host, method, target and body; an instance asks an endpoint that broke an answer off whether it still takes connections, and logs a crash with all that was in progress there. No decision changes, but for the identity under which a refused stream is expected back, which has the organisation too.

--- a/cleatlink/core/routes.py
+++ b/cleatlink/core/routes.py
@@ -5,13 +5,12 @@
 immutable; durations end in ``_s`` and are seconds, sizes in tokens or bytes.
 """
 
+import hashlib
 import math
 from collections.abc import Mapping
 from enum import StrEnum
 from typing import NamedTuple
 
-import xxhash
-
 from cleatlink.core.data import Role
 from cleatlink.core.organisations import Organisation
 
@@ -31,6 +30,9 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# A request that is made to match a given one takes 2 ** 63 tries in the mean.
+_IDENTITY_BYTES = 8
+
 
 class RouteKind(StrEnum):
     """How often a call of a route may run, and how it is answered."""
@@ -207,7 +209,16 @@
         return self.target.partition(b"?")[0].decode("latin-1")
 
     @property
-    def fingerprint(self) -> str:
-        """What it asks for, whoever asks: a caller's next try has the same one."""
-        asked = b"\n".join((self.host.encode(), self.method, self.target, self.body))
-        return xxhash.xxh3_64_hexdigest(asked)
+    def identity(self) -> bytes:
+        """Who asks for what, as a digest: each try of one request has the same one.
+
+        Headers are left out, since they change from try to try. The hash is a cryptographic one:
+        nobody can make a request that is taken for another one.
+        """
+        parts = (self.organisation.encode(), self.host.encode(), self.method, self.target)
+        digest = hashlib.blake2b(digest_size=_IDENTITY_BYTES)
+        for part in parts:
+            digest.update(b"%d:" % len(part))
+            digest.update(part)
+        digest.update(self.body)
+        return digest.digest()
--- a/cleatlink/relay/call.py
+++ b/cleatlink/relay/call.py
@@ -8,7 +8,13 @@
 import trio
 
 from cleatlink.core.data import Ran, Refusal
-from cleatlink.core.errors import EndpointRefusedError, EndpointUnreachableError, ErrorKind
+from cleatlink.core.errors import (
+    EndpointRefusedError,
+    EndpointUnreachableError,
+    ErrorKind,
+    OutcomeUnknownError,
+    StreamBrokenError,
+)
 from cleatlink.core.routes import Inbound, Route, RoutedEndpoint, RoutedService, RouteKind
 from cleatlink.organisations import NOBODY, Admission, Holder, OrganisationGate
 from cleatlink.relay.metrics import RelayMetrics
@@ -44,6 +50,7 @@
         on_work: To be called when own reservations changed, with their keys.
         on_spending: To be called when little is left of an organisation's limit.
         on_hint: To be called with an endpoint that was slow or out of reach.
+        on_broken: To be called with an endpoint that broke a request off, and its identity.
         spawn: Runs what must go on although its caller has gone.
     """
 
@@ -60,6 +67,7 @@
     on_work: Callable[..., None]
     on_spending: Callable[[], None]
     on_hint: Callable[[str, HintKind], None]
+    on_broken: Callable[[RoutedEndpoint, bytes], None]
     spawn: Callable[..., None]
 
 
@@ -188,10 +196,23 @@
         else:
             capacity.note_full(endpoint.name, trio.current_time())
 
-    def note_failure(self, endpoint: RoutedEndpoint, error: Exception) -> None:
-        """Note that an endpoint failed the call; the call does not go there again."""
-        self.log("failed at an endpoint", endpoint=endpoint.name, error=repr(error))
+    def note_failure(
+        self, endpoint: RoutedEndpoint, error: Exception, *, in_progress: bool = True
+    ) -> None:
+        """Note that an endpoint failed the call; the call does not go there again.
+
+        Args:
+            endpoint: The endpoint.
+            error: How it failed.
+            in_progress: Whether the endpoint had the call, and not just a question about it.
+        """
+        asks = self.inbound.identity
+        self.log(
+            "failed at an endpoint", endpoint=endpoint.name, error=repr(error), asks=asks.hex()
+        )
         self.excluded.add(endpoint.name)
+        if in_progress and isinstance(error, OutcomeUnknownError | StreamBrokenError):
+            self._parts.on_broken(endpoint, asks)
         if not isinstance(error, EndpointRefusedError):
             self._parts.capacity.note_failure(endpoint.name, trio.current_time())
         if isinstance(error, EndpointUnreachableError):
--- /dev/null
+++ b/cleatlink/relay/crash_watch.py
@@ -0,0 +1,103 @@
+"""Finds out whether an endpoint that broke an answer off has crashed.
+
+A broken answer alone says little: a connection can be reset, and an endpoint can spoil one
+answer and go on. One that has crashed also refuses new connections.
+"""
+
+from collections.abc import Callable
+
+import eliot
+import trio
+
+from cleatlink.core.errors import EndpointUnreachableError
+from cleatlink.core.routes import RoutedEndpoint
+from cleatlink.relay.connection import EndpointConnection
+from cleatlink.relay.metrics import RelayMetrics
+from cleatlink.relay.pool import ConnectionPool
+
+__all__ = ["CrashWatch"]
+
+# The kernel ends all connections of a process at once, and so do the requests on them; those
+# that break within so long of each other are asked about together.
+_GATHER_S = 0.01
+# The way there and back between data centres, several times.
+_ASK_S = 0.15
+# An endpoint that takes no answer is asked so often: a lost packet is sent again after 0.2 s.
+_MOST_ASKS = 3
+_ASK_PAUSE_S = 0.1
+# Requests whose connections break later than this after a crash was found belong to another.
+_SAME_CRASH_S = 1.0
+
+
+class CrashWatch:
+    """Watches the endpoints that this instance's requests are in progress at."""
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        metrics: RelayMetrics,
+        *,
+        spawn: Callable[..., None],
+        on_crash: Callable[[RoutedEndpoint, frozenset[bytes]], None],
+    ) -> None:
+        """Start without any in doubt.
+
+        Args:
+            pool: Keeps the connections that show an endpoint to be alive.
+            metrics: Counts crashes.
+            spawn: Runs a task once.
+            on_crash: Told of an endpoint that has crashed, with the identities of the requests
+                that were in progress there; again for requests that are found out later.
+        """
+        self._pool = pool
+        self._metrics = metrics
+        self._spawn = spawn
+        self._on_crash = on_crash
+        self._broken: dict[str, set[bytes]] = {}
+        self._crashed: dict[str, float] = {}
+
+    def note_broken(self, endpoint: RoutedEndpoint, identity: bytes) -> None:
+        """Note that an endpoint broke off a request that was in progress there."""
+        waiting = self._broken.get(endpoint.name)
+        if waiting is not None:
+            waiting.add(identity)
+            return
+        self._broken[endpoint.name] = {identity}
+        self._spawn(self._look, endpoint)
+
+    async def _look(self, endpoint: RoutedEndpoint) -> None:
+        try:
+            await trio.sleep(_GATHER_S)
+            has_crashed = await self._has_crashed(endpoint)
+        finally:
+            broken = frozenset(self._broken.pop(endpoint.name))
+        now = trio.current_time()
+        if not has_crashed:
+            return
+        is_new = now - self._crashed.get(endpoint.name, -_SAME_CRASH_S) >= _SAME_CRASH_S
+        self._crashed = {name: at for name, at in self._crashed.items() if now - at < _SAME_CRASH_S}
+        if is_new:
+            self._crashed[endpoint.name] = now
+            self._metrics.count_crash(endpoint.service)
+        eliot.log_message(
+            message_type="endpoint: has crashed with requests in progress",
+            endpoint=endpoint.name,
+            address=endpoint.address,
+            asks=sorted(identity.hex() for identity in broken),
+            first=is_new,
+        )
+        self._on_crash(endpoint, broken)
+
+    async def _has_crashed(self, endpoint: RoutedEndpoint) -> bool:
+        """Tell whether an endpoint refuses connections; one that is silent may live."""
+        for _ in range(_MOST_ASKS):
+            try:
+                connection = await EndpointConnection.open(endpoint.address, _ASK_S, _ASK_S)
+            except EndpointUnreachableError as error:
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    return True
+                await trio.sleep(_ASK_PAUSE_S)
+            else:
+                self._pool.keep(endpoint, connection)
+                return False
+        return False
--- a/cleatlink/relay/hold.py
+++ b/cleatlink/relay/hold.py
@@ -87,7 +87,7 @@
                 head = await connection.exchange(request)
                 body = await connection.read_body(_MOST_REPLY_BYTES)
         except (EndpointError, trio.TooSlowError) as error:
-            self._call.note_failure(endpoint, error)
+            self._call.note_failure(endpoint, error, in_progress=False)
             return HoldOutcome.FAILED
         connection.finish(trio.current_time())
         outcome = self._judge(endpoint, Reply(head, body))
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -12,6 +12,7 @@
 from cleatlink.organisations import OrganisationGate, OrganisationLimits
 from cleatlink.relay.call import RelayParts
 from cleatlink.relay.catch_up import KnownState
+from cleatlink.relay.crash_watch import CrashWatch
 from cleatlink.relay.follower import Follower, FollowerHooks
 from cleatlink.relay.logs import LineWriter
 from cleatlink.relay.metrics import RelayMetrics
@@ -71,6 +72,9 @@
         self._planned_stop = PlannedStop()
         limits = OrganisationLimits(settings.limit_tolerance, trio.current_time())
         self._gate = OrganisationGate(limits)
+        self._crash_watch = CrashWatch(
+            self._pool, self._metrics, spawn=self._spawn, on_crash=lambda *_: None
+        )
         self._parts = RelayParts(
             settings.data_centre,
             protocol,
@@ -85,6 +89,7 @@
             self._note_work,
             self._note_spending,
             self._tell_hint,
+            self._crash_watch.note_broken,
             self._spawn,
         )
         self._service = RelayService(self._parts)
--- a/cleatlink/relay/metrics.py
+++ b/cleatlink/relay/metrics.py
@@ -41,6 +41,10 @@
         self._admissions = self._counter(
             "cleatlink_relay_admissions_total", "Requests, by organisation and outcome."
         )
+        self._crashes = self._counter(
+            "cleatlink_relay_endpoint_crashes_total",
+            "Endpoints that crashed with requests of this instance in progress, by service.",
+        )
         self._organisations: set[str] = set()
         self._dropped = Gauge(
             "cleatlink_relay_log_lines_dropped", "Log lines dropped.", registry=self._registry
@@ -117,6 +121,10 @@
         """Count an order to an endpoint; status 0 stands for no answer."""
         self._orders.inc({"status": status})
 
+    def count_crash(self, service: str) -> None:
+        """Count an endpoint that crashed with requests in progress."""
+        self._crashes.inc({"service": service})
+
     def observe_prefill(self, seconds: float) -> None:
         """Note how long a prefill took."""
         self._prefill.observe({}, seconds)
--- a/cleatlink/routing/returns.py
+++ b/cleatlink/routing/returns.py
@@ -73,7 +73,7 @@
 
 
 def _key(inbound: Inbound) -> str:
-    return _PREFIX + inbound.fingerprint
+    return _PREFIX + inbound.identity.hex()
 
 
 def _queue(service: str) -> str:
--- a/standins/relay/fleet.py
+++ b/standins/relay/fleet.py
@@ -43,13 +43,25 @@
         self.organisations: list[dict[str, Any]] | None = None
         self.limits: dict[str, int] = {"idle_timeout_ms": 2000, "header_timeout_ms": 500}
 
-    async def add_worker(self, worker: Worker) -> Worker:
+    async def add_worker(self, worker: Worker, port: int = 0) -> Worker:
         """Start a worker and register it."""
-        await worker.start(self._nursery)
+        await worker.start(self._nursery, port)
         self.workers.append(worker)
         self.register(worker)
         return worker
 
+    def keep_restarting(self, worker: Worker, after_s: float) -> None:
+        """Have another worker come at a worker's address some time after each crash."""
+        self._nursery.start_soon(self._restart_always, worker, after_s)
+
+    async def _restart_always(self, worker: Worker, after_s: float) -> None:
+        while True:
+            await worker.crashed.wait()
+            await trio.sleep(after_s)
+            self.unregister(worker)
+            worker = worker.successor()
+            await self.add_worker(worker, worker.port)
+
     def register(self, worker: Worker, state: str = "ready") -> None:
         """Write a worker's entry."""
         self.store.put(f"servers/{worker.name}", worker.registration(state))
--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -77,6 +77,23 @@
         self.orders: list[dict[str, Any]] = []
         self.highest_fence = 0
         self.body = b"served"
+        # A worker that begins to run a call with this in its body crashes a little later.
+        self.crashes_on: bytes | None = None
+        self.crash_after_s = 0.02
+        self.crashed = trio.Event()
+
+    @property
+    def port(self) -> int:
+        """Where it listens."""
+        return int(self.address.rpartition(":")[2])
+
+    def successor(self) -> "Worker":
+        """Give a worker of another name that is like this one and comes at its address."""
+        other = Worker(self.service, self.stage, self.slots, self.zone)
+        other.address = self.address
+        other.work_s, other.events, other.event_s = self.work_s, self.events, self.event_s
+        other.crashes_on, other.crash_after_s = self.crashes_on, self.crash_after_s
+        return other
 
     def registration(self, state: str = "ready") -> dict[str, Any]:
         """Give the entry that the worker writes of itself."""
@@ -122,10 +139,20 @@
             return False
         if call.headers.get("stage") == "prefill":
             return await self._prefill(call, stream)
+        if self.crashes_on is not None and self.crashes_on in call.body + call.target.encode():
+            return await self._crash(call)
         if self.stage == "decode":
             return await self._decode(call, stream, fault)
         return await self._plain(call, stream, fault)
 
+    async def _crash(self, call: RawCall) -> bool:
+        """Crash while running a request, with everything else that runs here."""
+        self.runs.append(Run(call.headers["attempt-id"], call, trio.current_time()))
+        await trio.sleep(self.crash_after_s)
+        self.close()
+        self.crashed.set()
+        return False
+
     def _answer_hold(self, call: RawCall) -> bytes:
         """Take or drop a hold of memory."""
         if not self.offers_holds:
