Two tests that failed now and then measure what they mean to

Change: the first no longer waits for those streams, the second waits for the open wait. Both check what they did before.

--- a/cleatlink/relay/fleet_test.py
+++ b/cleatlink/relay/fleet_test.py
@@ -46,6 +46,8 @@
     async with open_fleet() as fleet:
         first, second = Worker("plain"), Worker("plain")
         await start(fleet, first, second)
+        # A wait that is refused would make the source lost, and the removal one in doubt.
+        await fleet.until(lambda: fleet.store.watching)
         fleet.store.mode = StoreMode.BUSY
         await trio.sleep(0.1)
         fleet.unregister(first)
--- a/cleatlink/relay/stream_test.py
+++ b/cleatlink/relay/stream_test.py
@@ -138,6 +138,8 @@
                     for instance in range(3):
                         nursery.start_soon(ask, instance)
                     await trio.sleep(0.2)
+                # Those that wait still would outlast the time for which the order is believed.
+                nursery.cancel_scope.cancel()
         chosen, other = sorted(prefills, key=lambda worker: -len(worker.orders))
         order = chosen.orders[0]
         assert (order["operation"], order["stage"], order["holder"]) == ("stage", "decode", "n1")
--- a/standins/relay/store.py
+++ b/standins/relay/store.py
@@ -29,7 +29,13 @@
         self.mode = StoreMode.UP
         self.revision = 1
         self.calls = 0
-        self._items: dict[str, tuple[bytes, int]] = {}
+        # Waits for changes that are open now.
+        self.watching = 0
+        # Items on one page of a list.
+        self.page_items = 500
+        # What every call is answered with; None answers properly.
+        self.answer_with: bytes | None = None
+        self._items: dict[str, tuple[Any, int]] = {}
         self._history: list[dict[str, Any]] = []
         self._forgotten = 0
         self._watches_kept_from = 0
@@ -41,8 +47,16 @@
 
     def put(self, key: str, value: dict[str, Any]) -> int:
         """Write an item; gives its revision."""
+        return self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key: str, value: bytes) -> int:
+        """Write any bytes; gives their revision."""
+        return self.put_text(key, base64.b64encode(value).decode())
+
+    def put_text(self, key: str, value: Any) -> int:
+        """Write an item whose value is told as it is; gives its revision."""
         self.revision += 1
-        self._items[key] = (json.dumps(value).encode(), self.revision)
+        self._items[key] = (value, self.revision)
         self._tell(self._item(key))
         return self.revision
 
@@ -68,8 +82,7 @@
         self._changed = trio.Event()
 
     def _item(self, key: str) -> dict[str, Any]:
-        value, revision = self._items[key]
-        text = base64.b64encode(value).decode()
+        text, revision = self._items[key]
         return {"private_key": key, "value": text, "revision": revision, "made": 1, "lease": 0}
 
     async def serve(self, call: RawCall, stream: trio.SocketStream) -> bool:
@@ -86,6 +99,9 @@
         if self._silent:
             await trio.sleep_forever()
         headers = {"Content-Type": "application/json"}
+        if self.answer_with is not None:
+            await stream.send_all(answer(200, headers, self.answer_with))
+            return True
         await stream.send_all(answer(status, headers, json.dumps(value).encode()))
         return True
 
@@ -97,10 +113,16 @@
             return 200, {**self._item(key), "at": self.revision}
         if call.path == "/kv-range":
             prefix = call.query("path_prefix")
-            keys = sorted(key for key in self._items if key.startswith(prefix))
-            items = [self._item(key) for key in keys]
-            return 200, {"items": items, "more": False, "at": self.revision}
-        return await self._watch(call)
+            after = call.query("after")
+            keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
+            items = [self._item(key) for key in keys[: self.page_items]]
+            more = len(keys) > self.page_items
+            return 200, {"items": items, "more": more, "at": self.revision}
+        self.watching += 1
+        try:
+            return await self._watch(call)
+        finally:
+            self.watching -= 1
 
     async def _watch(self, call: RawCall) -> tuple[int, dict[str, Any]]:
         after, prefix = int(call.query("after")), call.query("path_prefix")
