--- /dev/null
+++ b/cleatlink/quarantine/evidence_test.py
@@ -0,0 +1,149 @@
+"""Which request a crash is put down to, in whatever order and however often news of it come."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cleatlink.quarantine import CrashEvidence, CrashReport
+
+KEEP_S = 3600.0
+GUILTY, OTHER = b"guilty", b"other"
+NAMES = [b"a", b"b", b"c", b"d", b"e"]
+
+reports = st.lists(
+    st.builds(
+        lambda life, age_s, requests, cleared: CrashReport(
+            f"life-{life}", age_s, requests, cleared & requests
+        ),
+        st.integers(0, 5),
+        st.floats(0.0, 100.0),
+        st.frozensets(st.sampled_from(NAMES), min_size=1),
+        st.frozensets(st.sampled_from(NAMES)),
+    ),
+    max_size=12,
+)
+
+
+def crash(life: str, *requests: bytes, age_s: float = 0.0) -> CrashReport:
+    return CrashReport(life, age_s, frozenset(requests))
+
+
+def collect(*told: CrashReport, now: float = 1000.0) -> CrashEvidence:
+    evidence = CrashEvidence(KEEP_S)
+    for report in told:
+        evidence.add(report, now)
+    return evidence
+
+
+def count(evidence: CrashEvidence, identity: bytes) -> int:
+    return len(evidence.blame(identity).lives)
+
+
+def test_crash_is_put_down_to_the_request_that_was_at_the_most() -> None:
+    evidence = collect(
+        crash("1", GUILTY, b"a", b"b"), crash("2", GUILTY, b"a"), crash("3", GUILTY, b"c")
+    )
+    assert [count(evidence, name) for name in (GUILTY, b"a", b"b", b"c")] == [3, 0, 0, 0]
+    assert evidence.blame(GUILTY).lives == ("1", "2", "3")
+
+
+def test_request_beside_two_guilty_ones_is_not_to_blame() -> None:
+    evidence = collect(
+        crash("1", GUILTY, b"a"),
+        crash("2", OTHER, b"a"),
+        crash("3", GUILTY, b"b"),
+        crash("4", OTHER, b"c"),
+        crash("5", GUILTY),
+        crash("6", OTHER, b"a"),
+    )
+    assert [count(evidence, name) for name in (GUILTY, OTHER)] == [3, 3]
+    # At three crashes like both of them; each of its own tells which of them it was.
+    assert count(evidence, b"a") == 3
+    evidence.clear(b"a")
+    assert [count(evidence, name) for name in (GUILTY, OTHER, b"a")] == [3, 3, 0]
+
+
+def test_request_that_ran_to_its_end_is_cleared_and_stays_so() -> None:
+    evidence = collect(crash("1", GUILTY, b"a"))
+    assert evidence.clear(b"a") == ["1"]
+    assert evidence.clear(b"a") == []
+    evidence.add(crash("1", b"a", GUILTY, age_s=1.0), 1001.0)
+    assert not evidence.is_suspect(b"a")
+    assert evidence.is_suspect(GUILTY)
+    evidence.add(crash("2", b"a"), 1002.0)
+    assert evidence.is_suspect(b"a")
+
+
+@given(reports, st.randoms(use_true_random=False))
+def test_order_and_repetition_change_nothing(told: list[CrashReport], rng: random.Random) -> None:
+    first = collect(*told)
+    again = [*told, *rng.choices(told, k=5)] if told else []
+    rng.shuffle(again)
+    second = collect(*again)
+    for name in NAMES:
+        assert set(first.blame(name).lives) == set(second.blame(name).lives)
+        assert first.is_suspect(name) == second.is_suspect(name)
+    for life in first.lives():
+        known, other = first.report(life, 1000.0), second.report(life, 1000.0)
+        assert known == other
+
+
+@given(reports, reports, reports)
+def test_instances_that_tell_each_other_agree(
+    one: list[CrashReport], two: list[CrashReport], three: list[CrashReport]
+) -> None:
+    groups = [collect(*one), collect(*two), collect(*three)]
+    for _ in range(2):
+        for teller in groups:
+            for life in teller.lives():
+                report = teller.report(life, 1000.0)
+                assert report is not None
+                for listener in groups:
+                    listener.add(report, 1000.0)
+    for name in NAMES:
+        blames = {frozenset(evidence.blame(name).lives) for evidence in groups}
+        assert len(blames) == 1
+
+
+@given(reports)
+def test_nobody_is_blamed_for_more_than_it_was_at(told: list[CrashReport]) -> None:
+    evidence = collect(*told)
+    for name in NAMES:
+        there = {report.life for report in told if name in report.requests}
+        cleared = {report.life for report in told if name in report.cleared}
+        assert set(evidence.blame(name).lives) <= there - cleared
+    blamed = {life for name in NAMES for life in evidence.blame(name).lives}
+    open_lives = {
+        life
+        for life in evidence.lives()
+        if (report := evidence.report(life, 1000.0)) and report.requests - report.cleared
+    }
+    assert blamed == open_lives
+
+
+def test_memory_is_bounded_whatever_is_told() -> None:
+    evidence = CrashEvidence(KEEP_S)
+    for number in range(500):
+        names = frozenset(b"%d-%d" % (number, index) for index in range(300))
+        evidence.add(CrashReport(f"life-{number}", 0.0, names), float(number))
+    assert len(evidence) == 64
+    assert evidence.lives()[0] == "life-499"
+    report = evidence.report("life-499", 499.0)
+    assert report is not None
+    assert len(report.requests) == 128
+
+
+def test_old_crashes_are_forgotten_and_not_learned_again() -> None:
+    evidence = collect(crash("1", GUILTY), now=1000.0)
+    evidence.forget(1000.0 + KEEP_S - 1)
+    assert evidence.is_suspect(GUILTY)
+    evidence.forget(1000.0 + KEEP_S)
+    assert len(evidence) == 0
+    assert not evidence.add(crash("1", GUILTY, age_s=KEEP_S + 1), 1000.0 + KEEP_S)
+
+
+def test_report_that_was_long_on_its_way_makes_a_crash_no_younger() -> None:
+    evidence = collect(crash("1", GUILTY), now=1000.0)
+    evidence.add(crash("1", GUILTY, OTHER), 1004.0)
+    assert evidence.blame(GUILTY).last_at == 1000.0
--- a/cleatlink/relay/quarantine_test.py
+++ b/cleatlink/relay/quarantine_test.py
@@ -114,3 +114,136 @@
             await ask(fleet, UNSAFE, 0)
             await trio.sleep(0.4)
         assert (crashes(fleet), runs_of(fleet, _CRASH)) == (_MOST_CRASHES, _MOST_CRASHES)
+
+
+async def crash_three(fleet: Fleet, kind: Kind = UNSAFE) -> None:
+    """Have one request crash as many endpoints as it takes to hold it back."""
+    for number in range(_MOST_CRASHES):
+        await ask(fleet, kind, number % len(fleet.instances))
+        await trio.sleep(_PAUSE_S)
+    assert crashes(fleet) == _MOST_CRASHES
+
+
+@pytest.mark.parametrize("kind", [STREAMING, RESUMABLE, UNSAFE], ids=["stream", "resume", "unsafe"])
+async def test_what_ran_beside_it_goes_on_being_served(kind: Kind) -> None:
+    async with open_fleet() as fleet:
+        await open_fragile(fleet)
+        for worker in fleet.workers:
+            worker.work_s, worker.event_s = 0.06, 0.02
+        over = False
+        outcomes: dict[bytes, list[int]] = {}
+
+        async def come_again(number: int) -> None:
+            """Send the same request again and again, as its caller does when it fails."""
+            body = b"beside %d" % number
+            while not over:
+                reply = await ask(fleet, kind, number % _INSTANCES, body)
+                served = reply.status == 200 and reply.whole
+                outcomes.setdefault(body, []).append(200 if served else reply.status)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(6):
+                nursery.start_soon(come_again, number)
+            for number in range(_ATTEMPTS):
+                await ask(fleet, kind, number % _INSTANCES)
+                await trio.sleep(_PAUSE_S)
+                if number == _ATTEMPTS // 2:
+                    # By now it is held back; what comes later is not disturbed.
+                    outcomes.clear()
+            over = True
+        assert crashes(fleet) <= _MOST_CRASHES + 1
+        assert all(503 not in statuses for statuses in outcomes.values())
+        answers = [status for statuses in outcomes.values() for status in statuses]
+        assert len(answers) > 40
+        assert answers.count(200) >= 0.95 * len(answers)
+
+
+async def test_other_bodies_and_other_organisations_are_untouched() -> None:
+    async with open_fleet() as fleet:
+        fleet.organisations = [
+            {"name": name, "api_keys": [f"key-{name}"]} for name in ("one", "two")
+        ]
+        one, two = ({"Authorization": f"Bearer key-{name}"} for name in ("one", "two"))
+        await open_fragile(fleet)
+        for _ in range(_MOST_CRASHES):
+            await ask(fleet, UNSAFE._replace(headers=one), 0)
+            await trio.sleep(_PAUSE_S)
+        for worker in fleet.workers:
+            worker.crashes_on = None
+        assert (await ask(fleet, UNSAFE._replace(headers=one), 1)).status == 503
+        assert (await ask(fleet, UNSAFE._replace(headers=one), 1, b"another")).status == 200
+        assert (await ask(fleet, UNSAFE._replace(headers=two), 1)).status == 200
+        # One key more of the same organisation makes it no other caller.
+        fleet.organisations[0]["api_keys"].append("key-new")
+        version = fleet.configure()
+        await fleet.until(
+            lambda: all(item.records.table_revision == version for item in fleet.instances)
+        )
+        new = {"Authorization": "Bearer key-new"}
+        assert (await ask(fleet, UNSAFE._replace(headers=new), 1)).status == 503
+
+
+async def test_headers_make_it_no_other_request() -> None:
+    async with open_fleet() as fleet:
+        await open_fragile(fleet)
+        for number in range(8):
+            headers = {"X-Trace": f"{number}", "Length-Hint": f"{10 + number}"}
+            await ask(fleet, UNSAFE._replace(headers=headers), number % _INSTANCES)
+            await trio.sleep(_PAUSE_S)
+        assert crashes(fleet) == _MOST_CRASHES
+
+
+async def test_instance_that_joins_learns_it() -> None:
+    async with open_fleet() as fleet:
+        await open_fragile(fleet)
+        await crash_three(fleet)
+        joined = fleet.start_instance()
+        await fleet.until(lambda: joined.ready and joined._quarantine.held == 1, 2.0)
+        assert (await ask(fleet, UNSAFE, _INSTANCES)).status == 503
+        assert crashes(fleet) == _MOST_CRASHES
+
+
+async def test_instance_that_heard_nothing_learns_it_later(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with open_fleet() as fleet:
+        await open_fragile(fleet)
+        deaf = fleet.instances[-1]._quarantine
+        monkeypatch.setattr(deaf, "take", lambda news: None)
+        await ask(fleet, UNSAFE, 0)
+        await trio.sleep(_PAUSE_S)
+        await ask(fleet, UNSAFE, 1)
+        await trio.sleep(_PAUSE_S)
+        await ask(fleet, UNSAFE, 0)
+        await trio.sleep(_PAUSE_S)
+        assert (fleet.instances[0]._quarantine.held, deaf.held) == (1, 0)
+        monkeypatch.undo()
+        await fleet.until(lambda: deaf.held == 1, 2.5)
+        assert (await ask(fleet, UNSAFE, _INSTANCES - 1)).status == 503
+
+
+async def test_request_that_is_served_is_free_again_everywhere() -> None:
+    async with open_fleet() as fleet:
+        await open_fragile(fleet)
+        for number in range(2):
+            await ask(fleet, UNSAFE, number)
+            await trio.sleep(_PAUSE_S)
+        for worker in fleet.workers:
+            worker.crashes_on = None
+        suspects = [item._quarantine for item in fleet.instances]
+        identity = next(iter(suspects[0]._quarantine.evidence.blames()))
+        assert all(item.judge(identity).is_suspect for item in suspects)
+        assert (await ask(fleet, UNSAFE, 2)).status == 200
+        await fleet.until(lambda: not any(item.judge(identity).is_suspect for item in suspects))
+
+
+async def test_answer_tells_that_it_has_run_where_it_has() -> None:
+    async with open_fleet() as fleet:
+        await open_fragile(fleet)
+        first = await ask(fleet, RESUMABLE, 0)
+        second = await ask(fleet, RESUMABLE, 0)
+        # Its route lets one attempt go to three endpoints, and all of them crashed.
+        assert crashes(fleet) == _MOST_CRASHES
+        ran = [json.loads(reply.body)["error"]["ran"] for reply in (first, second)]
+        assert [first.status, second.status] == [502, 503]
+        assert ran == ["unknown", "no"]
