Requests that can't be told apart are held by nobody; tests run side by side

Cause, quarantine: a crash was put down to all of its requests that were at the most crashes. Found by the test of what runs beside: six requests that came again on a resumable route shared the first three crashes of the guilty one now and then (2 of 3 runs beside four busy processes), and were refused with it. Change: a crash is put down to one request or to none; requests that were at two crashes never run on one endpoint, and go on at different moments, so that the next crash tells them apart. Ruled out: weighing by how far an answer had come (one that crashes engines late would put it down to the innocent).

--- a/cleatlink/quarantine/evidence.py
+++ b/cleatlink/quarantine/evidence.py
@@ -2,9 +2,9 @@
 
 A crash ends everything that runs on an endpoint, so that one alone tells little. A request
 that causes it is there at each crash that it causes; what runs beside it is there by chance,
-and is served elsewhere when it comes again. So each crash is put down to those of its
-requests that were at the most crashes, and a request that ran to its end, anywhere, is
-cleared of all crashes so far.
+and is served elsewhere when it comes again. So each crash is put down to the one of its requests
+that was at the most crashes, and to none as long as several were at as many. A request that
+ran to its end, anywhere, is cleared of all crashes so far.
 
 The evidence is a set that only grows until it is forgotten: reports may come in any order,
 late, more than once and from anybody, and the same reports give the same verdict.
@@ -131,10 +131,10 @@
         if old:
             self._blames = None
 
-    def is_suspect(self, identity: bytes) -> bool:
-        """Tell whether a request was at a crash and has not run to its end since."""
+    def suspicion(self, identity: bytes) -> int:
+        """Give at how many crashes a request was that it is not cleared of."""
         self._judge()
-        return identity in self._counts
+        return self._counts[identity]
 
     def blame(self, identity: bytes) -> Blame:
         """Give the crashes that are put down to a request."""
@@ -157,7 +157,11 @@
         return sorted(self._crashes, key=lambda life: -self._crashes[life].at)
 
     def _judge(self) -> dict[bytes, Blame]:
-        """Put each crash down to those of its requests that were at the most crashes."""
+        """Put each crash down to the one of its requests that was at the most crashes.
+
+        What can't be told apart is not held back: of six requests that came again beside one
+        that crashed endpoints, some shared its first three crashes and were refused with it.
+        """
         if self._blames is not None:
             return self._blames
         crashes = self._crashes.values()
@@ -165,10 +169,10 @@
         blames: dict[bytes, Blame] = {}
         for life, crash in sorted(self._crashes.items(), key=lambda item: item[1].at):
             most = max((self._counts[request] for request in crash.suspects), default=0)
-            for request in crash.suspects:
-                if self._counts[request] == most:
-                    lives = (*blames.get(request, NO_BLAME).lives, life)
-                    blames[request] = Blame(lives, crash.at)
+            first = [request for request in crash.suspects if self._counts[request] == most]
+            if len(first) == 1:
+                lives = (*blames.get(first[0], NO_BLAME).lives, life)
+                blames[first[0]] = Blame(lives, crash.at)
         self._blames = blames
         return blames
 
--- a/cleatlink/quarantine/verdict.py
+++ b/cleatlink/quarantine/verdict.py
@@ -37,14 +37,15 @@
     """What is decided about a request.
 
     Attributes:
-        is_suspect: Whether it was at a crash, and is better kept apart from others like it.
+        suspicion: At how many crashes it was without having been served since; from two on it
+            has to be kept apart from others like it.
         is_held: Whether it may not run now.
         needs_trial: Whether it may run as the one careful try of all instances.
         retry_after_s: Seconds until it may run, if it is held.
         blame: The crashes that are put down to it.
     """
 
-    is_suspect: bool = False
+    suspicion: int = 0
     is_held: bool = False
     needs_trial: bool = False
     retry_after_s: float = 0.0
@@ -68,18 +69,19 @@
 
     def judge(self, identity: bytes, now: float) -> Verdict:
         """Decide about a request."""
-        if not self.evidence.is_suspect(identity):
+        suspicion = self.evidence.suspicion(identity)
+        if not suspicion:
             return _FREE
         blame = self.evidence.blame(identity)
         extra = len(blame.lives) - CRASHES_TO_HOLD
         if extra < 0:
-            return Verdict(is_suspect=True, blame=blame)
+            return Verdict(suspicion, blame=blame)
         hold_s = min(_LONGEST_HOLD_S, _HOLD_S * 2**extra)
         trial_at = self._trials.get(identity, -math.inf)
         until = max(blame.last_at + hold_s, trial_at + _TRIAL_S)
         if now < until:
-            return Verdict(True, is_held=True, retry_after_s=until - now, blame=blame)
-        return Verdict(True, needs_trial=True, blame=blame)
+            return Verdict(suspicion, is_held=True, retry_after_s=until - now, blame=blame)
+        return Verdict(suspicion, needs_trial=True, blame=blame)
 
     def begin_trial(self, identity: bytes, now: float) -> None:
         """Note that this instance makes the one careful try of a request."""
--- a/cleatlink/relay/call.py
+++ b/cleatlink/relay/call.py
@@ -26,13 +26,16 @@
 from cleatlink.relay.shared_quarantine import SharedQuarantine
 from cleatlink.request.shared_budget import SharedRetryBudget
 from cleatlink.routing.capacity import Capacity
-from cleatlink.routing.relay_place import Seeker
+from cleatlink.routing.relay_place import RUNS_APART, Seeker
 
 __all__ = ["Call", "RelayParts"]
 
 
 # Status of an endpoint that is not the one that was expected at its address.
 _OTHER_ENDPOINT = 421
+# Spread of the moments at which suspects of one crash go on elsewhere: many times what it takes
+# to tell peers of a place.
+_APART_S = 0.1
 
 
 class RelayParts(NamedTuple):
@@ -113,10 +116,10 @@
         return self._identity
 
     @property
-    def is_suspect(self) -> bool:
-        """Whether its request was at a crash and has not been served since."""
+    def suspicion(self) -> int:
+        """At how many crashes its request was without having been served since."""
         quarantine = self._parts.quarantine
-        return not quarantine.is_empty and quarantine.judge(self.identity).is_suspect
+        return 0 if quarantine.is_empty else quarantine.judge(self.identity).suspicion
 
     @property
     def repeatable(self) -> bool:
@@ -172,7 +175,7 @@
         """Give who seeks a place, now."""
         parts = self._parts
         now = trio.current_time()
-        return Seeker(parts.data_centre, self.excluded, now, parts.rng, self.is_suspect)
+        return Seeker(parts.data_centre, self.excluded, now, parts.rng, self.suspicion)
 
     def bar(self) -> Refusal | None:
         """Give why the call may not be sent now, if that is so; asked anew before each send.
@@ -208,9 +211,12 @@
         """Wait, after an endpoint failed the call, until it is known whether it crashed.
 
         Without it a call of a resumable or safe route is at its next endpoint before its third
-        crash counts.
+        crash counts. Suspects go on at different moments, so that each knows where the others
+        run by then.
         """
         await self._parts.crashes.wait(endpoint)
+        if self.suspicion >= RUNS_APART:
+            await trio.sleep(_APART_S * self._parts.rng.random())
 
     def note_served(self) -> None:
         """Note that an endpoint ran the call to an end: it does not crash what runs it."""
--- a/cleatlink/relay/peer_messages.py
+++ b/cleatlink/relay/peer_messages.py
@@ -41,7 +41,7 @@
         left_s: Seconds until its expected end.
         duration_s: Seconds that it is expected to take in all.
         grows: Tokens of its size that come in the course of it.
-        is_suspect: Whether it is of a request that was in progress at a crash.
+        suspicion: At how many crashes of endpoints its request was in progress.
     """
 
     key: str
@@ -51,16 +51,23 @@
     left_s: float
     duration_s: float
     grows: int
-    is_suspect: bool = False
+    suspicion: int = 0
 
     @classmethod
     def of(cls, key: str, work: Reservation, now: float) -> "WorkItem":
         """Describe a reservation."""
         left_s = round(work.ends_at - now, 3)
         duration_s = round(work.duration_s, 3)
-        role, suspect = work.role.value, work.is_suspect
-        tokens, grows = work.tokens, work.grows
-        return cls(key, work.endpoint, role, tokens, left_s, duration_s, grows, suspect)
+        return cls(
+            key,
+            work.endpoint,
+            work.role.value,
+            work.tokens,
+            left_s,
+            duration_s,
+            work.grows,
+            work.suspicion,
+        )
 
     def reservation(self, now: float) -> Reservation:
         """Give it as a reservation; a role that is not known counts as plain."""
@@ -75,7 +82,7 @@
             now + self.left_s,
             self.duration_s,
             self.grows,
-            self.is_suspect,
+            self.suspicion,
         )
 
 
--- a/cleatlink/relay/plain.py
+++ b/cleatlink/relay/plain.py
@@ -88,7 +88,7 @@
         key = f"{call.inbound.request_id}/{call.sends}"
         began_at = trio.current_time()
         ends_at = began_at + _EXPECTED_S
-        work = Reservation(endpoint.name, Role.PLAIN, 0, ends_at, is_suspect=call.is_suspect)
+        work = Reservation(endpoint.name, Role.PLAIN, 0, ends_at, suspicion=call.suspicion)
         parts.capacity.reserve(key, work)
         try:
             answer = await run_watched(
--- a/cleatlink/relay/room.py
+++ b/cleatlink/relay/room.py
@@ -276,7 +276,7 @@
             return None
         key = f"{call.inbound.request_id}/{call.sends}/d"
         now = seeker.now
-        work = size.reserve(endpoint.name, now)._replace(is_suspect=seeker.is_suspect)
+        work = size.reserve(endpoint.name, now)._replace(suspicion=seeker.suspicion)
         capacity.reserve(key, work)
         capacity.note_demand(work, now)
         self._parts.on_work(key)
--- a/cleatlink/relay/shared_quarantine.py
+++ b/cleatlink/relay/shared_quarantine.py
@@ -66,7 +66,7 @@
 
     def note_served(self, identity: bytes) -> None:
         """Note that a request ran to its end: it does not crash what runs it."""
-        if not self._quarantine.evidence.is_suspect(identity):
+        if not self._quarantine.evidence.suspicion(identity):
             return
         lives = self._quarantine.evidence.clear(identity)
         eliot.log_message(
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -7,7 +7,6 @@
 """
 
 import math
-from collections import Counter
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -50,7 +49,7 @@
         ends_at: When it is expected to be over.
         duration_s: How long it is expected to take.
         grows: Tokens of its memory that come in the course of it.
-        is_suspect: Whether it is of a request that was in progress at a crash.
+        suspicion: At how many crashes of endpoints its request was in progress.
     """
 
     endpoint: str
@@ -59,7 +58,7 @@
     ends_at: float
     duration_s: float = 0.0
     grows: int = 0
-    is_suspect: bool = False
+    suspicion: int = 0
 
     def expected_end(self, now: float) -> float:
         """Give when it should be over, as seen now: what is overdue takes longer."""
@@ -147,7 +146,7 @@
         self._outcomes: dict[str, _Outcomes] = {}
         self._leaving: set[str] = set()
         self._switching: dict[str, float] = {}
-        self._suspects: Counter[str] = Counter()
+        self._suspects = 0
         self._meters: dict[str, DemandMeter] = {}
         self._paces: dict[str, ServicePace] = {}
 
@@ -451,15 +450,15 @@
         """Give the most memory that a decode will hold if it takes some work too."""
         return peak_memory([*self.placed(name, Role.DECODE), *work], now, spread)
 
-    def runs_suspect(self, name: str) -> bool:
-        """Tell whether an endpoint runs a request that may have crashed another one."""
-        return bool(self._suspects[name])
+    def suspicion(self, name: str) -> int:
+        """Give at how many crashes the most suspect request was that an endpoint runs."""
+        if not self._suspects:
+            return 0
+        work = (item for role in Role for item in self.placed(name, role))
+        return max((item.suspicion for item in work), default=0)
 
     def _add(self, reservation: Reservation, sign: int) -> None:
-        if reservation.is_suspect:
-            self._suspects[reservation.endpoint] += sign
-            # Drops the names of endpoints that run none any more.
-            self._suspects += Counter()
+        self._suspects += sign * bool(reservation.suspicion)
         key = (reservation.endpoint, reservation.role)
         placed = self._placed.setdefault(key, [])
         if sign > 0:
--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -16,6 +16,7 @@
 from cleatlink.routing.pace import ServicePace
 
 __all__ = [
+    "RUNS_APART",
     "Seeker",
     "StreamSize",
     "estimate_output",
@@ -38,6 +39,9 @@
 _LONG_DEVIATIONS = 2.0
 # A queue is seen with an error of about a half, and a hand-over may find the link taken.
 _START_FACTOR = 2.0
+# Requests that were at so many crashes never run on one endpoint: at the next crash it would be
+# as unknown as before which of them it was.
+RUNS_APART = 2
 # Suspects that run together and are there at the same crashes can't be told apart: one goes to
 # another data centre rather than to an endpoint that runs another one.
 _SUSPECTS_DISTANCE = 5.0
@@ -56,14 +60,14 @@
         excluded: Endpoints that this call may not use.
         now: The time.
         rng: Breaks ties.
-        is_suspect: Whether the call may have crashed an endpoint.
+        suspicion: At how many crashes of endpoints the call's request was in progress.
     """
 
     data_centre: str
     excluded: Set[str]
     now: float
     rng: random.Random
-    is_suspect: bool = False
+    suspicion: int = 0
 
 
 class StreamSize(NamedTuple):
@@ -144,6 +148,8 @@
             continue
         if computes_prompt and capacity.usage(endpoint.name, Role.PREFILL).running:
             continue
+        if _must_part(endpoint, capacity, seeker):
+            continue
         usage = capacity.usage(endpoint.name, Role.DECODE)
         reserved = [work.reserve(endpoint.name, seeker.now)] * count
         peak = capacity.peak_memory(endpoint.name, reserved, seeker.now, spread)
@@ -196,9 +202,16 @@
 
 def _suspicion(endpoint: RoutedEndpoint, capacity: Capacity, seeker: Seeker) -> float:
     """Give what it counts that an endpoint runs a request that may have crashed another one."""
-    if not capacity.runs_suspect(endpoint.name):
+    if not capacity.suspicion(endpoint.name):
         return 0.0
-    return _SUSPECTS_DISTANCE if seeker.is_suspect else _BESIDE_SUSPECT
+    return _SUSPECTS_DISTANCE if seeker.suspicion else _BESIDE_SUSPECT
+
+
+def _must_part(endpoint: RoutedEndpoint, capacity: Capacity, seeker: Seeker) -> bool:
+    """Tell whether an endpoint runs a request that has to be told apart from this one."""
+    if seeker.suspicion < RUNS_APART:
+        return False
+    return capacity.suspicion(endpoint.name) >= RUNS_APART
 
 
 def _is_far(endpoint: RoutedEndpoint, capacity: Capacity, seeker: Seeker) -> bool:
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -1,14 +1,13 @@
 """Instances of the program as processes, each at a loopback address of its own."""
 
-import random
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
 
 import trio
 
+from standins.ports import free_port
 from standins.relay.client import Caller
 from standins.relay.settings import Ports, write_instance_settings
 
@@ -16,8 +15,6 @@
 
 _START_S = 20.0
 _POLL_S = 0.05
-# Below the ports that the system picks for outgoing connections.
-_PORTS = range(20_000, 32_000)
 
 
 def instance_ip(number: int) -> str:
@@ -27,13 +24,8 @@
 
 def free_ports(instances: int) -> Ports:
     """Find ports that are free at the IP number of every instance, for TCP and UDP."""
-    found: list[int] = []
-    rng = random.Random()
-    while len(found) < len(Ports._fields):
-        port = rng.choice(_PORTS)
-        if port not in found and all(_is_free(port, number + 1) for number in range(instances)):
-            found.append(port)
-    return Ports(*found)
+    hosts = [instance_ip(number + 1) for number in range(instances)]
+    return Ports(*(free_port(hosts) for _ in Ports._fields))
 
 
 def _answers_reload(pid: int) -> bool:
@@ -48,16 +40,6 @@
     return bool(answered >> (signal.SIGHUP - 1) & 1)
 
 
-def _is_free(port: int, number: int) -> bool:
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(socket.AF_INET, kind) as sock:
-            try:
-                sock.bind((instance_ip(number), port))
-            except OSError:
-                return False
-    return True
-
-
 class InstanceProcess:
     """One instance, through the lives of its process."""
 
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -5,6 +5,7 @@
 test that exists and that still fails, and every line is printed.
 """
 
+import os
 import sys
 from pathlib import Path
 from typing import NamedTuple
@@ -16,6 +17,13 @@
 _FILE = Path("KNOWN-RED.txt")
 _MOST = 3
 _FIELDS = 3
+# Most tests wait for other processes and for time to pass, so that several run at a time; one
+# core in four is left to what they start.
+_PARALLEL = (f"--numprocesses={max(1, (os.cpu_count() or 1) * 3 // 4)}", "--dist=worksteal")
+# Tests that are marked so come after the others: beside them, callers of a fleet of processes
+# were too slow to pass the limit that one of them needs, and a planned stop missed its grace.
+_ALONE = ("--numprocesses=2", "-m", "alone")
+_RUNS = ((*_PARALLEL, "-m", "not alone"), _ALONE)
 
 
 class KnownRed(NamedTuple):
@@ -46,6 +54,11 @@
         """Note every collected test."""
         self.collected.update(item.nodeid for item in items)
 
+    @pytest.hookimpl(optionalhook=True)
+    def pytest_xdist_node_collection_finished(self, ids: list[str]) -> None:
+        """Note every test that a process of a parallel run collected."""
+        self.collected.update(ids)
+
     def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
         """Note every failure, also in set-up and tear-down."""
         if report.failed:
@@ -91,8 +104,11 @@
     """Run the tests and give the exit code."""
     known, faults = read_known_red(_FILE.read_text() if _FILE.exists() else "")
     watcher = _Watcher()
-    exit_code = int(pytest.main(arguments, plugins=[watcher]))
-    outcome = Outcome(frozenset(watcher.collected), frozenset(watcher.failed), exit_code)
+    runs = [(*_PARALLEL, *arguments)] if arguments else _RUNS
+    exit_codes = [int(pytest.main(list(run), plugins=[watcher])) for run in runs]
+    outcome = Outcome(
+        frozenset(watcher.collected), frozenset(watcher.failed), max(exit_codes, default=0)
+    )
     faults += judge(known, outcome)
     if watcher.broken:
         faults.append(f"{watcher.broken} files could not be collected")
