One clock, which counts the time for which a machine was suspended

Cause: all times were the steady clock's, which stands still while a machine is suspended: leases, heartbeats, handles, deadlines and limits seemed younger than they were to everybody else. Change: cleatlink/clock.py has the program's one clock (CLOCK_BOOTTIME), and trio is given it, so that each deadline and each age is by it; the time of day is read there too, for starts and fences. Ruled out: comparing two clocks in a task of its own and telling every part of a jump (each part would need a way to be told, and acts before it is).

--- a/cleatlink/relay/daemon.py
+++ b/cleatlink/relay/daemon.py
@@ -1,12 +1,12 @@
 """Runs a relay instance until SIGTERM; SIGHUP loads its settings anew."""
 
 import signal
-import time
 from collections.abc import Callable
 
 import eliot
 import trio
 
+from cleatlink.clock import unix_ms
 from cleatlink.core.errors import ConfigurationError
 from cleatlink.relay.instance import RelayInstance
 from cleatlink.relay.logs import write_lines
@@ -36,7 +36,7 @@
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         settings = load()
         writer = write_lines()
-        incarnation = int(time.time() * 1000)
+        incarnation = unix_ms()
         instance = RelayInstance(settings, protocol, open_source(settings), incarnation, writer)
         stop = trio.Event()
         async with trio.open_nursery() as nursery:
--- a/cleatlink/relay/orders.py
+++ b/cleatlink/relay/orders.py
@@ -1,11 +1,11 @@
 """Gives endpoints their roles: one instance at a time, by fenced orders, drained first."""
 
-import time
 from collections.abc import Callable
 
 import eliot
 import trio
 
+from cleatlink.clock import unix_ms
 from cleatlink.core.data import Role
 from cleatlink.core.errors import EndpointError
 from cleatlink.core.routes import EngineTraits, RoutedEndpoint, RouteTable
@@ -40,7 +40,6 @@
 # Seconds between two shifts of a service that has few engines, and of one that has many.
 _PAUSE_S = 3.0
 _SHORT_PAUSE_S = 0.5
-_MS = 1000
 # Status of an order that was taken and is not done yet.
 _UNDER_WAY = 202
 
@@ -105,7 +104,7 @@
 
     def _take_fence(self) -> None:
         """Take a fence above every one that is known, also after all were restarted."""
-        self._peers.fence = max(self._peers.fence + 1, int(time.time() * _MS))
+        self._peers.fence = max(self._peers.fence + 1, unix_ms())
 
     async def _plan_all(self) -> None:
         table = self._table()
@@ -193,7 +192,7 @@
         except (EndpointError, trio.TooSlowError) as error:
             eliot.log_message(message_type="orders: got no answer", error=repr(error))
         if status == 412:
-            self._peers.fence = max(fence + 1, int(time.time() * _MS))
+            self._peers.fence = max(fence + 1, unix_ms())
         if status in (0, 200, 202):
             left_s = self._work_left_s(endpoint, now) if status == _UNDER_WAY else 0.0
             until = now + left_s + traits.role_switch_s + _SWITCH_SLACK_S
--- a/cleatlink/scripts/commands.py
+++ b/cleatlink/scripts/commands.py
@@ -5,7 +5,6 @@
 
 import json
 import sys
-import time
 from importlib import import_module
 from pathlib import Path
 from typing import Any, NoReturn, TypeVar
@@ -13,6 +12,7 @@
 import click
 import trio
 
+from cleatlink.clock import SuspensionClock, unix_ms
 from cleatlink.core.address import Address, parse_address
 from cleatlink.core.errors import ConfigurationError, ListenError
 from cleatlink.platform import (
@@ -119,7 +119,13 @@
 
     faults: list[str] = []
     try:
-        trio.run(run_relay, load, PROTOCOL, lambda settings: PlatformStore(settings.store))
+        trio.run(
+            run_relay,
+            load,
+            PROTOCOL,
+            lambda settings: PlatformStore(settings.store),
+            clock=SuspensionClock(),
+        )
     except* SettingsError as group:
         faults = [fault for error in _leaves(group) for fault in error.faults]
     except* ListenError as group:
@@ -149,7 +155,7 @@
     for name in ("name", "data_centre"):
         if flags[name] is None:
             raise click.UsageError(f"Missing option '--{name.replace('_', '-')}'.")
-    incarnation = int(time.time() * 1000)
+    incarnation = unix_ms()
     settings = serving.Settings(
         peers=peers,
         seed=incarnation if seed is None else seed,
@@ -160,7 +166,7 @@
     if faults:
         raise click.UsageError("; ".join(faults))
     logs.write_logs()
-    trio.run(serving.run_daemon, settings, _print_addresses)
+    trio.run(serving.run_daemon, settings, _print_addresses, clock=SuspensionClock())
 
 
 def _print_addresses(callers: Address, peers: Address) -> None:
--- a/cleatlink/serving/daemon.py
+++ b/cleatlink/serving/daemon.py
@@ -1,11 +1,11 @@
 """The daemon: an entry instance over real sockets, until a signal stops it."""
 
 import signal
-import time
 from collections.abc import AsyncIterator, Callable
 
 import trio
 
+from cleatlink.clock import unix_s
 from cleatlink.serving.endpoints import HttpEndpointClient
 from cleatlink.serving.entry import Entry, Outside
 from cleatlink.serving.http import serve_app
@@ -37,7 +37,7 @@
             peer_app = build_peer_app(waiting.answer)
             peers = await serve_app(nursery, peer_app, settings.peer_listen, stopped.wait)
             link = HttpPeerLink(peers)
-            entry = Entry(settings, Outside(client, platform, link, time.time))
+            entry = Entry(settings, Outside(client, platform, link, unix_s))
             waiting.entry = entry
             app = entry.start(nursery)
             timeout_s = settings.caller_timeout_s
