--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -26,7 +26,7 @@
 from cleatlink.relay.service import RelayService
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.relay.shared_quarantine import SharedQuarantine
-from cleatlink.relay.side import MetricsHandler, PeerHandler, ReadyHandler
+from cleatlink.relay.side import InstanceStatus, MetricsHandler, PeerHandler, ReadyHandler
 from cleatlink.relay.sockets import listen
 from cleatlink.relay.source import ConfigurationSource
 from cleatlink.relay.tasks import Task, run_once, supervise
@@ -47,6 +47,10 @@
 _STOP_POLL_S = 0.05
 # An exit in time of its own: the platform kills what is left at the end of the grace.
 _EXIT_S = 0.5
+# Registrations that can't be used are told up to so many, and their names up to so many
+# characters: anybody may have written them.
+_MOST_UNUSABLE = 100
+_MOST_NAME = 80
 # Instances that may exist before any were heard.
 _FIRST_MEMBERS = 12
 
@@ -321,6 +325,23 @@
         records = self._follower.records
         return encode(Snapshot(records.table, list(records.records), records.revision))
 
+    def status(self) -> InstanceStatus:
+        """Give what is known just now, for an operator."""
+        unusable = {
+            record.name[:_MOST_NAME]: record.fault.detail
+            for record in self.records.records
+            if record.fault is not None
+        }
+        return InstanceStatus(
+            name=self._settings.name,
+            table_revision=self.records.table_revision,
+            endpoints=len(self._capacity.endpoints),
+            unusable=dict(sorted(unusable.items())[:_MOST_UNUSABLE]),
+            instances=self._peers.alive,
+            leads=self.leads,
+            quarantine=self._quarantine.held_requests(),
+        )
+
     def render_metrics(self) -> bytes:
         """Give the metrics as text."""
         if self._writer is not None:
--- a/cleatlink/relay/quarantine_test.py
+++ b/cleatlink/relay/quarantine_test.py
@@ -20,8 +20,11 @@
 import pytest
 import trio
 
+from cleatlink.relay.server import serve_connections
+from cleatlink.relay.side import MetricsHandler
+from cleatlink.relay.sockets import listen
 from standins.relay import Worker
-from standins.relay.client import Reply
+from standins.relay.client import Caller, Reply
 from standins.relay.example import STREAM, start
 from standins.relay.fleet import Fleet, open_fleet
 
@@ -251,3 +254,34 @@
         ran = [json.loads(reply.body)["error"]["ran"] for reply in (first, second)]
         assert [first.status, second.status] == [502, 503]
         assert ran == ["unknown", "no"]
+
+
+async def test_status_tells_what_is_held_and_on_what_evidence() -> None:
+    async with open_fleet() as fleet:
+        await open_fragile(fleet)
+        await crash_three(fleet)
+        fleet.store.put_bytes("servers/odd", b"{}")
+        instance = fleet.instances[0]
+        await fleet.until(lambda: instance.status()["unusable"])
+        status = instance.status()
+        (held,) = status["quarantine"]
+        crashed = [worker.name for worker in fleet.workers if worker.crashed.is_set()]
+        assert sorted(held["endpoints"]) == sorted(crashed)
+        assert 290 < held["for_s"] < 300
+        assert list(status["unusable"]) == ["odd"]
+        assert (status["instances"], status["table_revision"]) == (_INSTANCES, 5)
+
+
+async def test_status_is_served_beside_the_metrics() -> None:
+    async with open_fleet() as fleet:
+        await start(fleet, Worker("plain"))
+        listener = listen("127.0.0.1", 0)
+        address = "127.0.0.1:%d" % listener.socket.getsockname()[1]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_connections, listener, MetricsHandler(fleet.instances[0]))
+            caller = Caller(address)
+            status = await caller.ask("/status")
+            assert json.loads(status.body)["quarantine"] == []
+            assert b"cleatlink_relay_requests_total" in (await caller.ask("/metrics")).body
+            caller.close()
+            nursery.cancel_scope.cancel()
--- a/cleatlink/relay/shared_quarantine.py
+++ b/cleatlink/relay/shared_quarantine.py
@@ -14,6 +14,7 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.quarantine import CRASHES_TO_HOLD, CrashReport, Quarantine, Trial, Verdict
 from cleatlink.relay.peer_messages import CrashItem, CrashNews
+from cleatlink.relay.side import HeldRequest
 
 __all__ = ["SharedQuarantine"]
 
@@ -51,9 +52,24 @@
     @property
     def held(self) -> int:
         """Requests that are held back now."""
+        return len(self.held_requests())
+
+    def held_requests(self) -> list[HeldRequest]:
+        """Give the requests that are held back now, and on what evidence."""
         now = trio.current_time()
-        blames = self._quarantine.evidence.blames()
-        return sum(self._quarantine.judge(identity, now).is_held for identity in blames)
+        held = []
+        for identity, blame in self._quarantine.evidence.blames().items():
+            verdict = self._quarantine.judge(identity, now)
+            if verdict.is_held:
+                held.append(
+                    HeldRequest(
+                        asks=identity.hex(),
+                        endpoints=list(blame.lives),
+                        last_ago_s=round(now - blame.last_at, 1),
+                        for_s=round(verdict.retry_after_s, 1),
+                    )
+                )
+        return held
 
     def judge(self, identity: bytes) -> Verdict:
         """Decide about a request."""
--- a/cleatlink/relay/side.py
+++ b/cleatlink/relay/side.py
@@ -1,11 +1,60 @@
 """Answers to those who are no callers: the platform, peers, whoever reads the metrics."""
 
-from typing import Protocol
+from typing import Protocol, TypedDict
+
+import msgspec
 
 from cleatlink.core.routes import CallerLimits
 from cleatlink.relay.server import Exchange, Handler
 
-__all__ = ["InstanceState", "MetricsHandler", "PeerHandler", "ReadyHandler"]
+__all__ = [
+    "HeldRequest",
+    "InstanceState",
+    "InstanceStatus",
+    "MetricsHandler",
+    "PeerHandler",
+    "ReadyHandler",
+]
+
+_STATUS_PATH = b"/status"
+
+
+class HeldRequest(TypedDict):
+    """A request in quarantine.
+
+    Attributes:
+        asks: Its identity, as in the log.
+        endpoints: The endpoints' lives that it ended.
+        last_ago_s: Seconds since the last of them.
+        for_s: Seconds until it may be tried again.
+    """
+
+    asks: str
+    endpoints: list[str]
+    last_ago_s: float
+    for_s: float
+
+
+class InstanceStatus(TypedDict):
+    """What an instance knows just now.
+
+    Attributes:
+        name: Its name.
+        table_revision: Revision of the route table in force.
+        endpoints: Endpoints that are registered.
+        unusable: Registrations that can't be used, with the reason.
+        instances: Instances that are heard, itself included.
+        leads: Whether it gives orders.
+        quarantine: Requests that are held back.
+    """
+
+    name: str
+    table_revision: int
+    endpoints: int
+    unusable: dict[str, str]
+    instances: int
+    leads: bool
+    quarantine: list[HeldRequest]
 
 
 class InstanceState(Protocol):
@@ -21,6 +70,9 @@
     def render_metrics(self) -> bytes:
         """Give its metrics as text."""
 
+    def status(self) -> InstanceStatus:
+        """Give what it knows just now."""
+
 
 class SideHandler(Handler):
     """Answers a question of the platform, an operator or a peer."""
@@ -60,9 +112,13 @@
 
 
 class MetricsHandler(SideHandler):
-    """Gives the metrics."""
+    """Gives the metrics, and what is known just now."""
 
     async def handle(self, exchange: Exchange) -> None:
-        """Answer with the metrics as text."""
+        """Answer with the metrics as text, or on ``/status`` with the status as JSON."""
+        if exchange.request.target == _STATUS_PATH:
+            body = msgspec.json.encode(self._state.status())
+            await exchange.answer(200, ((b"Content-Type", b"application/json"),), body)
+            return
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
         await exchange.answer(200, headers, self._state.render_metrics())
