Endpoints that go down together count once against what ran on all of them

Cause, found by asking what a popular request would meet: a crash counted for a request whenever a copy of it was there. Three endpoints that lose power at once take copies of one request with them (the same path without a body, from many callers), and it was held for five minutes by all, although it had harmed nobody. Change: evidence has the time for which a request had been in progress; a crash counts only if the request was begun there after the one before had happened. Ruled out: a pause between crashes that count (retries of one attempt crash endpoints 60 ms after each other, and would be many); nothing held that many callers ask (it would free whoever sends the request from many addresses).

--- a/cleatlink/quarantine/verdict.py
+++ b/cleatlink/quarantine/verdict.py
@@ -73,7 +73,7 @@
         if not suspicion:
             return _FREE
         blame = self.evidence.blame(identity)
-        extra = len(blame.lives) - CRASHES_TO_HOLD
+        extra = blame.crashes - CRASHES_TO_HOLD
         if extra < 0:
             return Verdict(suspicion, blame=blame)
         hold_s = min(_LONGEST_HOLD_S, _HOLD_S * 2**extra)
--- a/cleatlink/relay/call.py
+++ b/cleatlink/relay/call.py
@@ -106,6 +106,7 @@
         self._sent_to: set[str] = set()
         self._ran_before = Ran.NO
         self._identity = b""
+        self._begun_at = inbound.arrived_at
         self._is_on_trial = False
 
     @property
@@ -197,14 +198,14 @@
         self.log(
             "is held in quarantine",
             asks=self.identity.hex(),
-            crashes=len(verdict.blame.lives),
+            crashes=verdict.blame.crashes,
             endpoints=verdict.blame.lives,
             last_ago_s=round(trio.current_time() - verdict.blame.last_at, 3),
             retry_after_s=round(verdict.retry_after_s, 1),
         )
         if self.ran is not Ran.NO:
             return self.failure("the request crashed the endpoints that ran it")
-        detail = f"the request crashed {len(verdict.blame.lives)} endpoints that ran it"
+        detail = f"the request crashed {verdict.blame.crashes} endpoints that ran it"
         return Refusal(ErrorKind.QUARANTINED, detail, verdict.retry_after_s)
 
     async def settle(self, endpoint: RoutedEndpoint) -> None:
@@ -242,11 +243,16 @@
 
     def note_sent(self, endpoint: RoutedEndpoint) -> None:
         """Count an endpoint that the call is sent to."""
+        self.note_begun()
         self.sends += 1
         self._sent_to.add(endpoint.name)
         self._ran_before = self.ran
         self.ran = Ran.UNKNOWN
 
+    def note_begun(self) -> None:
+        """Note that an endpoint gets the call, or its prompt, now."""
+        self._begun_at = trio.current_time()
+
     def note_not_run(self) -> None:
         """Take an endpoint's word that it did not run what was sent last."""
         self.ran = self._ran_before
@@ -283,7 +289,8 @@
         if in_progress and isinstance(error, OutcomeUnknownError | StreamBrokenError):
             # A try that crashed its endpoint is over: it is judged like any other.
             self._is_on_trial = False
-            self._parts.crashes.note_broken(endpoint, asks)
+            seconds = trio.current_time() - self._begun_at
+            self._parts.crashes.note_broken(endpoint, asks, seconds)
         if not isinstance(error, EndpointRefusedError):
             self._parts.capacity.note_failure(endpoint.name, trio.current_time())
         if isinstance(error, EndpointUnreachableError):
--- a/cleatlink/relay/crash_watch.py
+++ b/cleatlink/relay/crash_watch.py
@@ -4,7 +4,7 @@
 answer and go on. One that has crashed also refuses new connections.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import eliot
 import trio
@@ -40,7 +40,7 @@
         metrics: RelayMetrics,
         *,
         spawn: Callable[..., None],
-        on_crash: Callable[[RoutedEndpoint, frozenset[bytes]], None],
+        on_crash: Callable[[RoutedEndpoint, Mapping[bytes, float]], None],
     ) -> None:
         """Start without any in doubt.
 
@@ -49,23 +49,30 @@
             metrics: Counts crashes.
             spawn: Runs a task once.
             on_crash: Told of an endpoint that has crashed, with the identities of the requests
-                that were in progress there; again for requests that are found out later.
+                that were in progress there and the seconds for which they had been; again for
+                requests that are found out later.
         """
         self._pool = pool
         self._metrics = metrics
         self._spawn = spawn
         self._on_crash = on_crash
-        self._broken: dict[str, set[bytes]] = {}
+        self._broken: dict[str, dict[bytes, float]] = {}
         self._looks: dict[str, trio.Event] = {}
         self._crashed: dict[str, float] = {}
 
-    def note_broken(self, endpoint: RoutedEndpoint, identity: bytes) -> None:
-        """Note that an endpoint broke off a request that was in progress there."""
+    def note_broken(self, endpoint: RoutedEndpoint, identity: bytes, seconds: float) -> None:
+        """Note that an endpoint broke off a request that was in progress there.
+
+        Args:
+            endpoint: The endpoint.
+            identity: The request's identity.
+            seconds: For how long it had been in progress there.
+        """
         waiting = self._broken.get(endpoint.name)
         if waiting is not None:
-            waiting.add(identity)
+            waiting[identity] = min(seconds, waiting.get(identity, seconds))
             return
-        self._broken[endpoint.name] = {identity}
+        self._broken[endpoint.name] = {identity: seconds}
         self._looks[endpoint.name] = trio.Event()
         self._spawn(self._look, endpoint)
 
@@ -80,12 +87,12 @@
         try:
             await trio.sleep(_GATHER_S)
             if await self._has_crashed(endpoint):
-                self._note_crash(endpoint, frozenset(self._broken[endpoint.name]))
+                self._note_crash(endpoint, self._broken[endpoint.name])
         finally:
             del self._broken[endpoint.name]
             self._looks.pop(endpoint.name).set()
 
-    def _note_crash(self, endpoint: RoutedEndpoint, broken: frozenset[bytes]) -> None:
+    def _note_crash(self, endpoint: RoutedEndpoint, broken: Mapping[bytes, float]) -> None:
         now = trio.current_time()
         is_new = now - self._crashed.get(endpoint.name, -_SAME_CRASH_S) >= _SAME_CRASH_S
         self._crashed = {name: at for name, at in self._crashed.items() if now - at < _SAME_CRASH_S}
--- a/cleatlink/relay/peer_messages.py
+++ b/cleatlink/relay/peer_messages.py
@@ -186,25 +186,25 @@
     Attributes:
         life: Name of the endpoint's life that ended.
         age_s: Seconds since then.
-        suspects: Identities of the requests.
+        suspects: Identities of the requests, with the seconds for which they had been.
         cleared: Those that have been served since, and are no suspects any more.
     """
 
     life: str
     age_s: float
-    suspects: list[bytes]
+    suspects: list[tuple[bytes, float]]
     cleared: list[bytes]
 
     @classmethod
     def of(cls, report: CrashReport) -> "CrashItem":
         """Describe a report."""
-        suspects = sorted(report.requests - report.cleared)
+        suspects = sorted((name, round(s, 3)) for name, s in report.suspects.items())
         return cls(report.life, round(report.age_s, 3), suspects, sorted(report.cleared))
 
     def report(self) -> CrashReport:
         """Give it as a report; a clock that runs backwards makes nothing younger than now."""
-        cleared = frozenset(self.cleared)
-        return CrashReport(self.life, max(0.0, self.age_s), cleared.union(self.suspects), cleared)
+        suspects = {name: max(0.0, seconds) for name, seconds in self.suspects}
+        return CrashReport(self.life, max(0.0, self.age_s), suspects, frozenset(self.cleared))
 
 
 class CrashNews(msgspec.Struct, array_like=True, frozen=True, tag="q"):
--- a/cleatlink/relay/prefill.py
+++ b/cleatlink/relay/prefill.py
@@ -162,6 +162,7 @@
 
     async def _ask_prefill(self, endpoint: RoutedEndpoint) -> Handle:
         call, parts = self._call, self._parts
+        call.note_begun()
 
         def make() -> OutgoingRequest:
             return parts.protocol.forward(call.inbound, endpoint, call.left_s, prefill=True)
--- a/cleatlink/relay/shared_quarantine.py
+++ b/cleatlink/relay/shared_quarantine.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 import eliot
 import trio
@@ -75,9 +75,14 @@
         """Decide about a request."""
         return self._quarantine.judge(identity, trio.current_time())
 
-    def note_crash(self, endpoint: RoutedEndpoint, identities: frozenset[bytes]) -> None:
-        """Note an endpoint that crashed with requests of this instance in progress."""
-        if self._take(CrashReport(endpoint.name, 0.0, identities)):
+    def note_crash(self, endpoint: RoutedEndpoint, suspects: Mapping[bytes, float]) -> None:
+        """Note an endpoint that crashed with requests of this instance in progress.
+
+        Args:
+            endpoint: The endpoint.
+            suspects: The requests' identities, with the seconds for which they had been.
+        """
+        if self._take(CrashReport(endpoint.name, 0.0, suspects)):
             self._tell(endpoint.name)
 
     def note_served(self, identity: bytes) -> None:
@@ -104,12 +109,12 @@
             return False
         for identity, blame in self._quarantine.evidence.blames().items():
             known = before.get(identity)
-            is_new = known is None or len(known.lives) < len(blame.lives)
-            if is_new and len(blame.lives) >= CRASHES_TO_HOLD:
+            is_new = known is None or known.crashes < blame.crashes
+            if is_new and blame.crashes >= CRASHES_TO_HOLD:
                 eliot.log_message(
                     message_type="quarantine: holds a request back",
                     asks=identity.hex(),
-                    crashes=len(blame.lives),
+                    crashes=blame.crashes,
                     endpoints=blame.lives,
                     for_s=round(self._quarantine.judge(identity, now).retry_after_s, 1),
                 )
