--- a/cleatlink/analysis/report.py
+++ b/cleatlink/analysis/report.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
+from cleatlink.analysis.crashes import CrashTable, SuspectRow
 from cleatlink.analysis.engines import EngineTable, EngineUse, RoleChange
 from cleatlink.analysis.lines import LogLine, LogReader
 from cleatlink.analysis.organisations import OrganisationRow, OrganisationTable
@@ -36,12 +37,14 @@
         self.organisations = OrganisationTable()
         self.outcomes = OutcomeTable(self.organisations.count)
         self.engines = EngineTable()
+        self.crashes = CrashTable()
 
     def add(self, line: LogLine) -> None:
         """Take a line."""
         self.organisations.add(line)
         self.outcomes.add(line)
         self.engines.add(line)
+        self.crashes.add(line)
 
     def tables(self, reader: LogReader) -> list[Table]:
         """Give all tables, after the last line."""
@@ -51,6 +54,7 @@
             _counts("Requests, by what became of them", self.outcomes.totals()),
             _counts("Refusals, by kind and detail", self.outcomes.refusals),
             _organisations(self.organisations.rows()),
+            _suspects(self.crashes.rows()),
             _counts("Refused callers that came back", self.outcomes.returned),
             _counts("Prompts computed for nothing", self.outcomes.prompts_lost),
             _counts("Calls that ask engines for room", self.engines.holds),
@@ -113,6 +117,22 @@
     return Table("Organisations", head, shown)
 
 
+def _suspects(rows: Iterable[SuspectRow]) -> Table:
+    shown = [
+        (
+            row.asks,
+            str(row.endpoints),
+            f"{row.first_at:.1f}",
+            f"{row.last_at:.1f}",
+            "" if row.held_at is None else f"{row.held_at:.1f}",
+            *(str(value or "") for value in (row.refused, row.tries, row.cleared)),
+        )
+        for row in rows
+    ]
+    head = ("request asks", "endpoints crashed", "first", "last", "held back at")
+    return Table("Requests at crashes", (*head, "refused since", "tries", "cleared"), shown)
+
+
 def _counts(title: str, counts: Counter[str] | Counter[Outcome]) -> Table:
     rows: list[Sequence[str]] = [(str(name), str(count)) for name, count in counts.most_common()]
     return Table(title, ("what", "count"), rows)
--- a/cleatlink/analysis/report_test.py
+++ b/cleatlink/analysis/report_test.py
@@ -183,3 +183,19 @@
     assert first.counts[Outcome.IN_TIME] == 8 - first.over
     assert first.limit_per_s == 100
     assert (other.counts[Outcome.IN_TIME], other.over, other.limit_per_s) == (1, 0, None)
+
+
+async def test_requests_at_crashes_are_told_with_what_was_decided(log: Path) -> None:
+    async with open_fleet() as fleet:
+        worker = Worker("plain")
+        worker.crashes_on = b"crash"
+        fleet.keep_restarting(worker, 0.1)
+        await start(fleet, worker)
+        for _ in range(6):
+            await fleet.caller().ask("/unsafe/x", "POST", body=b"crash")
+            await trio.sleep(0.3)
+    (row,) = read(log).crashes.rows()
+    assert (row.endpoints, row.refused, row.tries) == (3, 3, 0)
+    assert row.held_at is not None
+    assert row.first_at < row.last_at <= row.held_at
+    assert row.asks in render_text(read(log).tables(LogReader([log])))
