Soak: requests that crash workers, while instances are killed, paused, stopped and cut off

Change: a kind of fault of its own (plans of kept seeds stay), links that refuse as a crashed process's address does, a check at the workers (at most three runs later than contact after the third crash), shown to fail on a program without the question before each send.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -149,6 +149,11 @@
         "events in order",
         (FaultKind.WORKER_FAULTS, FaultKind.WORKER_CRASH),
     ),
+    "quarantine": Ablation(
+        _replace(Call, "bar", lambda self: None),
+        "requests that crash workers stop",
+        (FaultKind.CRASHING_REQUEST,),
+    ),
     "key-table": Ablation(
         _replace(KeyTable, "find", _keep_known),
         "keys in force",
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -24,6 +24,8 @@
 LIMIT_WINDOW_S = 8.0
 LIMIT_OVERSHOOT = 0.25
 LIMIT_SLACK = 12.0
+# Tries of a request that crashed three workers, later than instances take to hear of it.
+MOST_LATE_CRASHES = 3
 _NOT_RUN = frozenset({408, 421, 429, 503})
 _ONCE = frozenset({RequestKind.UNSAFE, RequestKind.STREAM})
 _STREAMS = frozenset({RequestKind.STREAM, RequestKind.RESUMABLE})
@@ -299,6 +301,18 @@
     return max(bounds) * (1 + LIMIT_OVERSHOOT) + LIMIT_SLACK
 
 
+def _crashing_requests_stop(history: History) -> Iterator[Violation]:
+    """A request that crashed three workers reaches few more."""
+    by_body: dict[str, list[float]] = defaultdict(list)
+    for run in history.crashes:
+        by_body[run.body].append(run.at)
+    for body, times in by_body.items():
+        times.sort()
+        late = [at for at in times if at > times[min(2, len(times) - 1)] + CONTACT_S]
+        if len(late) > MOST_LATE_CRASHES:
+            yield Violation("", f"{body} crashed {len(times)} workers, {len(late)} of them late")
+
+
 def _goes_on(history: History) -> Iterator[Violation]:
     """No process ends by itself, and all serve again once everything has healed."""
     for text in history.exits:
@@ -323,6 +337,7 @@
     "workers are told whose a request is": _told_whose_it_is,
     "keys in force": _keys_in_force,
     "limits hold over all": _limits_hold,
+    "requests that crash workers stop": _crashing_requests_stop,
     "it goes on": _goes_on,
 }
 
--- a/soak/checks_test.py
+++ b/soak/checks_test.py
@@ -8,6 +8,7 @@
 from soak.records import (
     Arrival,
     Caller,
+    CrashingRun,
     History,
     KeyChange,
     LimitChange,
@@ -44,6 +45,9 @@
 MOVES = [Switch("s0", 10.0), Switch("s1", 40.0)]
 
 BROKEN = {
+    "requests that crash workers stop": NOTHING._replace(
+        crashes=tuple(CrashingRun("crash-1", f"i-{at}", 10.0 + at) for at in (0, 1, 2, 6, 7, 8, 9))
+    ),
     "at most once": NOTHING._replace(requests=[UNSAFE], runs=[run("r1"), run("r1")]),
     "'not run' is true": NOTHING._replace(
         requests=[UNSAFE._replace(status=503, retry_after="1")], runs=[run("r1")]
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -17,6 +17,9 @@
 _ENGINES = 5
 _ENGINE = {"slots": 16, "kv_cache_tokens": 4000, "role_switch_s": 2.0}
 
+# A worker that crashed is back after so long.
+_BACK_S = 0.5
+
 
 class SoakFleet:
     """Everything that a run consists of, and the record of what was done to it."""
@@ -111,8 +114,22 @@
         self.workers.append(worker)
         self.present.append(worker)
         self.platform.register(worker)
+        self._nursery.start_soon(self._replace_when_crashed, worker)
         return worker
 
+    async def _replace_when_crashed(self, worker: SoakWorker) -> None:
+        """Have another worker come at the address of one that a request crashed."""
+        await worker.crashed.wait()
+        link, began_at = self.links[worker.name], trio.current_time()
+        link.refuse()
+        if worker in self.present:
+            self.present.remove(worker)
+        await trio.sleep(_BACK_S)
+        self.platform.unregister(worker)
+        await link.accept_again(self._nursery)
+        await self.add_worker(worker.service, worker.stage, link)
+        self.note_spell(worker.name, began_at)
+
     async def move_switch(self) -> None:
         """Move the route that moves to a service that is new, with a worker of its own."""
         service = f"move-{len(self.switches)}"
--- a/soak/link.py
+++ b/soak/link.py
@@ -36,6 +36,17 @@
         self.address = f"127.0.0.1:{self._listener.socket.getsockname()[1]}"
         nursery.start_soon(self._accept)
 
+    def refuse(self) -> None:
+        """Refuse connections, as the address of a crashed process does."""
+        if self._listener is not None:
+            self._listener.socket.close()
+
+    async def accept_again(self, nursery: trio.Nursery) -> None:
+        """Carry connections again, at the same address."""
+        port = int(self.address.rpartition(":")[2])
+        self._listener = (await trio.open_tcp_listeners(port, host="127.0.0.1"))[0]
+        nursery.start_soon(self._accept)
+
     def close(self) -> None:
         """Stop, and end every connection."""
         if self._listener is not None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,7 +4,14 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-__all__ = ["ORGANISATION_KINDS", "STOP_KINDS", "FaultKind", "PlannedFault", "plan_faults"]
+__all__ = [
+    "CRASH_KINDS",
+    "ORGANISATION_KINDS",
+    "STOP_KINDS",
+    "FaultKind",
+    "PlannedFault",
+    "plan_faults",
+]
 
 # Faults begin after a calm start and end before the final checks.
 _FIRST_S = 2.0
@@ -42,6 +49,7 @@
     CONFIGURATION = "a route moves to another service"
     KEY = "a key is taken away while connections are open, and another one given"
     LIMIT = "an organisation's limit changes"
+    CRASHING_REQUEST = "a request that crashes each worker which runs it comes again and again"
 
 
 # Planned work alone: nothing of it may cut a request off.
@@ -56,7 +64,18 @@
 
 # What needs organisations in a run.
 ORGANISATION_KINDS = (FaultKind.KEY, FaultKind.LIMIT)
-_USUAL_KINDS = tuple(kind for kind in FaultKind if kind not in ORGANISATION_KINDS)
+
+# Requests that crash workers, while instances are killed, suspended, stopped and cut off.
+CRASH_KINDS = (
+    FaultKind.CRASHING_REQUEST,
+    FaultKind.INSTANCE_KILL,
+    FaultKind.INSTANCE_PAUSE,
+    FaultKind.INSTANCE_STOP,
+    FaultKind.STORE_LINK_SILENCE,
+)
+# The plans of seeds that are kept stay what they were.
+_SPECIAL_KINDS = (*ORGANISATION_KINDS, FaultKind.CRASHING_REQUEST)
+_USUAL_KINDS = tuple(kind for kind in FaultKind if kind not in _SPECIAL_KINDS)
 
 
 class PlannedFault(NamedTuple):
--- a/soak/records.py
+++ b/soak/records.py
@@ -5,6 +5,7 @@
 __all__ = [
     "Arrival",
     "Caller",
+    "CrashingRun",
     "History",
     "KeyChange",
     "LimitChange",
@@ -126,6 +127,14 @@
     dropped: bool
 
 
+class CrashingRun(NamedTuple):
+    """A run that crashed its worker, by what was asked."""
+
+    body: str
+    worker: str
+    at: float
+
+
 class Order(NamedTuple):
     """An order that a worker took."""
 
@@ -191,6 +200,7 @@
         ended_at: When the run was over.
         keys: Keys that were taken away, in order.
         limits: Limits, in order, the first ones among them.
+        crashes: Runs that crashed their workers.
     """
 
     requests: list[Request]
@@ -207,6 +217,7 @@
     ended_at: float
     keys: tuple[KeyChange, ...] = ()
     limits: tuple[LimitChange, ...] = ()
+    crashes: tuple[CrashingRun, ...] = ()
 
     def is_calm(self, what: str, since: float, until: float) -> bool:
         """Tell whether something was undisturbed throughout a time."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -122,6 +122,7 @@
         ended_at=trio.current_time(),
         keys=tuple(fleet.organisations.keys) if fleet.organisations is not None else (),
         limits=tuple(fleet.organisations.limits) if fleet.organisations is not None else (),
+        crashes=tuple(run for worker in workers for run in worker.crashing_runs()),
     )
 
 
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -7,7 +7,7 @@
 
 from soak.broken import ABLATIONS
 from soak.link import Link, LinkFault
-from soak.plan import ORGANISATION_KINDS, FaultKind, plan_faults
+from soak.plan import CRASH_KINDS, ORGANISATION_KINDS, FaultKind, plan_faults
 from soak.regressions import STOPS_IN_SERIES
 from soak.run import RunSettings, run_soak
 from standins.relay import Worker
@@ -95,9 +95,18 @@
     assert result.requests["stream 200"] > 50
 
 
+async def test_requests_that_crash_workers_stop_whatever_else_happens() -> None:
+    settings = RunSettings(CI_SEED, seconds=20.0, instances=3, rate=1.0, kinds=CRASH_KINDS)
+    result = await run_soak(settings)
+    assert result.violations == []
+    kinds = {fault.kind for fault in result.faults}
+    assert FaultKind.CRASHING_REQUEST in kinds
+    assert len(kinds) > 2
+
+
 # What needs organisations comes last, so that the groups of the others stay what they were.
 _OF_ORGANISATIONS = ["key-table", "key-withheld", "shared-limits"]
-_NAMES = sorted(ABLATIONS.keys() - set(_OF_ORGANISATIONS))
+_NAMES = sorted(ABLATIONS.keys() - {*_OF_ORGANISATIONS, "quarantine"})
 
 
 @pytest.mark.parametrize(
@@ -107,6 +116,7 @@
         _NAMES[4:8],
         _NAMES[8:],
         _OF_ORGANISATIONS[:2],
+        ["quarantine"],
         pytest.param(_OF_ORGANISATIONS[2:], marks=pytest.mark.alone),
     ],
 )
--- a/soak/strike.py
+++ b/soak/strike.py
@@ -11,8 +11,10 @@
 from soak.plan import ORGANISATION_KINDS, FaultKind, PlannedFault
 from soak.processes import InstanceProcess
 from soak.records import Stop, Withdrawal
-from soak.workers import SoakWorker
+from soak.traffic import STREAM_HEADERS
+from soak.workers import CRASHING, SoakWorker
 from standins.relay import Fault, StoreMode
+from standins.relay.client import Caller
 
 __all__ = ["Striker"]
 
@@ -39,6 +41,15 @@
     Fault.CUT,
 )
 _STREAM_FAULTS = (Fault.FULL, Fault.RESET_BEFORE, Fault.MUTE, Fault.CUT)
+# A request that crashes workers comes so often, for longer than it takes to be held back.
+_CRASHING_TRIES = 20
+_CRASHING_PAUSE_S = 0.4
+_CRASHING_WAIT_S = 3.0
+_CRASHING_PATHS: tuple[tuple[str, dict[str, str]], ...] = (
+    ("/unsafe/x", {}),
+    ("/stream/x", STREAM_HEADERS),
+    ("/resume/x", STREAM_HEADERS),
+)
 _STORE_MODES = {
     FaultKind.STORE_BUSY: StoreMode.BUSY,
     FaultKind.STORE_SILENT: StoreMode.SILENT,
@@ -104,6 +115,8 @@
             await self._reload_instance(fault)
         elif kind is FaultKind.INSTANCE_ROLL:
             await self._roll_instances(fault)
+        elif kind is FaultKind.CRASHING_REQUEST:
+            await self._hold(f"request {fault.target}", fault, self._send_crashing)
         elif kind in _INSTANCE_FAULTS:
             await self._hold(self._pick_instance(fault).name, fault, _INSTANCE_FAULTS[kind](self))
         elif kind in _WORKER_CHANGES:
@@ -258,6 +271,22 @@
         instance.reload()
         self.done.append(fault)
 
+    async def _send_crashing(self, fault: PlannedFault) -> None:
+        """Send a request that crashes workers again and again, through any instance."""
+        path, headers = _CRASHING_PATHS[fault.target % len(_CRASHING_PATHS)]
+        body = CRASHING + str(fault.target).encode()
+        for _ in range(_CRASHING_TRIES):
+            caller = Caller(self._rng.choice(self._fleet.instances).front)
+            try:
+                with trio.move_on_after(_CRASHING_WAIT_S):
+                    await caller.ask(path, "POST", body=body, headers=headers)
+            except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+                # The instance is not there just now; its caller tries another one.
+                pass
+            finally:
+                caller.close()
+            await trio.sleep(_CRASHING_PAUSE_S)
+
     async def _make_worker_fail(self, fault: PlannedFault) -> None:
         worker = self._pick_worker(fault)
         kinds = _STREAM_FAULTS if worker.stage else _WORKER_FAULTS
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -9,7 +9,7 @@
 from soak.records import Request, RequestKind
 from standins.relay.client import Caller, Reply
 
-__all__ = ["Traffic"]
+__all__ = ["STREAM_HEADERS", "Traffic"]
 
 _PAUSE_S = 0.05
 _GIVE_UP_S = 9.0
@@ -23,7 +23,7 @@
     RequestKind.RESUMABLE: ("/resume/x", "POST"),
     RequestKind.SWITCH: ("/switch/x", "GET"),
 }
-_STREAM_HEADERS = {
+STREAM_HEADERS = {
     "Token-Counts": "100,50",
     "Model": "m",
     "Prompt-Prefix": "a:50,b:50",
@@ -75,7 +75,7 @@
         surplus = caller.unread
         organisations = self._fleet.organisations
         whose = organisations.pick() if organisations is not None else NOBODY
-        fields = dict(_STREAM_HEADERS) if stream else {}
+        fields = dict(STREAM_HEADERS) if stream else {}
         if whose.key:
             fields["Authorization"] = f"Bearer {whose.key}"
         try:
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -6,13 +6,15 @@
 
 import trio
 
-from soak.records import Arrival, Order, WorkerRun
+from soak.records import Arrival, CrashingRun, Order, WorkerRun
 from standins.relay import Worker
 from standins.relay.http import RawCall
 
-__all__ = ["EVENTS", "SoakWorker"]
+__all__ = ["CRASHING", "EVENTS", "SoakWorker"]
 
 EVENTS = 8
+# Bodies with this crash the worker that runs them.
+CRASHING = b"crash-"
 _EVENT_S = 0.04
 # One stream and one unsafe call in so many is long: what its caller's leaving leaves
 # behind shows.
@@ -34,6 +36,7 @@
         self.work_s = _PREFILL_S if stage else _PLAIN_WORK_S
         self.events = EVENTS
         self.event_s = _EVENT_S
+        self.crashes_on = CRASHING
         self.seen: list[Arrival] = []
         self.ordered: list[Order] = []
 
@@ -69,6 +72,12 @@
             self.ordered.append(Order(self.name, holder, fence, trio.current_time()))
         return status
 
+    def crashing_runs(self) -> Iterator[CrashingRun]:
+        """Give the runs that crashed this worker as records."""
+        for run in self.runs:
+            if run.call.body.startswith(CRASHING):
+                yield CrashingRun(run.call.body.decode(), self.name, run.began_at)
+
     def worker_runs(self) -> Iterator[WorkerRun]:
         """Give its runs as records."""
         for run in self.runs:
