Read once more: one bound on the names of registrations that are shown

Found in the change: the bound of 80 characters stood twice, for the log and for /status; a doc comment said that a bad route table is logged once, while it is logged within the allowance. Change: a record knows its label; the comment says what happens. Behaviour is the same. Left as it is: the crash watch keeps what broke and who waits in two maps under one name; they begin and end together.

--- a/cleatlink/relay/follower.py
+++ b/cleatlink/relay/follower.py
@@ -55,8 +55,6 @@
 # write there could fill the log with them.
 _FAULT_LINES = 20
 _FAULT_LINES_S = 10.0
-# Names of registrations are logged up to so many characters.
-_MOST_NAME = 80
 
 
 class FollowerHooks(NamedTuple):
@@ -210,7 +208,7 @@
         self._note_table_fault(change.table_fault)
 
     def _note_table_fault(self, fault: ReadFault | None) -> None:
-        """Log a route table that can't be used, once; the one before stays in force."""
+        """Log a route table that can't be used, within bounds; the one before stays in force."""
         if fault is None:
             return
         self._metrics.count_unusable(f"table_{fault.kind.value}")
@@ -297,9 +295,7 @@
             fields = {"message_type": "source: a registration can't be used"}
             fields.update(kind=kind.value, detail=detail)
         if self._fault_lines.take(trio.current_time()):
-            eliot.log_message(
-                registration=record.name[:_MOST_NAME], revision=record.revision, **fields
-            )
+            eliot.log_message(registration=record.label, revision=record.revision, **fields)
 
     def _in_doubt(self) -> bool:
         """Tell whether a removal may come of trouble with the source alone.
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -47,10 +47,8 @@
 _STOP_POLL_S = 0.05
 # An exit in time of its own: the platform kills what is left at the end of the grace.
 _EXIT_S = 0.5
-# Registrations that can't be used are told up to so many, and their names up to so many
-# characters: anybody may have written them.
+# Registrations that can't be used are told up to so many: anybody may have written them.
 _MOST_UNUSABLE = 100
-_MOST_NAME = 80
 # Instances that may exist before any were heard.
 _FIRST_MEMBERS = 12
 
@@ -328,7 +326,7 @@
     def status(self) -> InstanceStatus:
         """Give what is known just now, for an operator."""
         unusable = {
-            record.name[:_MOST_NAME]: record.fault.detail
+            record.label: record.fault.detail
             for record in self.records.records
             if record.fault is not None
         }
--- a/cleatlink/routing/fleet_records.py
+++ b/cleatlink/routing/fleet_records.py
@@ -12,6 +12,9 @@
 
 __all__ = ["EndpointRecord", "FleetRecords"]
 
+# Anybody may have written a name: longer ones are cut where they are shown.
+_MOST_LABEL = 80
+
 
 class EndpointRecord(NamedTuple):
     """A registration as of a revision.
@@ -28,6 +31,11 @@
     endpoint: RoutedEndpoint | None
     fault: ReadFault | None = None
 
+    @property
+    def label(self) -> str:
+        """Its name as logs and pages show it."""
+        return self.name[:_MOST_LABEL]
+
 
 class FleetRecords:
     """What is known, with the revision at which it was learned."""
