Sight: what endpoints say of themselves in answers is read, counted and logged

Cause: no line said what the head of an endpoint's answer carried. Ruled out: reading it in each driver; every answer of an endpoint (calls, prompts, streams, holds, orders, frees) comes over a connection of the pool, which tells of each head, and of headers that follow a body. Change: 'endpoint: says in an answer that it leaves' once a life, 'endpoint: asks for a rest' when one begins, both counted; 'was not run' has rest_s. Kept by life in one place; no decision asks it yet. Fields that are nonsense say nothing, a rest is believed for 300 s at the most. An answer of another endpoint at the address says nothing of the one that was asked.

--- a/cleatlink/platform/names.py
+++ b/cleatlink/platform/names.py
@@ -13,6 +13,7 @@
     signature=b"server-stamp",
     expected_endpoint=b"expected-instance",
     not_run=b"not-executed",
+    leaving=b"server-leaving",
     stage=b"stage",
     kv_source=b"cache-source",
     hold=b"hold",
--- /dev/null
+++ b/cleatlink/relay/answer_notices.py
@@ -0,0 +1,67 @@
+"""Takes what endpoints say of themselves from every answer, whatever it is an answer to."""
+
+import eliot
+import trio
+
+from cleatlink.core.notices import NO_NOTICE
+from cleatlink.core.routes import RoutedEndpoint
+from cleatlink.relay.logs import LineAllowance
+from cleatlink.relay.metrics import RelayMetrics
+from cleatlink.relay.protocol import Protocol, ReplyHead
+from cleatlink.routing.notices import EndpointNotices
+
+__all__ = ["AnswerNotices"]
+
+# Lines about rests, at the most in so many seconds: an endpoint can begin one with each answer.
+_REST_LINES = 50
+_REST_LINES_S = 10.0
+
+
+class AnswerNotices:
+    """Reads the heads of answers for one instance."""
+
+    def __init__(self, protocol: Protocol, notices: EndpointNotices, metrics: RelayMetrics) -> None:
+        """Start without any.
+
+        Args:
+            protocol: Reads heads.
+            notices: Where what is read is kept.
+            metrics: Counts it.
+        """
+        self._protocol = protocol
+        self._notices = notices
+        self._metrics = metrics
+        self._rest_lines = LineAllowance(_REST_LINES, _REST_LINES_S)
+
+    def note_head(self, endpoint: RoutedEndpoint, head: ReplyHead) -> None:
+        """Take what an answer of an endpoint says; most say nothing."""
+        notice = self._protocol.read_notice(head)
+        if notice == NO_NOTICE:
+            return
+        now = trio.current_time()
+        if notice.leaving:
+            self._note_leaving(endpoint, head.status, now)
+        if notice.rest_s:
+            self._note_rest(endpoint, notice.rest_s, now)
+
+    def _note_leaving(self, endpoint: RoutedEndpoint, status: int, now: float) -> None:
+        self._metrics.count_notice("leaving")
+        if self._notices.note_leaving(endpoint.name, now):
+            eliot.log_message(
+                message_type="endpoint: says in an answer that it leaves",
+                endpoint=endpoint.name,
+                service=endpoint.service,
+                status=status,
+            )
+
+    def _note_rest(self, endpoint: RoutedEndpoint, rest_s: float, now: float) -> None:
+        self._metrics.count_notice("rest")
+        if not self._notices.note_rest(endpoint.name, rest_s, now):
+            return
+        if self._rest_lines.take(now):
+            eliot.log_message(
+                message_type="endpoint: asks for a rest",
+                endpoint=endpoint.name,
+                service=endpoint.service,
+                rest_s=rest_s,
+            )
--- a/cleatlink/relay/call.py
+++ b/cleatlink/relay/call.py
@@ -22,7 +22,7 @@
 from cleatlink.relay.peer_messages import HintKind
 from cleatlink.relay.planned_stop import PlannedStop
 from cleatlink.relay.pool import ConnectionPool
-from cleatlink.relay.protocol import Protocol
+from cleatlink.relay.protocol import Protocol, ReplyHead
 from cleatlink.relay.shared_quarantine import SharedQuarantine
 from cleatlink.request.shared_budget import SharedRetryBudget
 from cleatlink.routing.capacity import Capacity
@@ -261,11 +261,12 @@
         """Note that an address has another endpoint now: this one was not sent to."""
         self._sent_to.discard(endpoint.name)
 
-    def note_refused(self, endpoint: RoutedEndpoint, status: int) -> None:
+    def note_refused(self, endpoint: RoutedEndpoint, head: ReplyHead) -> None:
         """Take an endpoint's word that it did not run the call, and why."""
         capacity = self._parts.capacity
-        self.log("was not run", endpoint=endpoint.name, status=status)
-        if status == _OTHER_ENDPOINT:
+        rest_s = self._parts.protocol.read_notice(head).rest_s
+        self.log("was not run", endpoint=endpoint.name, status=head.status, rest_s=rest_s)
+        if head.status == _OTHER_ENDPOINT:
             self.note_elsewhere(endpoint)
             capacity.note_leaving(endpoint.name)
         else:
--- a/cleatlink/relay/connection.py
+++ b/cleatlink/relay/connection.py
@@ -5,6 +5,8 @@
 line as the caller wrote it. h11, which those libraries use, shows all three.
 """
 
+from collections.abc import Callable
+
 import h11
 import trio
 
@@ -30,17 +32,36 @@
 class EndpointConnection:
     """A connection that carries one exchange at a time."""
 
-    def __init__(self, stream: trio.SocketStream, opened_at: float) -> None:
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        opened_at: float,
+        on_head: Callable[[ReplyHead], None] | None = None,
+    ) -> None:
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._sent_whole = True
         self._keep_alive_s: float | None = None
+        self._on_head = on_head
+        self._status = 0
         self.idle_since = opened_at
 
     @classmethod
-    async def open(cls, address: str, silence_s: float, timeout_s: float) -> "EndpointConnection":
+    async def open(
+        cls,
+        address: str,
+        silence_s: float,
+        timeout_s: float,
+        on_head: Callable[[ReplyHead], None] | None = None,
+    ) -> "EndpointConnection":
         """Open a connection.
 
+        Args:
+            address: IP number and port.
+            silence_s: Seconds after which data that is not acknowledged breaks it.
+            timeout_s: Seconds in which it has to come up.
+            on_head: Told of the head of each answer, and of headers that follow a body.
+
         Raises:
             EndpointUnreachableError: It did not come up.
         """
@@ -50,7 +71,7 @@
                 stream = await connect(host, int(port), silence_s)
         except (OSError, trio.TooSlowError) as error:
             raise EndpointUnreachableError(f"{address}: {error!r}") from error
-        return cls(stream, trio.current_time())
+        return cls(stream, trio.current_time(), on_head)
 
     @property
     def usable(self) -> bool:
@@ -123,8 +144,14 @@
             name, _, value = item.strip().partition(b"=")
             if name.lower() == b"timeout" and value.isdigit():
                 self._keep_alive_s = float(value)
+        self._status = head.status
+        self._tell(head)
         return head
 
+    def _tell(self, head: ReplyHead) -> None:
+        if self._on_head is not None:
+            self._on_head(head)
+
     async def read_chunk(self) -> bytes | None:
         """Read more of the answer's body; None at its proper end.
 
@@ -138,6 +165,8 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            if event.headers:
+                self._tell(ReplyHead(self._status, tuple(event.headers.raw_items())))
             return None
         raise StreamBrokenError("the connection ended within the answer")
 
--- a/cleatlink/relay/crash_watch.py
+++ b/cleatlink/relay/crash_watch.py
@@ -11,7 +11,6 @@
 
 from cleatlink.core.errors import EndpointUnreachableError
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.connection import EndpointConnection
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.pool import ConnectionPool
 
@@ -112,7 +111,7 @@
         """Tell whether an endpoint refuses connections; one that is silent may live."""
         for _ in range(_MOST_ASKS):
             try:
-                connection = await EndpointConnection.open(endpoint.address, _ASK_S, _ASK_S)
+                connection = await self._pool.open(endpoint, _ASK_S, _ASK_S)
             except EndpointUnreachableError as error:
                 if isinstance(error.__cause__, ConnectionRefusedError):
                     return True
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -10,6 +10,7 @@
 from cleatlink.core.errors import ListenError
 from cleatlink.core.routes import RoutedEndpoint, RouteTable
 from cleatlink.organisations import OrganisationGate, OrganisationLimits
+from cleatlink.relay.answer_notices import AnswerNotices
 from cleatlink.relay.call import RelayParts
 from cleatlink.relay.catch_up import KnownState
 from cleatlink.relay.crash_watch import CrashWatch
@@ -70,7 +71,8 @@
         self._writer = writer
         self._capacity = Capacity(Switches(settings.without))
         self._metrics = RelayMetrics()
-        self._pool = ConnectionPool(self._allowed_connections)
+        self._answer_notices = AnswerNotices(protocol, self._capacity.notices, self._metrics)
+        self._pool = ConnectionPool(self._allowed_connections, self._answer_notices.note_head)
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._planned_stop = PlannedStop()
         limits = OrganisationLimits(settings.limit_tolerance, trio.current_time())
@@ -352,5 +354,6 @@
             self._pool.prune()
             self._service.room.keep_house()
             self._quarantine.keep_house()
+            self._capacity.notices.forget(trio.current_time())
             if self._writer is not None:
                 self._writer.flush()
--- a/cleatlink/relay/metrics.py
+++ b/cleatlink/relay/metrics.py
@@ -49,6 +49,10 @@
             "cleatlink_relay_unusable_entries_total",
             "Registrations and route tables that can't be used, by reason.",
         )
+        self._notices = self._counter(
+            "cleatlink_relay_endpoint_notices_total",
+            "Answers in which endpoints said that they leave or want a rest, by kind.",
+        )
         self._organisations: set[str] = set()
         self._dropped = Gauge(
             "cleatlink_relay_log_lines_dropped", "Log lines dropped.", registry=self._registry
@@ -129,6 +133,10 @@
         """Count an endpoint that crashed with requests in progress."""
         self._crashes.inc({"service": service})
 
+    def count_notice(self, kind: str) -> None:
+        """Count an answer in which an endpoint said something of itself."""
+        self._notices.inc({"kind": kind})
+
     def count_unusable(self, reason: str) -> None:
         """Count a registration or a route table that can't be used."""
         self._unusable.inc({"reason": reason})
--- a/cleatlink/relay/plain.py
+++ b/cleatlink/relay/plain.py
@@ -159,7 +159,7 @@
     def _note_refusal(self, endpoint: RoutedEndpoint, head: ReplyHead) -> None:
         self._call.note_not_run()
         self._call.excluded.add(endpoint.name)
-        self._call.note_refused(endpoint, head.status)
+        self._call.note_refused(endpoint, head)
 
     def _give_up(self, detail: str) -> Reply | Refusal:
         if self._failed is not None:
--- a/cleatlink/relay/pool.py
+++ b/cleatlink/relay/pool.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 import trio
@@ -36,13 +37,19 @@
 class ConnectionPool:
     """Idle connections by endpoint; an address may change hands, a name does not."""
 
-    def __init__(self, allowed: Callable[[RoutedEndpoint], float] | None = None) -> None:
+    def __init__(
+        self,
+        allowed: Callable[[RoutedEndpoint], float] | None = None,
+        on_head: Callable[[RoutedEndpoint, ReplyHead], None] | None = None,
+    ) -> None:
         """Start without connections.
 
         Args:
             allowed: Gives this instance's part of the connections that an endpoint
                 takes from all callers together; None for no limit.
+            on_head: Told of the head of each answer of an endpoint.
         """
+        self._on_head = on_head
         self._allowed = allowed
         self._idle: dict[str, deque[EndpointConnection]] = {}
 
@@ -59,7 +66,18 @@
             if connection.may_be_idle(now, idle_limit_s) and connection.usable:
                 return connection
             connection.close()
-        return await EndpointConnection.open(endpoint.address, _SILENCE_S, _CONNECT_S)
+        return await self.open(endpoint, _SILENCE_S, _CONNECT_S)
+
+    async def open(
+        self, endpoint: RoutedEndpoint, silence_s: float, timeout_s: float
+    ) -> EndpointConnection:
+        """Open a connection to an endpoint.
+
+        Raises:
+            EndpointUnreachableError: It did not come up.
+        """
+        on_head = None if self._on_head is None else partial(self._on_head, endpoint)
+        return await EndpointConnection.open(endpoint.address, silence_s, timeout_s, on_head)
 
     async def call(
         self,
--- a/cleatlink/relay/prefill.py
+++ b/cleatlink/relay/prefill.py
@@ -173,7 +173,7 @@
     def _read_handle(self, endpoint: RoutedEndpoint, head: ReplyHead, body: bytes) -> Handle:
         call, parts = self._call, self._parts
         if parts.protocol.not_run(head):
-            call.note_refused(endpoint, head.status)
+            call.note_refused(endpoint, head)
             raise EndpointRefusedError("the prefill was refused")
         if not parts.protocol.belongs(head, call.inbound) or head.status != 200:
             raise OutcomeUnknownError(f"no answer to this prefill, status {head.status}")
--- a/cleatlink/relay/protocol.py
+++ b/cleatlink/relay/protocol.py
@@ -5,12 +5,14 @@
 """
 
 import math
+import re
 from collections.abc import Mapping
 from typing import NamedTuple
 
 import msgspec
 
 from cleatlink.core.data import Role
+from cleatlink.core.notices import NO_NOTICE, EndpointNotice
 from cleatlink.core.routes import Headers, Inbound, KvSource, RoutedEndpoint
 
 __all__ = [
@@ -39,6 +41,14 @@
     }
 )
 _MS = 1000.0
+# The address has another endpoint than the one that was asked: nothing of its answer is the
+# asked one's word.
+_OTHER_ENDPOINT = 421
+# Statuses with which an endpoint turns work away and may say for how long.
+_TURNED_AWAY = frozenset({429, 503})
+_SECONDS = re.compile(rb"[0-9]{1,18}(\.[0-9]{1,18})?")
+# A field that is nonsense takes an endpoint away for no longer than this.
+_MOST_REST_S = 300.0
 
 
 class HeaderNames(NamedTuple):
@@ -52,6 +62,8 @@
     signature: bytes = b"x-endpoint-signature"
     expected_endpoint: bytes = b"x-expected-endpoint"
     not_run: bytes = b"x-not-run"
+    leaving: bytes = b"x-endpoint-leaving"
+    rest_s: bytes = b"retry-after"
     stage: bytes = b"x-stage"
     kv_source: bytes = b"x-kv-source"
     hold: bytes = b"x-hold"
@@ -101,7 +113,11 @@
 
     def get(self, name: bytes) -> bytes | None:
         """Give a header's value."""
-        return next((value for key, value in self.headers if key.lower() == name), None)
+        return next(iter(self.get_all(name)), None)
+
+    def get_all(self, name: bytes) -> list[bytes]:
+        """Give the values of all headers of a name."""
+        return [value.strip() for key, value in self.headers if key.lower() == name]
 
 
 class OutgoingRequest(NamedTuple):
@@ -278,7 +294,17 @@
 
     def not_run(self, head: ReplyHead) -> bool:
         """Tell whether an endpoint says that it did not run the request."""
-        return head.status == 421 or head.get(self.names.not_run) is not None
+        return head.status == _OTHER_ENDPOINT or head.get(self.names.not_run) is not None
+
+    def read_notice(self, head: ReplyHead) -> EndpointNotice:
+        """Read what an endpoint says of itself; what can't be read says nothing."""
+        if head.status == _OTHER_ENDPOINT:
+            return NO_NOTICE
+        leaving = b"1" in head.get_all(self.names.leaving)
+        if head.status not in _TURNED_AWAY:
+            return EndpointNotice(leaving)
+        rests = (_rest_s(value) for value in head.get_all(self.names.rest_s))
+        return EndpointNotice(leaving, max(rests, default=0.0))
 
     def belongs(self, head: ReplyHead, inbound: Inbound) -> bool:
         """Tell whether an answer is the one to this request."""
@@ -297,6 +323,11 @@
         return default
 
 
+def _rest_s(value: bytes) -> float:
+    """Read a number of seconds; 0 for what is none, such as a date or a negative number."""
+    return min(_MOST_REST_S, float(value)) if _SECONDS.fullmatch(value) else 0.0
+
+
 def _without_port(host: str) -> str:
     name, colon, port = host.rpartition(":")
     return name if colon and port.isdigit() else host
--- a/cleatlink/relay/stream.py
+++ b/cleatlink/relay/stream.py
@@ -265,7 +265,7 @@
         """Take a refusal: the handle may still serve here a little later, or elsewhere."""
         call, place = self._call, self._place
         call.note_not_run()
-        call.note_refused(endpoint, head.status)
+        call.note_refused(endpoint, head)
         self._refusals += 1
         # Also after a 421: the address has another endpoint now.
         if call.may_try_another():
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -14,6 +14,7 @@
 from cleatlink.core.routes import EngineTraits, RoutedEndpoint
 from cleatlink.routing.demand import DemandMeter, RoleDemand, StreamPromise
 from cleatlink.routing.mechanisms import Mechanism, Switches
+from cleatlink.routing.notices import EndpointNotices
 from cleatlink.routing.pace import PaceSummary, ServicePace
 
 __all__ = ["Capacity", "Reservation", "Usage", "peak_memory"]
@@ -145,6 +146,7 @@
         self._placed: dict[tuple[str, Role], list[Reservation]] = {}
         self._outcomes: dict[str, _Outcomes] = {}
         self._leaving: set[str] = set()
+        self.notices = EndpointNotices()
         self._switching: dict[str, float] = {}
         self._suspects = 0
         self._meters: dict[str, DemandMeter] = {}
--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -68,6 +68,13 @@
         self.handles: dict[str, float] = {}
         self.freed: list[str] = []
         self.leaving = False
+        # What it says of itself in the heads of its answers.
+        self.says_leaving = False
+        # Seconds of rest that it asks for with each refusal; None names no time.
+        self.asks_rest_s: float | None = None
+        # Whether it turns every call away.
+        self.sheds = False
+        self.arrived_at: list[float] = []
         self.holds: dict[str, int] = {}
         self.held: list[int] = []
         self.dropped_holds: list[str] = []
@@ -127,22 +134,25 @@
             handle = call.path.rpartition("/")[2]
             self.freed.append(handle)
             self.handles.pop(handle, None)
-            await stream.send_all(answer(200, {}))
+            await stream.send_all(answer(200, self._notice()))
             return True
         if call.path.startswith("/hold-"):
             await stream.send_all(self._answer_hold(call))
             return True
         if call.path == "/order":
-            await stream.send_all(answer(self._take_order(json.loads(call.body)), {}))
+            status = self._take_order(json.loads(call.body))
+            await stream.send_all(answer(status, self._notice()))
             return True
         self.arrivals.append(call)
+        self.arrived_at.append(trio.current_time())
         expected = call.headers.get("expected-instance", self.name)
         if expected != self.name:
             await stream.send_all(answer(421, {"Instance-Id": self.name}))
             return True
         fault = self.faults.pop(0) if self.faults else None
-        if fault is Fault.FULL or self.leaving:
-            await stream.send_all(answer(503, {"Not-Executed": "1"}))
+        if fault is Fault.FULL or self.leaving or self.sheds:
+            headers = {"Not-Executed": "1", **self._notice(), **self._rest()}
+            await stream.send_all(answer(503, headers))
             return True
         if fault is Fault.RESET_BEFORE:
             return False
@@ -154,6 +164,14 @@
             return await self._decode(call, stream, fault)
         return await self._plain(call, stream, fault)
 
+    def _notice(self) -> dict[str, str]:
+        """Give the headers with which it says that it leaves."""
+        return {"Server-Leaving": "1", "Connection": "close"} if self.says_leaving else {}
+
+    def _rest(self) -> dict[str, str]:
+        """Give the headers with which it asks for a rest."""
+        return {} if self.asks_rest_s is None else {"Retry-After": f"{self.asks_rest_s:g}"}
+
     async def _crash(self, call: RawCall) -> bool:
         """Crash while running a request, with everything else that runs here."""
         self.runs.append(Run(call.headers["attempt-id"], call, trio.current_time()))
@@ -172,13 +190,13 @@
             self.holds.pop(name, None)
             return answer(200, {})
         tokens = int(json.loads(call.body)["tokens"])
-        if sum(self.holds.values()) + tokens > self.room:
+        if self.sheds or sum(self.holds.values()) + tokens > self.room:
             self.refused_holds += 1
-            return answer(503, {})
+            return answer(503, {**self._notice(), **self._rest()})
         name = f"hold{len(self.held)}{self.name}"
         self.held.append(tokens)
         self.holds[name] = tokens
-        return answer(200, {}, json.dumps({"hold": name}).encode())
+        return answer(200, self._notice(), json.dumps({"hold": name}).encode())
 
     def _take_order(self, order: dict[str, Any]) -> int:
         """Take an order to change the stage; tests decide when it is done."""
@@ -189,7 +207,8 @@
         return 202
 
     def _stamped(self, call: RawCall) -> dict[str, str]:
-        return {"Attempt-Id": call.headers["attempt-id"], "Server-Stamp": f"stamp.{self.name}"}
+        stamp = {"Attempt-Id": call.headers["attempt-id"], "Server-Stamp": f"stamp.{self.name}"}
+        return {**stamp, **self._notice()}
 
     async def _prefill(self, call: RawCall, stream: trio.SocketStream) -> bool:
         if self.stage != "prefill":
