Failing tests: endpoints that say in answers that they leave, or want a rest, get more

Ruled out: a registration that took the knowledge back (none changes), calls that waited (none does).

--- /dev/null
+++ b/cleatlink/relay/notices_test.py
@@ -0,0 +1,84 @@
+"""An endpoint's own word, that it leaves or wants a rest, is taken from its answers.
+
+An endpoint said in an answer that it leaves, while the configuration service was away. The
+instance that passed this answer on sent it two more calls, 2.4 s and 2.9 s later, and took each
+one's "is answered" for a good sign: leaving was known from registrations alone. Another endpoint
+turned every call away with 503 and asked for 3 s of rest. Eight instances sent it 35 calls in 5 s,
+each with a line "was not run", status 503: the time that it named was not read, and one without
+room was tried again after 0.15 s to 1.2 s.
+"""
+
+import trio
+
+from standins.relay import StoreMode, Worker
+from standins.relay.example import STREAM, start
+from standins.relay.fleet import Fleet, open_fleet
+
+# An endpoint that leaves gets nothing that a caller sent later than this after its word.
+LEAVING_S = 2.0
+# Calls that are on their way arrive within this of an endpoint's word.
+ON_THE_WAY_S = 0.5
+# So many may arrive within a rest.
+MOST_IN_A_REST = 2
+REST_S = 4.0
+CALL_S = 0.05
+
+
+async def call_for(fleet: Fleet, seconds: float, path: str, **request: object) -> list[int]:
+    """Ask at a steady rate; gives the statuses."""
+    statuses: list[int] = []
+
+    async def ask() -> None:
+        reply = await fleet.caller().ask(path, **request)  # type: ignore[arg-type]
+        statuses.append(reply.status)
+
+    async with trio.open_nursery() as nursery:
+        ends_at = trio.current_time() + seconds
+        while trio.current_time() < ends_at:
+            nursery.start_soon(ask)
+            await trio.sleep(CALL_S)
+    return statuses
+
+
+def arrivals_after(worker: Worker, seconds: float) -> int:
+    """Count calls that arrived at a worker later than so long after the first of them."""
+    return sum(at - worker.arrived_at[0] > seconds for at in worker.arrived_at)
+
+
+def most_in_a_rest(worker: Worker, rest_s: float) -> int:
+    """Give the most calls that arrived within one of the rests that a worker asked for."""
+    times = worker.arrived_at
+    return max(sum(ON_THE_WAY_S < at - asked_at < rest_s for at in times) for asked_at in times)
+
+
+async def test_endpoint_that_says_in_answers_that_it_leaves_gets_nothing_new() -> None:
+    async with open_fleet() as fleet:
+        leaving, other = Worker("plain"), Worker("plain")
+        await start(fleet, leaving, other)
+        leaving.says_leaving = True
+        fleet.store.mode = StoreMode.SILENT
+        statuses = await call_for(fleet, LEAVING_S + 1.0, "/safe/x")
+        assert set(statuses) == {200}
+        assert arrivals_after(leaving, LEAVING_S) == 0
+        assert other.runs
+
+
+async def test_endpoint_that_asks_for_a_rest_has_it() -> None:
+    async with open_fleet() as fleet:
+        resting = Worker("plain")
+        await start(fleet, resting, Worker("plain"), Worker("plain"))
+        resting.sheds, resting.asks_rest_s = True, REST_S
+        statuses = await call_for(fleet, REST_S, "/safe/x")
+        assert set(statuses) == {200}
+        assert most_in_a_rest(resting, REST_S) <= MOST_IN_A_REST
+
+
+async def test_engine_that_asks_for_a_rest_has_it() -> None:
+    async with open_fleet() as fleet:
+        resting = Worker("model", "decode")
+        resting.offers_holds = False
+        await start(fleet, resting, Worker("model", "decode"), Worker("model", "prefill"))
+        resting.sheds, resting.asks_rest_s = True, REST_S
+        statuses = await call_for(fleet, REST_S, "/stream/x", headers=STREAM)
+        assert set(statuses) == {200}
+        assert most_in_a_rest(resting, REST_S) <= MOST_IN_A_REST
