Endpoints' own words decide: one that leaves gets nothing new, one that wants a rest has it

Cause: leaving was known from registrations alone, and a refusal counted as 'no room just now' whatever time it named. The class: what an endpoint says of itself was taken from one of the places where it says it. Ruled out: a case in each driver (plain, prompt, decode, hold); an 'avoided' mark, which is passed over where there is no other endpoint and ends with the registration. Change: what is said is kept by life, in one place that outlives registrations, and every choice asks it. Leaving holds to the end of the life; idle connections are closed, streams go on. A rest is a time in which nothing is sent: calls, prompts, streams whose prompt is computed, holds, frees and orders; then one call, and twice as many with each answer. Where all rest or leave, callers are refused at once, with the end of the first rest.

--- a/cleatlink/relay/answer_notices.py
+++ b/cleatlink/relay/answer_notices.py
@@ -1,5 +1,7 @@
 """Takes what endpoints say of themselves from every answer, whatever it is an answer to."""
 
+from collections.abc import Callable
+
 import eliot
 import trio
 
@@ -8,7 +10,7 @@
 from cleatlink.relay.logs import LineAllowance
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.protocol import Protocol, ReplyHead
-from cleatlink.routing.notices import EndpointNotices
+from cleatlink.routing.notices import EndpointNotices, NoticeSource
 
 __all__ = ["AnswerNotices"]
 
@@ -20,14 +22,22 @@
 class AnswerNotices:
     """Reads the heads of answers for one instance."""
 
-    def __init__(self, protocol: Protocol, notices: EndpointNotices, metrics: RelayMetrics) -> None:
+    def __init__(
+        self,
+        protocol: Protocol,
+        notices: EndpointNotices,
+        metrics: RelayMetrics,
+        on_leaving: Callable[[str], None],
+    ) -> None:
         """Start without any.
 
         Args:
             protocol: Reads heads.
             notices: Where what is read is kept.
             metrics: Counts it.
+            on_leaving: Told of a life that says for the first time that it leaves.
         """
+        self._on_leaving = on_leaving
         self._protocol = protocol
         self._notices = notices
         self._metrics = metrics
@@ -35,10 +45,12 @@
 
     def note_head(self, endpoint: RoutedEndpoint, head: ReplyHead) -> None:
         """Take what an answer of an endpoint says; most say nothing."""
+        now = trio.current_time()
+        if self._protocol.takes_work(head):
+            self._notices.note_served(endpoint.name, now)
         notice = self._protocol.read_notice(head)
         if notice == NO_NOTICE:
             return
-        now = trio.current_time()
         if notice.leaving:
             self._note_leaving(endpoint, head.status, now)
         if notice.rest_s:
@@ -46,7 +58,8 @@
 
     def _note_leaving(self, endpoint: RoutedEndpoint, status: int, now: float) -> None:
         self._metrics.count_notice("leaving")
-        if self._notices.note_leaving(endpoint.name, now):
+        if self._notices.note_leaving(endpoint.name, NoticeSource.ANSWER, now):
+            self._on_leaving(endpoint.name)
             eliot.log_message(
                 message_type="endpoint: says in an answer that it leaves",
                 endpoint=endpoint.name,
--- a/cleatlink/relay/follower.py
+++ b/cleatlink/relay/follower.py
@@ -17,6 +17,7 @@
 from cleatlink.relay.source import ConfigurationSource, HistoryGoneError, SourceChange
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.fleet_records import EndpointRecord, FleetRecords
+from cleatlink.routing.notices import NoticeSource
 
 __all__ = ["Follower", "FollowerHooks"]
 
@@ -255,6 +256,9 @@
     def _use_record(self, record: EndpointRecord, before: EndpointRecord) -> None:
         self._note_fault(record, before)
         endpoint = record.endpoint
+        if endpoint is not None and endpoint.leaving:
+            now = trio.current_time()
+            self._capacity.notices.note_leaving(endpoint.name, NoticeSource.REGISTRATION, now)
         if endpoint is None:
             known = before.endpoint
             if known is not None and not known.leaving and self._in_doubt():
--- a/cleatlink/relay/hold.py
+++ b/cleatlink/relay/hold.py
@@ -131,6 +131,7 @@
         def make() -> OutgoingRequest:
             return parts.protocol.own_call(b"DELETE", path, endpoint)
 
+        await trio.sleep(parts.capacity.rest_left_s(endpoint.name, trio.current_time()))
         try:
             with trio.fail_after(_ANSWER_S):
                 await parts.pool.call(endpoint, IDLE_LIMIT_S, make, _MOST_REPLY_BYTES)
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -71,8 +71,13 @@
         self._writer = writer
         self._capacity = Capacity(Switches(settings.without))
         self._metrics = RelayMetrics()
-        self._answer_notices = AnswerNotices(protocol, self._capacity.notices, self._metrics)
-        self._pool = ConnectionPool(self._allowed_connections, self._answer_notices.note_head)
+        notices = self._capacity.notices
+        self._answer_notices = AnswerNotices(
+            protocol, notices, self._metrics, self._close_connections
+        )
+        self._pool = ConnectionPool(
+            self._allowed_connections, self._answer_notices.note_head, notices.is_leaving
+        )
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._planned_stop = PlannedStop()
         limits = OrganisationLimits(settings.limit_tolerance, trio.current_time())
@@ -288,6 +293,9 @@
             return math.inf
         return service.connection_limit / self._members()
 
+    def _close_connections(self, life: str) -> None:
+        self._pool.forget(life)
+
     def _members(self) -> int:
         most = self._peers.most_members
         return max(most + 1, _FIRST_MEMBERS if most == 1 else 0)
--- a/cleatlink/relay/notices_test.py
+++ b/cleatlink/relay/notices_test.py
@@ -8,6 +8,7 @@
 room was tried again after 0.15 s to 1.2 s.
 """
 
+import pytest
 import trio
 
 from standins.relay import StoreMode, Worker
@@ -82,3 +83,113 @@
         statuses = await call_for(fleet, REST_S, "/stream/x", headers=STREAM)
         assert set(statuses) == {200}
         assert most_in_a_rest(resting, REST_S) <= MOST_IN_A_REST
+
+
+async def test_no_call_at_all_follows_the_word_that_an_endpoint_leaves() -> None:
+    async with open_fleet() as fleet:
+        leaving = Worker("plain")
+        await start(fleet, leaving, Worker("plain"))
+        leaving.says_leaving = True
+        for _ in range(30):
+            assert (await fleet.caller().ask("/unsafe/x", "POST", body=b"x")).status == 200
+        assert len(leaving.arrivals) == 1
+
+
+async def test_entry_that_lapses_and_returns_takes_nothing_back() -> None:
+    async with open_fleet() as fleet:
+        leaving = Worker("plain")
+        await start(fleet, leaving, Worker("plain"))
+        leaving.says_leaving = True
+        while not leaving.arrivals:
+            await fleet.caller().ask("/safe/x")
+        fleet.unregister(leaving)
+        endpoints = fleet.instances[0].capacity.endpoints
+        await fleet.until(lambda: leaving.name not in endpoints)
+        fleet.register(leaving)
+        await fleet.until(lambda: leaving.name in endpoints)
+        for _ in range(20):
+            assert (await fleet.caller().ask("/safe/x")).status == 200
+        assert len(leaving.arrivals) == 1
+
+
+async def test_nothing_is_kept_open_to_an_endpoint_that_leaves() -> None:
+    async with open_fleet() as fleet:
+        leaving = Worker("plain")
+        await start(fleet, leaving)
+        for _ in range(3):
+            await fleet.caller().ask("/safe/x")
+        assert leaving.open_connections == 1
+        leaving.says_leaving = True
+        await fleet.caller().ask("/safe/x")
+        await fleet.until(lambda: leaving.open_connections == 0, 1.0)
+
+
+async def test_stream_under_way_goes_on_at_an_endpoint_that_leaves() -> None:
+    async with open_fleet() as fleet:
+        engine, other = Worker("model", "decode"), Worker("plain")
+        engine.events, engine.event_s = 20, 0.03
+        await start(fleet, engine, other)
+        caller = fleet.caller()
+        await caller.send("/stream/x", "POST", body=b"p", headers=STREAM)
+        await fleet.until(lambda: engine.runs)
+        engine.says_leaving = True
+        # Another stream's answer says so.
+        assert (await fleet.caller().ask("/stream/x", headers=STREAM)).whole
+        reply = await caller.receive()
+        assert (reply.status, reply.whole) == (200, True)
+        assert len(engine.runs) == 2
+        assert (await fleet.caller().ask("/stream/x", headers=STREAM)).status == 503
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x"])
+async def test_where_all_rest_callers_are_refused_at_once_until_the_end(path: str) -> None:
+    async with open_fleet() as fleet:
+        workers = [Worker("plain"), Worker("plain")]
+        await start(fleet, *workers)
+        for worker in workers:
+            worker.sheds, worker.asks_rest_s = True, 3.0
+        while not all(worker.arrivals for worker in workers):
+            await fleet.caller().ask(path)
+        began_at = trio.current_time()
+        reply = await fleet.caller().ask(path)
+        assert trio.current_time() - began_at < 0.1
+        assert reply.status == 503
+        assert 2.0 < float(reply.headers["retry-after"]) <= 3.0
+
+
+async def test_where_all_leave_callers_are_refused_at_once() -> None:
+    async with open_fleet() as fleet:
+        worker, engine = Worker("plain"), Worker("model", "decode")
+        await start(fleet, worker, engine)
+        worker.says_leaving = engine.says_leaving = True
+        for path, headers in (("/safe/x", {}), ("/stream/x", STREAM)):
+            assert (await fleet.caller().ask(path, headers=headers)).status == 200
+            began_at = trio.current_time()
+            assert (await fleet.caller().ask(path, headers=headers)).status == 503
+            assert trio.current_time() - began_at < 0.1
+
+
+async def test_where_all_engines_rest_for_long_streams_are_refused_at_once() -> None:
+    async with open_fleet() as fleet:
+        engine = Worker("model", "decode")
+        await start(fleet, engine)
+        engine.sheds, engine.asks_rest_s = True, 20.0
+        await fleet.caller().ask("/stream/x", headers=STREAM)
+        assert engine.refused_holds + len(engine.arrivals) >= 1
+        arrived = engine.refused_holds + len(engine.arrivals)
+        began_at = trio.current_time()
+        assert (await fleet.caller().ask("/stream/x", headers=STREAM)).status == 503
+        assert trio.current_time() - began_at < 0.1
+        assert engine.refused_holds + len(engine.arrivals) == arrived
+
+
+async def test_after_a_rest_an_endpoint_is_found_again() -> None:
+    async with open_fleet() as fleet:
+        worker = Worker("plain")
+        await start(fleet, worker)
+        worker.sheds, worker.asks_rest_s = True, 0.5
+        assert (await fleet.caller().ask("/safe/x")).status == 503
+        worker.sheds = False
+        await trio.sleep(0.55)
+        statuses = await call_for(fleet, 0.5, "/safe/x")
+        assert set(statuses) == {200}
--- a/cleatlink/relay/orders.py
+++ b/cleatlink/relay/orders.py
@@ -141,6 +141,9 @@
         shift = plan_shift(
             prefills, decodes, demand, work, targets, change_s=change_s, settled=settled
         )
+        if shift is not None and capacity.rest_left_s(shift.endpoint.name, now):
+            # An order is a call like any other: it can wait.
+            return None
         if shift is not None:
             self._log_plan(shift, len(prefills), len(decodes), demand)
         return shift
--- a/cleatlink/relay/plain.py
+++ b/cleatlink/relay/plain.py
@@ -164,6 +164,14 @@
     def _give_up(self, detail: str) -> Reply | Refusal:
         if self._failed is not None:
             return self._failed
+        retry_after_s = self._opens_in_s()
         if not self._call.sends:
-            return Refusal(ErrorKind.NO_ENDPOINT, detail, _RETRY_AFTER_S)
-        return self._call.failure(detail, _RETRY_AFTER_S)
+            return Refusal(ErrorKind.NO_ENDPOINT, detail, retry_after_s)
+        return self._call.failure(detail, retry_after_s)
+
+    def _opens_in_s(self) -> float | None:
+        """Give when a caller finds an endpoint that takes work; None if all of them leave."""
+        now = trio.current_time()
+        capacity, service = self._parts.capacity, self._call.service.name
+        opens_in_s = capacity.opens_in_s(service, Role.PLAIN, now)
+        return None if opens_in_s is None else max(_RETRY_AFTER_S, opens_in_s)
--- a/cleatlink/relay/pool.py
+++ b/cleatlink/relay/pool.py
@@ -41,6 +41,7 @@
         self,
         allowed: Callable[[RoutedEndpoint], float] | None = None,
         on_head: Callable[[RoutedEndpoint, ReplyHead], None] | None = None,
+        is_leaving: Callable[[str], bool] = lambda _: False,
     ) -> None:
         """Start without connections.
 
@@ -48,7 +49,9 @@
             allowed: Gives this instance's part of the connections that an endpoint
                 takes from all callers together; None for no limit.
             on_head: Told of the head of each answer of an endpoint.
+            is_leaving: Tells of a life whether it leaves; nothing is kept open to it.
         """
+        self._is_leaving = is_leaving
         self._on_head = on_head
         self._allowed = allowed
         self._idle: dict[str, deque[EndpointConnection]] = {}
@@ -127,6 +130,8 @@
             connection.close()
 
     def _most_idle(self, endpoint: RoutedEndpoint) -> int:
+        if self._is_leaving(endpoint.name):
+            return 0
         if self._allowed is None:
             return _MOST_IDLE
         return int(max(1.0, min(_MOST_IDLE, _IDLE_SHARE * self._allowed(endpoint))))
--- a/cleatlink/relay/prefill.py
+++ b/cleatlink/relay/prefill.py
@@ -203,6 +203,7 @@
             return parts.protocol.own_call(b"DELETE", path, endpoint)
 
         for _ in range(_FREE_TRIES):
+            await trio.sleep(parts.capacity.rest_left_s(endpoint.name, trio.current_time()))
             try:
                 with trio.fail_after(_PREFILL_SLACK_S):
                     await parts.pool.call(endpoint, IDLE_LIMIT_S, make, _MOST_REPLY_BYTES)
--- a/cleatlink/relay/protocol.py
+++ b/cleatlink/relay/protocol.py
@@ -296,6 +296,10 @@
         """Tell whether an endpoint says that it did not run the request."""
         return head.status == _OTHER_ENDPOINT or head.get(self.names.not_run) is not None
 
+    def takes_work(self, head: ReplyHead) -> bool:
+        """Tell whether an answer shows that its endpoint takes work."""
+        return head.status not in _TURNED_AWAY and head.status != _OTHER_ENDPOINT
+
     def read_notice(self, head: ReplyHead) -> EndpointNotice:
         """Read what an endpoint says of itself; what can't be read says nothing."""
         if head.status == _OTHER_ENDPOINT:
--- a/cleatlink/relay/stream.py
+++ b/cleatlink/relay/stream.py
@@ -106,6 +106,11 @@
             call.log("finds its endpoint leaving", endpoint=endpoint.name)
             place.move_on()
             return None
+        rest_s = self._parts.capacity.rest_left_s(endpoint.name, trio.current_time())
+        if rest_s:
+            call.log("finds its endpoint at rest", endpoint=endpoint.name, rest_s=round(rest_s, 3))
+            place.move_on()
+            return None
         refusal = place.clear_to_send()
         if refusal is not None:
             return self._give_up(refusal)
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -211,7 +211,7 @@
         return [
             endpoint
             for endpoint in self._by_service.get(service, ())
-            if endpoint.role is role and not endpoint.leaving and endpoint.name not in self._leaving
+            if endpoint.role is role and self._stays(endpoint)
         ]
 
     def leaving(self, service: str) -> set[str]:
@@ -219,9 +219,15 @@
         return {
             endpoint.name
             for endpoint in self._by_service.get(service, ())
-            if endpoint.leaving or endpoint.name in self._leaving
+            if not self._stays(endpoint)
         }
 
+    def _stays(self, endpoint: RoutedEndpoint) -> bool:
+        """Tell whether an endpoint takes new work, as far as anybody has said."""
+        name = endpoint.name
+        told = name in self._leaving or self.notices.is_leaving(name)
+        return not endpoint.leaving and not told
+
     @property
     def endpoints(self) -> dict[str, RoutedEndpoint]:
         """Endpoints by name."""
@@ -320,17 +326,34 @@
     def takes_work(self, name: str) -> bool:
         """Tell whether an endpoint is registered and does not leave."""
         endpoint = self._endpoints.get(name)
-        return endpoint is not None and not endpoint.leaving and name not in self._leaving
+        return endpoint is not None and self._stays(endpoint)
+
+    def rest_left_s(self, name: str, now: float) -> float:
+        """Give for how many seconds an endpoint still wants nothing; 0 for most."""
+        return max(0.0, self.notices.rests_until(name) - now)
+
+    def opens_in_s(self, service: str, role: Role, now: float) -> float | None:
+        """Give in how many seconds the first endpoint that stays takes work again.
+
+        Returns:
+            0 if one does now; None if none stays.
+        """
+        opens_at = [self.full_until(endpoint.name) for endpoint in self.in_role(service, role)]
+        return max(0.0, min(opens_at) - now) if opens_at else None
 
     def candidates(self, service: str, role: Role, now: float) -> list[RoutedEndpoint]:
-        """Give a service's endpoints that may get work; avoided ones if there are no others."""
+        """Give a service's endpoints that may get work; avoided ones if there are no others.
+
+        Where all of them rest they are given too, for forecasts: they count as full.
+        """
         present = [
             endpoint
             for endpoint in self.in_role(service, role)
             if self._switching.get(endpoint.name, 0.0) <= now
         ]
-        trusted = [endpoint for endpoint in present if not self._avoided(endpoint.name, now)]
-        return trusted or present
+        awake = [item for item in present if self.notices.rests_until(item.name) <= now]
+        trusted = [endpoint for endpoint in awake if not self._avoided(endpoint.name, now)]
+        return trusted or awake or present
 
     def reached(self, service: str, role: Role, now: float) -> list[RoutedEndpoint]:
         """Give a service's endpoints in a role that stay and are not out of reach."""
@@ -347,13 +370,14 @@
         return now < outcomes.avoid_until
 
     def is_full(self, name: str, now: float) -> bool:
-        """Tell whether an endpoint turned work away for lack of room just now."""
-        return now < self.full_until(name)
+        """Tell whether an endpoint gets nothing now: no room just now, a rest or tries after it."""
+        return now < self.full_until(name) or not self.notices.may_begin(name, now)
 
     def full_until(self, name: str) -> float:
-        """Give until when an endpoint gets nothing new because it had no room."""
+        """Give until when an endpoint gets nothing new because it had no room, or rests."""
         outcomes = self._outcomes.get(name)
-        return outcomes.full_until if outcomes is not None else 0.0
+        full_until = outcomes.full_until if outcomes is not None else 0.0
+        return max(full_until, self.notices.rests_until(name))
 
     def _avoided(self, name: str, now: float) -> bool:
         outcomes = self._outcomes.get(name)
@@ -364,12 +388,14 @@
         self.release(key)
         self._own[key] = reservation
         self._add(reservation, 1)
+        self.notices.begin_work(reservation.endpoint, key)
 
     def release(self, key: str) -> None:
         """Forget work of this instance; unknown keys are fine."""
         reservation = self._own.pop(key, None)
         if reservation is not None:
             self._add(reservation, -1)
+            self.notices.end_work(reservation.endpoint, key)
 
     def peer_reserve(self, peer: str, key: str, reservation: Reservation) -> None:
         """Count work that a peer tells of."""
--- a/standins/relay/http.py
+++ b/standins/relay/http.py
@@ -42,6 +42,11 @@
         self._listener: trio.SocketListener | None = None
         self._streams: set[trio.SocketStream] = set()
 
+    @property
+    def open_connections(self) -> int:
+        """Connections that are open now."""
+        return len(self._streams)
+
     async def start(self, nursery: trio.Nursery, port: int = 0) -> None:
         """Start to serve."""
         listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
