An answer of another endpoint refutes a registration, and is no endpoint's word that it leaves

An engine that had taken another role, and whose entry did not say so yet, answers so; it was then left out of all work and of the planning of roles until its entry was gone. Ruled out: forgetting the word after a time; each send until then would be answered so again. Change: 421 refutes the registration as it stands; the next one that differs counts.

--- a/cleatlink/relay/call.py
+++ b/cleatlink/relay/call.py
@@ -268,7 +268,7 @@
         self.log("was not run", endpoint=endpoint.name, status=head.status, rest_s=rest_s)
         if head.status == _OTHER_ENDPOINT:
             self.note_elsewhere(endpoint)
-            capacity.note_leaving(endpoint.name)
+            capacity.note_misdirected(endpoint.name)
         else:
             capacity.note_full(endpoint.name, trio.current_time())
 
--- a/cleatlink/relay/hold.py
+++ b/cleatlink/relay/hold.py
@@ -107,7 +107,7 @@
         status = reply.head.status
         capacity = self._parts.capacity
         if status == _OTHER_ENDPOINT:
-            capacity.note_leaving(endpoint.name)
+            capacity.note_misdirected(endpoint.name)
             return HoldOutcome.FAILED
         if status in _FULL:
             capacity.note_full(endpoint.name, trio.current_time())
--- a/cleatlink/relay/notices_test.py
+++ b/cleatlink/relay/notices_test.py
@@ -11,6 +11,7 @@
 import pytest
 import trio
 
+from cleatlink.core.data import Role
 from standins.relay import StoreMode, Worker
 from standins.relay.example import STREAM, start
 from standins.relay.fleet import Fleet, open_fleet
@@ -193,3 +194,22 @@
         await trio.sleep(0.55)
         statuses = await call_for(fleet, 0.5, "/safe/x")
         assert set(statuses) == {200}
+
+
+async def test_engine_that_took_another_role_is_used_in_it() -> None:
+    async with open_fleet() as fleet:
+        engine, prefill = Worker("model", "decode"), Worker("model", "prefill")
+        engine.offers_holds = False
+        await start(fleet, engine, prefill)
+        # It has taken another role, and its entry does not say so yet.
+        name, engine.name = engine.name, "another"
+        assert (await fleet.caller().ask("/stream/x", headers=STREAM)).status == 503
+        engine.name, engine.stage = name, "prefill"
+        prefill.stage = "decode"
+        prefill.offers_holds = False
+        fleet.register(engine)
+        fleet.register(prefill)
+        endpoints = fleet.instances[0].capacity.endpoints
+        await fleet.until(lambda: endpoints[prefill.name].role is Role.DECODE)
+        assert (await fleet.caller().ask("/stream/x", headers=STREAM)).status == 200
+        assert len(engine.handles) == 1
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -145,7 +145,8 @@
         self._usage: dict[tuple[str, Role], Usage] = {}
         self._placed: dict[tuple[str, Role], list[Reservation]] = {}
         self._outcomes: dict[str, _Outcomes] = {}
-        self._leaving: set[str] = set()
+        # Registrations that another endpoint's answer at the same address has refuted.
+        self._refuted: dict[str, RoutedEndpoint] = {}
         self.notices = EndpointNotices()
         self._switching: dict[str, float] = {}
         self._suspects = 0
@@ -225,8 +226,9 @@
     def _stays(self, endpoint: RoutedEndpoint) -> bool:
         """Tell whether an endpoint takes new work, as far as anybody has said."""
         name = endpoint.name
-        told = name in self._leaving or self.notices.is_leaving(name)
-        return not endpoint.leaving and not told
+        if endpoint.leaving or self.notices.is_leaving(name):
+            return False
+        return self._refuted.get(name) != endpoint
 
     @property
     def endpoints(self) -> dict[str, RoutedEndpoint]:
@@ -269,7 +271,7 @@
         """Forget an endpoint."""
         self._endpoints.pop(name, None)
         self._outcomes.pop(name, None)
-        self._leaving.discard(name)
+        self._refuted.pop(name, None)
         self._switching.pop(name, None)
         self._index()
 
@@ -278,9 +280,16 @@
         for endpoint in self._endpoints.values():
             self._by_service.setdefault(endpoint.service, []).append(endpoint)
 
-    def note_leaving(self, name: str) -> None:
-        """Note an endpoint's own word that it takes no new work."""
-        self._leaving.add(name)
+    def note_misdirected(self, name: str) -> None:
+        """Note that what is asked at an endpoint's address is not the one that is registered.
+
+        It refutes the registration as it stands, until the endpoint writes another one. As the
+        endpoint's own word that it leaves, it kept an engine that had only taken another role
+        from all work until its entry was gone.
+        """
+        endpoint = self._endpoints.get(name)
+        if endpoint is not None:
+            self._refuted[name] = endpoint
 
     def note_success(self, name: str, now: float) -> None:
         """Note that an endpoint did what it was asked."""
--- a/cleatlink/routing/relay_parts_test.py
+++ b/cleatlink/routing/relay_parts_test.py
@@ -174,7 +174,7 @@
     assert len(capacity.candidates("s", Role.PLAIN, 0.6)) == 2
     capacity.note_failure("x", 0.6)
     assert len(capacity.candidates("s", Role.PLAIN, 1.5)) == 1
-    capacity.note_leaving("y")
+    capacity.note_misdirected("y")
     assert [item.name for item in capacity.candidates("s", Role.PLAIN, 1.5)] == ["x"]
     capacity.note_success("x", 2.0)
     capacity.remove_endpoint("x")
