The relay's folder in rooms: endpoints, calls, peers, following, callers

Cause: 36 files and 6 thousand lines lay in one flat folder. Change: modules move with their tests, names of modules stay but for two in peers (group, messages); whole-path tests stay above. No line of logic changes.

--- a/cleatlink/platform/names.py
+++ b/cleatlink/platform/names.py
@@ -1,6 +1,12 @@
 """Header names and paths that the platform's callers and workers speak."""
 
-from cleatlink.relay.protocol import EndpointPaths, HeaderNames, HoldFields, OrderFields, Protocol
+from cleatlink.relay.endpoints.protocol import (
+    EndpointPaths,
+    HeaderNames,
+    HoldFields,
+    OrderFields,
+    Protocol,
+)
 
 __all__ = ["PROTOCOL"]
 
--- a/cleatlink/platform/store.py
+++ b/cleatlink/platform/store.py
@@ -17,9 +17,9 @@
     read_record,
 )
 from cleatlink.platform.tables import read_table
-from cleatlink.relay.connection import EndpointConnection
-from cleatlink.relay.protocol import OutgoingRequest
-from cleatlink.relay.source import ConfigurationSource, HistoryGoneError, SourceChange
+from cleatlink.relay.endpoints.connection import EndpointConnection
+from cleatlink.relay.endpoints.protocol import OutgoingRequest
+from cleatlink.relay.following.source import ConfigurationSource, HistoryGoneError, SourceChange
 from cleatlink.routing.fleet_records import EndpointRecord
 
 __all__ = ["PlatformStore"]
--- a/cleatlink/relay/service.py
+++ b/cleatlink/relay/callers/service.py
@@ -12,13 +12,13 @@
 from cleatlink.core.errors import ANSWERS, ErrorKind
 from cleatlink.core.routes import CallerLimits, Headers, Inbound, Route, RoutedService, RouteTable
 from cleatlink.organisations import Admission, Holder
-from cleatlink.relay.call import Call, RelayParts
-from cleatlink.relay.plain import PlainCall
-from cleatlink.relay.planned_stop import ANSWER_S
-from cleatlink.relay.pool import Reply
-from cleatlink.relay.room import DecodeRoom
-from cleatlink.relay.server import Exchange, Handler
-from cleatlink.relay.stream import StreamCall
+from cleatlink.relay.callers.server import Exchange, Handler
+from cleatlink.relay.calls.call import Call, RelayParts
+from cleatlink.relay.calls.plain import PlainCall
+from cleatlink.relay.calls.planned_stop import ANSWER_S
+from cleatlink.relay.calls.room import DecodeRoom
+from cleatlink.relay.calls.stream import StreamCall
+from cleatlink.relay.endpoints.pool import Reply
 from cleatlink.routing.route_index import RouteIndex, choose_service
 
 __all__ = ["RelayService"]
--- a/cleatlink/relay/side.py
+++ b/cleatlink/relay/callers/side.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from cleatlink.core.routes import CallerLimits
-from cleatlink.relay.server import Exchange, Handler
+from cleatlink.relay.callers.server import Exchange, Handler
 
 __all__ = [
     "HeldRequest",
--- a/cleatlink/relay/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -17,13 +17,13 @@
 )
 from cleatlink.core.routes import Inbound, Route, RoutedEndpoint, RoutedService, RouteKind
 from cleatlink.organisations import NOBODY, Admission, Holder, OrganisationGate
-from cleatlink.relay.crash_watch import CrashWatch
+from cleatlink.relay.calls.planned_stop import PlannedStop
+from cleatlink.relay.endpoints.crash_watch import CrashWatch
+from cleatlink.relay.endpoints.pool import ConnectionPool
+from cleatlink.relay.endpoints.protocol import Protocol, ReplyHead
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.peer_messages import HintKind
-from cleatlink.relay.planned_stop import PlannedStop
-from cleatlink.relay.pool import ConnectionPool
-from cleatlink.relay.protocol import Protocol, ReplyHead
-from cleatlink.relay.shared_quarantine import SharedQuarantine
+from cleatlink.relay.peers.messages import HintKind
+from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
 from cleatlink.request.shared_budget import SharedRetryBudget
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.relay_place import RUNS_APART, Seeker
--- a/cleatlink/relay/decode_place.py
+++ b/cleatlink/relay/calls/decode_place.py
@@ -3,12 +3,12 @@
 from cleatlink.core.data import Refusal
 from cleatlink.core.errors import EndpointUnreachableError
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.call import Call, RelayParts
-from cleatlink.relay.connection import EndpointConnection
-from cleatlink.relay.hold import HoldOutcome, StreamHold
-from cleatlink.relay.pool import FRESH_LIMIT_S
-from cleatlink.relay.prefill import Prefill
-from cleatlink.relay.room import DecodeRoom, Room
+from cleatlink.relay.calls.call import Call, RelayParts
+from cleatlink.relay.calls.hold import HoldOutcome, StreamHold
+from cleatlink.relay.calls.prefill import Prefill
+from cleatlink.relay.calls.room import DecodeRoom, Room
+from cleatlink.relay.endpoints.connection import EndpointConnection
+from cleatlink.relay.endpoints.pool import FRESH_LIMIT_S
 from cleatlink.routing.relay_place import estimate_output, longest_stream_s
 
 __all__ = ["RETRY_AFTER_S", "DecodePlace"]
--- a/cleatlink/relay/hold.py
+++ b/cleatlink/relay/calls/hold.py
@@ -12,10 +12,10 @@
 
 from cleatlink.core.errors import EndpointError
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.call import Call, RelayParts
-from cleatlink.relay.connection import EndpointConnection
-from cleatlink.relay.pool import IDLE_LIMIT_S, Reply
-from cleatlink.relay.protocol import OutgoingRequest
+from cleatlink.relay.calls.call import Call, RelayParts
+from cleatlink.relay.endpoints.connection import EndpointConnection
+from cleatlink.relay.endpoints.pool import IDLE_LIMIT_S, Reply
+from cleatlink.relay.endpoints.protocol import OutgoingRequest
 from cleatlink.routing.mechanisms import Mechanism
 
 __all__ = ["HoldOutcome", "StreamHold"]
--- a/cleatlink/relay/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -11,9 +11,9 @@
     StreamBrokenError,
 )
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.call import Call, RelayParts
-from cleatlink.relay.pool import FRESH_LIMIT_S, IDLE_LIMIT_S, Reply
-from cleatlink.relay.protocol import OutgoingRequest, ReplyHead
+from cleatlink.relay.calls.call import Call, RelayParts
+from cleatlink.relay.endpoints.pool import FRESH_LIMIT_S, IDLE_LIMIT_S, Reply
+from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
 from cleatlink.relay.tasks import run_watched
 from cleatlink.routing.capacity import Reservation
 from cleatlink.routing.mechanisms import Mechanism
--- a/cleatlink/relay/plain_test.py
+++ b/cleatlink/relay/calls/plain_test.py
@@ -194,7 +194,7 @@
             raise ValueError("a fault")
 
         with monkeypatch.context() as patch:
-            patch.setattr("cleatlink.relay.plain.place_plain", fail)
+            patch.setattr("cleatlink.relay.calls.plain.place_plain", fail)
             assert (await fleet.caller().ask("/safe/x")).status == 500
         assert (await fleet.caller().ask("/safe/x")).status == 200
 
--- a/cleatlink/relay/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -13,9 +13,9 @@
     OutcomeUnknownError,
 )
 from cleatlink.core.routes import KvSource, RoutedEndpoint
-from cleatlink.relay.call import Call, RelayParts
-from cleatlink.relay.pool import IDLE_LIMIT_S
-from cleatlink.relay.protocol import OutgoingRequest, ReplyHead
+from cleatlink.relay.calls.call import Call, RelayParts
+from cleatlink.relay.endpoints.pool import IDLE_LIMIT_S
+from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
 from cleatlink.routing.capacity import Reservation
 from cleatlink.routing.relay_place import place_prefill
 
--- a/cleatlink/relay/room.py
+++ b/cleatlink/relay/calls/room.py
@@ -7,7 +7,7 @@
 from cleatlink.core.data import Ran, Refusal, Role
 from cleatlink.core.errors import ErrorKind
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.call import Call, RelayParts
+from cleatlink.relay.calls.call import Call, RelayParts
 from cleatlink.routing import WaitingRoom
 from cleatlink.routing.capacity import Reservation
 from cleatlink.routing.forecast import RoomForecast, StreamDemand
--- a/cleatlink/relay/room_test.py
+++ b/cleatlink/relay/calls/room_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cleatlink.relay.room import _BEGUN_URGENCY, DecodeRoom, _Standing
+from cleatlink.relay.calls.room import _BEGUN_URGENCY, DecodeRoom, _Standing
 from cleatlink.routing.prompt_plan import PromptPlan
 
 
--- a/cleatlink/relay/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -14,16 +14,16 @@
     StreamBrokenError,
 )
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.call import Call, RelayParts
-from cleatlink.relay.connection import EndpointConnection
-from cleatlink.relay.decode_place import RETRY_AFTER_S, DecodePlace
-from cleatlink.relay.events import EventCutter
-from cleatlink.relay.protocol import ReplyHead
-from cleatlink.relay.room import DecodeRoom
-from cleatlink.relay.server import Exchange
-from cleatlink.relay.succession import Succession
+from cleatlink.relay.callers.server import Exchange
+from cleatlink.relay.calls.call import Call, RelayParts
+from cleatlink.relay.calls.decode_place import RETRY_AFTER_S, DecodePlace
+from cleatlink.relay.calls.events import EventCutter
+from cleatlink.relay.calls.room import DecodeRoom
+from cleatlink.relay.calls.succession import Succession
+from cleatlink.relay.calls.watch import StreamWatch
+from cleatlink.relay.endpoints.connection import EndpointConnection
+from cleatlink.relay.endpoints.protocol import ReplyHead
 from cleatlink.relay.tasks import run_watched
-from cleatlink.relay.watch import StreamWatch
 
 __all__ = ["StreamCall", "StreamEnd"]
 
--- a/cleatlink/relay/watch.py
+++ b/cleatlink/relay/calls/watch.py
@@ -2,8 +2,8 @@
 
 import trio
 
-from cleatlink.relay.call import Call
-from cleatlink.relay.room import Room
+from cleatlink.relay.calls.call import Call
+from cleatlink.relay.calls.room import Room
 from cleatlink.routing.pace import ServicePace
 
 __all__ = ["StreamWatch"]
--- a/cleatlink/relay/daemon.py
+++ b/cleatlink/relay/daemon.py
@@ -8,11 +8,11 @@
 
 from cleatlink.clock import unix_ms
 from cleatlink.core.errors import ConfigurationError
+from cleatlink.relay.endpoints.protocol import Protocol
+from cleatlink.relay.following.source import ConfigurationSource
 from cleatlink.relay.instance import RelayInstance
 from cleatlink.relay.logs import write_lines
-from cleatlink.relay.protocol import Protocol
 from cleatlink.relay.settings import RelaySettings
-from cleatlink.relay.source import ConfigurationSource
 
 __all__ = ["run_relay"]
 
--- a/cleatlink/relay/answer_notices.py
+++ b/cleatlink/relay/endpoints/answer_notices.py
@@ -7,9 +7,9 @@
 
 from cleatlink.core.notices import NO_NOTICE
 from cleatlink.core.routes import RoutedEndpoint
+from cleatlink.relay.endpoints.protocol import Protocol, ReplyHead
 from cleatlink.relay.logs import LineAllowance
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.protocol import Protocol, ReplyHead
 from cleatlink.routing.notices import EndpointNotices, NoticeSource
 
 __all__ = ["AnswerNotices"]
--- a/cleatlink/relay/answer_notices_test.py
+++ b/cleatlink/relay/endpoints/answer_notices_test.py
@@ -7,7 +7,7 @@
 
 from cleatlink.core.notices import NO_NOTICE, EndpointNotice
 from cleatlink.platform import PROTOCOL
-from cleatlink.relay.protocol import ReplyHead
+from cleatlink.relay.endpoints.protocol import ReplyHead
 from standins.relay import Worker
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import open_fleet
--- a/cleatlink/relay/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -15,7 +15,7 @@
     OutcomeUnknownError,
     StreamBrokenError,
 )
-from cleatlink.relay.protocol import OutgoingRequest, ReplyHead
+from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
 from cleatlink.relay.sockets import connect
 from cleatlink.relay.tasks import run_watched
 
--- a/cleatlink/relay/connection_test.py
+++ b/cleatlink/relay/endpoints/connection_test.py
@@ -8,8 +8,8 @@
     OutcomeUnknownError,
     StreamBrokenError,
 )
-from cleatlink.relay.connection import EndpointConnection
-from cleatlink.relay.protocol import OutgoingRequest
+from cleatlink.relay.endpoints.connection import EndpointConnection
+from cleatlink.relay.endpoints.protocol import OutgoingRequest
 from standins.relay.fleet import free_address
 
 BODY = b"x" * 8_000_000
--- a/cleatlink/relay/crash_watch.py
+++ b/cleatlink/relay/endpoints/crash_watch.py
@@ -11,8 +11,8 @@
 
 from cleatlink.core.errors import EndpointUnreachableError
 from cleatlink.core.routes import RoutedEndpoint
+from cleatlink.relay.endpoints.pool import ConnectionPool
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.pool import ConnectionPool
 
 __all__ = ["CrashWatch"]
 
--- a/cleatlink/relay/crash_watch_test.py
+++ b/cleatlink/relay/endpoints/crash_watch_test.py
@@ -7,9 +7,9 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.crash_watch import CrashWatch
+from cleatlink.relay.endpoints.crash_watch import CrashWatch
+from cleatlink.relay.endpoints.pool import ConnectionPool
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.pool import ConnectionPool
 from standins.relay import Fault, Worker
 from standins.relay.example import start
 from standins.relay.fleet import Fleet, open_fleet
--- a/cleatlink/relay/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -8,8 +8,8 @@
 import trio
 
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.connection import EndpointConnection
-from cleatlink.relay.protocol import OutgoingRequest, ReplyHead
+from cleatlink.relay.endpoints.connection import EndpointConnection
+from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
 
 __all__ = ["FRESH_LIMIT_S", "IDLE_LIMIT_S", "ConnectionPool", "Reply"]
 
--- a/cleatlink/relay/pool_test.py
+++ b/cleatlink/relay/endpoints/pool_test.py
@@ -5,7 +5,7 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.pool import FRESH_LIMIT_S, ConnectionPool
+from cleatlink.relay.endpoints.pool import FRESH_LIMIT_S, ConnectionPool
 from standins.relay import Worker
 
 
--- /dev/null
+++ b/cleatlink/relay/following/__init__.py
@@ -0,0 +1,1 @@
+"""Follows the configuration service: an interface, and who keeps the records."""
--- a/cleatlink/relay/follower.py
+++ b/cleatlink/relay/following/follower.py
@@ -10,11 +10,11 @@
 from cleatlink.core.decoding import ReadFault
 from cleatlink.core.errors import PlatformError
 from cleatlink.core.routes import RouteTable
+from cleatlink.relay.endpoints.pool import ConnectionPool
+from cleatlink.relay.following.source import ConfigurationSource, HistoryGoneError, SourceChange
 from cleatlink.relay.logs import LineAllowance
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.peer_messages import Snapshot
-from cleatlink.relay.pool import ConnectionPool
-from cleatlink.relay.source import ConfigurationSource, HistoryGoneError, SourceChange
+from cleatlink.relay.peers.messages import Snapshot
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.fleet_records import EndpointRecord, FleetRecords
 from cleatlink.routing.notices import NoticeSource
--- a/cleatlink/relay/follower_test.py
+++ b/cleatlink/relay/following/follower_test.py
@@ -5,10 +5,10 @@
 import pytest
 import trio
 
-from cleatlink.relay.follower import Follower, FollowerHooks
+from cleatlink.relay.endpoints.pool import ConnectionPool
+from cleatlink.relay.following.follower import Follower, FollowerHooks
+from cleatlink.relay.following.source import ConfigurationSource, SourceChange
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.pool import ConnectionPool
-from cleatlink.relay.source import ConfigurationSource, SourceChange
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.fleet_records import EndpointRecord
 
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -10,26 +10,26 @@
 from cleatlink.core.errors import ListenError
 from cleatlink.core.routes import RoutedEndpoint, RouteTable
 from cleatlink.organisations import OrganisationGate, OrganisationLimits
-from cleatlink.relay.answer_notices import AnswerNotices
-from cleatlink.relay.call import RelayParts
-from cleatlink.relay.catch_up import KnownState
-from cleatlink.relay.crash_watch import CrashWatch
-from cleatlink.relay.follower import Follower, FollowerHooks
+from cleatlink.relay.callers.server import Handler, serve_connections
+from cleatlink.relay.callers.service import RelayService
+from cleatlink.relay.callers.side import InstanceStatus, MetricsHandler, PeerHandler, ReadyHandler
+from cleatlink.relay.calls.call import RelayParts
+from cleatlink.relay.calls.planned_stop import PlannedStop
+from cleatlink.relay.endpoints.answer_notices import AnswerNotices
+from cleatlink.relay.endpoints.crash_watch import CrashWatch
+from cleatlink.relay.endpoints.pool import ConnectionPool
+from cleatlink.relay.endpoints.protocol import Protocol
+from cleatlink.relay.following.follower import Follower, FollowerHooks
+from cleatlink.relay.following.source import ConfigurationSource
 from cleatlink.relay.logs import LineWriter
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.orders import RoleKeeper
-from cleatlink.relay.peer_messages import HintKind, Snapshot, encode
-from cleatlink.relay.peers import PeerGroup, PeerHooks
-from cleatlink.relay.planned_stop import PlannedStop
-from cleatlink.relay.pool import ConnectionPool
-from cleatlink.relay.protocol import Protocol
-from cleatlink.relay.server import Handler, serve_connections
-from cleatlink.relay.service import RelayService
+from cleatlink.relay.peers.catch_up import KnownState
+from cleatlink.relay.peers.group import PeerGroup, PeerHooks
+from cleatlink.relay.peers.messages import HintKind, Snapshot, encode
+from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
 from cleatlink.relay.settings import RelaySettings
-from cleatlink.relay.shared_quarantine import SharedQuarantine
-from cleatlink.relay.side import InstanceStatus, MetricsHandler, PeerHandler, ReadyHandler
 from cleatlink.relay.sockets import listen
-from cleatlink.relay.source import ConfigurationSource
 from cleatlink.relay.tasks import Task, run_once, supervise
 from cleatlink.request.shared_budget import SharedRetryBudget
 from cleatlink.routing.capacity import Capacity, Reservation
--- a/cleatlink/relay/operations_test.py
+++ b/cleatlink/relay/operations_test.py
@@ -149,7 +149,7 @@
 def test_page_names_only_lines_that_the_programs_write() -> None:
     sources = "".join(
         path.read_text()
-        for path in Path(__file__).parent.glob("*.py")
+        for path in Path(__file__).parent.rglob("*.py")
         if not path.name.endswith("_test.py")
     )
     quoted = re.findall(r"^ {4}relay: ([a-z ]+?)(?:  |$)", PAGE.read_text(), re.MULTILINE)
--- a/cleatlink/relay/orders.py
+++ b/cleatlink/relay/orders.py
@@ -10,10 +10,10 @@
 from cleatlink.core.errors import EndpointError
 from cleatlink.core.routes import EngineTraits, RoutedEndpoint, RouteTable
 from cleatlink.members.leadership import Leadership
+from cleatlink.relay.endpoints.pool import FRESH_LIMIT_S, ConnectionPool
+from cleatlink.relay.endpoints.protocol import Protocol
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.peers import SILENCE_S, PeerGroup
-from cleatlink.relay.pool import FRESH_LIMIT_S, ConnectionPool
-from cleatlink.relay.protocol import Protocol
+from cleatlink.relay.peers.group import SILENCE_S, PeerGroup
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.demand import RoleDemand, StreamPromise
--- /dev/null
+++ b/cleatlink/relay/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What instances tell each other: presence, work, limits, crashes and what is known."""
--- a/cleatlink/relay/catch_up.py
+++ b/cleatlink/relay/peers/catch_up.py
@@ -14,10 +14,10 @@
 import trio
 
 from cleatlink.core.errors import EndpointError
-from cleatlink.relay.connection import EndpointConnection
+from cleatlink.relay.endpoints.connection import EndpointConnection
+from cleatlink.relay.endpoints.protocol import OutgoingRequest
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.peer_messages import Beat, Snapshot
-from cleatlink.relay.protocol import OutgoingRequest
+from cleatlink.relay.peers.messages import Beat, Snapshot
 
 __all__ = ["CatchUp", "KnownState"]
 
--- a/cleatlink/relay/peers.py
+++ b/cleatlink/relay/peers/group.py
@@ -21,10 +21,10 @@
 from cleatlink.core.data import Role
 from cleatlink.members.leadership import Hearing
 from cleatlink.organisations import OrganisationLimits
-from cleatlink.relay.catch_up import CatchUp, KnownState
-from cleatlink.relay.limit_news import LimitNews
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.peer_messages import (
+from cleatlink.relay.peers.catch_up import CatchUp, KnownState
+from cleatlink.relay.peers.limit_news import LimitNews
+from cleatlink.relay.peers.messages import (
     Beat,
     Changes,
     CrashNews,
@@ -40,10 +40,10 @@
     decode_datagram,
     encode,
 )
+from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
+from cleatlink.relay.peers.work_news import WorkNews
 from cleatlink.relay.settings import RelaySettings
-from cleatlink.relay.shared_quarantine import SharedQuarantine
 from cleatlink.relay.sockets import bind
-from cleatlink.relay.work_news import WorkNews
 from cleatlink.routing.capacity import Capacity, Reservation
 from cleatlink.routing.shared_hints import SharedHints
 
--- a/cleatlink/relay/peers_test.py
+++ b/cleatlink/relay/peers/group_test.py
@@ -9,9 +9,10 @@
 
 from cleatlink.core.address import Address, parse_address
 from cleatlink.organisations import OrganisationLimits
-from cleatlink.relay.catch_up import KnownState
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.peer_messages import (
+from cleatlink.relay.peers.catch_up import KnownState
+from cleatlink.relay.peers.group import PeerGroup, PeerHooks
+from cleatlink.relay.peers.messages import (
     Beat,
     EndpointHint,
     HintKind,
@@ -22,9 +23,8 @@
     decode_datagram,
     encode,
 )
-from cleatlink.relay.peers import PeerGroup, PeerHooks
+from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
 from cleatlink.relay.settings import RelaySettings
-from cleatlink.relay.shared_quarantine import SharedQuarantine
 from cleatlink.relay.tasks import Task
 from cleatlink.routing.capacity import Capacity
 from standins.relay.fleet import free_address
--- a/cleatlink/relay/limit_news.py
+++ b/cleatlink/relay/peers/limit_news.py
@@ -4,7 +4,7 @@
 
 from cleatlink.members.presence import Presence
 from cleatlink.organisations import HEARD_S, OrganisationLimits, PeerTotals
-from cleatlink.relay.peer_messages import Beat, Spending
+from cleatlink.relay.peers.messages import Beat, Spending
 
 __all__ = ["LimitNews"]
 
--- a/cleatlink/relay/shared_quarantine.py
+++ b/cleatlink/relay/peers/shared_quarantine.py
@@ -13,8 +13,8 @@
 
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.quarantine import CRASHES_TO_HOLD, CrashReport, Quarantine, Trial, Verdict
-from cleatlink.relay.peer_messages import CrashItem, CrashNews
-from cleatlink.relay.side import HeldRequest
+from cleatlink.relay.callers.side import HeldRequest
+from cleatlink.relay.peers.messages import CrashItem, CrashNews
 
 __all__ = ["SharedQuarantine"]
 
--- a/cleatlink/relay/work_news.py
+++ b/cleatlink/relay/peers/work_news.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Collection, Iterable
 
-from cleatlink.relay.peer_messages import Changes, WorkItem
+from cleatlink.relay.peers.messages import Changes, WorkItem
 from cleatlink.routing.capacity import Capacity, Reservation
 
 __all__ = ["WorkNews"]
--- a/cleatlink/relay/work_news_test.py
+++ b/cleatlink/relay/peers/work_news_test.py
@@ -2,7 +2,7 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.work_news import WorkNews
+from cleatlink.relay.peers.work_news import WorkNews
 from cleatlink.routing.capacity import Capacity, Reservation
 
 PLACES = ("a", "b", "c")
--- a/cleatlink/relay/quarantine_test.py
+++ b/cleatlink/relay/quarantine_test.py
@@ -20,8 +20,8 @@
 import pytest
 import trio
 
-from cleatlink.relay.server import serve_connections
-from cleatlink.relay.side import MetricsHandler
+from cleatlink.relay.callers.server import serve_connections
+from cleatlink.relay.callers.side import MetricsHandler
 from cleatlink.relay.sockets import listen
 from standins.relay import Worker
 from standins.relay.client import Caller, Reply
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -8,13 +8,13 @@
 from cleatlink.core.organisations import Organisation
 from cleatlink.members.leadership import Leadership
 from cleatlink.organisations import Admission, KeyTable, OrganisationGate, OrganisationLimits
-from cleatlink.relay.call import Call
-from cleatlink.relay.events import EventCutter
-from cleatlink.relay.follower import Follower
+from cleatlink.relay.callers.server import CallerConnection
+from cleatlink.relay.calls.call import Call
+from cleatlink.relay.calls.events import EventCutter
+from cleatlink.relay.calls.planned_stop import PlannedStop
+from cleatlink.relay.endpoints.protocol import Protocol
+from cleatlink.relay.following.follower import Follower
 from cleatlink.relay.instance import RelayInstance
-from cleatlink.relay.planned_stop import PlannedStop
-from cleatlink.relay.protocol import Protocol
-from cleatlink.relay.server import CallerConnection
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.fleet_records import FleetRecords
 from cleatlink.scripts.main import main
--- a/tools/constants.py
+++ b/tools/constants.py
@@ -93,7 +93,7 @@
     paths = [
         path
         for folder in _FOLDERS
-        for path in sorted((_ROOT / folder).glob("*.py"))
+        for path in sorted((_ROOT / folder).rglob("*.py"))
         if not path.name.endswith("_test.py")
     ]
     return [constant for path in paths for constant in read_constants(path)]
--- a/tools/runtime_lock_test.py
+++ b/tools/runtime_lock_test.py
@@ -28,7 +28,7 @@
     names = {name.replace("-", "_") for name in RUNTIME}
     used = set()
     for package in packages:
-        for path in (ROOT / "cleatlink" / package).glob("*.py"):
+        for path in (ROOT / "cleatlink" / package).rglob("*.py"):
             if path.name.endswith("_test.py"):
                 continue
             for node in ast.walk(ast.parse(path.read_text())):
