Peers are told what endpoints say of themselves; the group of peers in four smaller modules

Cause: each instance had to be turned away itself: what an endpoint said to one was unknown to the others. Ruled out: sending rests as hints that count from several instances (an endpoint's own word needs no second one); binding others by a rest that was asked of one (others are better places, but where there is none it is tried). Change: news of leaving and rests, told at once, leaving repeated with heartbeats, all to who is new. The end of a rest that was told is spread. An older build counts the message as not understood.

--- a/cleatlink/relay/endpoints/answer_notices.py
+++ b/cleatlink/relay/endpoints/answer_notices.py
@@ -28,6 +28,7 @@
         notices: EndpointNotices,
         metrics: RelayMetrics,
         on_leaving: Callable[[str], None],
+        on_rest: Callable[[str], None],
     ) -> None:
         """Start without any.
 
@@ -36,7 +37,9 @@
             notices: Where what is read is kept.
             metrics: Counts it.
             on_leaving: Told of a life that says for the first time that it leaves.
+            on_rest: Told of a life each time that it asks for a rest.
         """
+        self._on_rest = on_rest
         self._on_leaving = on_leaving
         self._protocol = protocol
         self._notices = notices
@@ -69,9 +72,9 @@
 
     def _note_rest(self, endpoint: RoutedEndpoint, rest_s: float, now: float) -> None:
         self._metrics.count_notice("rest")
-        if not self._notices.note_rest(endpoint.name, rest_s, now):
-            return
-        if self._rest_lines.take(now):
+        begins = self._notices.note_rest(endpoint.name, rest_s, now)
+        self._on_rest(endpoint.name)
+        if begins and self._rest_lines.take(now):
             eliot.log_message(
                 message_type="endpoint: asks for a rest",
                 endpoint=endpoint.name,
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -25,8 +25,10 @@
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.orders import RoleKeeper
 from cleatlink.relay.peers.catch_up import KnownState
-from cleatlink.relay.peers.group import PeerGroup, PeerHooks
+from cleatlink.relay.peers.group import PeerGroup
+from cleatlink.relay.peers.hooks import PeerHooks
 from cleatlink.relay.peers.messages import HintKind, Snapshot, encode
+from cleatlink.relay.peers.shared_notices import SharedNotices
 from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.relay.sockets import listen
@@ -73,7 +75,11 @@
         self._metrics = RelayMetrics()
         notices = self._capacity.notices
         self._answer_notices = AnswerNotices(
-            protocol, notices, self._metrics, self._close_connections
+            protocol,
+            notices,
+            self._metrics,
+            on_leaving=self._note_leaving,
+            on_rest=self._note_rest,
         )
         self._pool = ConnectionPool(
             self._allowed_connections, self._answer_notices.note_head, notices.is_leaving
@@ -84,6 +90,7 @@
         self._gate = OrganisationGate(limits)
         rng = random.Random(incarnation)
         self._quarantine = SharedQuarantine(settings.name, rng)
+        self._shared_notices = SharedNotices(settings.name, notices, rng)
         self._crash_watch = CrashWatch(
             self._pool, self._metrics, spawn=self._spawn, on_crash=self._quarantine.note_crash
         )
@@ -128,6 +135,7 @@
             self._follower.take_snapshot,
             self._offer_room,
             self._note_peer_demand,
+            self._close_connections,
         )
         self._peers = PeerGroup(
             settings,
@@ -135,6 +143,7 @@
             self._capacity,
             self._gate.limits,
             quarantine=self._quarantine,
+            notices=self._shared_notices,
             metrics=self._metrics,
             hooks=hooks,
         )
@@ -296,6 +305,13 @@
     def _close_connections(self, life: str) -> None:
         self._pool.forget(life)
 
+    def _note_leaving(self, life: str) -> None:
+        self._close_connections(life)
+        self._shared_notices.tell_leaving(life)
+
+    def _note_rest(self, life: str) -> None:
+        self._shared_notices.tell_rest(life)
+
     def _members(self) -> int:
         most = self._peers.most_members
         return max(most + 1, _FIRST_MEMBERS if most == 1 else 0)
--- a/cleatlink/relay/peers/group_test.py
+++ b/cleatlink/relay/peers/group_test.py
@@ -11,7 +11,8 @@
 from cleatlink.organisations import OrganisationLimits
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peers.catch_up import KnownState
-from cleatlink.relay.peers.group import PeerGroup, PeerHooks
+from cleatlink.relay.peers.group import PeerGroup
+from cleatlink.relay.peers.hooks import PeerHooks
 from cleatlink.relay.peers.messages import (
     Beat,
     EndpointHint,
@@ -23,10 +24,12 @@
     decode_datagram,
     encode,
 )
+from cleatlink.relay.peers.shared_notices import SharedNotices
 from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.relay.tasks import Task
 from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.notices import EndpointNotices
 from standins.relay.fleet import free_address
 
 MANY = 80
@@ -101,6 +104,7 @@
         lambda snapshot: None,
         lambda: None,
         lambda work: None,
+        lambda life: None,
     )
     limits = OrganisationLimits(settings.limit_tolerance, 0.0)
     group = PeerGroup(
@@ -109,6 +113,7 @@
         Capacity(),
         limits,
         quarantine=SharedQuarantine(settings.name, random.Random(1)),
+        notices=SharedNotices(settings.name, EndpointNotices(), random.Random(1)),
         metrics=RelayMetrics(),
         hooks=hooks,
     )
--- /dev/null
+++ b/cleatlink/relay/peers/hooks.py
@@ -0,0 +1,30 @@
+"""What the group of peers needs of its instance."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cleatlink.relay.peers.catch_up import KnownState
+from cleatlink.relay.peers.messages import Snapshot
+from cleatlink.routing.capacity import Reservation
+
+__all__ = ["PeerHooks"]
+
+
+class PeerHooks(NamedTuple):
+    """What the group needs of its instance.
+
+    Attributes:
+        state: Gives whether it is leaving, and the newest revisions that it knows.
+        look_again: Has the configuration service asked anew.
+        on_snapshot: Takes what a peer knows.
+        on_work: Told that peers' work changed.
+        on_placed: Told of each piece of work that a peer placed.
+        on_leaving: Told of a life of which a peer tells that it leaves.
+    """
+
+    state: Callable[[], KnownState]
+    look_again: Callable[[], None]
+    on_snapshot: Callable[[Snapshot], None]
+    on_work: Callable[[], None]
+    on_placed: Callable[[Reservation], None]
+    on_leaving: Callable[[str], None]
--- a/cleatlink/relay/peers/limit_news.py
+++ b/cleatlink/relay/peers/limit_news.py
@@ -5,6 +5,7 @@
 from cleatlink.members.presence import Presence
 from cleatlink.organisations import HEARD_S, OrganisationLimits, PeerTotals
 from cleatlink.relay.peers.messages import Beat, Spending
+from cleatlink.relay.peers.news import NewsChannel
 
 __all__ = ["LimitNews"]
 
@@ -13,7 +14,7 @@
 _SPENDING_S = 0.1
 
 
-class LimitNews:
+class LimitNews(NewsChannel):
     """One instance's side of limits that hold over all."""
 
     def __init__(self, name: str, incarnation: int, limits: OrganisationLimits) -> None:
@@ -27,18 +28,20 @@
         """Have peers told soon: little is left of an organisation's limit."""
         self._is_spending.set()
 
-    async def next(self) -> Spending:
+    async def next(self) -> list[Spending]:
         """Wait until there is something to tell at once, and give it."""
         await trio.sleep(_SPENDING_S)
         await self._is_spending.wait()
         self._is_spending = trio.Event()
-        return self._spending(trio.current_time())
+        return [self._spending(trio.current_time())]
 
-    def introduction(self, now: float) -> Spending | None:
-        """Give all that is known, for a peer that is new; None if there is nothing."""
-        if not len(self._limits):
-            return None
-        return self._spending(now, whole=True)
+    def repeat(self) -> list[Spending]:
+        """Give nothing: heartbeats carry what was let pass."""
+        return []
+
+    def introduction(self) -> list[Spending]:
+        """Give all that is known, for a peer that is new."""
+        return [self._spending(trio.current_time(), whole=True)] if len(self._limits) else []
 
     def _spending(self, now: float, *, whole: bool = False) -> Spending:
         """Give what this instance let pass: all of it with what is left, or what changed."""
--- a/cleatlink/relay/peers/messages.py
+++ b/cleatlink/relay/peers/messages.py
@@ -20,6 +20,7 @@
     "HintKind",
     "Member",
     "Message",
+    "NoticeNews",
     "PaceNews",
     "Roster",
     "Snapshot",
@@ -221,6 +222,20 @@
     trials: list[tuple[bytes, float]]
 
 
+class NoticeNews(msgspec.Struct, array_like=True, frozen=True, tag="n"):
+    """What endpoints said of themselves in answers to the sender, or to others before.
+
+    Attributes:
+        name: Sender.
+        leaving: Lives of endpoints that take no new work.
+        rests: Lives of endpoints that want a rest, with the seconds that are left of it.
+    """
+
+    name: str
+    leaving: list[str]
+    rests: list[tuple[str, float]]
+
+
 class HintKind(StrEnum):
     """What a hint says of an endpoint."""
 
@@ -244,7 +259,7 @@
     revision: int
 
 
-Message = Beat | Changes | Roster | PaceNews | EndpointHint | Spending | CrashNews
+Message = Beat | Changes | Roster | PaceNews | EndpointHint | Spending | CrashNews | NoticeNews
 _DECODER = msgspec.msgpack.Decoder(Message)
 
 
--- a/cleatlink/relay/peers/shared_quarantine.py
+++ b/cleatlink/relay/peers/shared_quarantine.py
@@ -15,6 +15,7 @@
 from cleatlink.quarantine import CRASHES_TO_HOLD, CrashReport, Quarantine, Trial, Verdict
 from cleatlink.relay.callers.side import HeldRequest
 from cleatlink.relay.peers.messages import CrashItem, CrashNews
+from cleatlink.relay.peers.news import NewsChannel
 
 __all__ = ["SharedQuarantine"]
 
@@ -28,7 +29,7 @@
 _OTHERS = 4
 
 
-class SharedQuarantine:
+class SharedQuarantine(NewsChannel):
     """The quarantine of this instance, and what it tells of it."""
 
     def __init__(self, name: str, rng: random.Random) -> None:
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -389,6 +389,8 @@
         return max(full_until, self.notices.rests_until(name))
 
     def _avoided(self, name: str, now: float) -> bool:
+        if self.notices.is_told_to_rest(name, now):
+            return True
         outcomes = self._outcomes.get(name)
         return outcomes is not None and now < max(outcomes.avoid_until, outcomes.slow_until)
 
--- a/cleatlink/routing/notices.py
+++ b/cleatlink/routing/notices.py
@@ -57,6 +57,7 @@
     def __init__(self) -> None:
         self._leaving: dict[str, Leaving] = {}
         self._rests: dict[str, _Rest] = {}
+        self._told_rests: dict[str, float] = {}
 
     def note_leaving(self, life: str, source: NoticeSource, now: float) -> bool:
         """Note that an endpoint takes no new work; tells whether that is new."""
@@ -82,6 +83,24 @@
         known.allowed = _FIRST_TRIES
         return begins
 
+    def newest_leaving(self, most: int) -> list[str]:
+        """Give the lives that leave, from the one of which it was told last."""
+        lives = sorted(self._leaving, key=lambda life: self._leaving[life].told_at, reverse=True)
+        return lives[:most]
+
+    def resting(self, now: float) -> list[str]:
+        """Give the lives that want nothing now."""
+        return [life for life, rest in self._rests.items() if rest.until > now]
+
+    def note_told_rest(self, life: str, until: float, now: float) -> None:
+        """Note that an endpoint asked a peer for a rest: others are better places for a while."""
+        self._told_rests = {name: at for name, at in self._told_rests.items() if at > now}
+        self._told_rests[life] = max(until, self._told_rests.get(life, 0.0))
+
+    def is_told_to_rest(self, life: str, now: float) -> bool:
+        """Tell whether an endpoint asked a peer for a rest that is not over."""
+        return self._told_rests.get(life, 0.0) > now
+
     def rests_until(self, life: str) -> float:
         """Give when an endpoint's rest ends or ended; 0 if it asked for none lately."""
         rest = self._rests.get(life)
