--- a/cleatlink/relay/following/follower.py
+++ b/cleatlink/relay/following/follower.py
@@ -276,7 +276,7 @@
 
     def take_snapshot(self, snapshot: Snapshot) -> None:
         """Take what a peer knows."""
-        records = [item.record() for item in snapshot.records]
+        records = snapshot.endpoint_records()
         revision = snapshot.complete_revision
         self._note_era(revision, "peer")
         self._registrations.take(self.records.changes_of_snapshot(records, revision))
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -27,7 +27,7 @@
 from cleatlink.relay.peers.catch_up import KnownState
 from cleatlink.relay.peers.group import PeerGroup
 from cleatlink.relay.peers.hooks import PeerHooks
-from cleatlink.relay.peers.messages import HintKind, RecordItem, Snapshot, encode
+from cleatlink.relay.peers.messages import HintKind, Snapshot, encode
 from cleatlink.relay.peers.shared_notices import SharedNotices
 from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
 from cleatlink.relay.settings import RelaySettings
@@ -347,8 +347,7 @@
     def snapshot(self) -> bytes:
         """Give all that this instance knows, encoded for a peer."""
         records = self._follower.records
-        items = [RecordItem.of(record) for record in records.records]
-        return encode(Snapshot(records.table, items, records.revision.number, records.revision.era))
+        return encode(Snapshot.of(records.table, records.records, records.revision))
 
     def status(self) -> InstanceStatus:
         """Give what is known just now, for an operator."""
--- a/cleatlink/relay/peers/messages.py
+++ b/cleatlink/relay/peers/messages.py
@@ -1,5 +1,6 @@
 """What instances tell each other: who is there, what they know, where they placed work."""
 
+from collections.abc import Iterable
 from enum import StrEnum
 
 import msgspec
@@ -263,32 +264,21 @@
 
 
 class RecordItem(msgspec.Struct, array_like=True, frozen=True):
-    """A registration as of a revision.
+    """A registration as of a revision; its era stands beside it in the snapshot.
+
+    It gets no more fields: earlier builds read it as a tuple of these four.
 
     Attributes:
         name: The name that it stands under.
         revision: Number of the revision.
         endpoint: None once it was removed, and for one that can't be used.
         fault: Why it can't be used.
-        era: Era of the revision.
     """
 
     name: str
     revision: int
     endpoint: RoutedEndpoint | None
     fault: ReadFault | None = None
-    era: int = 0
-
-    @classmethod
-    def of(cls, record: EndpointRecord) -> "RecordItem":
-        """Describe a record."""
-        era, number = record.revision
-        return cls(record.name, number, record.endpoint, record.fault, era)
-
-    def record(self) -> EndpointRecord:
-        """Give it as a record."""
-        revision = StoreRevision(self.era, self.revision)
-        return EndpointRecord(self.name, revision, self.endpoint, self.fault)
 
 
 class Snapshot(msgspec.Struct, array_like=True, frozen=True):
@@ -299,12 +289,40 @@
         records: All registrations, removed ones included.
         revision: Number of the revision up to which all of them are known.
         era: Era of that revision.
+        eras: Eras of the records' revisions, in their order; empty where all are 0.
     """
 
     table: RouteTable | None
     records: list[RecordItem]
     revision: int
     era: int = 0
+    eras: list[int] = []
+
+    @classmethod
+    def of(
+        cls, table: RouteTable | None, records: Iterable[EndpointRecord], revision: StoreRevision
+    ) -> "Snapshot":
+        """Describe all that is known.
+
+        Args:
+            table: The route table in force.
+            records: All registrations, removed ones included.
+            revision: The revision up to which all of them are known.
+        """
+        known = list(records)
+        items = [
+            RecordItem(item.name, item.revision.number, item.endpoint, item.fault) for item in known
+        ]
+        eras = [item.revision.era for item in known]
+        return cls(table, items, revision.number, revision.era, eras if any(eras) else [])
+
+    def endpoint_records(self) -> list[EndpointRecord]:
+        """Give the registrations."""
+        eras = self.eras or [0] * len(self.records)
+        return [
+            EndpointRecord(item.name, StoreRevision(era, item.revision), item.endpoint, item.fault)
+            for item, era in zip(self.records, eras, strict=False)
+        ]
 
     @property
     def complete_revision(self) -> StoreRevision:
