Soak: a store that comes back older, words of workers, two builds side by side

Cause: none of the three was injected by anything. Change: kinds worker_word, worker_rest, store_restore and upgrade, the last on builds that are taken from the history; four checks, each shown to fail on a program without its mechanism or on a made-up history. Instances tell their version in the start line, /status and metrics. A check that a disturbed store excused a send to what an instance knew to leave is made as strict as the promise: only a store that could not tell of it excuses.

--- a/cleatlink/relay/callers/side.py
+++ b/cleatlink/relay/callers/side.py
@@ -40,6 +40,7 @@
 
     Attributes:
         name: Its name.
+        version: Version of the program; told for operators, and compared by nobody.
         table_revision: Revision of the route table in force.
         store_era: How often the configuration service came back from a copy, as far as it told.
         endpoints: Endpoints that are registered.
@@ -50,6 +51,7 @@
     """
 
     name: str
+    version: str
     table_revision: int
     store_era: int
     endpoints: int
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -6,6 +6,7 @@
 import eliot
 import trio
 
+from cleatlink import __version__
 from cleatlink.core.address import Address
 from cleatlink.core.errors import ListenError
 from cleatlink.core.routes import RoutedEndpoint, RouteTable
@@ -239,6 +240,7 @@
                 name=self._settings.name,
                 data_centre=self._settings.data_centre,
                 incarnation=self._incarnation,
+                version=__version__,
                 without=self._capacity.switches.without,
             )
             await stop.wait()
@@ -358,6 +360,7 @@
         }
         return InstanceStatus(
             name=self._settings.name,
+            version=__version__,
             table_revision=self.records.table_revision,
             store_era=self.records.revision.era,
             endpoints=len(self._capacity.endpoints),
--- a/cleatlink/relay/metrics.py
+++ b/cleatlink/relay/metrics.py
@@ -2,6 +2,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from cleatlink import __version__
 from cleatlink.core.errors import ErrorKind
 
 __all__ = ["RelayMetrics"]
@@ -57,6 +58,10 @@
         self._dropped = Gauge(
             "cleatlink_relay_log_lines_dropped", "Log lines dropped.", registry=self._registry
         )
+        self._build = Gauge(
+            "cleatlink_relay_build", "Version of the program; 1.", registry=self._registry
+        )
+        self._build.set({"version": __version__}, 1)
         self._revision = Gauge(
             "cleatlink_relay_revision", "Route table in force.", registry=self._registry
         )
--- a/cleatlink/relay/peers/contract_test.py
+++ b/cleatlink/relay/peers/contract_test.py
@@ -15,8 +15,8 @@
 import pytest
 
 from cleatlink.relay.peers.messages import Snapshot, decode_datagram, decode_snapshot, encode
+from soak.builds import LANDED, extract_build
 from tools import message_samples
-from tools.builds import LANDED, extract_build
 
 RECORDED = Path(__file__).parent / "contract"
 PROGRAM = Path(message_samples.__file__).resolve()
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from cleatlink.core.data import Ran
+from cleatlink.core.notices import NO_NOTICE, EndpointNotice
 from cleatlink.core.organisations import Organisation
 from cleatlink.members.leadership import Leadership
 from cleatlink.organisations import Admission, KeyTable, OrganisationGate, OrganisationLimits
@@ -14,6 +15,7 @@
 from cleatlink.relay.calls.planned_stop import PlannedStop
 from cleatlink.relay.endpoints.protocol import Protocol
 from cleatlink.relay.following.follower import Follower
+from cleatlink.relay.following.store_client import StoreClient
 from cleatlink.relay.instance import RelayInstance
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.fleet_records import FleetRecords
@@ -98,7 +100,47 @@
 _note_sent = Call.note_sent
 _take_table = Follower.take_table
 
+
+def _read_no_notice(self: Protocol, head: Any) -> EndpointNotice:
+    return NO_NOTICE
+
+
+def _read_no_rest(self: Protocol, head: Any) -> EndpointNotice:
+    return _read_notice(self, head)._replace(rest_s=0.0)
+
+
+def _tell_no_era(self: StoreClient, head: Any) -> int:
+    return 0
+
+
+def _order_by_numbers() -> None:
+    """Know no eras, and read anew at once where changes can't be had."""
+    StoreClient._read_era = _tell_no_era  # type: ignore[method-assign]
+    Follower._reread_pause_s = _pause_never  # type: ignore[method-assign]
+
+
+def _pause_never(self: Follower) -> float:
+    return 0.0
+
+
+_read_notice = Protocol.read_notice
+
 ABLATIONS = {
+    "leaving-words": Ablation(
+        _replace(Protocol, "read_notice", _read_no_notice),
+        "a worker's word is heard",
+        (FaultKind.WORKER_WORD,),
+    ),
+    "rests": Ablation(
+        _replace(Protocol, "read_notice", _read_no_rest),
+        "rests are kept",
+        (FaultKind.WORKER_REST,),
+    ),
+    "eras": Ablation(
+        _order_by_numbers,
+        "calls to the store stay few",
+        (FaultKind.STORE_RESTORE, FaultKind.CONFIGURATION),
+    ),
     "ran-memory": Ablation(
         _replace(Call, "note_sent", _forget_that_it_left),
         "'not run' is true",
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -24,6 +24,14 @@
 LIMIT_WINDOW_S = 8.0
 LIMIT_OVERSHOOT = 0.25
 LIMIT_SLACK = 12.0
+# A registration that changed is known to all who watch within this.
+_HEARD_S = 1.0
+# Calls that are on their way when a worker asks for a rest arrive within this; so many more may.
+_ON_THE_WAY_S = 0.5
+MOST_IN_A_REST = 2
+# Calls to the store a second of each instance. Each change ends a wait, and one that is away is
+# asked again after 0.05 s to 0.6 s; a loop without a pause made 560.
+MOST_STORE_CALLS = 20.0
 # Tries of a request that crashed three workers, later than instances take to hear of it.
 MOST_LATE_CRASHES = 3
 _NOT_RUN = frozenset({408, 421, 429, 503})
@@ -112,6 +120,82 @@
             yield Violation("", detail, (arrival.request,))
 
 
+def _known_leaving_gets_nothing(history: History) -> Iterator[Violation]:
+    """What an instance knows of a worker's leaving holds whatever becomes of the store."""
+    left_at = {item.worker: item.at for item in history.withdrawals}
+    senders = {request.name: request for request in history.requests}
+    for arrival in history.arrivals:
+        at = left_at.get(arrival.worker)
+        request = senders.get(arrival.request)
+        if at is None or request is None or arrival.at <= at + DRAIN_S + _SLACK_S:
+            continue
+        if history.is_calm("store", at - CONTACT_S, arrival.at):
+            # Then the leaving is judged as such.
+            continue
+        was_told = history.is_calm("store", at - CONTACT_S, at + _HEARD_S)
+        instance = f"instance {request.instance}"
+        if was_told and history.is_calm(instance, at - CONTACT_S, arrival.at):
+            late_s = arrival.at - at
+            detail = f"{arrival.worker} got work {late_s:.2f} s after it was known to leave"
+            yield Violation("", detail, (arrival.request,))
+
+
+def _words_are_heard(history: History) -> Iterator[Violation]:
+    """A worker that said in an answer that it leaves gets nothing more from who passed it on."""
+    said_at = {word.worker: word.at for word in history.words}
+    requests = {request.name: request for request in history.requests}
+    heard: dict[tuple[str, int, int], float] = {}
+    for run in history.runs:
+        request = requests.get(run.request)
+        at = said_at.get(run.worker)
+        if request is None or at is None or run.began_at <= at or not request.whole:
+            continue
+        key = (run.worker, request.instance, request.life)
+        heard[key] = min(request.ended_at, heard.get(key, request.ended_at))
+    for arrival in history.arrivals:
+        request = requests.get(arrival.request)
+        if request is None:
+            continue
+        at = heard.get((arrival.worker, request.instance, request.life))
+        if at is None or request.sent_at <= at + DRAIN_S + _SLACK_S:
+            continue
+        if history.is_calm(f"instance {request.instance}", at, arrival.at):
+            late_s = request.sent_at - at
+            detail = f"{arrival.worker} got work {late_s:.2f} s after its answer was passed on"
+            yield Violation("", detail, (arrival.request,))
+
+
+def _rests_are_kept(history: History) -> Iterator[Violation]:
+    """Few calls of an instance reach a worker within a rest that it asked that instance for."""
+    requests = {request.name: request for request in history.requests}
+    for rest in history.rests:
+        by_sender: dict[tuple[int, int], list[Arrival]] = defaultdict(list)
+        for arrival in history.arrivals:
+            request = requests.get(arrival.request)
+            if request is not None and arrival.worker == rest.worker:
+                by_sender[request.instance, request.life].append(arrival)
+        for (instance, _), arrivals in by_sender.items():
+            for asked in arrivals:
+                if not rest.began_at < asked.at < rest.ended_at:
+                    continue
+                since, until = asked.at + _ON_THE_WAY_S, asked.at + rest.rest_s
+                late = [item for item in arrivals if since < item.at < until]
+                calm = history.is_calm(f"instance {instance}", asked.at, until)
+                if calm and len(late) > MOST_IN_A_REST:
+                    detail = (
+                        f"{rest.worker} got {len(late)} calls within {rest.rest_s:.1f} s of rest"
+                    )
+                    yield Violation("", detail, tuple(item.request for item in late))
+                    break
+
+
+def _store_calls_stay_few(history: History) -> Iterator[Violation]:
+    """Calls to the store stay bounded, whatever it answers."""
+    bound = MOST_STORE_CALLS * history.instances * history.seconds
+    if history.store_calls > bound:
+        yield Violation("", f"{history.store_calls} calls, more than {bound:.0f}")
+
+
 def _in_touch(history: History, request: Request | None, since: float, until: float) -> bool:
     """Tell whether the instance that took a request, and the store, were undisturbed."""
     if request is None:
@@ -328,6 +412,10 @@
     "the whole answer to its own request": _own_answer,
     "events in order": _stream_order,
     "a leaving worker gets nothing": _leaving_gets_nothing,
+    "what is known to leave gets nothing": _known_leaving_gets_nothing,
+    "a worker's word is heard": _words_are_heard,
+    "rests are kept": _rests_are_kept,
+    "calls to the store stay few": _store_calls_stay_few,
     "a configuration is in force": _configuration_in_force,
     "a configuration never reverts": _configuration_never_reverts,
     "a planned stop cuts nothing off": _planned_stop,
--- a/soak/checks_test.py
+++ b/soak/checks_test.py
@@ -11,10 +11,12 @@
     CrashingRun,
     History,
     KeyChange,
+    LeavingWord,
     LimitChange,
     Order,
     Request,
     RequestKind,
+    Rest,
     Spell,
     Stop,
     Switch,
@@ -57,6 +59,31 @@
     "events in order": NOTHING._replace(
         requests=[STREAM._replace(whole=False, body=stream("r1", 1, 2, 2))]
     ),
+    "what is known to leave gets nothing": NOTHING._replace(
+        withdrawals=[Withdrawal("i-1", 40.0)],
+        requests=[SERVED],
+        arrivals=[arrival("r1", 50.0)],
+        # The store came back from a copy long after it had told of the leaving.
+        spells=[Spell("store", 45.0, 49.0)],
+    ),
+    "a worker's word is heard": NOTHING._replace(
+        words=(LeavingWord("i-1", 40.0),),
+        requests=[
+            SERVED._replace(name="r0", owner="r0", sent_at=41.0, ended_at=41.1),
+            SERVED,
+        ],
+        runs=[run("r0", 41.0, 41.1)],
+        arrivals=[arrival("r0", 41.0), arrival("r1", 50.0)],
+    ),
+    "rests are kept": NOTHING._replace(
+        rests=(Rest("i-1", 40.0, 44.0, 3.0),),
+        requests=[
+            SERVED._replace(name=f"q{n}", owner=f"q{n}", sent_at=40.0 + n, ended_at=40.1 + n)
+            for n in range(1, 5)
+        ],
+        arrivals=[arrival(f"q{n}", 41.0 + 0.7 * (n - 1)) for n in range(1, 5)],
+    ),
+    "calls to the store stay few": NOTHING._replace(store_calls=3_000, instances=2),
     "a leaving worker gets nothing": NOTHING._replace(
         requests=[SERVED], arrivals=[arrival("r1", 50.0)], withdrawals=[Withdrawal("i-1", 46.0)]
     ),
@@ -117,7 +144,8 @@
 @pytest.mark.parametrize(
     ("name", "spell"),
     [
-        ("a leaving worker gets nothing", Spell("store", 47.0, 48.0)),
+        # An instance that may not have been told; once it was, nothing of the store excuses it.
+        ("a leaving worker gets nothing", Spell("store", 45.0, 46.5)),
         ("a configuration is in force", Spell("instance 1", 41.0, 42.0)),
         ("a planned stop cuts nothing off", Spell("i-7", 48.0, 49.0)),
         ("no work for callers that are gone", Spell("i-1", 49.0, 51.0)),
@@ -130,6 +158,13 @@
     assert judge(history._replace(spells=[elsewhere])) != []
 
 
+def test_store_that_is_away_later_excuses_nothing_of_what_was_known() -> None:
+    history = BROKEN["a leaving worker gets nothing"]
+    later = Spell("store", 47.5, 48.0)
+    found = judge(history._replace(spells=[later]))
+    assert {violation.check for violation in found} == {"what is known to leave gets nothing"}
+
+
 def test_answer_that_ends_early_must_not_look_complete() -> None:
     short = STREAM._replace(body=stream("r1", 1, 2, 3))
     assert judge(NOTHING._replace(requests=[short]))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -7,7 +7,7 @@
 from soak.link import Link
 from soak.organisations import SoakOrganisations
 from soak.processes import InstanceProcess, free_ports, instance_ip
-from soak.records import Spell, Stop, Switch, Withdrawal
+from soak.records import LeavingWord, Rest, Spell, Stop, Switch, Withdrawal
 from soak.workers import SoakWorker
 from standins.relay.fleet import Fleet
 
@@ -30,8 +30,20 @@
         folder: Path,
         instances: int,
         without: str,
+        *,
         organisations: SoakOrganisations | None = None,
+        older: Path | None = None,
     ) -> None:
+        """Prepare a fleet.
+
+        Args:
+            nursery: Runs what is no process.
+            folder: Where settings and output go.
+            instances: How many there are.
+            without: A mechanism that is switched off in them; empty for none.
+            organisations: Whose requests they get; None for nobody's.
+            older: Sources of the build that instances run at first; None for this one.
+        """
         self.platform = Fleet(nursery)
         self.organisations = organisations
         self.workers: list[SoakWorker] = []
@@ -43,6 +55,11 @@
         self.stops: list[Stop] = []
         self.spells: list[Spell] = []
         self.exits: list[str] = []
+        self.words: list[LeavingWord] = []
+        self.rests: list[Rest] = []
+        self.older = older
+        # What each worker last wrote of itself, and the worker.
+        self._entries: dict[str, tuple[SoakWorker, str]] = {}
         self._nursery = nursery
         ports = free_ports(instances)
         seeds = tuple(instance_ip(number + 1) for number in range(min(_SEEDS, instances)))
@@ -50,6 +67,8 @@
             InstanceProcess(number + 1, ports, seeds, folder, without)
             for number in range(instances)
         ]
+        for instance in self.instances:
+            instance.tree = older
 
     async def start(self, prefills: int) -> None:
         """Start all and wait until it serves.
@@ -58,6 +77,7 @@
             prefills: How many of the engines begin as prefills; without any, whoever leads
                 orders one to become one.
         """
+        self.platform.store.era = 1
         await self.platform.store.start(self._nursery)
         for service, stage, count in (
             ("plain", "", 3),
@@ -113,7 +133,7 @@
         self.links[worker.name] = link
         self.workers.append(worker)
         self.present.append(worker)
-        self.platform.register(worker)
+        self.register(worker)
         self._nursery.start_soon(self._replace_when_crashed, worker)
         return worker
 
@@ -125,11 +145,31 @@
         if worker in self.present:
             self.present.remove(worker)
         await trio.sleep(_BACK_S)
-        self.platform.unregister(worker)
+        self.unregister(worker)
         await link.accept_again(self._nursery)
         await self.add_worker(worker.service, worker.stage, link)
         self.note_spell(worker.name, began_at)
 
+    def register(self, worker: SoakWorker, state: str = "ready") -> None:
+        """Have a worker write its entry."""
+        self._entries[worker.name] = (worker, state)
+        self.platform.register(worker, state)
+
+    def unregister(self, worker: SoakWorker) -> None:
+        """Have a worker's entry go."""
+        self._entries.pop(worker.name, None)
+        self.platform.unregister(worker)
+
+    def write_again(self) -> None:
+        """Have the operator and the workers write again what a copy of the store lacks."""
+        for worker, state in self._entries.values():
+            self.platform.register(worker, state)
+        self.platform.publish_again()
+
+    def let_lapse(self) -> None:
+        """Have entries go that a copy brought back and nobody renews."""
+        self.platform.store.keep_only("servers/", {f"servers/{name}" for name in self._entries})
+
     async def move_switch(self) -> None:
         """Move the route that moves to a service that is new, with a worker of its own."""
         service = f"move-{len(self.switches)}"
--- a/soak/main.py
+++ b/soak/main.py
@@ -32,6 +32,7 @@
     help="Only faults of these kinds.",
 )
 @click.option("--organisations", is_flag=True, help="Callers with keys, one over its limit.")
+@click.option("--older", default="", help="A commit: its build and this one side by side.")
 @click.option("--regressions", is_flag=True, help="Play the runs that failed once.")
 @click.option("--json", "as_json", is_flag=True, help="Print a line of JSON for each run.")
 def main(
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -6,8 +6,11 @@
 
 __all__ = [
     "CRASH_KINDS",
+    "MIXED_KINDS",
     "ORGANISATION_KINDS",
+    "RESTORE_KINDS",
     "STOP_KINDS",
+    "WORD_KINDS",
     "FaultKind",
     "PlannedFault",
     "plan_faults",
@@ -49,6 +52,10 @@
     CONFIGURATION = "a route moves to another service"
     KEY = "a key is taken away while connections are open, and another one given"
     LIMIT = "an organisation's limit changes"
+    WORKER_WORD = "a worker that leaves says so in its answers alone"
+    WORKER_REST = "a worker turns everything away and asks for a rest"
+    STORE_RESTORE = "the store is away, and comes back from a copy that is some seconds old"
+    UPGRADE = "all instances are replaced in turn by instances of the other build"
     CRASHING_REQUEST = "a request that crashes each worker which runs it comes again and again"
 
 
@@ -65,6 +72,37 @@
 # What needs organisations in a run.
 ORGANISATION_KINDS = (FaultKind.KEY, FaultKind.LIMIT)
 
+# What workers say of themselves in answers, while the store is away, comes back older, and
+# instances are stopped, killed and paused.
+WORD_KINDS = (FaultKind.WORKER_WORD, FaultKind.WORKER_REST)
+RESTORE_KINDS = (
+    *WORD_KINDS,
+    FaultKind.STORE_RESTORE,
+    FaultKind.STORE_SILENT,
+    FaultKind.WORKER_DRAIN,
+    FaultKind.WORKER_CRASH,
+    FaultKind.CONFIGURATION,
+    FaultKind.KEY,
+    FaultKind.INSTANCE_STOP,
+    FaultKind.INSTANCE_KILL,
+    FaultKind.INSTANCE_PAUSE,
+)
+# What happens beside two builds of the program.
+MIXED_KINDS = (
+    FaultKind.INSTANCE_KILL,
+    FaultKind.INSTANCE_PAUSE,
+    FaultKind.STORE_SILENT,
+    FaultKind.STORE_LINK_SILENCE,
+    FaultKind.STORE_FORGETS,
+    FaultKind.WORKER_DRAIN,
+    FaultKind.WORKER_CRASH,
+    FaultKind.WORKER_FAULTS,
+    FaultKind.CONFIGURATION,
+    FaultKind.KEY,
+    FaultKind.LIMIT,
+    FaultKind.CRASHING_REQUEST,
+)
+
 # Requests that crash workers, while instances are killed, suspended, stopped and cut off.
 CRASH_KINDS = (
     FaultKind.CRASHING_REQUEST,
@@ -74,7 +112,13 @@
     FaultKind.STORE_LINK_SILENCE,
 )
 # The plans of seeds that are kept stay what they were.
-_SPECIAL_KINDS = (*ORGANISATION_KINDS, FaultKind.CRASHING_REQUEST)
+_SPECIAL_KINDS = (
+    *ORGANISATION_KINDS,
+    *WORD_KINDS,
+    FaultKind.STORE_RESTORE,
+    FaultKind.UPGRADE,
+    FaultKind.CRASHING_REQUEST,
+)
 _USUAL_KINDS = tuple(kind for kind in FaultKind if kind not in _SPECIAL_KINDS)
 
 
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -1,5 +1,6 @@
 """Instances of the program as processes, each at a loopback address of its own."""
 
+import os
 import signal
 import subprocess
 import sys
@@ -60,6 +61,8 @@
         self.ports = ports
         self.ip = instance_ip(number)
         self.output = folder / f"n{number}.log"
+        # Sources of the build that it runs from its next start on; None for this one.
+        self.tree: Path | None = None
         self._seeds = seeds
         self._settings = folder / f"n{number}.toml"
         module = ["soak.broken", without] if without else ["cleatlink.scripts.main"]
@@ -98,8 +101,13 @@
     def start(self) -> None:
         """Start a process."""
         self.life += 1
+        environment = None
+        if self.tree is not None:
+            environment = {**os.environ, "PYTHONPATH": str(self.tree)}
         with self.output.open("ab") as output:
-            self._process = subprocess.Popen(self._command, stdout=output, stderr=output)
+            self._process = subprocess.Popen(
+                self._command, stdout=output, stderr=output, cwd=self.tree, env=environment
+            )
 
     def exit_code(self) -> int | None:
         """Give the exit code; None while the process runs."""
--- a/soak/records.py
+++ b/soak/records.py
@@ -8,10 +8,12 @@
     "CrashingRun",
     "History",
     "KeyChange",
+    "LeavingWord",
     "LimitChange",
     "Order",
     "Request",
     "RequestKind",
+    "Rest",
     "Spell",
     "Stop",
     "Switch",
@@ -151,6 +153,29 @@
     at: float
 
 
+class LeavingWord(NamedTuple):
+    """A worker that says in its answers, from a time on, that it is leaving."""
+
+    worker: str
+    at: float
+
+
+class Rest(NamedTuple):
+    """A time in which a worker turned everything away and asked for a rest each time.
+
+    Attributes:
+        worker: The worker.
+        began_at: When it began to turn work away.
+        ended_at: When it took work again.
+        rest_s: Seconds that it asked for with each refusal.
+    """
+
+    worker: str
+    began_at: float
+    ended_at: float
+    rest_s: float
+
+
 class Switch(NamedTuple):
     """The moving route went to a service, as of a time."""
 
@@ -201,6 +226,11 @@
         keys: Keys that were taken away, in order.
         limits: Limits, in order, the first ones among them.
         crashes: Runs that crashed their workers.
+        words: Workers that said in answers that they leave.
+        rests: Workers that asked for a rest.
+        store_calls: Calls to the store of all instances.
+        instances: How many instances there are.
+        seconds: Length of the run.
     """
 
     requests: list[Request]
@@ -218,6 +248,11 @@
     keys: tuple[KeyChange, ...] = ()
     limits: tuple[LimitChange, ...] = ()
     crashes: tuple[CrashingRun, ...] = ()
+    words: tuple[LeavingWord, ...] = ()
+    rests: tuple[Rest, ...] = ()
+    store_calls: int = 0
+    instances: int = 1
+    seconds: float = 30.0
 
     def is_calm(self, what: str, since: float, until: float) -> bool:
         """Tell whether something was undisturbed throughout a time."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from soak.builds import extract_build
 from soak.checks import Violation, judge
 from soak.fleet import SoakFleet
 from soak.organisations import SoakOrganisations
@@ -23,6 +24,7 @@
 _HEAL_S = 4.0
 _TRIES = 20
 _LAST_LINES = 12
+_FIRST_UPGRADE_S = 2.0
 
 
 class RunSettings(NamedTuple):
@@ -38,6 +40,8 @@
         kinds: Kinds of faults; all that need no organisations if empty.
         prefills: How many of the five engines begin as prefills.
         organisations: Whether callers have keys of organisations, one of them over its limit.
+        older: A commit: instances begin as its build, are replaced in turn by this one, and
+            back again; empty for this build alone.
     """
 
     seed: int
@@ -49,6 +53,7 @@
     kinds: tuple[FaultKind, ...] = ()
     prefills: int = 2
     organisations: bool = False
+    older: str = ""
 
 
 class RunResult(NamedTuple):
@@ -75,13 +80,21 @@
         folder = Path(name)
         async with trio.open_nursery() as nursery:
             organisations = SoakOrganisations(settings.seed) if settings.organisations else None
-            fleet = SoakFleet(nursery, folder, settings.instances, settings.without, organisations)
+            older = extract_build(settings.older, folder) if settings.older else None
+            fleet = SoakFleet(
+                nursery,
+                folder,
+                settings.instances,
+                settings.without,
+                organisations=organisations,
+                older=older,
+            )
             try:
                 await fleet.start(settings.prefills)
                 traffic = Traffic(fleet, settings.seed)
                 striker = Striker(fleet, settings.seed)
                 await _run_traffic(settings, traffic, striker)
-                history = await _close_history(fleet, traffic)
+                history = await _close_history(settings, fleet, traffic)
             finally:
                 fleet.close()
                 nursery.cancel_scope.cancel()
@@ -93,6 +106,8 @@
 
 async def _run_traffic(settings: RunSettings, traffic: Traffic, striker: Striker) -> None:
     faults = plan_faults(settings.seed, settings.seconds, settings.rate, settings.kinds)
+    if settings.older:
+        faults = sorted([*faults, *_plan_upgrades(settings)])
     async with trio.open_nursery() as nursery:
         nursery.start_soon(traffic.run, settings.callers)
         async with trio.open_nursery() as both:
@@ -102,7 +117,14 @@
         traffic.stop()
 
 
-async def _close_history(fleet: SoakFleet, traffic: Traffic) -> History:
+def _plan_upgrades(settings: RunSettings) -> list[PlannedFault]:
+    """Plan the way to this build, and back."""
+    there_s = _FIRST_UPGRADE_S
+    back_s = there_s + (settings.seconds - there_s) / 2
+    return [PlannedFault(at_s, 0.0, FaultKind.UPGRADE, 0) for at_s in (there_s, back_s)]
+
+
+async def _close_history(settings: RunSettings, fleet: SoakFleet, traffic: Traffic) -> History:
     unserved = [item.number for item in fleet.instances if not await _serves(item)]
     ended = [item for item in fleet.instances if item.exit_code() is not None]
     exits = [*fleet.exits, *(f"{item.name} ended by itself" for item in ended)]
@@ -123,17 +145,26 @@
         keys=tuple(fleet.organisations.keys) if fleet.organisations is not None else (),
         limits=tuple(fleet.organisations.limits) if fleet.organisations is not None else (),
         crashes=tuple(run for worker in workers for run in worker.crashing_runs()),
+        words=tuple(fleet.words),
+        rests=tuple(fleet.rests),
+        store_calls=fleet.platform.store.calls,
+        instances=len(fleet.instances),
+        seconds=settings.seconds,
     )
 
 
 async def _serves(instance: InstanceProcess) -> bool:
-    """Tell whether an instance serves a safe call, within a few tries."""
+    """Tell whether an instance serves a call of an old route and of the newest, in a few tries."""
+    return await _serves_path(instance, "/safe/x") and await _serves_path(instance, "/switch/x")
+
+
+async def _serves_path(instance: InstanceProcess, path: str) -> bool:
     headers = {"Authorization": "Bearer steady-0"}
     for _ in range(_TRIES):
         caller = Caller(instance.front)
         try:
             with trio.move_on_after(1.0):
-                if (await caller.ask("/safe/x", headers=headers)).status == 200:
+                if (await caller.ask(path, headers=headers)).status == 200:
                     return True
         except OSError:
             pass
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -6,8 +6,17 @@
 import trio
 
 from soak.broken import ABLATIONS
+from soak.builds import LANDED
 from soak.link import Link, LinkFault
-from soak.plan import CRASH_KINDS, ORGANISATION_KINDS, FaultKind, plan_faults
+from soak.plan import (
+    CRASH_KINDS,
+    MIXED_KINDS,
+    ORGANISATION_KINDS,
+    RESTORE_KINDS,
+    WORD_KINDS,
+    FaultKind,
+    plan_faults,
+)
 from soak.regressions import STOPS_IN_SERIES
 from soak.run import RunSettings, run_soak
 from standins.relay import Worker
@@ -22,7 +31,14 @@
     plans = [plan_faults(seed, 30.0, 2.0) for seed in (1, 1, 2)]
     assert plans[0] == plans[1] != plans[2]
     usual = {fault.kind for seed in range(40) for fault in plan_faults(seed, 30.0, 2.0)}
-    assert usual == set(FaultKind) - {*ORGANISATION_KINDS, FaultKind.CRASHING_REQUEST}
+    special = {
+        *ORGANISATION_KINDS,
+        *WORD_KINDS,
+        FaultKind.STORE_RESTORE,
+        FaultKind.UPGRADE,
+        FaultKind.CRASHING_REQUEST,
+    }
+    assert usual == set(FaultKind) - special
     kinds = tuple(FaultKind)
     every = {fault.kind for seed in range(40) for fault in plan_faults(seed, 30.0, 2.0, kinds)}
     assert every == set(FaultKind)
@@ -106,14 +122,35 @@
     assert len(kinds) > 2
 
 
+@pytest.mark.alone
+async def test_store_that_comes_back_older_and_words_of_workers_break_nothing() -> None:
+    settings = RunSettings(CI_SEED, seconds=25.0, instances=3, rate=1.2, kinds=RESTORE_KINDS)
+    result = await run_soak(settings._replace(organisations=True))
+    assert result.violations == []
+    kinds = {fault.kind for fault in result.faults}
+    assert FaultKind.STORE_RESTORE in kinds
+    assert kinds & set(WORD_KINDS)
+
+
+@pytest.mark.alone
+async def test_two_builds_side_by_side_hold_every_promise() -> None:
+    settings = RunSettings(CI_SEED, seconds=36.0, instances=3, rate=0.7, kinds=MIXED_KINDS)
+    result = await run_soak(settings._replace(organisations=True, older=LANDED[-1]))
+    assert result.violations == []
+    upgrades = sum(fault.kind is FaultKind.UPGRADE for fault in result.faults)
+    assert upgrades == 2 * settings.instances
+
+
 # What needs organisations comes last, so that the groups of the others stay what they were.
 _OF_ORGANISATIONS = ["key-table", "key-withheld", "shared-limits"]
-_NAMES = sorted(ABLATIONS.keys() - {*_OF_ORGANISATIONS, "quarantine"})
+_LATER = ["leaving-words", "rests", "eras", "quarantine"]
+_NAMES = sorted(ABLATIONS.keys() - {*_OF_ORGANISATIONS, *_LATER})
 
 
 @pytest.mark.parametrize(
     "names",
     [
+        ["leaving-words", "rests", "eras"],
         _NAMES[:4],
         _NAMES[4:8],
         _NAMES[8:],
--- a/soak/strike.py
+++ b/soak/strike.py
@@ -10,7 +10,7 @@
 from soak.link import Link, LinkFault
 from soak.plan import ORGANISATION_KINDS, FaultKind, PlannedFault
 from soak.processes import InstanceProcess
-from soak.records import Stop, Withdrawal
+from soak.records import LeavingWord, Rest, Stop, Withdrawal
 from soak.traffic import STREAM_HEADERS
 from soak.workers import CRASHING, SoakWorker
 from standins.relay import Fault, StoreMode
@@ -41,6 +41,17 @@
     Fault.CUT,
 )
 _STREAM_FAULTS = (Fault.FULL, Fault.RESET_BEFORE, Fault.MUTE, Fault.CUT)
+# A store is away so long before it comes back from a copy; its writers write again within the
+# second time, and what nobody renews lapses after the third.
+_AWAY_S = 0.5
+_WRITTEN_AGAIN_S = 1.5
+_LAPSE_S = 2.5
+# Other writers have written so often between the copy and the return, and since.
+_MOST_LOST = 80
+_ELSEWHERE = "elsewhere/x"
+# Shortest and longest rest that a worker asks for.
+_RESTS_S = (1.0, 4.0)
+_BUSY_POLL_S = 0.05
 # A request that crashes workers comes so often, for longer than it takes to be held back.
 _CRASHING_TRIES = 20
 _CRASHING_PAUSE_S = 0.4
@@ -77,6 +88,9 @@
         FaultKind.INSTANCE_SIGNALS,
         FaultKind.INSTANCE_STOP,
         FaultKind.WORKER_DRAIN,
+        FaultKind.WORKER_WORD,
+        FaultKind.WORKER_REST,
+        FaultKind.UPGRADE,
         FaultKind.KEY,
         FaultKind.LIMIT,
     }
@@ -115,6 +129,8 @@
             await self._reload_instance(fault)
         elif kind is FaultKind.INSTANCE_ROLL:
             await self._roll_instances(fault)
+        elif kind is FaultKind.UPGRADE:
+            await self._upgrade_instances(fault)
         elif kind is FaultKind.CRASHING_REQUEST:
             await self._hold(f"request {fault.target}", fault, self._send_crashing)
         elif kind in _INSTANCE_FAULTS:
@@ -154,7 +170,9 @@
 
     async def _do_to_store(self, fault: PlannedFault) -> None:
         store = self._fleet.platform.store
-        if fault.kind is FaultKind.STORE_FORGETS:
+        if fault.kind is FaultKind.STORE_RESTORE:
+            await self._restore_store(fault)
+        elif fault.kind is FaultKind.STORE_FORGETS:
             store.forget_history()
         elif fault.kind is FaultKind.STORE_LOSES:
             store.forget_watches()
@@ -166,6 +184,26 @@
             self._switched_at = trio.current_time()
             await self._fleet.move_switch()
 
+    async def _restore_store(self, fault: PlannedFault) -> None:
+        """Have the store lose what is written in a while; those who wrote it write it again."""
+        store = self._fleet.platform.store
+        copy = store.copy()
+        for _ in range(self._rng.randrange(_MOST_LOST)):
+            store.put(_ELSEWHERE, {})
+        await trio.sleep(fault.for_s)
+        store.mode = StoreMode.RESET
+        store.forget_watches()
+        await trio.sleep(_AWAY_S)
+        store.restore(copy)
+        # Revisions stay below those that are known, or are past them again.
+        for _ in range(self._rng.randrange(_MOST_LOST)):
+            store.put(_ELSEWHERE, {})
+        store.mode = StoreMode.UP
+        await trio.sleep(self._rng.uniform(0.0, _WRITTEN_AGAIN_S))
+        self._fleet.write_again()
+        await trio.sleep(_LAPSE_S)
+        self._fleet.let_lapse()
+
     def _change_organisations(self, fault: PlannedFault) -> None:
         organisations = self._fleet.organisations
         if organisations is None:
@@ -226,6 +264,17 @@
                 nursery.start_soon(self._hold, instance.name, turn, self._stop_instance)
                 await trio.sleep(_ROLL_GAP_S * self._rng.uniform(0.5, 1.5))
 
+    async def _upgrade_instances(self, fault: PlannedFault) -> None:
+        """Replace all in turn by instances of the other build, as an operator does."""
+        fleet = self._fleet
+        tree = fleet.older if fleet.instances[0].tree is None else None
+        for instance in fleet.instances:
+            while instance.name in self._busy:
+                await trio.sleep(_BUSY_POLL_S)
+            instance.tree = tree
+            turn = fault._replace(target=instance.number - 1)
+            await self._hold(instance.name, turn, self._stop_instance)
+
     async def _stop(self, instance: InstanceProcess) -> None:
         began_at, life = trio.current_time(), instance.life
         instance.stop()
@@ -300,18 +349,39 @@
         fleet.present.remove(worker)
         worker.close()
         await trio.sleep(fault.for_s)
-        fleet.platform.unregister(worker)
+        fleet.unregister(worker)
         await fleet.add_worker(worker.service, worker.stage, fleet.links[worker.name])
 
+    async def _say_in_answers(self, fault: PlannedFault) -> None:
+        """Let a worker leave whose entry says nothing of it, as where the store is away."""
+        fleet, worker = self._fleet, self._pick_worker(fault)
+        await fleet.add_worker(worker.service, worker.stage)
+        fleet.present.remove(worker)
+        worker.says_leaving = True
+        fleet.words.append(LeavingWord(worker.name, trio.current_time()))
+        await trio.sleep(_KEEPS_SERVING_S + fault.for_s)
+        fleet.unregister(worker)
+        worker.close()
+        fleet.note_spell(worker.name, trio.current_time())
+
+    async def _ask_for_rest(self, fault: PlannedFault) -> None:
+        """Have a worker turn everything away for a while."""
+        worker, began_at = self._pick_worker(fault), trio.current_time()
+        rest_s = self._rng.uniform(*_RESTS_S)
+        worker.asks_rest_s, worker.sheds = rest_s, True
+        await trio.sleep(fault.for_s)
+        worker.sheds = False
+        self._fleet.rests.append(Rest(worker.name, began_at, trio.current_time(), rest_s))
+
     async def _drain_worker(self, fault: PlannedFault) -> None:
         """Let a worker drain and leave; its successor is there before."""
         fleet, worker = self._fleet, self._pick_worker(fault)
         await fleet.add_worker(worker.service, worker.stage)
         fleet.present.remove(worker)
-        fleet.platform.register(worker, "draining")
+        fleet.register(worker, "draining")
         fleet.withdrawals.append(Withdrawal(worker.name, trio.current_time()))
         await trio.sleep(_KEEPS_SERVING_S + fault.for_s)
-        fleet.platform.unregister(worker)
+        fleet.unregister(worker)
         worker.close()
         fleet.note_spell(worker.name, trio.current_time())
 
@@ -327,4 +397,6 @@
     FaultKind.WORKER_FAULTS: lambda striker: striker._make_worker_fail,
     FaultKind.WORKER_CRASH: lambda striker: striker._crash_worker,
     FaultKind.WORKER_DRAIN: lambda striker: striker._drain_worker,
+    FaultKind.WORKER_WORD: lambda striker: striker._say_in_answers,
+    FaultKind.WORKER_REST: lambda striker: striker._ask_for_rest,
 }
--- a/standins/relay/fleet.py
+++ b/standins/relay/fleet.py
@@ -111,6 +111,10 @@
         self.store.put("op/config", value)
         return self._version
 
+    def publish_again(self) -> None:
+        """Write the newest configuration once more, as it was."""
+        self.store.put("op/config", self.published[-1])
+
     def start_instance(self, data_centre: str = "a", *without: Mechanism) -> RelayInstance:
         """Start an instance; earlier ones are its peers.
 
--- a/standins/relay/store.py
+++ b/standins/relay/store.py
@@ -70,11 +70,18 @@
         return self.revision
 
     def delete(self, key: str) -> None:
-        """Remove an item."""
+        """Remove an item; one that is not there, since a copy lacks it, changes nothing."""
+        if self._items.pop(key, None) is None:
+            return
         self.revision += 1
-        del self._items[key]
         self._tell({"private_key": key, "revision": self.revision, "gone": True})
 
+    def keep_only(self, prefix: str, keys: set[str]) -> None:
+        """Remove all items below a prefix but some."""
+        for key in [item for item in self._items if item.startswith(prefix)]:
+            if key not in keys:
+                self.delete(key)
+
     def copy(self) -> StoreCopy:
         """Copy what it holds now."""
         return StoreCopy(dict(self._items), self.revision)
