--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from functools import partial
 from typing import NamedTuple
+from weakref import WeakSet
 
 import trio
 
@@ -55,6 +56,8 @@
         self._on_head = on_head
         self._allowed = allowed
         self._idle: dict[str, deque[EndpointConnection]] = {}
+        # All connections that somebody still has, by life.
+        self._open: dict[str, WeakSet[EndpointConnection]] = {}
 
     async def take(self, endpoint: RoutedEndpoint, idle_limit_s: float) -> EndpointConnection:
         """Give an idle connection, or open one.
@@ -80,7 +83,9 @@
             EndpointUnreachableError: It did not come up.
         """
         on_head = None if self._on_head is None else partial(self._on_head, endpoint)
-        return await EndpointConnection.open(endpoint.address, silence_s, timeout_s, on_head)
+        connection = await EndpointConnection.open(endpoint.address, silence_s, timeout_s, on_head)
+        self._open.setdefault(endpoint.name, WeakSet()).add(connection)
+        return connection
 
     async def call(
         self,
@@ -145,6 +150,16 @@
                 idle.popleft().close()
             if not idle:
                 del self._idle[name]
+        self._open = {name: kept for name, kept in self._open.items() if kept}
+
+    def break_off(self, name: str) -> None:
+        """Close all connections of a life that is over, also those with calls in progress.
+
+        Without it a stream that hangs behind a cut goes on until it has been silent for long.
+        """
+        for connection in self._open.pop(name, ()):
+            connection.close()
+        self._idle.pop(name, None)
 
     def forget(self, name: str) -> None:
         """Close the idle connections of an endpoint that is gone."""
--- a/cleatlink/relay/following/registrations.py
+++ b/cleatlink/relay/following/registrations.py
@@ -111,7 +111,7 @@
     ) -> None:
         replaced = self._capacity.set_endpoint(endpoint)
         if replaced is not None:
-            self._pool.forget(replaced)
+            self._pool.break_off(replaced)
             eliot.log_message(
                 message_type="source: an endpoint began a new life",
                 endpoint=endpoint.name,
--- a/cleatlink/relay/lives_test.py
+++ b/cleatlink/relay/lives_test.py
@@ -198,3 +198,50 @@
 def _name(worker: Worker) -> str:
     """Give the name of a worker's life."""
     return f"{worker.name}@{worker.born}"
+
+
+async def hang(fleet: Fleet, path: str) -> tuple[Worker, Caller]:
+    """Have a stream hang at an engine, as behind a cut."""
+    engine = born(Worker("model", "decode"))
+    engine.silent_from = 2
+    await start(fleet, engine)
+    caller = fleet.caller()
+    await caller.send(path, "POST", body=b"p", headers=STREAM)
+    await fleet.until(lambda: engine.runs)
+    await trio.sleep(0.1)
+    return engine, caller
+
+
+async def test_stream_that_hangs_in_a_former_life_ends_at_once() -> None:
+    async with open_fleet() as fleet:
+        engine, caller = await hang(fleet, "/stream/x")
+        await return_as(fleet, engine, Worker("model", "decode"))
+        began_at = trio.current_time()
+        reply = await caller.receive()
+        assert not reply.whole
+        assert trio.current_time() - began_at < 0.2
+
+
+async def test_stream_that_may_be_resumed_goes_on_in_the_next_life_at_once() -> None:
+    async with open_fleet() as fleet:
+        engine, caller = await hang(fleet, "/resume/x")
+        later = await return_as(fleet, engine, Worker("model", "decode"))
+        began_at = trio.current_time()
+        reply = await caller.receive()
+        assert (reply.status, reply.whole) == (200, True)
+        assert reply.body.count(b"id: ") == engine.events
+        assert trio.current_time() - began_at < 0.4
+        assert len(later.runs) == 1
+
+
+async def test_call_of_a_former_life_ends_at_once() -> None:
+    async with open_fleet() as fleet:
+        worker = born(Worker("plain"))
+        await start(fleet, worker)
+        worker.work_s = 30.0
+        caller = fleet.caller()
+        await caller.send("/unsafe/x", "POST", body=b"x")
+        await fleet.until(lambda: worker.runs)
+        await return_as(fleet, worker, Worker("plain"))
+        with trio.fail_after(0.3):
+            assert (await caller.receive()).status == 502
