What is believed of endpoints in four modules: work, outcomes, notices, registrations

Change: reservations, the work that is placed, and outcomes of calls have modules of their own; Capacity keeps registrations, roles and what is learned, on top of the work. No line of logic changes.

--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -15,9 +15,9 @@
 from cleatlink.relay.endpoints.pool import FRESH_LIMIT_S, IDLE_LIMIT_S, Reply
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
 from cleatlink.relay.tasks import run_watched
-from cleatlink.routing.capacity import Reservation
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.relay_place import place_plain
+from cleatlink.routing.reservation import Reservation
 
 __all__ = ["PlainCall"]
 
--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -16,8 +16,8 @@
 from cleatlink.relay.calls.call import Call, RelayParts
 from cleatlink.relay.endpoints.pool import IDLE_LIMIT_S
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
-from cleatlink.routing.capacity import Reservation
 from cleatlink.routing.relay_place import place_prefill
+from cleatlink.routing.reservation import Reservation
 
 __all__ = ["Handle", "Prefill"]
 
--- a/cleatlink/relay/calls/room.py
+++ b/cleatlink/relay/calls/room.py
@@ -9,7 +9,6 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.calls.call import Call, RelayParts
 from cleatlink.routing import WaitingRoom
-from cleatlink.routing.capacity import Reservation
 from cleatlink.routing.forecast import RoomForecast, StreamDemand
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.prompt_plan import PromptPlan, plan_prompt
@@ -19,6 +18,7 @@
     longest_stream_s,
     place_decode,
 )
+from cleatlink.routing.reservation import Reservation
 from cleatlink.routing.returns import Returns
 
 __all__ = ["DecodeRoom", "Room"]
--- a/cleatlink/relay/fleet_test.py
+++ b/cleatlink/relay/fleet_test.py
@@ -4,7 +4,7 @@
 import trio
 
 from cleatlink.core.data import Role
-from cleatlink.routing.capacity import Reservation
+from cleatlink.routing.reservation import Reservation
 from standins.relay import StoreMode, Worker
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import open_fleet
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -35,9 +35,10 @@
 from cleatlink.relay.sockets import listen
 from cleatlink.relay.tasks import Task, run_once, supervise
 from cleatlink.request.shared_budget import SharedRetryBudget
-from cleatlink.routing.capacity import Capacity, Reservation
+from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.fleet_records import FleetRecords
 from cleatlink.routing.mechanisms import Switches
+from cleatlink.routing.reservation import Reservation
 
 __all__ = ["RelayInstance"]
 
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -42,7 +42,8 @@
 from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
 from cleatlink.relay.peers.work_news import WorkNews
 from cleatlink.relay.settings import RelaySettings
-from cleatlink.routing.capacity import Capacity, Reservation
+from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.reservation import Reservation
 
 __all__ = ["SILENCE_S", "PeerGroup"]
 
--- a/cleatlink/relay/peers/hooks.py
+++ b/cleatlink/relay/peers/hooks.py
@@ -5,7 +5,7 @@
 
 from cleatlink.relay.peers.catch_up import KnownState
 from cleatlink.relay.peers.messages import Snapshot
-from cleatlink.routing.capacity import Reservation
+from cleatlink.routing.reservation import Reservation
 
 __all__ = ["PeerHooks"]
 
--- a/cleatlink/relay/peers/messages.py
+++ b/cleatlink/relay/peers/messages.py
@@ -10,9 +10,9 @@
 from cleatlink.core.revisions import StoreRevision
 from cleatlink.core.routes import RoutedEndpoint, RouteTable
 from cleatlink.quarantine import CrashReport
-from cleatlink.routing.capacity import Reservation
 from cleatlink.routing.fleet_records import EndpointRecord
 from cleatlink.routing.pace import PaceSummary
+from cleatlink.routing.reservation import Reservation
 
 __all__ = [
     "Beat",
--- a/cleatlink/relay/peers/work_news.py
+++ b/cleatlink/relay/peers/work_news.py
@@ -10,7 +10,8 @@
 from collections.abc import Collection, Iterable
 
 from cleatlink.relay.peers.messages import Changes, WorkItem
-from cleatlink.routing.capacity import Capacity, Reservation
+from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.reservation import Reservation
 
 __all__ = ["WorkNews"]
 
--- a/cleatlink/relay/peers/work_news_test.py
+++ b/cleatlink/relay/peers/work_news_test.py
@@ -3,7 +3,8 @@
 from cleatlink.core.data import Role
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.peers.work_news import WorkNews
-from cleatlink.routing.capacity import Capacity, Reservation
+from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.reservation import Reservation
 
 PLACES = ("a", "b", "c")
 
--- a/cleatlink/routing/forecast.py
+++ b/cleatlink/routing/forecast.py
@@ -14,7 +14,8 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import EngineTraits
-from cleatlink.routing.capacity import Capacity, peak_memory
+from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.reservation import peak_memory
 
 __all__ = ["RoomForecast", "StreamDemand"]
 
--- a/cleatlink/routing/forecast_test.py
+++ b/cleatlink/routing/forecast_test.py
@@ -4,8 +4,9 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import EngineTraits, RoutedEndpoint
-from cleatlink.routing.capacity import Capacity, Reservation
+from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.forecast import RoomForecast, StreamDemand
+from cleatlink.routing.reservation import Reservation
 
 TRAITS = EngineTraits(slots=4, memory_tokens=1000, handle_lifetime_s=0.5, role_switch_s=6.0)
 
--- a/cleatlink/routing/mechanisms_test.py
+++ b/cleatlink/routing/mechanisms_test.py
@@ -15,10 +15,11 @@
     RoutedService,
     RouteKind,
 )
-from cleatlink.routing.capacity import Capacity, Reservation
+from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.mechanisms import Mechanism, Switches
 from cleatlink.routing.prompt_plan import plan_prompt
 from cleatlink.routing.relay_place import Seeker, StreamSize, place_decode
+from cleatlink.routing.reservation import Reservation
 from cleatlink.scripts.commands import main
 
 TRAITS = EngineTraits(64, 40_000, 0.5, 6.0, event_tokens=10)
--- a/cleatlink/routing/notices_test.py
+++ b/cleatlink/routing/notices_test.py
@@ -5,8 +5,9 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.routing.capacity import Capacity, Reservation
+from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.notices import EndpointNotices, NoticeSource
+from cleatlink.routing.reservation import Reservation
 
 SERVICE = "s"
 
--- a/cleatlink/routing/prompt_plan_test.py
+++ b/cleatlink/routing/prompt_plan_test.py
@@ -12,9 +12,10 @@
     RoutedService,
     RouteKind,
 )
-from cleatlink.routing.capacity import Capacity, Reservation
+from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.prompt_plan import PromptPlan, plan_prompt
 from cleatlink.routing.relay_place import Seeker
+from cleatlink.routing.reservation import Reservation
 
 TRAITS = EngineTraits(64, 40_000, 0.5, 6.0, event_tokens=10)
 SERVICE = RoutedService("s", 100, TRAITS)
--- a/cleatlink/routing/relay_parts_test.py
+++ b/cleatlink/routing/relay_parts_test.py
@@ -20,7 +20,7 @@
     ServiceShare,
 )
 from cleatlink.request.shared_budget import SharedRetryBudget
-from cleatlink.routing.capacity import Capacity, Reservation
+from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.fleet_records import EndpointRecord, FleetRecords
 from cleatlink.routing.pace import ServicePace
 from cleatlink.routing.relay_place import (
@@ -32,6 +32,7 @@
     place_plain,
     place_prefill,
 )
+from cleatlink.routing.reservation import Reservation
 from cleatlink.routing.route_index import RouteIndex, choose_service
 
 TRAITS = EngineTraits(slots=4, memory_tokens=1000, handle_lifetime_s=0.5, role_switch_s=6.0)
--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -11,9 +11,10 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import EngineTraits, Inbound, RoutedEndpoint
-from cleatlink.routing.capacity import Capacity, Reservation
+from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.pace import ServicePace
+from cleatlink.routing.reservation import Reservation
 
 __all__ = [
     "RUNS_APART",
--- a/cleatlink/routing/returns.py
+++ b/cleatlink/routing/returns.py
@@ -10,7 +10,8 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import Inbound
-from cleatlink.routing.capacity import Capacity, Reservation
+from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.reservation import Reservation
 
 __all__ = ["ExpectedReturn", "Returns"]
 
--- a/cleatlink/routing/role_planner_test.py
+++ b/cleatlink/routing/role_planner_test.py
@@ -6,9 +6,10 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import EngineTraits, RoutedEndpoint
-from cleatlink.routing.capacity import Capacity, Reservation
+from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.demand import MEMORY_S, DemandMeter, RoleDemand, StreamPromise
 from cleatlink.routing.queueing import in_time_share
+from cleatlink.routing.reservation import Reservation
 from cleatlink.routing.role_planner import (
     PresenceWatch,
     RoleShift,
