--- a/cleatlink/relay/callers/service.py
+++ b/cleatlink/relay/callers/service.py
@@ -13,7 +13,8 @@
 from cleatlink.core.routes import CallerLimits, Headers, Inbound, Route, RoutedService, RouteTable
 from cleatlink.organisations import Admission, Holder
 from cleatlink.relay.callers.server import Exchange, Handler
-from cleatlink.relay.calls.call import Call, RelayParts
+from cleatlink.relay.calls.call import Call
+from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.relay.calls.plain import PlainCall
 from cleatlink.relay.calls.planned_stop import ANSWER_S
 from cleatlink.relay.calls.room import DecodeRoom
--- a/cleatlink/relay/calls/decode_place.py
+++ b/cleatlink/relay/calls/decode_place.py
@@ -3,8 +3,9 @@
 from cleatlink.core.data import Refusal
 from cleatlink.core.errors import EndpointUnreachableError
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.calls.call import Call, RelayParts
+from cleatlink.relay.calls.call import Call
 from cleatlink.relay.calls.hold import HoldOutcome, StreamHold
+from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.relay.calls.prefill import Prefill
 from cleatlink.relay.calls.room import DecodeRoom, Room
 from cleatlink.relay.endpoints.connection import EndpointConnection
--- a/cleatlink/relay/calls/hold.py
+++ b/cleatlink/relay/calls/hold.py
@@ -12,7 +12,8 @@
 
 from cleatlink.core.errors import EndpointError
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.calls.call import Call, RelayParts
+from cleatlink.relay.calls.call import Call
+from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.pool import IDLE_LIMIT_S, Reply
 from cleatlink.relay.endpoints.protocol import OutgoingRequest
--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -11,7 +11,8 @@
     StreamBrokenError,
 )
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.calls.call import Call, RelayParts
+from cleatlink.relay.calls.call import Call
+from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.relay.endpoints.pool import FRESH_LIMIT_S, IDLE_LIMIT_S, Reply
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
 from cleatlink.relay.tasks import run_watched
--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -13,7 +13,8 @@
     OutcomeUnknownError,
 )
 from cleatlink.core.routes import KvSource, RoutedEndpoint
-from cleatlink.relay.calls.call import Call, RelayParts
+from cleatlink.relay.calls.call import Call
+from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.relay.endpoints.pool import IDLE_LIMIT_S
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
 from cleatlink.routing.relay_place import place_prefill
--- a/cleatlink/relay/calls/room.py
+++ b/cleatlink/relay/calls/room.py
@@ -7,7 +7,8 @@
 from cleatlink.core.data import Ran, Refusal, Role
 from cleatlink.core.errors import ErrorKind
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.calls.call import Call, RelayParts
+from cleatlink.relay.calls.call import Call
+from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.routing import WaitingRoom
 from cleatlink.routing.forecast import RoomForecast, StreamDemand
 from cleatlink.routing.mechanisms import Mechanism
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -15,9 +15,10 @@
 )
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.callers.server import Exchange
-from cleatlink.relay.calls.call import Call, RelayParts
+from cleatlink.relay.calls.call import Call
 from cleatlink.relay.calls.decode_place import RETRY_AFTER_S, DecodePlace
 from cleatlink.relay.calls.events import EventCutter
+from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.relay.calls.room import DecodeRoom
 from cleatlink.relay.calls.succession import Succession
 from cleatlink.relay.calls.watch import StreamWatch
--- a/cleatlink/relay/calls/succession.py
+++ b/cleatlink/relay/calls/succession.py
@@ -7,8 +7,9 @@
 
 import trio
 
-from cleatlink.relay.calls.call import Call, RelayParts
+from cleatlink.relay.calls.call import Call
 from cleatlink.relay.calls.decode_place import DecodePlace
+from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.relay.calls.room import DecodeRoom
 
 __all__ = ["Succession"]
--- a/cleatlink/relay/following/follower.py
+++ b/cleatlink/relay/following/follower.py
@@ -16,7 +16,7 @@
 from cleatlink.relay.following.source import ConfigurationSource, HistoryGoneError, SourceChange
 from cleatlink.relay.logs import LineAllowance
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.peers.messages import Snapshot
+from cleatlink.relay.peers.snapshots import Snapshot
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.fleet_records import FleetRecords
 
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -14,7 +14,7 @@
 from cleatlink.relay.callers.server import Handler, serve_connections
 from cleatlink.relay.callers.service import RelayService
 from cleatlink.relay.callers.side import InstanceStatus, MetricsHandler, PeerHandler, ReadyHandler
-from cleatlink.relay.calls.call import RelayParts
+from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.relay.calls.planned_stop import PlannedStop
 from cleatlink.relay.endpoints.answer_notices import AnswerNotices
 from cleatlink.relay.endpoints.crash_watch import CrashWatch
@@ -28,9 +28,10 @@
 from cleatlink.relay.peers.catch_up import KnownState
 from cleatlink.relay.peers.group import PeerGroup
 from cleatlink.relay.peers.hooks import PeerHooks
-from cleatlink.relay.peers.messages import HintKind, Snapshot, encode
+from cleatlink.relay.peers.messages import HintKind, encode
 from cleatlink.relay.peers.shared_notices import SharedNotices
 from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
+from cleatlink.relay.peers.snapshots import Snapshot
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.relay.sockets import listen
 from cleatlink.relay.tasks import Task, run_once, supervise
--- a/cleatlink/relay/peers/catch_up.py
+++ b/cleatlink/relay/peers/catch_up.py
@@ -18,7 +18,8 @@
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.protocol import OutgoingRequest
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.peers.messages import Beat, Snapshot, decode_snapshot
+from cleatlink.relay.peers.messages import Beat
+from cleatlink.relay.peers.snapshots import Snapshot, decode_snapshot
 
 __all__ = ["CatchUp", "KnownState"]
 
--- a/cleatlink/relay/peers/contract_test.py
+++ b/cleatlink/relay/peers/contract_test.py
@@ -14,7 +14,8 @@
 import msgspec
 import pytest
 
-from cleatlink.relay.peers.messages import Snapshot, decode_datagram, decode_snapshot, encode
+from cleatlink.relay.peers.messages import decode_datagram, encode
+from cleatlink.relay.peers.snapshots import Snapshot, decode_snapshot
 from soak.builds import LANDED, extract_build
 from tools import message_samples
 
--- a/cleatlink/relay/peers/hooks.py
+++ b/cleatlink/relay/peers/hooks.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from cleatlink.relay.peers.catch_up import KnownState
-from cleatlink.relay.peers.messages import Snapshot
+from cleatlink.relay.peers.snapshots import Snapshot
 from cleatlink.routing.reservation import Reservation
 
 __all__ = ["PeerHooks"]
--- a/cleatlink/routing/pace_test.py
+++ b/cleatlink/routing/pace_test.py
@@ -7,8 +7,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cleatlink.routing.estimates import Estimate
 from cleatlink.routing.mechanisms import Mechanism, Switches
-from cleatlink.routing.pace import Estimate, PaceSummary, ServicePace
+from cleatlink.routing.pace import PaceSummary, ServicePace
 
 
 @given(st.floats(0.0002, 0.02), st.integers(1, 64))
