Tests of jumps of the clock: retries, streams, rests, endpoints that returned meanwhile

Cause: no test showed what a suspended machine makes of a retry, a stream in progress, a rest and an endpoint's next life.

--- a/cleatlink/clock_test.py
+++ b/cleatlink/clock_test.py
@@ -14,7 +14,7 @@
 import cleatlink
 from cleatlink.clock import SuspensionClock, unix_ms
 from cleatlink.core.data import Role
-from standins.relay import Worker
+from standins.relay import Fault, Worker
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import Fleet, open_fleet
 
@@ -176,3 +176,84 @@
             await fleet.ended[0].wait()
 
     run(play)
+
+
+def test_call_is_not_retried_after_its_deadline() -> None:
+    async def play(fleet: Fleet, clock: JumpingClock) -> None:
+        workers = [Worker("plain"), Worker("plain")]
+        for worker in workers:
+            worker.work_s, worker.faults = 0.3, [Fault.RESET_AFTER]
+        await start(fleet, *workers)
+        caller = fleet.caller()
+        await caller.send("/safe/x")
+        await fleet.until(lambda: any(worker.runs for worker in workers))
+        clock.suspended_s += SUSPENSION_S
+        with trio.fail_after(NOTICED_S):
+            assert (await caller.receive()).status == 504
+        await trio.sleep(0.5)
+        assert sum(len(worker.runs) for worker in workers) == 1
+
+    run(play)
+
+
+def test_stream_whose_caller_still_waits_goes_on_to_its_end() -> None:
+    async def play(fleet: Fleet, clock: JumpingClock) -> None:
+        prefill, first, second = engines()
+        for decode in (first, second):
+            decode.events, decode.event_s = 10, 0.05
+        await start(fleet, prefill, first, second)
+        for route in fleet.routes:
+            route["timeout_ms"] = 90_000
+        version = fleet.configure()
+        await fleet.until(lambda: fleet.instances[0].records.table_revision == version)
+        caller = fleet.caller()
+        patient = {**STREAM, "Deadline-Milliseconds": "90000"}
+        await caller.send("/stream/x", "POST", body=b"x", headers=patient)
+        await fleet.until(lambda: first.runs or second.runs)
+        await trio.sleep(0.1)
+        clock.suspended_s += SUSPENSION_S
+        reply = await caller.receive()
+        assert (reply.status, reply.whole) == (200, True)
+        assert reply.body.count(b"id: ") == 10
+
+    run(play)
+
+
+def test_rest_is_over_by_the_time_that_passed_and_leaving_is_not() -> None:
+    async def play(fleet: Fleet, clock: JumpingClock) -> None:
+        resting, leaving = Worker("plain"), Worker("plain")
+        await start(fleet, resting, leaving)
+        resting.sheds, resting.asks_rest_s, leaving.says_leaving = True, 10.0, True
+        while not (resting.arrivals and leaving.arrivals):
+            await fleet.caller().ask("/unsafe/x", "POST", body=b"x")
+        arrived = len(leaving.arrivals)
+        assert (await fleet.caller().ask("/safe/x")).status == 503
+        resting.sheds = False
+        clock.suspended_s += SUSPENSION_S
+        await trio.sleep(NOTICED_S)
+        for _ in range(5):
+            assert (await fleet.caller().ask("/safe/x")).status == 200
+        assert len(leaving.arrivals) == arrived
+
+    run(play)
+
+
+def test_endpoint_that_returned_meanwhile_is_used_in_its_new_life() -> None:
+    async def play(fleet: Fleet, clock: JumpingClock) -> None:
+        worker = Worker("plain")
+        worker.born = 1_700_000_000_000
+        await start(fleet, worker)
+        assert (await fleet.caller().ask("/safe/x")).status == 200
+        # It ends and begins anew while the instance stands still: all news comes at the wake.
+        clock.suspended_s += SUSPENSION_S
+        later = worker.successor()
+        worker.close()
+        await fleet.add_worker(later)
+        instance = fleet.instances[0]
+        name = f"{later.name}@{later.born}"
+        await fleet.until(lambda: name in instance.capacity.endpoints, 3.0)
+        for _ in range(5):
+            assert (await fleet.caller().ask("/safe/x")).status == 200
+        assert len(later.runs) == 5
+
+    run(play)
