--- a/cleatlink/relay/peers/shared_notices.py
+++ b/cleatlink/relay/peers/shared_notices.py
@@ -54,9 +54,7 @@
         until = self._notices.rests_until(life)
         if until - self._told_until.get(life, 0.0) < _LONGER_S:
             return
-        now = trio.current_time()
-        self._told_until = {name: at for name, at in self._told_until.items() if at > now}
-        self._told_until[life] = until
+        self._note_told(life, until, trio.current_time())
         self._resting.add(life)
         self._wake.set()
 
@@ -103,8 +101,13 @@
                 self._take_rest(life, now, left_s)
         return found
 
+    def _note_told(self, life: str, until: float, now: float) -> None:
+        """Note that peers know of a rest; those that are over are forgotten."""
+        self._told_until = {name: at for name, at in self._told_until.items() if at > now}
+        self._told_until[life] = until
+
     def _take_rest(self, life: str, now: float, left_s: float) -> None:
         """Take a rest that was asked of a peer; it is told no further."""
-        self._told_until[life] = max(self._told_until.get(life, 0.0), now + left_s)
+        self._note_told(life, max(self._told_until.get(life, 0.0), now + left_s), now)
         until = now + left_s * (1 + _SPREAD_SHARE * self._rng.random())
         self._notices.note_told_rest(life, until, now)
