--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -14,15 +14,13 @@
 from cleatlink.core.routes import Inbound, Route, RoutedEndpoint, RoutedService, RouteKind
 from cleatlink.organisations import NOBODY, Admission, Holder
 from cleatlink.relay.calls.parts import RelayParts
-from cleatlink.relay.endpoints.protocol import ReplyHead
+from cleatlink.relay.endpoints.protocol import OTHER_ENDPOINT, ReplyHead
 from cleatlink.relay.peers.messages import HintKind
 from cleatlink.routing.relay_place import RUNS_APART, Seeker
 
 __all__ = ["Call"]
 
 
-# Status of an endpoint that is not the one that was expected at its address.
-_OTHER_ENDPOINT = 421
 # Spread of the moments at which suspects of one crash go on elsewhere: many times what it takes
 # to tell peers of a place.
 _APART_S = 0.1
@@ -216,7 +214,7 @@
         capacity = self._parts.capacity
         rest_s = self._parts.protocol.read_notice(head).rest_s
         self.log("was not run", endpoint=endpoint.name, status=head.status, rest_s=rest_s)
-        if head.status == _OTHER_ENDPOINT:
+        if head.status == OTHER_ENDPOINT:
             self.note_elsewhere(endpoint)
             capacity.note_misdirected(endpoint.name)
         else:
--- a/cleatlink/relay/calls/hold.py
+++ b/cleatlink/relay/calls/hold.py
@@ -16,7 +16,7 @@
 from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.pool import IDLE_LIMIT_S, Reply
-from cleatlink.relay.endpoints.protocol import OutgoingRequest
+from cleatlink.relay.endpoints.protocol import OTHER_ENDPOINT, TURNED_AWAY, OutgoingRequest
 from cleatlink.routing.mechanisms import Mechanism
 
 __all__ = ["HoldOutcome", "StreamHold"]
@@ -25,8 +25,6 @@
 _MOST_REPLY_BYTES = 65_536
 # An engine that takes longer for this has no room in time either; a third of usual targets.
 _ANSWER_S = 0.3
-_OTHER_ENDPOINT = 421
-_FULL = frozenset({429, 503})
 # A hold that is about to lapse is not counted on.
 _SAFE_SHARE = 0.9
 # A stream that has begun needs its prompt and the part of its answer that comes soon.
@@ -107,10 +105,10 @@
     def _judge(self, endpoint: RoutedEndpoint, reply: Reply) -> HoldOutcome:
         status = reply.head.status
         capacity = self._parts.capacity
-        if status == _OTHER_ENDPOINT:
+        if status == OTHER_ENDPOINT:
             capacity.note_misdirected(endpoint.name)
             return HoldOutcome.FAILED
-        if status in _FULL:
+        if status in TURNED_AWAY:
             capacity.note_full(endpoint.name, trio.current_time())
             return HoldOutcome.FULL
         if status != 200:
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -16,6 +16,8 @@
 from cleatlink.core.routes import Headers, Inbound, KvSource, RoutedEndpoint
 
 __all__ = [
+    "OTHER_ENDPOINT",
+    "TURNED_AWAY",
     "EndpointPaths",
     "HeaderNames",
     "HoldFields",
@@ -43,9 +45,9 @@
 _MS = 1000.0
 # The address has another endpoint than the one that was asked: nothing of its answer is the
 # asked one's word.
-_OTHER_ENDPOINT = 421
+OTHER_ENDPOINT = 421
 # Statuses with which an endpoint turns work away and may say for how long.
-_TURNED_AWAY = frozenset({429, 503})
+TURNED_AWAY = frozenset({429, 503})
 _SECONDS = re.compile(rb"[0-9]{1,18}(\.[0-9]{1,18})?")
 # A field that is nonsense takes an endpoint away for no longer than this.
 _MOST_REST_S = 300.0
@@ -294,18 +296,18 @@
 
     def not_run(self, head: ReplyHead) -> bool:
         """Tell whether an endpoint says that it did not run the request."""
-        return head.status == _OTHER_ENDPOINT or head.get(self.names.not_run) is not None
+        return head.status == OTHER_ENDPOINT or head.get(self.names.not_run) is not None
 
     def takes_work(self, head: ReplyHead) -> bool:
         """Tell whether an answer shows that its endpoint takes work."""
-        return head.status not in _TURNED_AWAY and head.status != _OTHER_ENDPOINT
+        return head.status not in TURNED_AWAY and head.status != OTHER_ENDPOINT
 
     def read_notice(self, head: ReplyHead) -> EndpointNotice:
         """Read what an endpoint says of itself; what can't be read says nothing."""
-        if head.status == _OTHER_ENDPOINT:
+        if head.status == OTHER_ENDPOINT:
             return NO_NOTICE
         leaving = b"1" in head.get_all(self.names.leaving)
-        if head.status not in _TURNED_AWAY:
+        if head.status not in TURNED_AWAY:
             return EndpointNotice(leaving)
         rests = (_rest_s(value) for value in head.get_all(self.names.rest_s))
         return EndpointNotice(leaving, max(rests, default=0.0))
