--- a/cleatlink/relay/following/registrations.py
+++ b/cleatlink/relay/following/registrations.py
@@ -112,32 +112,29 @@
         replaced = self._capacity.set_endpoint(endpoint)
         if replaced is not None:
             self._pool.break_off(replaced)
-            eliot.log_message(
-                message_type="source: an endpoint began a new life",
+            _log(
+                "source: an endpoint began a new life",
+                record,
                 endpoint=endpoint.name,
                 before=replaced,
-                revision=record.revision.number,
-                era=record.revision.era,
             )
         if known != endpoint:
-            eliot.log_message(
-                message_type="source: an endpoint is registered",
+            _log(
+                "source: an endpoint is registered",
+                record,
                 endpoint=endpoint.name,
                 address=endpoint.address,
                 service=endpoint.service,
                 role=endpoint.role.value,
                 leaving=endpoint.leaving,
-                revision=record.revision.number,
-                era=record.revision.era,
             )
 
     async def _register_later(self, record: EndpointRecord, endpoint: RoutedEndpoint) -> None:
         """Use an endpoint that was gone only if its registration is renewed."""
-        eliot.log_message(
-            message_type="source: a registration of an endpoint that was gone is in doubt",
+        _log(
+            "source: a registration of an endpoint that was gone is in doubt",
+            record,
             endpoint=endpoint.name,
-            revision=record.revision.number,
-            era=record.revision.era,
         )
         await trio.sleep(_LAPSE_S)
         if self._records.get(record.name) == record:
@@ -168,11 +165,10 @@
 
     async def _remove_later(self, record: EndpointRecord, hold_s: float) -> None:
         """Remove an endpoint unless it is registered anew meanwhile."""
-        eliot.log_message(
-            message_type="source: a removal is in doubt",
+        _log(
+            "source: a removal is in doubt",
+            record,
             endpoint=record.name,
-            revision=record.revision.number,
-            era=record.revision.era,
             hold_s=hold_s,
         )
         await trio.sleep(hold_s)
@@ -183,11 +179,10 @@
         life = self._capacity.life_of(record.name)
         if life is None:
             return
-        eliot.log_message(
-            message_type="source: an endpoint is gone",
+        _log(
+            "source: an endpoint is gone",
+            record,
             endpoint=life,
-            revision=record.revision.number,
-            era=record.revision.era,
         )
         self._capacity.remove_endpoint(life)
         self._pool.forget(life)
@@ -198,14 +193,15 @@
             self._metrics.count_unusable(record.fault.kind.value)
         if (record.fault is None) is (before.fault is None):
             return
-        if record.fault is None:
-            fields = {"message_type": "source: a registration is no longer unusable"}
-        else:
-            kind, detail = record.fault
-            fields = {"message_type": "source: a registration can't be used"}
-            fields.update(kind=kind.value, detail=detail)
+        message, fields = "source: a registration is no longer unusable", {}
+        if record.fault is not None:
+            message = "source: a registration can't be used"
+            fields = {"kind": record.fault.kind.value, "detail": record.fault.detail}
         if self._fault_lines.take(trio.current_time()):
-            revision = record.revision
-            eliot.log_message(
-                registration=record.label, revision=revision.number, era=revision.era, **fields
-            )
+            _log(message, record, registration=record.label, **fields)
+
+
+def _log(message: str, record: EndpointRecord, **fields: object) -> None:
+    """Log what a registration changes, with what orders it."""
+    era, revision = record.revision
+    eliot.log_message(message_type=message, revision=revision, era=era, **fields)
