The own API keeps the rest that an endpoint names with a refusal

Ruled out: a second reading of the field; both sides use the one in the core. Change: a refusal carries the seconds; the endpoint is no place for them, whatever it reports, unless it is started anew.

--- a/cleatlink/core/errors.py
+++ b/cleatlink/core/errors.py
@@ -149,9 +149,17 @@
 class EndpointRefusedError(EndpointError):
     """The endpoint refused the order, which therefore did not run."""
 
-    def __init__(self, detail: str, leaving: bool = False) -> None:
+    def __init__(self, detail: str, leaving: bool = False, rest_s: float = 0.0) -> None:
+        """Say why.
+
+        Args:
+            detail: What the endpoint said.
+            leaving: Whether it takes no new work at all.
+            rest_s: Seconds for which it wants nothing more; 0 if it names no time.
+        """
         super().__init__(detail)
         self.leaving = leaving
+        self.rest_s = rest_s
 
 
 class FenceError(EndpointRefusedError):
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -5,14 +5,13 @@
 """
 
 import math
-import re
 from collections.abc import Mapping
 from typing import NamedTuple
 
 import msgspec
 
 from cleatlink.core.data import Role
-from cleatlink.core.notices import NO_NOTICE, EndpointNotice
+from cleatlink.core.notices import NO_NOTICE, EndpointNotice, read_rest_s
 from cleatlink.core.routes import Headers, Inbound, KvSource, RoutedEndpoint
 
 __all__ = [
@@ -48,9 +47,6 @@
 OTHER_ENDPOINT = 421
 # Statuses with which an endpoint turns work away and may say for how long.
 TURNED_AWAY = frozenset({429, 503})
-_SECONDS = re.compile(rb"[0-9]{1,18}(\.[0-9]{1,18})?")
-# A field that is nonsense takes an endpoint away for no longer than this.
-_MOST_REST_S = 300.0
 
 
 class HeaderNames(NamedTuple):
@@ -309,8 +305,7 @@
         leaving = b"1" in head.get_all(self.names.leaving)
         if head.status not in TURNED_AWAY:
             return EndpointNotice(leaving)
-        rests = (_rest_s(value) for value in head.get_all(self.names.rest_s))
-        return EndpointNotice(leaving, max(rests, default=0.0))
+        return EndpointNotice(leaving, read_rest_s(head.get_all(self.names.rest_s)))
 
     def belongs(self, head: ReplyHead, inbound: Inbound) -> bool:
         """Tell whether an answer is the one to this request."""
@@ -329,11 +324,6 @@
         return default
 
 
-def _rest_s(value: bytes) -> float:
-    """Read a number of seconds; 0 for what is none, such as a date or a negative number."""
-    return min(_MOST_REST_S, float(value)) if _SECONDS.fullmatch(value) else 0.0
-
-
 def _without_port(host: str) -> str:
     name, colon, port = host.rpartition(":")
     return name if colon and port.isdigit() else host
--- a/cleatlink/routing/view.py
+++ b/cleatlink/routing/view.py
@@ -85,6 +85,7 @@
         self._leaving_until: dict[str, float] = {}
         self._heard_leaving_until: dict[str, float] = {}
         self._failed_at: dict[str, float] = {}
+        self._rests_until: dict[str, float] = {}
         self._reservations: dict[str, Reservation] = {}
         self._placed: dict[str, dict[str, Reservation]] = {}
         self._own: dict[str, Work] = {}
@@ -127,6 +128,7 @@
             self._leaving_until,
             self._heard_leaving_until,
             self._failed_at,
+            self._rests_until,
         ]
         for facts in by_endpoint:
             for name in facts.keys() - names:
@@ -144,6 +146,7 @@
         known = self._reports.get(name)
         if known is not None and known[0].incarnation != report.incarnation:
             self._leaving_until.pop(name, None)
+            self._rests_until.pop(name, None)
         self._reports[name] = (report, now)
         self._others[name] = self._subtract_own(report, now)
         if report.leaving:
@@ -187,6 +190,10 @@
         """Note that an endpoint refused work because it is leaving."""
         self._leaving_until[name] = now + REFUSAL_HOLD_S
 
+    def note_rest(self, name: str, rest_s: float, now: float) -> None:
+        """Note that an endpoint refused work and wants nothing for some time."""
+        self._rests_until[name] = max(self._rests_until.get(name, 0.0), now + rest_s)
+
     def note_failure(self, name: str, now: float) -> None:
         """Note that an endpoint was not reached or did not answer an order.
 
@@ -269,7 +276,7 @@
         name = endpoint.name
         if endpoint.leaving or now < self._leaving_until.get(name, 0.0):
             return False
-        if now < self._heard_leaving_until.get(name, 0.0):
+        if now < max(self._heard_leaving_until.get(name, 0.0), self._rests_until.get(name, 0.0)):
             return False
         report = self._reports.get(name)
         if report is None or now - report[1] > CONFIRM_S:
--- a/cleatlink/routing/view_test.py
+++ b/cleatlink/routing/view_test.py
@@ -110,6 +110,20 @@
     assert view.usable(endpoint, 300.0 + LEAVING_HOLD_S)
 
 
+def test_rest_is_kept_whatever_reports_say_but_not_by_a_new_incarnation() -> None:
+    view, endpoint = make_view()
+    view.report(report("d1"), 100.0)
+    view.note_rest("d1", 3.0, 100.0)
+    view.note_rest("d1", 1.0, 101.0)
+    view.report(report("d1"), 102.0)
+    assert not view.usable(endpoint, 102.9)
+    view.report(report("d1"), 103.0)
+    assert view.usable(endpoint, 103.0)
+    view.note_rest("d1", 60.0, 103.0)
+    view.report(report("d1", incarnation="2"), 104.0)
+    assert view.usable(endpoint, 104.0)
+
+
 def test_new_incarnation_is_not_leaving() -> None:
     view, endpoint = make_view()
     view.report(report("d1", leaving=True), 100.0)
--- a/cleatlink/serving/endpoints.py
+++ b/cleatlink/serving/endpoints.py
@@ -24,6 +24,7 @@
     OutcomeUnknownError,
     StreamBrokenError,
 )
+from cleatlink.core.notices import read_rest_s
 
 __all__ = [
     "EndpointClient",
@@ -379,7 +380,9 @@
     try:
         error = msgspec.json.decode(await response.aread())["error"]
         if error["ran"] == "no":
-            return EndpointRefusedError(str(error["code"]), error["code"] == "leaving")
+            values = (value.encode() for value in response.headers.get_list("retry-after"))
+            leaving = error["code"] == "leaving"
+            return EndpointRefusedError(str(error["code"]), leaving, read_rest_s(values))
     except (httpx.HTTPError, msgspec.MsgspecError, KeyError, TypeError):
         pass
     return OutcomeUnknownError(f"status {response.status_code}")
--- a/cleatlink/serving/flight.py
+++ b/cleatlink/serving/flight.py
@@ -368,6 +368,8 @@
             view.note_failure(endpoint.name, now)
         elif error.leaving:
             view.refuse_leaving(endpoint.name, now)
+        elif error.rest_s:
+            view.note_rest(endpoint.name, error.rest_s, now)
         return Failed(attempt, endpoint, cause_of(error))
 
     def _make_order(self, endpoint: Endpoint, attempt: int, position: int) -> Order:
