Read once more: one way for a worker of the soak to leave, one for what reaches it too late

Cause: a second way to leave and a second check had been written beside the first ones with small variations; three tests repeated one loop. Change: a worker says that it leaves in its own way, and all else is one function; both checks go by the same late arrivals; the loop is a function.

--- a/cleatlink/relay/restored_store_test.py
+++ b/cleatlink/relay/restored_store_test.py
@@ -50,6 +50,15 @@
     return {endpoint.answers_to for endpoint in instance.capacity.endpoints.values()}
 
 
+async def all_are_served(fleet: Fleet, seconds: float) -> None:
+    """See that callers of both instances are served for a while."""
+    ends_at = trio.current_time() + seconds
+    while trio.current_time() < ends_at:
+        for number in range(2):
+            assert (await fleet.caller(number).ask("/safe/x")).status == 200
+        await trio.sleep(0.1)
+
+
 # Revisions after the restore: still below those known before, or past them again.
 WRITES = pytest.mark.parametrize("writes", [0, 60], ids=["below", "past"])
 
@@ -92,11 +101,7 @@
         await fleet.ready()
         await restore(fleet, copy, writes=writes)
         fleet.store.put(f"servers/{worker.name}", worker.registration())
-        ends_at = trio.current_time() + 4.0
-        while trio.current_time() < ends_at:
-            for number in range(2):
-                assert (await fleet.caller(number).ask("/safe/x")).status == 200
-            await trio.sleep(0.1)
+        await all_are_served(fleet, 4.0)
 
 
 @WRITES
@@ -113,11 +118,7 @@
         )
         arrived = len(leaving.arrivals)
         await restore(fleet, copy, writes=writes)
-        ends_at = trio.current_time() + 4.0
-        while trio.current_time() < ends_at:
-            for number in range(2):
-                assert (await fleet.caller(number).ask("/safe/x")).status == 200
-            await trio.sleep(0.1)
+        await all_are_served(fleet, 4.0)
         assert len(leaving.arrivals) == arrived
 
 
@@ -132,10 +133,7 @@
         await fleet.until(lambda: not any(dead.name in known(item) for item in fleet.instances))
         arrived = len(dead.arrivals)
         await restore(fleet, copy, writes=writes)
-        for _ in range(20):
-            for number in range(2):
-                assert (await fleet.caller(number).ask("/safe/x")).status == 200
-            await trio.sleep(0.1)
+        await all_are_served(fleet, 2.0)
         assert len(dead.arrivals) == arrived
         # It writes itself again: that is its own word.
         fleet.register(dead)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -106,38 +106,48 @@
             yield Violation("", f"events {whole[-3:]!r}", (request.name,))
 
 
-def _leaving_gets_nothing(history: History) -> Iterator[Violation]:
-    """A worker that leaves gets nothing new after its time to drain."""
+class _LateArrival(NamedTuple):
+    """What reached a worker later than it may after its entry said that it leaves."""
+
+    arrival: Arrival
+    request: Request
+    left_at: float
+
+    def violation(self, since_what: str) -> Violation:
+        """Give it as a violation of a promise that counts from the worker's word."""
+        late_s = self.arrival.at - self.left_at
+        detail = f"{self.arrival.worker} got work {late_s:.2f} s after {since_what}"
+        return Violation("", detail, (self.request.name,))
+
+
+def _late_arrivals(history: History) -> Iterator[_LateArrival]:
+    """Give what reached workers too long after they said in their entries that they leave."""
     left_at = {item.worker: item.at for item in history.withdrawals}
     senders = {request.name: request for request in history.requests}
     for arrival in history.arrivals:
-        at = left_at.get(arrival.worker)
-        if at is None or arrival.at <= at + DRAIN_S + _SLACK_S:
+        at, request = left_at.get(arrival.worker), senders.get(arrival.request)
+        if at is None or request is None or arrival.at <= at + DRAIN_S + _SLACK_S:
             continue
-        if _in_touch(history, senders.get(arrival.request), at - CONTACT_S, arrival.at):
-            late_s = arrival.at - at
-            detail = f"{arrival.worker} got work {late_s:.2f} s after it said that it leaves"
-            yield Violation("", detail, (arrival.request,))
+        yield _LateArrival(arrival, request, at)
+
+
+def _leaving_gets_nothing(history: History) -> Iterator[Violation]:
+    """A worker that leaves gets nothing new after its time to drain."""
+    for late in _late_arrivals(history):
+        if _in_touch(history, late.request, late.left_at - CONTACT_S, late.arrival.at):
+            yield late.violation("it said that it leaves")
 
 
 def _known_leaving_gets_nothing(history: History) -> Iterator[Violation]:
     """What an instance knows of a worker's leaving holds whatever becomes of the store."""
-    left_at = {item.worker: item.at for item in history.withdrawals}
-    senders = {request.name: request for request in history.requests}
-    for arrival in history.arrivals:
-        at = left_at.get(arrival.worker)
-        request = senders.get(arrival.request)
-        if at is None or request is None or arrival.at <= at + DRAIN_S + _SLACK_S:
-            continue
-        if history.is_calm("store", at - CONTACT_S, arrival.at):
+    for late in _late_arrivals(history):
+        since, at = late.left_at - CONTACT_S, late.arrival.at
+        if history.is_calm("store", since, at):
             # Then the leaving is judged as such.
             continue
-        was_told = history.is_calm("store", at - CONTACT_S, at + _HEARD_S)
-        instance = f"instance {request.instance}"
-        if was_told and history.is_calm(instance, at - CONTACT_S, arrival.at):
-            late_s = arrival.at - at
-            detail = f"{arrival.worker} got work {late_s:.2f} s after it was known to leave"
-            yield Violation("", detail, (arrival.request,))
+        was_told = history.is_calm("store", since, late.left_at + _HEARD_S)
+        if was_told and history.is_calm(f"instance {late.request.instance}", since, at):
+            yield late.violation("it was known to leave")
 
 
 def _words_are_heard(history: History) -> Iterator[Violation]:
--- a/soak/strike.py
+++ b/soak/strike.py
@@ -354,15 +354,12 @@
 
     async def _say_in_answers(self, fault: PlannedFault) -> None:
         """Let a worker leave whose entry says nothing of it, as where the store is away."""
-        fleet, worker = self._fleet, self._pick_worker(fault)
-        await fleet.add_worker(worker.service, worker.stage)
-        fleet.present.remove(worker)
-        worker.says_leaving = True
-        fleet.words.append(LeavingWord(worker.name, trio.current_time()))
-        await trio.sleep(_KEEPS_SERVING_S + fault.for_s)
-        fleet.unregister(worker)
-        worker.close()
-        fleet.note_spell(worker.name, trio.current_time())
+
+        def say(worker: SoakWorker) -> None:
+            worker.says_leaving = True
+            self._fleet.words.append(LeavingWord(worker.name, trio.current_time()))
+
+        await self._let_leave(fault, say)
 
     async def _ask_for_rest(self, fault: PlannedFault) -> None:
         """Have a worker turn everything away for a while."""
@@ -374,12 +371,20 @@
         self._fleet.rests.append(Rest(worker.name, began_at, trio.current_time(), rest_s))
 
     async def _drain_worker(self, fault: PlannedFault) -> None:
-        """Let a worker drain and leave; its successor is there before."""
+        """Let a worker drain and leave."""
+
+        def say(worker: SoakWorker) -> None:
+            self._fleet.register(worker, "draining")
+            self._fleet.withdrawals.append(Withdrawal(worker.name, trio.current_time()))
+
+        await self._let_leave(fault, say)
+
+    async def _let_leave(self, fault: PlannedFault, say: Callable[[SoakWorker], None]) -> None:
+        """Have a worker say that it leaves, serve on and end; its successor is there before."""
         fleet, worker = self._fleet, self._pick_worker(fault)
         await fleet.add_worker(worker.service, worker.stage)
         fleet.present.remove(worker)
-        fleet.register(worker, "draining")
-        fleet.withdrawals.append(Withdrawal(worker.name, trio.current_time()))
+        say(worker)
         await trio.sleep(_KEEPS_SERVING_S + fault.for_s)
         fleet.unregister(worker)
         worker.close()
