Sight: limits over all instances that endpoints name are read, counted and logged

Nothing is decided by them yet. `endpoint: names a limit` tells since when and how much, `is answered` and `is refused` where a call was sent last, so that the lines can tell a limit that is read nowhere from one that is passed by.

--- a/cleatlink/platform/names.py
+++ b/cleatlink/platform/names.py
@@ -20,6 +20,7 @@
     expected_endpoint=b"expected-instance",
     not_run=b"not-executed",
     leaving=b"server-leaving",
+    rate_per_s=b"server-limit",
     stage=b"stage",
     kv_source=b"cache-source",
     hold=b"hold",
--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -52,6 +52,7 @@
         self.admission = Admission(True, 0)
         self._parts = parts
         self._sent_to: set[str] = set()
+        self._sent_last_to = ""
         self._ran_before = Ran.NO
         self._identity = b""
         self._begun_at = inbound.arrived_at
@@ -194,6 +195,7 @@
         self.note_begun()
         self.sends += 1
         self._sent_to.add(endpoint.name)
+        self._sent_last_to = endpoint.name
         self._ran_before = self.ran
         self.ran = Ran.UNKNOWN
 
@@ -298,7 +300,9 @@
         )
 
     def log_outcome(self, outcome: str, **fields: object) -> None:
-        """Log what a call came to, with whose it is and what it counts for its limit."""
+        """Log what a call came to: where it was sent last, whose it is, what it counts."""
+        if self._sent_last_to:
+            fields.update(endpoint=self._sent_last_to)
         if self.holder.organisation is not None:
             fields.update(organisation=self.holder.name, cost=self.admission.cost)
         self.log(outcome, **fields)
--- a/cleatlink/relay/endpoints/answer_notices.py
+++ b/cleatlink/relay/endpoints/answer_notices.py
@@ -5,7 +5,7 @@
 import eliot
 import trio
 
-from cleatlink.core.notices import NO_NOTICE
+from cleatlink.core.notices import NO_NOTICE, EndpointNotice
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.endpoints.protocol import Protocol, ReplyHead
 from cleatlink.relay.logs import LineAllowance
@@ -14,9 +14,10 @@
 
 __all__ = ["AnswerNotices"]
 
-# Lines about rests, at the most in so many seconds: an endpoint can begin one with each answer.
-_REST_LINES = 50
-_REST_LINES_S = 10.0
+# Lines about rests, and about limits, at the most in so many seconds: an endpoint can say
+# something new with each answer.
+_LINES = 50
+_LINES_S = 10.0
 
 
 class AnswerNotices:
@@ -44,7 +45,9 @@
         self._protocol = protocol
         self._notices = notices
         self._metrics = metrics
-        self._rest_lines = LineAllowance(_REST_LINES, _REST_LINES_S)
+        self._rest_lines = LineAllowance(_LINES, _LINES_S)
+        self._rate_lines = LineAllowance(_LINES, _LINES_S)
+        self._rates: dict[str, float] = {}
 
     def note_head(self, endpoint: RoutedEndpoint, head: ReplyHead) -> None:
         """Take what an answer of an endpoint says; most say nothing."""
@@ -52,6 +55,8 @@
         if self._protocol.takes_work(head):
             self._notices.note_served(endpoint.name, now)
         notice = self._protocol.read_notice(head)
+        if notice.names_rate or endpoint.name in self._rates:
+            self._note_rate(endpoint, notice, now)
         if notice == NO_NOTICE:
             return
         if notice.leaving:
@@ -81,3 +86,19 @@
                 service=endpoint.service,
                 rest_s=rest_s,
             )
+
+    def _note_rate(self, endpoint: RoutedEndpoint, notice: EndpointNotice, now: float) -> None:
+        """Log a limit over all instances that an endpoint names anew, changes or takes back."""
+        if notice.names_rate:
+            self._metrics.count_notice("limit")
+        before = self._rates.pop(endpoint.name, None)
+        if notice.rate_per_s is not None:
+            self._rates[endpoint.name] = notice.rate_per_s
+        if before != notice.rate_per_s and self._rate_lines.take(now):
+            eliot.log_message(
+                message_type="endpoint: names a limit",
+                endpoint=endpoint.name,
+                service=endpoint.service,
+                per_s=notice.rate_per_s,
+                before=before,
+            )
--- a/cleatlink/relay/endpoints/answer_notices_test.py
+++ b/cleatlink/relay/endpoints/answer_notices_test.py
@@ -20,6 +20,11 @@
     return (b"Retry-After", value)
 
 
+def limit(value: bytes) -> tuple[bytes, bytes]:
+    """Give the header with which an endpoint names a limit."""
+    return (b"Server-Limit", value)
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "expected"),
     [
@@ -33,8 +38,11 @@
         (429, (rest(b"2"),), EndpointNotice(rest_s=2.0)),
         (200, (rest(b"3"),), NO_NOTICE),
         (500, (rest(b"3"),), NO_NOTICE),
+        (200, (limit(b"3.6"),), EndpointNotice(rate_per_s=3.6, names_rate=True)),
+        (500, (limit(b"3"), LEAVING), EndpointNotice(True, 0.0, 3.0, names_rate=True)),
+        (503, (limit(b"2"), rest(b"1")), EndpointNotice(False, 1.0, 2.0, names_rate=True)),
         # Another endpoint answers at the address: it says nothing of the one that was asked.
-        (421, (LEAVING, rest(b"3")), NO_NOTICE),
+        (421, (LEAVING, rest(b"3"), limit(b"1")), NO_NOTICE),
     ],
 )
 def test_head_says_what_it_says(
@@ -65,6 +73,50 @@
     assert PROTOCOL.read_notice(head).rest_s == rest_s
 
 
+@pytest.mark.parametrize(
+    ("values", "rate_per_s"),
+    [
+        ([b"4"], 4.0),
+        ([b" .5 "], 0.5),
+        ([b"5."], 5.0),
+        # One that takes none is asked now and then whether that still holds.
+        ([b"0"], 0.1),
+        ([b"999999999999"], 1e6),
+        ([b"7", b"3.5"], 3.5),
+        ([b"few", b"2"], 2.0),
+        ([b"-1"], None),
+        ([b"nan"], None),
+        ([b"1e3"], None),
+        ([b""], None),
+        ([b"few"], None),
+    ],
+)
+def test_limit_that_is_nonsense_is_bounded(values: list[bytes], rate_per_s: float | None) -> None:
+    notice = PROTOCOL.read_notice(ReplyHead(200, tuple(limit(value) for value in values)))
+    assert notice == EndpointNotice(rate_per_s=rate_per_s, names_rate=True)
+
+
+async def test_limit_is_logged_when_it_is_named_changes_and_ends() -> None:
+    lines: list[dict[str, Any]] = []
+    take = lines.append
+    eliot.add_destinations(take)
+    try:
+        async with open_fleet() as fleet:
+            worker = Worker("plain")
+            await start(fleet, worker)
+            for said in ("50", "50", "20", None, None):
+                worker.names_limit = said
+                assert (await fleet.caller().ask("/safe/x")).status == 200
+    finally:
+        eliot.remove_destination(take)
+    found = [
+        (line["before"], line["per_s"])
+        for line in lines
+        if line.get("message_type") == "endpoint: names a limit" and line["endpoint"] == worker.name
+    ]
+    assert found == [(None, 50.0), (50.0, 20.0), (20.0, None)]
+
+
 async def test_leaving_is_read_from_every_kind_of_answer() -> None:
     kinds = {
         "plain": ("/safe/x", {}),
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -11,7 +11,12 @@
 import msgspec
 
 from cleatlink.core.data import Role
-from cleatlink.core.notices import NO_NOTICE, EndpointNotice, read_rest_s
+from cleatlink.core.notices import (
+    NO_NOTICE,
+    EndpointNotice,
+    read_rate_per_s,
+    read_rest_s,
+)
 from cleatlink.core.routes import Headers, Inbound, KvSource, RoutedEndpoint
 
 __all__ = [
@@ -62,6 +67,7 @@
     not_run: bytes = b"x-not-run"
     leaving: bytes = b"x-endpoint-leaving"
     rest_s: bytes = b"retry-after"
+    rate_per_s: bytes = b"x-endpoint-rate"
     stage: bytes = b"x-stage"
     kv_source: bytes = b"x-kv-source"
     hold: bytes = b"x-hold"
@@ -302,10 +308,13 @@
         """Read what an endpoint says of itself; what can't be read says nothing."""
         if head.status == OTHER_ENDPOINT:
             return NO_NOTICE
-        leaving = b"1" in head.get_all(self.names.leaving)
-        if head.status not in TURNED_AWAY:
-            return EndpointNotice(leaving)
-        return EndpointNotice(leaving, read_rest_s(head.get_all(self.names.rest_s)))
+        names = self.names
+        leaving = b"1" in head.get_all(names.leaving)
+        rest_s = 0.0
+        if head.status in TURNED_AWAY:
+            rest_s = read_rest_s(head.get_all(names.rest_s))
+        rates = head.get_all(names.rate_per_s)
+        return EndpointNotice(leaving, rest_s, read_rate_per_s(rates), bool(rates))
 
     def belongs(self, head: ReplyHead, inbound: Inbound) -> bool:
         """Tell whether an answer is the one to this request."""
--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -72,9 +72,13 @@
         self.says_leaving = False
         # Seconds of rest that it asks for with each refusal; None names no time.
         self.asks_rest_s: float | None = None
+        # Calls a second that it says it takes from all instances, as written; None says none.
+        self.names_limit: str | None = None
         # Whether it turns every call away.
         self.sheds = False
         self.arrived_at: list[float] = []
+        # When calls of any kind came, with those that are no caller's request.
+        self.asked_at: list[float] = []
         self.holds: dict[str, int] = {}
         self.held: list[int] = []
         self.dropped_holds: list[str] = []
@@ -130,6 +134,7 @@
 
     async def serve(self, call: RawCall, stream: trio.SocketStream) -> bool:
         """Answer one request."""
+        self.asked_at.append(trio.current_time())
         if call.path.startswith("/kv-handle/"):
             handle = call.path.rpartition("/")[2]
             self.freed.append(handle)
@@ -165,8 +170,11 @@
         return await self._plain(call, stream, fault)
 
     def _notice(self) -> dict[str, str]:
-        """Give the headers with which it says that it leaves."""
-        return {"Server-Leaving": "1", "Connection": "close"} if self.says_leaving else {}
+        """Give the headers with which it says that it leaves, or takes few calls."""
+        headers = {"Server-Leaving": "1", "Connection": "close"} if self.says_leaving else {}
+        if self.names_limit is not None:
+            headers["Server-Limit"] = self.names_limit
+        return headers
 
     def _rest(self) -> dict[str, str]:
         """Give the headers with which it asks for a rest."""
