One mechanism for limits over all instances, apart from whose limits they are

Buckets that all instances fill alike, totals that only grow and peers' accounts move to cleatlink/limits; what is an organisation's (table, tolerance, cost, who is short) stays in organisations/limits.py on top of it.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -11,7 +11,8 @@
 from typing import Any, NamedTuple
 
 from cleatlink.core.organisations import Organisation, TokenLimit
-from cleatlink.organisations import HEARD_S, LimitTolerance, OrganisationLimits, PeerTotals
+from cleatlink.limits import HEARD_S, PeerTotals
+from cleatlink.organisations import LimitTolerance, OrganisationLimits
 
 __all__ = ["PATTERNS", "WAYS", "Pattern", "measure_limit"]
 
--- /dev/null
+++ b/cleatlink/limits/bucket.py
@@ -0,0 +1,70 @@
+"""One token bucket that several instances fill alike and take out of."""
+
+from typing import NamedTuple
+
+__all__ = ["Bucket", "RateLimit"]
+
+
+class RateLimit(NamedTuple):
+    """How much may pass, over all instances together.
+
+    Attributes:
+        rate: Units a second.
+        burst: Units on top of that.
+    """
+
+    rate: float
+    burst: float
+
+
+class Bucket:
+    """A bucket, and what this instance and others took out of it."""
+
+    __slots__ = ("at", "changed_at", "credit", "level", "limit", "total")
+
+    def __init__(self, limit: RateLimit, level: float, now: float) -> None:
+        """Start with something in it.
+
+        Args:
+            limit: How fast it fills, and how far.
+            level: Units that are in it.
+            now: The time.
+        """
+        self.limit = limit
+        self.level = level
+        self.at = now
+        # Units that this instance took since its start; it never falls.
+        self.total = 0
+        # Units that were given back, and are taken before the total grows again.
+        self.credit = 0
+        self.changed_at: float | None = None
+
+    def refill(self, now: float, share: float) -> None:
+        """Bring the bucket up to a time, at a share of its limit."""
+        passed_s = max(0.0, now - self.at)
+        self.at = max(self.at, now)
+        self.level = min(self.limit.burst, self.level + share * self.limit.rate * passed_s)
+
+    def change(self, limit: RateLimit) -> None:
+        """Use another limit: a larger burst is there at once, a smaller one too."""
+        self.level += max(0.0, limit.burst - self.limit.burst)
+        self.level = min(self.level, limit.burst)
+        self.limit = limit
+
+    def take(self, cost: int, now: float) -> None:
+        """Take units for something of this instance."""
+        self.level -= cost
+        paid = min(self.credit, cost)
+        self.credit -= paid
+        if cost > paid:
+            self.total += cost - paid
+            self.changed_at = now
+
+    def give_back(self, cost: int) -> None:
+        """Take back what was taken and not used; peers see it in what is taken next."""
+        self.level = min(self.limit.burst, self.level + cost)
+        self.credit += cost
+
+    def debit(self, cost: int) -> None:
+        """Take out what a peer took."""
+        self.level -= cost
--- a/cleatlink/organisations/__init__.py
+++ b/cleatlink/organisations/__init__.py
@@ -2,16 +2,9 @@
 
 from cleatlink.organisations.gate import NOBODY, Holder, OrganisationGate
 from cleatlink.organisations.keys import KeyTable, read_key
-from cleatlink.organisations.limits import (
-    HEARD_S,
-    Admission,
-    LimitTolerance,
-    OrganisationLimits,
-    PeerTotals,
-)
+from cleatlink.organisations.limits import Admission, LimitTolerance, OrganisationLimits
 
 __all__ = [
-    "HEARD_S",
     "NOBODY",
     "Admission",
     "Holder",
@@ -19,6 +12,5 @@
     "LimitTolerance",
     "OrganisationGate",
     "OrganisationLimits",
-    "PeerTotals",
     "read_key",
 ]
--- a/cleatlink/organisations/limits_test.py
+++ b/cleatlink/organisations/limits_test.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from cleatlink.core.organisations import Organisation, TokenLimit
-from cleatlink.organisations import HEARD_S, LimitTolerance, OrganisationLimits, PeerTotals
+from cleatlink.limits import HEARD_S, PeerTotals
+from cleatlink.organisations import LimitTolerance, OrganisationLimits
 
 EXACT = LimitTolerance(0.0, 0.0, 8.0)
 USUAL = LimitTolerance(0.25, 10_000.0, 8.0)
--- a/cleatlink/relay/peers/limit_news.py
+++ b/cleatlink/relay/peers/limit_news.py
@@ -2,8 +2,9 @@
 
 import trio
 
+from cleatlink.limits import HEARD_S, PeerTotals
 from cleatlink.members.presence import Presence
-from cleatlink.organisations import HEARD_S, OrganisationLimits, PeerTotals
+from cleatlink.organisations import OrganisationLimits
 from cleatlink.relay.peers.messages import Beat, Spending
 from cleatlink.relay.peers.news import NewsChannel
 
--- a/tools/constants.py
+++ b/tools/constants.py
@@ -18,6 +18,7 @@
     "cleatlink/members",
     "cleatlink/request",
     "cleatlink/organisations",
+    "cleatlink/limits",
 )
 _HEAD = """# Constants of the relay's path
 
