Limits that endpoints name hold over all instances, in one line for all calls

What callers and endpoints saw: an endpoint named the calls a second that it takes from all instances together, and got three times as many.

The mend is the mechanism of organisations' limits, not a second one: buckets that all instances fill alike, totals that only grow. A call books its unit when it is placed; its turn may come a little later, if it can still be in time, so calls of all instances stand in one line. Every exchange counts where it is sent (prompts read apart, holds, orders, what frees memory), so nothing passes it by. What is booked and not sent is told as put back. An answer without the limit ends it, a nonsense one changes nothing, and 0 is asked now and then whether it still holds. Where all are limited callers are refused at once with the time of the next turn. A peer's word counts by its age.

Found on the way: a silent peer's first unit was not accounted for, since endpoints' limits are told only when something is taken (8 instances diverged by 2 units in 5 s); heartbeats tell now of how many limits a peer took something.

--- a/cleatlink/limits/bucket.py
+++ b/cleatlink/limits/bucket.py
@@ -20,7 +20,16 @@
 class Bucket:
     """A bucket, and what this instance and others took out of it."""
 
-    __slots__ = ("at", "changed_at", "credit", "level", "limit", "total")
+    __slots__ = (
+        "at",
+        "changed_at",
+        "credit",
+        "debited",
+        "level",
+        "limit",
+        "returned",
+        "total",
+    )
 
     def __init__(self, limit: RateLimit, level: float, now: float) -> None:
         """Start with something in it.
@@ -33,8 +42,11 @@
         self.limit = limit
         self.level = level
         self.at = now
-        # Units that this instance took since its start; it never falls.
+        # Units that this instance took, and put back, since its start; they never fall.
         self.total = 0
+        self.returned = 0
+        # Units that peers took, as far as they have told.
+        self.debited = 0
         # Units that were given back, and are taken before the total grows again.
         self.credit = 0
         self.changed_at: float | None = None
@@ -51,6 +63,13 @@
         self.level = min(self.level, limit.burst)
         self.limit = limit
 
+    def renewed(self, limit: RateLimit, now: float) -> "Bucket":
+        """Give an empty bucket that goes on with the totals of this one."""
+        bucket = Bucket(limit, 0.0, now)
+        bucket.total, bucket.returned = self.total, self.returned
+        bucket.credit, bucket.changed_at = self.credit, self.changed_at
+        return bucket
+
     def take(self, cost: int, now: float) -> None:
         """Take units for something of this instance."""
         self.level -= cost
@@ -65,6 +84,17 @@
         self.level = min(self.limit.burst, self.level + cost)
         self.credit += cost
 
+    def put_back(self, cost: int, now: float) -> None:
+        """Take back what was taken and not used; peers are told of it as such."""
+        self.level = min(self.limit.burst, self.level + cost)
+        self.returned += cost
+        self.changed_at = now
+
     def debit(self, cost: int) -> None:
         """Take out what a peer took."""
         self.level -= cost
+        self.debited += cost
+
+    def refund(self, cost: int) -> None:
+        """Put in what a peer put back."""
+        self.level = min(self.limit.burst, self.level + cost)
--- a/cleatlink/limits/shared.py
+++ b/cleatlink/limits/shared.py
@@ -33,6 +33,7 @@
         totals: Units that it took since its start, by name; some or all.
         spenders: For how many names it took something.
         age_s: Seconds since its start.
+        returned: Units that it put back since its start, by name; some or all.
     """
 
     name: str
@@ -40,18 +41,26 @@
     totals: Mapping[str, int]
     spenders: int
     age_s: float
+    returned: Mapping[str, int] = {}
 
 
 class _PeerAccount:
     """The totals of one peer as last told."""
 
-    __slots__ = ("heard_at", "incarnation", "is_complete", "totals")
+    __slots__ = ("heard_at", "incarnation", "is_complete", "returned", "totals")
 
     def __init__(self, incarnation: int, heard_at: float, is_complete: bool) -> None:
         self.incarnation = incarnation
         self.heard_at = heard_at
         self.is_complete = is_complete
         self.totals: dict[str, int] = {}
+        self.returned: dict[str, int] = {}
+
+    def forget(self) -> None:
+        """Forget what was told: the peer is not asked to account for the time of its silence."""
+        self.totals.clear()
+        self.returned.clear()
+        self.is_complete = False
 
 
 class SharedLimits(ABC):
@@ -113,11 +122,20 @@
             now: The time.
             whole: Whether to give all; otherwise what changed lately.
         """
-        return {
-            name: bucket.total
+        return {name: bucket.total for name, bucket in self._changed(now, whole=whole)}
+
+    def returned(self, now: float, *, whole: bool = False) -> dict[str, int]:
+        """Give what this instance put back since its start, by name, as ``totals`` does."""
+        changed = self._changed(now, whole=whole)
+        return {name: bucket.returned for name, bucket in changed if bucket.returned}
+
+    def _changed(self, now: float, *, whole: bool) -> list[tuple[str, Bucket]]:
+        """Give the buckets that this instance took out of: all, or those of lately."""
+        return [
+            (name, bucket)
             for name, bucket in self._buckets.items()
             if bucket.changed_at is not None and (whole or now - bucket.changed_at < _TELL_S)
-        }
+        ]
 
     @property
     def spenders(self) -> int:
@@ -144,11 +162,12 @@
             account = _PeerAccount(told.incarnation, now, told.age_s <= HEARD_S)
             self._peers[told.name] = account
         elif now - account.heard_at > HEARD_S:
-            account.totals.clear()
-            account.is_complete = False
+            account.forget()
         account.heard_at = now
         for name, total in told.totals.items():
             self._take_total(account, name, total, now)
+        for name, returned in told.returned.items():
+            self._take_returned(account, name, returned, now)
         account.is_complete = len(account.totals) >= told.spenders
 
     def _take_total(self, account: _PeerAccount, name: str, total: int, now: float) -> None:
@@ -160,6 +179,15 @@
         if before is not None and bucket is not None:
             bucket.debit(total - before)
 
+    def _take_returned(self, account: _PeerAccount, name: str, returned: int, now: float) -> None:
+        before = account.returned.get(name, 0 if account.is_complete else None)
+        if before is not None and returned <= before:
+            return
+        account.returned[name] = returned
+        bucket = self._bucket(name, now)
+        if before is not None and bucket is not None:
+            bucket.refund(returned - before)
+
     def adopt(self, levels: Mapping[str, float], age_s: float, now: float) -> None:
         """Take over what is left of the limits from a peer that has kept account for longer."""
         if age_s <= max(self._adopted_age_s, self.age_s(now)):
@@ -175,3 +203,4 @@
         self._buckets.pop(name, None)
         for account in self._peers.values():
             account.totals.pop(name, None)
+            account.returned.pop(name, None)
--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -288,6 +288,18 @@
             silent_ms=int(1000 * (now - self.heard_at)),
         )
 
+    def log_turn(self, endpoint: RoutedEndpoint, wait_s: float) -> None:
+        """Log that the call waits until an endpoint's limit allows it."""
+        limits, now = self._parts.capacity.limits, trio.current_time()
+        self.log(
+            "waits for its turn",
+            endpoint=endpoint.name,
+            limit_per_s=limits.rate_per_s(endpoint.name),
+            level=round(limits.level(endpoint.name, now), 2),
+            told_ago_s=limits.told_ago_s(now),
+            wait_ms=int(1000 * wait_s),
+        )
+
     def log(self, outcome: str, **fields: object) -> None:
         """Log a decision about this call."""
         eliot.log_message(
--- a/cleatlink/relay/calls/decode_place.py
+++ b/cleatlink/relay/calls/decode_place.py
@@ -1,5 +1,7 @@
 """A place at a decode endpoint, made ready for a stream: room, connection, hold and prompt."""
 
+import trio
+
 from cleatlink.core.data import Refusal
 from cleatlink.core.errors import EndpointUnreachableError
 from cleatlink.core.routes import RoutedEndpoint
@@ -16,6 +18,12 @@
 
 # Time in which a decode that was full ends a stream.
 RETRY_AFTER_S = 0.6
+# What instances book is told to all within a few ms.
+_SETTLE_S = 0.015
+# So many streams of peers at the same moment are too many; fewer only come a little early.
+_MANY = 3
+# A prompt's result waits for about so long; a stream that is due later seeks room anew.
+_MOST_TURN_S = 0.5
 
 
 class DecodePlace:
@@ -40,6 +48,7 @@
         self._room: Room | None = None
         self._connection: EndpointConnection | None = None
         self._is_cleared = False
+        self._is_sent = False
 
     @property
     def room(self) -> Room:
@@ -58,11 +67,15 @@
             found = await self._rooms.find(self._call, prompt_ready=self.prefill.lives())
             if isinstance(found, Refusal):
                 return found
-            self._room = found
+            self._room, self._is_sent = found, False
             if not await self.reach() or not await self._take_hold():
                 continue
             if found.direct:
                 return None
+            now = trio.current_time()
+            if found.prompt_at > now:
+                self._call.log_turn(found.endpoint, found.prompt_at - now)
+                await trio.sleep_until(found.prompt_at)
             return await self.prefill.run(found.endpoint.data_centre)
 
     def clear_to_send(self) -> Refusal | None:
@@ -89,6 +102,7 @@
             return None
         connection, self._connection = self._connection, None
         self._is_cleared = False
+        self._is_sent = True
         return connection
 
     async def reach(self) -> bool:
@@ -115,9 +129,37 @@
             self.move_on()
         return outcome in (HoldOutcome.HELD, HoldOutcome.NOT_OFFERED)
 
+    async def wait_for_turn(self) -> bool:
+        """Wait until the endpoint's limit allows the stream; tells whether it may go there.
+
+        Instances that book at the same moment, as when room opens for all of them, do not know of
+        each other's streams yet. Where many did, each stays with such a chance that one does.
+        """
+        name, limits = self.endpoint.name, self._parts.capacity.limits
+        if limits.rate_per_s(name) is None:
+            return True
+        now = trio.current_time()
+        turn = self.room.turn
+        due_at = max(turn.due_at, turn.booked_at + _SETTLE_S)
+        if self._is_sent:
+            due_at = limits.book(self.room.key, name, now)
+        if due_at - now > _MOST_TURN_S:
+            return False
+        if due_at > now:
+            self._call.log_turn(self.endpoint, due_at - now)
+            await trio.sleep_until(due_at)
+        if self._is_sent or turn.due_at > turn.booked_at + _SETTLE_S:
+            return True
+        others = limits.taken_by_peers(name) - turn.taken_by_peers
+        return others < _MANY or self._parts.rng.random() * (1 + others) < 1
+
     def move_on(self) -> None:
         """Leave the endpoint, with a handle that still lives."""
         self._call.excluded.add(self.endpoint.name)
+        self.leave()
+
+    def leave(self) -> None:
+        """Give the room back, with a handle that still lives."""
         self._give_room_back()
         if not self.prefill.lives():
             self.prefill.drop("expired")
--- a/cleatlink/relay/calls/hold.py
+++ b/cleatlink/relay/calls/hold.py
@@ -14,6 +14,7 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.calls.call import Call
 from cleatlink.relay.calls.parts import RelayParts
+from cleatlink.relay.calls.turns import own_turn
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.pool import IDLE_LIMIT_S, Reply
 from cleatlink.relay.endpoints.protocol import OTHER_ENDPOINT, TURNED_AWAY, OutgoingRequest
@@ -79,6 +80,9 @@
         uses_holds = self._parts.capacity.switches.uses(Mechanism.HOLDS)
         if traits is None or not traits.hold_s or not uses_holds:
             return HoldOutcome.NOT_OFFERED
+        if self._parts.capacity.limits.rate_per_s(endpoint.name) is not None:
+            # A call that holds room would count against the endpoint's limit like the stream.
+            return HoldOutcome.NOT_OFFERED
         self.drop()
         tokens = self._call.inbound.prompt_tokens + int(_OUTPUT_SHARE * output)
         request = self._parts.protocol.take_hold(endpoint, tokens, traits.hold_s)
@@ -130,9 +134,9 @@
         def make() -> OutgoingRequest:
             return parts.protocol.own_call(b"DELETE", path, endpoint)
 
-        await trio.sleep(parts.capacity.rest_left_s(endpoint.name, trio.current_time()))
         try:
-            with trio.fail_after(_ANSWER_S):
-                await parts.pool.call(endpoint, IDLE_LIMIT_S, make, _MOST_REPLY_BYTES)
+            async with own_turn(parts.capacity, endpoint, f"free/{name}"):
+                with trio.fail_after(_ANSWER_S):
+                    await parts.pool.call(endpoint, IDLE_LIMIT_S, make, _MOST_REPLY_BYTES)
         except (EndpointError, trio.TooSlowError):
             return
--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -17,7 +17,7 @@
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
 from cleatlink.relay.tasks import run_watched
 from cleatlink.routing.mechanisms import Mechanism
-from cleatlink.routing.relay_place import place_plain
+from cleatlink.routing.relay_place import place_plain, place_plain_later
 from cleatlink.routing.reservation import Reservation
 
 __all__ = ["PlainCall"]
@@ -56,7 +56,7 @@
                 return barred
             endpoint, self._next = self._next, None
             if endpoint is None:
-                endpoint = place_plain(call.service.name, self._parts.capacity, call.seeker())
+                endpoint = self._place()
                 if endpoint is None or not call.may_send(endpoint):
                     return self._give_up("no endpoint may be tried")
                 if call.sends and not call.spend("plain"):
@@ -78,6 +78,31 @@
             if answer is not None:
                 return answer
 
+    def _place(self) -> RoutedEndpoint | None:
+        """Give an endpoint for the call: one that takes it now, or soon enough to be in time.
+
+        One that waits for longer would only keep those behind it from being in time.
+        """
+        call, capacity = self._call, self._parts.capacity
+        service = call.service.name
+        endpoint = place_plain(service, capacity, call.seeker())
+        if endpoint is not None:
+            return endpoint
+        spare_s = call.route.target_s - call.age_s - capacity.pace(service).plain_s
+        return place_plain_later(service, capacity, call.seeker(), min(spare_s, call.left_s))
+
+    async def _wait_for_turn(self, endpoint: RoutedEndpoint, key: str) -> bool:
+        """Wait until an endpoint's limit allows the call; tells whether it still takes work."""
+        call, capacity = self._call, self._parts.capacity
+        now = trio.current_time()
+        due_at = capacity.limits.book(key, endpoint.name, now)
+        if due_at <= now:
+            return True
+        call.log_turn(endpoint, due_at - now)
+        await trio.sleep_until(due_at)
+        now = trio.current_time()
+        return capacity.takes_work(endpoint.name) and not capacity.rest_left_s(endpoint.name, now)
+
     async def _send(self, endpoint: RoutedEndpoint) -> Reply | None:
         """Send the call to one endpoint.
 
@@ -87,17 +112,20 @@
         call, parts = self._call, self._parts
         pace = parts.capacity.pace(call.service.name)
         key = f"{call.inbound.request_id}/{call.sends}"
-        began_at = trio.current_time()
-        ends_at = began_at + _EXPECTED_S
+        ends_at = trio.current_time() + _EXPECTED_S
         work = Reservation(endpoint.name, Role.PLAIN, 0, ends_at, suspicion=call.suspicion)
         parts.capacity.reserve(key, work)
         try:
+            if not await self._wait_for_turn(endpoint, key):
+                return None
+            began_at = trio.current_time()
             answer = await run_watched(
                 lambda: self._exchange(endpoint),
                 lambda leave: self._leave_when_silent(endpoint, leave),
             )
         finally:
             parts.capacity.release(key)
+            parts.capacity.limits.give_up(key, trio.current_time())
         if answer is None:
             pace.note_plain(trio.current_time() - began_at)
             raise EndpointSilentError("another endpoint is asked")
--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -15,6 +15,7 @@
 from cleatlink.core.routes import KvSource, RoutedEndpoint
 from cleatlink.relay.calls.call import Call
 from cleatlink.relay.calls.parts import RelayParts
+from cleatlink.relay.calls.turns import own_turn
 from cleatlink.relay.endpoints.pool import IDLE_LIMIT_S
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
 from cleatlink.routing.relay_place import place_prefill
@@ -134,13 +135,17 @@
         now = trio.current_time()
         tokens = call.inbound.prompt_tokens
         pace = parts.capacity.pace(call.service.name)
-        queue_s = parts.capacity.queue_s(endpoint.name)
+        queue_s = parts.capacity.begins_in_s(endpoint.name, now)
         expected_s = queue_s + pace.prompt_s(tokens)
         work = Reservation(endpoint.name, Role.PREFILL, tokens, now + expected_s, expected_s)
         parts.capacity.reserve(key, work)
         parts.on_work(key)
         try:
+            due_at = parts.capacity.limits.book(key, endpoint.name, now)
             with trio.fail_after(max(0.0, min(call.left_s, expected_s + _PREFILL_SLACK_S))):
+                if due_at > now:
+                    call.log_turn(endpoint, due_at - now)
+                    await trio.sleep_until(due_at)
                 self.handle = await self._ask_prefill(endpoint)
             self.was_computed = True
             taken_s = trio.current_time() - now
@@ -159,6 +164,7 @@
             parts.capacity.note_room(endpoint.name)
         finally:
             parts.capacity.release(key)
+            parts.capacity.limits.give_up(key, trio.current_time())
             parts.on_work(key)
 
     async def _ask_prefill(self, endpoint: RoutedEndpoint) -> Handle:
@@ -204,10 +210,10 @@
             return parts.protocol.own_call(b"DELETE", path, endpoint)
 
         for _ in range(_FREE_TRIES):
-            await trio.sleep(parts.capacity.rest_left_s(endpoint.name, trio.current_time()))
             try:
-                with trio.fail_after(_PREFILL_SLACK_S):
-                    await parts.pool.call(endpoint, IDLE_LIMIT_S, make, _MOST_REPLY_BYTES)
+                async with own_turn(parts.capacity, endpoint, f"free/{handle.source.handle}"):
+                    with trio.fail_after(_PREFILL_SLACK_S):
+                        await parts.pool.call(endpoint, IDLE_LIMIT_S, make, _MOST_REPLY_BYTES)
                 return
             except (EndpointError, trio.TooSlowError):
                 await trio.sleep(_FREE_PAUSE_S)
--- a/cleatlink/relay/calls/room.py
+++ b/cleatlink/relay/calls/room.py
@@ -22,7 +22,7 @@
 from cleatlink.routing.reservation import Reservation
 from cleatlink.routing.returns import Returns
 
-__all__ = ["DecodeRoom", "Room"]
+__all__ = ["DecodeRoom", "Room", "Turn"]
 
 # Streams of an endpoint that decodes need some time between two prompts that it computes,
 # to make up for the pause.
@@ -38,6 +38,20 @@
 _BEGUN_URGENCY = 100
 
 
+class Turn(NamedTuple):
+    """A stream's turn at an endpoint that names a limit.
+
+    Attributes:
+        booked_at: When it was booked.
+        due_at: When it is due.
+        taken_by_peers: Units of the limit that peers had taken by then.
+    """
+
+    booked_at: float
+    due_at: float
+    taken_by_peers: int
+
+
 class Room(NamedTuple):
     """A decode endpoint with room reserved under a key.
 
@@ -47,6 +61,8 @@
         expected_s: How long the stream should take.
         output: Tokens of its answer, as estimated.
         direct: Whether the endpoint computes the prompt itself.
+        turn: When the endpoint's limit allows the stream.
+        prompt_at: When its prompt should be computed, so that it is ready then.
     """
 
     endpoint: RoutedEndpoint
@@ -54,6 +70,8 @@
     expected_s: float
     output: int
     direct: bool
+    turn: Turn
+    prompt_at: float
 
 
 class _Standing(NamedTuple):
@@ -97,6 +115,7 @@
         released = [item for item in (key, key + _PROMPT) if item in capacity.own]
         for item in released:
             capacity.release(item)
+        capacity.limits.give_up(key, trio.current_time())
         self._parts.on_work(*released)
         self.offer()
 
@@ -114,7 +133,7 @@
         """
         standing = self._stand(call, prompt_ready)
         if not self._waiting.must_wait(call.service.name, standing.urgency, standing.since):
-            room = self._try(call, standing)
+            room = self._try(call, standing, is_back=False)
             if room is not None:
                 return room
         while standing.may_wait:
@@ -220,7 +239,7 @@
         done = trio.Event()
 
         def attempt() -> bool:
-            room = self._try(call, standing)
+            room = self._try(call, standing, is_back=True)
             if room is None:
                 return False
             found.append(room)
@@ -249,7 +268,7 @@
         self._parts.metrics.observe_wait(trio.current_time() - began_at)
         return found[0]
 
-    def _try(self, call: Call, standing: _Standing) -> Room | None:
+    def _try(self, call: Call, standing: _Standing, *, is_back: bool) -> Room | None:
         traits = call.service.engine
         assert traits is not None, "only engines decode"
         capacity = self._parts.capacity
@@ -263,6 +282,7 @@
         output = estimate_output(call.inbound, pace)
         seeker = call.seeker()
         duration_s = pace.stream_s(output) + plan.ready_s
+        sent_after_s = 0.0 if plan.direct else plan.ready_s
         size = StreamSize(call.inbound.prompt_tokens, output, duration_s)
         endpoint = place_decode(
             call.service.name,
@@ -272,6 +292,9 @@
             seeker,
             computes_prompt=plan.direct,
             leaves_room=yields,
+            sent_after_s=sent_after_s,
+            sent_within_s=sent_after_s + max(0.0, plan.spare_s - standing.first_ago_s),
+            is_back=is_back,
         )
         if endpoint is None:
             return None
@@ -279,6 +302,8 @@
         now = seeker.now
         work = size.reserve(endpoint.name, now)._replace(suspicion=seeker.suspicion)
         capacity.reserve(key, work)
+        limits = capacity.limits
+        turn = Turn(now, limits.book(key, endpoint.name, now), limits.taken_by_peers(endpoint.name))
         capacity.note_demand(work, now)
         self._parts.on_work(key)
         if plan.direct:
@@ -292,7 +317,8 @@
             running=usage.running,
             computes_prompt=plan.direct,
         )
-        return Room(endpoint, key, duration_s, output, plan.direct)
+        prompt_at = turn.due_at - sent_after_s
+        return Room(endpoint, key, duration_s, output, plan.direct, turn, prompt_at)
 
     def _reserve_prompt(
         self, call: Call, endpoint: RoutedEndpoint, key: str, ends_at: float, duration_s: float
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -112,6 +112,10 @@
             call.log("finds its endpoint at rest", endpoint=endpoint.name, rest_s=round(rest_s, 3))
             place.move_on()
             return None
+        if not await place.wait_for_turn():
+            call.log("finds its endpoint at its limit", endpoint=endpoint.name)
+            place.leave()
+            return None
         refusal = place.clear_to_send()
         if refusal is not None:
             return self._give_up(refusal)
--- a/cleatlink/relay/endpoints/answer_notices.py
+++ b/cleatlink/relay/endpoints/answer_notices.py
@@ -10,6 +10,7 @@
 from cleatlink.relay.endpoints.protocol import Protocol, ReplyHead
 from cleatlink.relay.logs import LineAllowance
 from cleatlink.relay.metrics import RelayMetrics
+from cleatlink.routing.endpoint_limits import EndpointLimits
 from cleatlink.routing.notices import EndpointNotices, NoticeSource
 
 __all__ = ["AnswerNotices"]
@@ -27,27 +28,33 @@
         self,
         protocol: Protocol,
         notices: EndpointNotices,
+        limits: EndpointLimits,
+        *,
         metrics: RelayMetrics,
         on_leaving: Callable[[str], None],
         on_rest: Callable[[str], None],
+        on_limit: Callable[[str], None],
     ) -> None:
         """Start without any.
 
         Args:
             protocol: Reads heads.
-            notices: Where what is read is kept.
+            notices: Where it is kept that endpoints leave or want a rest.
+            limits: Where the limits are kept that endpoints name.
             metrics: Counts it.
             on_leaving: Told of a life that says for the first time that it leaves.
             on_rest: Told of a life each time that it asks for a rest.
+            on_limit: Told of a life whose limit is named anew, changes or ends.
         """
+        self._limits = limits
+        self._on_limit = on_limit
         self._on_rest = on_rest
         self._on_leaving = on_leaving
         self._protocol = protocol
         self._notices = notices
         self._metrics = metrics
         self._rest_lines = LineAllowance(_LINES, _LINES_S)
-        self._rate_lines = LineAllowance(_LINES, _LINES_S)
-        self._rates: dict[str, float] = {}
+        self._limit_lines = LineAllowance(_LINES, _LINES_S)
 
     def note_head(self, endpoint: RoutedEndpoint, head: ReplyHead) -> None:
         """Take what an answer of an endpoint says; most say nothing."""
@@ -55,8 +62,7 @@
         if self._protocol.takes_work(head):
             self._notices.note_served(endpoint.name, now)
         notice = self._protocol.read_notice(head)
-        if notice.names_rate or endpoint.name in self._rates:
-            self._note_rate(endpoint, notice, now)
+        self._note_limit(endpoint, head, notice, now)
         if notice == NO_NOTICE:
             return
         if notice.leaving:
@@ -87,14 +93,25 @@
                 rest_s=rest_s,
             )
 
-    def _note_rate(self, endpoint: RoutedEndpoint, notice: EndpointNotice, now: float) -> None:
-        """Log a limit over all instances that an endpoint names anew, changes or takes back."""
+    def _note_limit(
+        self, endpoint: RoutedEndpoint, head: ReplyHead, notice: EndpointNotice, now: float
+    ) -> None:
+        """Take a limit over all instances that an endpoint names anew, changes or takes back.
+
+        A limit that can't be read changes nothing. One ends with an answer to a caller, since
+        others may not name what an endpoint takes of callers' calls.
+        """
+        before = self._limits.rate_per_s(endpoint.name)
         if notice.names_rate:
             self._metrics.count_notice("limit")
-        before = self._rates.pop(endpoint.name, None)
-        if notice.rate_per_s is not None:
-            self._rates[endpoint.name] = notice.rate_per_s
-        if before != notice.rate_per_s and self._rate_lines.take(now):
+            if notice.rate_per_s is None:
+                return
+        elif before is None or not self._protocol.answers_caller(head):
+            return
+        if not self._limits.note_answer(endpoint.name, notice.rate_per_s, now):
+            return
+        self._on_limit(endpoint.name)
+        if self._limit_lines.take(now):
             eliot.log_message(
                 message_type="endpoint: names a limit",
                 endpoint=endpoint.name,
--- a/cleatlink/relay/endpoints/answer_notices_test.py
+++ b/cleatlink/relay/endpoints/answer_notices_test.py
@@ -4,6 +4,7 @@
 
 import eliot
 import pytest
+import trio
 
 from cleatlink.core.notices import NO_NOTICE, EndpointNotice
 from cleatlink.platform import PROTOCOL
@@ -104,8 +105,10 @@
         async with open_fleet() as fleet:
             worker = Worker("plain")
             await start(fleet, worker)
-            for said in ("50", "50", "20", None, None):
+            for said in ("50", "50", "20", "few", None, None):
                 worker.names_limit = said
+                # Answers can overtake each other: one without a limit counts a little later.
+                await trio.sleep(0.0 if said else 0.6)
                 assert (await fleet.caller().ask("/safe/x")).status == 200
     finally:
         eliot.remove_destination(take)
--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -37,7 +37,9 @@
         stream: trio.SocketStream,
         opened_at: float,
         on_head: Callable[[ReplyHead], None] | None = None,
+        on_send: Callable[[], None] | None = None,
     ) -> None:
+        self._on_send = on_send
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._sent_whole = True
@@ -53,6 +55,7 @@
         silence_s: float,
         timeout_s: float,
         on_head: Callable[[ReplyHead], None] | None = None,
+        on_send: Callable[[], None] | None = None,
     ) -> "EndpointConnection":
         """Open a connection.
 
@@ -61,6 +64,7 @@
             silence_s: Seconds after which data that is not acknowledged breaks it.
             timeout_s: Seconds in which it has to come up.
             on_head: Told of the head of each answer, and of headers that follow a body.
+            on_send: Told of each request that is sent.
 
         Raises:
             EndpointUnreachableError: It did not come up.
@@ -71,7 +75,7 @@
                 stream = await connect(host, int(port), silence_s)
         except (OSError, trio.TooSlowError) as error:
             raise EndpointUnreachableError(f"{address}: {error!r}") from error
-        return cls(stream, trio.current_time(), on_head)
+        return cls(stream, trio.current_time(), on_head, on_send)
 
     @property
     def usable(self) -> bool:
@@ -95,6 +99,8 @@
         Raises:
             OutcomeUnknownError: No answer came, or bytes that are none.
         """
+        if self._on_send is not None:
+            self._on_send()
         try:
             head = self._http.send(
                 h11.Request(
--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -43,6 +43,7 @@
         allowed: Callable[[RoutedEndpoint], float] | None = None,
         on_head: Callable[[RoutedEndpoint, ReplyHead], None] | None = None,
         is_leaving: Callable[[str], bool] = lambda _: False,
+        on_send: Callable[[RoutedEndpoint], None] | None = None,
     ) -> None:
         """Start without connections.
 
@@ -51,7 +52,9 @@
                 takes from all callers together; None for no limit.
             on_head: Told of the head of each answer of an endpoint.
             is_leaving: Tells of a life whether it leaves; nothing is kept open to it.
+            on_send: Told of each request that is sent to an endpoint.
         """
+        self._on_send = on_send
         self._is_leaving = is_leaving
         self._on_head = on_head
         self._allowed = allowed
@@ -83,7 +86,10 @@
             EndpointUnreachableError: It did not come up.
         """
         on_head = None if self._on_head is None else partial(self._on_head, endpoint)
-        connection = await EndpointConnection.open(endpoint.address, silence_s, timeout_s, on_head)
+        on_send = None if self._on_send is None else partial(self._on_send, endpoint)
+        connection = await EndpointConnection.open(
+            endpoint.address, silence_s, timeout_s, on_head, on_send
+        )
         self._open.setdefault(endpoint.name, WeakSet()).add(connection)
         return connection
 
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -304,6 +304,10 @@
         """Tell whether an answer shows that its endpoint takes work."""
         return head.status not in TURNED_AWAY and head.status != OTHER_ENDPOINT
 
+    def answers_caller(self, head: ReplyHead) -> bool:
+        """Tell whether an answer is one to a caller's request, and not to a call of our own."""
+        return head.get(self.names.request_id) is not None
+
     def read_notice(self, head: ReplyHead) -> EndpointNotice:
         """Read what an endpoint says of itself; what can't be read says nothing."""
         if head.status == OTHER_ENDPOINT:
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -74,18 +74,23 @@
         self._source = source
         self._incarnation = incarnation
         self._writer = writer
-        self._capacity = Capacity(Switches(settings.without))
+        self._capacity = Capacity(Switches(settings.without), trio.current_time())
         self._metrics = RelayMetrics()
         notices = self._capacity.notices
         self._answer_notices = AnswerNotices(
             protocol,
             notices,
-            self._metrics,
+            self._capacity.limits,
+            metrics=self._metrics,
             on_leaving=self._note_leaving,
             on_rest=self._note_rest,
+            on_limit=self._note_limit,
         )
         self._pool = ConnectionPool(
-            self._allowed_connections, self._answer_notices.note_head, notices.is_leaving
+            self._allowed_connections,
+            self._answer_notices.note_head,
+            notices.is_leaving,
+            self._note_sent,
         )
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._planned_stop = PlannedStop()
@@ -316,6 +321,12 @@
     def _note_rest(self, life: str) -> None:
         self._shared_notices.tell_rest(life)
 
+    def _note_limit(self, life: str) -> None:
+        self._peers.tell_limit(life)
+
+    def _note_sent(self, endpoint: RoutedEndpoint) -> None:
+        self._capacity.limits.note_sent(endpoint.name, trio.current_time())
+
     def _members(self) -> int:
         most = self._peers.most_members
         return max(most + 1, _FIRST_MEMBERS if most == 1 else 0)
@@ -379,11 +390,14 @@
         return self._metrics.render()
 
     async def _keep_house(self) -> None:
+        rng = random.Random(self._incarnation)
         while True:
-            await trio.sleep(_HOUSEKEEPING_S)
+            # Instances that start together do not look at the same moments.
+            await trio.sleep(_HOUSEKEEPING_S * (0.5 + rng.random()))
             self._pool.prune()
             self._service.room.keep_house()
             self._quarantine.keep_house()
             self._capacity.notices.forget(trio.current_time())
+            self._capacity.limits.forget(trio.current_time())
             if self._writer is not None:
                 self._writer.flush()
--- a/cleatlink/relay/orders.py
+++ b/cleatlink/relay/orders.py
@@ -141,7 +141,7 @@
         shift = plan_shift(
             prefills, decodes, demand, work, targets, change_s=change_s, settled=settled
         )
-        if shift is not None and capacity.rest_left_s(shift.endpoint.name, now):
+        if shift is not None and capacity.opens_at(shift.endpoint.name, now) > now:
             # An order is a call like any other: it can wait.
             return None
         if shift is not None:
--- a/cleatlink/relay/peers/contract_test.py
+++ b/cleatlink/relay/peers/contract_test.py
@@ -22,10 +22,15 @@
 RECORDED = Path(__file__).parent / "contract"
 PROGRAM = Path(message_samples.__file__).resolve()
 # Messages by the build that first knew them; earlier ones count them as not understood.
-FIRST_KNOWN = {"CrashNews": "820ff69", "Spending": "c558fa2", "NoticeNews": ""}
+FIRST_KNOWN = {
+    "CrashNews": "820ff69",
+    "EndpointSpending": "",
+    "NoticeNews": "709868b",
+    "Spending": "c558fa2",
+}
 # Builds that read this one's snapshots. Earlier ones read a registration as a tuple of fewer
 # fields; they log that they can't fetch, and go by the configuration service.
-READ_SNAPSHOTS = ("820ff69",)
+READ_SNAPSHOTS = ("820ff69", "709868b")
 
 
 def recorded(build: str) -> dict[str, str]:
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -21,6 +21,7 @@
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peers.catch_up import CatchUp
 from cleatlink.relay.peers.datagrams import DatagramSocket
+from cleatlink.relay.peers.endpoint_limit_news import EndpointLimitNews
 from cleatlink.relay.peers.heard import HeardPeers
 from cleatlink.relay.peers.hints import Hints
 from cleatlink.relay.peers.hooks import PeerHooks
@@ -30,6 +31,7 @@
     Changes,
     CrashNews,
     EndpointHint,
+    EndpointSpending,
     HintKind,
     NoticeNews,
     PaceNews,
@@ -84,10 +86,16 @@
         self._incarnation = incarnation
         self._capacity = capacity
         self._limits = limits
-        self._limit_news = LimitNews(settings.name, incarnation, limits)
+        self._limit_news = LimitNews(settings.name, incarnation, limits, capacity.limits)
+        self._endpoint_limits = EndpointLimitNews(settings.name, incarnation, capacity.limits)
         self._quarantine = quarantine
         self._notices = notices
-        self._channels: tuple[NewsChannel, ...] = (self._limit_news, quarantine, notices)
+        self._channels: tuple[NewsChannel, ...] = (
+            self._limit_news,
+            self._endpoint_limits,
+            quarantine,
+            notices,
+        )
         self._metrics = metrics
         self._hooks = hooks
         self._address = str(settings.peer_listen)
@@ -156,6 +164,10 @@
         """Tell peers soon what was let pass: little is left of an organisation's limit."""
         self._limit_news.note_spending()
 
+    def tell_limit(self, life: str) -> None:
+        """Tell peers at once that an endpoint names another limit, or none any more."""
+        self._endpoint_limits.tell_word(life)
+
     async def _tell_news(self, channel: NewsChannel) -> None:
         while True:
             for news in await channel.next():
@@ -182,6 +194,7 @@
             self._limits.spenders,
             int(self._limits.age_s(now)),
             state.newest.era,
+            self._capacity.limits.spenders,
         )
         self._socket.send(beat, self._peers.known_addresses)
 
@@ -262,6 +275,9 @@
                 self._metrics.count_message("notices")
                 for life in self._notices.take(message):
                     self._hooks.on_leaving(life)
+            elif isinstance(message, EndpointSpending):
+                self._metrics.count_message("endpoint_limits")
+                self._endpoint_limits.take(message)
             elif isinstance(message, Spending):
                 self._metrics.count_message("spending")
                 self._limit_news.take_spending(message, trio.current_time())
--- a/cleatlink/relay/peers/limit_news.py
+++ b/cleatlink/relay/peers/limit_news.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from cleatlink.limits import HEARD_S, PeerTotals
+from cleatlink.limits import HEARD_S, PeerTotals, SharedLimits
 from cleatlink.members.presence import Presence
 from cleatlink.organisations import OrganisationLimits
 from cleatlink.relay.peers.messages import Beat, Spending
@@ -18,7 +18,22 @@
 class LimitNews(NewsChannel):
     """One instance's side of limits that hold over all."""
 
-    def __init__(self, name: str, incarnation: int, limits: OrganisationLimits) -> None:
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        limits: OrganisationLimits,
+        endpoint_limits: SharedLimits,
+    ) -> None:
+        """Start with nothing to tell.
+
+        Args:
+            name: This instance's name.
+            incarnation: Grows with each start of this instance.
+            limits: The limits of organisations.
+            endpoint_limits: Limits that the same instances share, and others tell of.
+        """
+        self._endpoint_limits = endpoint_limits
         self._name = name
         self._incarnation = incarnation
         self._limits = limits
@@ -65,6 +80,9 @@
         else:
             self._presence.note_heard(beat.name, now)
         self._take_totals(beat, now)
+        # It tells of endpoints' limits when it takes something; heartbeats tell that it did not.
+        took = PeerTotals(beat.name, beat.incarnation, {}, beat.limited_endpoints, beat.age_s)
+        self._endpoint_limits.take_totals(took, now)
         self.look(now)
 
     def _take_totals(self, told: Beat | Spending, now: float) -> None:
@@ -73,4 +91,6 @@
 
     def look(self, now: float) -> None:
         """Go by the part of all instances that is heard now."""
-        self._limits.note_heard(self._presence.heard_share(HEARD_S, now), now)
+        share = self._presence.heard_share(HEARD_S, now)
+        self._limits.note_heard(share, now)
+        self._endpoint_limits.note_heard(share, now)
--- a/cleatlink/relay/peers/messages.py
+++ b/cleatlink/relay/peers/messages.py
@@ -17,6 +17,7 @@
     "CrashItem",
     "CrashNews",
     "EndpointHint",
+    "EndpointSpending",
     "HintKind",
     "Member",
     "Message",
@@ -107,6 +108,7 @@
         spenders: How many organisations the sender let something pass for.
         age_s: Whole seconds since the sender's start.
         era: Era of that revision.
+        limited_endpoints: Of how many endpoints' limits the sender took something.
     """
 
     name: str
@@ -125,6 +127,7 @@
     spenders: int = 0
     age_s: int = 0
     era: int = 0
+    limited_endpoints: int = 0
 
     @property
     def newest_revision(self) -> StoreRevision:
@@ -242,6 +245,31 @@
     rests: list[tuple[str, float]]
 
 
+class EndpointSpending(msgspec.Struct, array_like=True, frozen=True, tag="l"):
+    """Limits that endpoints named, and what the sender took of them.
+
+    Attributes:
+        name: Sender.
+        incarnation: Grows with each start of the sender.
+        words: Endpoints' lives with the calls a second that each takes from all instances, 0
+            for one that names no limit any more, and the seconds since it said so.
+        totals: Calls since the sender's start, by life; all, or those that changed lately.
+        returned: Calls of these that were not sent after all.
+        spenders: Of how many lives' limits the sender took something.
+        age_s: Seconds for which the sender has kept account.
+        levels: What is left of the limits, for a peer that starts; empty for others.
+    """
+
+    name: str
+    incarnation: int
+    words: list[tuple[str, float, float]]
+    totals: dict[str, int]
+    returned: dict[str, int]
+    spenders: int
+    age_s: float
+    levels: dict[str, float]
+
+
 class HintKind(StrEnum):
     """What a hint says of an endpoint."""
 
@@ -257,7 +285,17 @@
     kind: HintKind
 
 
-Message = Beat | Changes | Roster | PaceNews | EndpointHint | Spending | CrashNews | NoticeNews
+Message = (
+    Beat
+    | Changes
+    | Roster
+    | PaceNews
+    | EndpointHint
+    | Spending
+    | CrashNews
+    | NoticeNews
+    | EndpointSpending
+)
 _DECODER = msgspec.msgpack.Decoder(Message)
 
 
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -9,6 +9,7 @@
 from cleatlink.core.data import Role
 from cleatlink.core.routes import EngineTraits, RoutedEndpoint
 from cleatlink.routing.demand import DemandMeter, RoleDemand, StreamPromise
+from cleatlink.routing.endpoint_limits import EndpointLimits
 from cleatlink.routing.mechanisms import Mechanism, Switches
 from cleatlink.routing.notices import EndpointNotices
 from cleatlink.routing.outcomes import EndpointOutcomes
@@ -22,8 +23,15 @@
 class Capacity(Workload):
     """The mutable view on top of the work; every method takes the time as an argument."""
 
-    def __init__(self, switches: Switches | None = None) -> None:
+    def __init__(self, switches: Switches | None = None, now: float = 0.0) -> None:
+        """Start without anything known.
+
+        Args:
+            switches: Mechanisms that are switched off.
+            now: The time.
+        """
         self.notices = EndpointNotices()
+        self.limits = EndpointLimits(now)
         super().__init__(self.notices.begin_work, self.notices.end_work)
         self.switches = switches or Switches()
         self._endpoints: dict[str, RoutedEndpoint] = {}
@@ -215,9 +223,13 @@
         Returns:
             0 if one does now; None if none stays.
         """
-        opens_at = [self.full_until(endpoint.name) for endpoint in self.in_role(service, role)]
+        opens_at = [self.opens_at(endpoint.name, now) for endpoint in self.in_role(service, role)]
         return max(0.0, min(opens_at) - now) if opens_at else None
 
+    def opens_at(self, name: str, now: float) -> float:
+        """Give when an endpoint takes something new: no rest any more, and its limit allows it."""
+        return max(self.full_until(name), now + self.limits.due_in_s(name, now))
+
     def candidates(self, service: str, role: Role, now: float) -> list[RoutedEndpoint]:
         """Give a service's endpoints that may get work; avoided ones if there are no others.
 
@@ -251,6 +263,10 @@
     def _avoided(self, name: str, now: float) -> bool:
         return self.notices.is_told_to_rest(name, now) or self._outcomes.is_avoided(name, now)
 
+    def begins_in_s(self, name: str, now: float) -> float:
+        """Give in how many seconds a prefill begins a new prompt: its queue, and its limit."""
+        return max(self.queue_s(name), self.limits.due_in_s(name, now))
+
     def queue_s(self, name: str) -> float:
         """Give how long a prefill still takes for the prompts that it has.
 
--- a/cleatlink/routing/forecast.py
+++ b/cleatlink/routing/forecast.py
@@ -43,8 +43,11 @@
         slots: int,
         ends: list[tuple[float, int]],
         prompts_until: float,
+        *,
         full_until: float,
+        pause_s: float,
     ) -> None:
+        self._pause_s = pause_s
         self._prompts_until = prompts_until
         self._full_until = full_until
         self._tokens = tokens
@@ -65,6 +68,8 @@
 
     def take(self, stream: StreamDemand, at: float) -> None:
         """Give room to a stream, to be freed when it ends."""
+        if self._pause_s:
+            self._full_until = max(at, self._full_until) + self._pause_s
         self._tokens -= stream.tokens
         self._slots -= 1
         insort(self._ends, (at + stream.duration_s, stream.tokens))
@@ -119,4 +124,11 @@
     held = peak_memory(placed, now, spread)
     prompts_until = capacity.free_at(name, Role.PREFILL, now)
     tokens, slots = traits.memory_tokens - held, traits.slots - len(placed)
-    return _Opening(tokens, slots, ends, prompts_until, capacity.full_until(name))
+    return _Opening(
+        tokens,
+        slots,
+        ends,
+        prompts_until,
+        full_until=capacity.opens_at(name, now),
+        pause_s=capacity.limits.pause_s(name),
+    )
--- a/cleatlink/routing/prompt_plan.py
+++ b/cleatlink/routing/prompt_plan.py
@@ -82,5 +82,7 @@
 def _shortest_queue_s(service: str, capacity: Capacity, seeker: Seeker) -> float | None:
     """Give how long the prefill that is free first is still busy; None without any."""
     names = (item.name for item in capacity.candidates(service, Role.PREFILL, seeker.now))
-    queues = (capacity.queue_s(name) for name in names if name not in seeker.excluded)
+    queues = (
+        capacity.begins_in_s(name, seeker.now) for name in names if name not in seeker.excluded
+    )
     return min(queues, default=None)
--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -5,8 +5,9 @@
 Both prefer the instance's own data centre when that costs nothing.
 """
 
+import math
 import random
-from collections.abc import Set
+from collections.abc import Iterator, Set
 from typing import NamedTuple
 
 from cleatlink.core.data import Role
@@ -24,6 +25,7 @@
     "longest_stream_s",
     "place_decode",
     "place_plain",
+    "place_plain_later",
     "place_prefill",
 ]
 
@@ -31,6 +33,12 @@
 # between the two would break it off, and each of its bytes would cross. Loads that are
 # compared stay below this figure.
 _STREAM_DISTANCE = 2.0
+# A stream waits for its turn at an endpoint that names a limit only when no other, wherever it
+# is, can take it at once.
+_TURN_DISTANCE = 4.0
+# Streams that wait at several instances take what an endpoint's limit allows at moments that
+# are spread over so long: each would take the same call's turn.
+_TURN_SPREAD_S = 0.25
 # A plain call is over before a cut is likely, and its endpoint may be full unseen: another
 # data centre counts like this share of an endpoint's slots.
 _PLAIN_DISTANCE = 0.08
@@ -126,6 +134,9 @@
     *,
     computes_prompt: bool = False,
     leaves_room: bool = False,
+    sent_after_s: float = 0.0,
+    sent_within_s: float = 0.0,
+    is_back: bool = False,
 ) -> RoutedEndpoint | None:
     """Give the decode endpoint with the most room, None if none has enough.
 
@@ -139,14 +150,22 @@
             one that is at another prompt has no room.
         leaves_room: Whether room for one more such stream has to be left, on an endpoint
             that is not idle.
+        sent_after_s: Seconds until the prompt should be computed; the stream is sent no sooner.
+        sent_within_s: Seconds within which it has to be sent.
+        is_back: Whether it looked for a place before, as others at other instances may do at
+            the same moment.
     """
     count = 2 if leaves_room else 1
+    after_s = _TURN_SPREAD_S * seeker.rng.random() if is_back else 0.0
     spread = capacity.pace(service).length_spread
     best: RoutedEndpoint | None = None
     best_cost = 0.0
     for endpoint in capacity.candidates(service, Role.DECODE, seeker.now):
         if endpoint.name in seeker.excluded or capacity.is_full(endpoint.name, seeker.now):
             continue
+        due_in_s = capacity.limits.due_in_s(endpoint.name, seeker.now, after_s)
+        if due_in_s > max(sent_after_s, sent_within_s):
+            continue
         if computes_prompt and capacity.usage(endpoint.name, Role.PREFILL).running:
             continue
         if _must_part(endpoint, capacity, seeker):
@@ -158,6 +177,8 @@
         if usage.running and is_full:
             continue
         cost = peak / traits.memory_tokens
+        if due_in_s > sent_after_s:
+            cost += _TURN_DISTANCE + due_in_s
         cost += _STREAM_DISTANCE * _is_far(endpoint, capacity, seeker)
         cost += _suspicion(endpoint, capacity, seeker)
         cost += seeker.rng.random() * 0.01
@@ -176,7 +197,7 @@
     for endpoint in capacity.candidates(service, Role.PREFILL, seeker.now):
         if endpoint.name in seeker.excluded or capacity.is_full(endpoint.name, seeker.now):
             continue
-        cost = capacity.queue_s(endpoint.name)
+        cost = capacity.begins_in_s(endpoint.name, seeker.now)
         cost += far_s * (endpoint.data_centre != beside)
         cost += far_s * _TIE * seeker.rng.random()
         if best is None or cost < best_cost:
@@ -188,8 +209,8 @@
     """Give the plain endpoint with the least of this instance's and peers' calls a slot."""
     best: RoutedEndpoint | None = None
     best_cost = 0.0
-    for endpoint in capacity.candidates(service, Role.PLAIN, seeker.now):
-        if endpoint.name in seeker.excluded or capacity.is_full(endpoint.name, seeker.now):
+    for endpoint in _open_plain(service, capacity, seeker):
+        if capacity.limits.due_in_s(endpoint.name, seeker.now):
             continue
         usage = capacity.usage(endpoint.name, Role.PLAIN)
         cost = usage.running / max(1, endpoint.slots)
@@ -201,6 +222,33 @@
     return best
 
 
+def place_plain_later(
+    service: str, capacity: Capacity, seeker: Seeker, within_s: float
+) -> RoutedEndpoint | None:
+    """Give the plain endpoint whose limit allows one more call first, if that is soon.
+
+    Args:
+        service: The service.
+        capacity: What is believed of its endpoints.
+        seeker: Who seeks.
+        within_s: For how many seconds the call may wait.
+    """
+    due = [
+        (capacity.limits.due_in_s(endpoint.name, seeker.now), seeker.rng.random(), endpoint)
+        for endpoint in _open_plain(service, capacity, seeker)
+    ]
+    due_in_s, _, endpoint = min(due, default=(math.inf, 0.0, None))
+    return endpoint if due_in_s <= within_s else None
+
+
+def _open_plain(service: str, capacity: Capacity, seeker: Seeker) -> Iterator[RoutedEndpoint]:
+    """Give the plain endpoints that a call may use but for their limits."""
+    for endpoint in capacity.candidates(service, Role.PLAIN, seeker.now):
+        if endpoint.name in seeker.excluded or capacity.is_full(endpoint.name, seeker.now):
+            continue
+        yield endpoint
+
+
 def _suspicion(endpoint: RoutedEndpoint, capacity: Capacity, seeker: Seeker) -> float:
     """Give what it counts that an endpoint runs a request that may have crashed another one."""
     if not capacity.suspicion(endpoint.name):
