--- a/soak/broken.py
+++ b/soak/broken.py
@@ -18,6 +18,7 @@
 from cleatlink.relay.following.store_client import StoreClient
 from cleatlink.relay.instance import RelayInstance
 from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.endpoint_limits import EndpointLimits
 from cleatlink.routing.fleet_records import FleetRecords
 from cleatlink.scripts.main import main
 from soak.plan import FaultKind
@@ -191,6 +192,11 @@
         "events in order",
         (FaultKind.WORKER_FAULTS, FaultKind.WORKER_CRASH),
     ),
+    "endpoint-limits": Ablation(
+        _replace(EndpointLimits, "_find_limit", lambda *_: None),
+        "limits of workers hold",
+        (FaultKind.WORKER_LIMIT,),
+    ),
     "quarantine": Ablation(
         _replace(Call, "bar", lambda self: None),
         "requests that crash workers stop",
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,19 +4,18 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+from soak.checks_of_words import limits_of_workers_hold, rests_are_kept, words_are_heard
 from soak.records import Arrival, History, Request, RequestKind, Switch
+from soak.violations import DRAIN_S, SLACK_S, Violation
 
 __all__ = ["CHECKS", "Violation", "judge"]
 
 # What the settings of the soak's instances say.
-DRAIN_S = 2.0
 APPLY_S = 2.0
 LEASE_S = 3.0
 CONTACT_S = 3.0
 WINDOW_S = 10.0
 BUDGET_RATIO = 0.2
-# Processes share a machine here; each bound has room for that.
-_SLACK_S = 0.5
 _GONE_S = 0.5
 # A close that crosses a request on the way to the instance is nobody's fault.
 _CROSSING_S = 0.2
@@ -26,9 +25,6 @@
 LIMIT_SLACK = 12.0
 # A registration that changed is known to all who watch within this.
 _HEARD_S = 1.0
-# Calls that are on their way when a worker asks for a rest arrive within this; so many more may.
-_ON_THE_WAY_S = 0.5
-MOST_IN_A_REST = 2
 # Calls to the store a second of each instance. Each change ends a wait, and one that is away is
 # asked again after 0.05 s to 0.6 s; a loop without a pause made 560.
 MOST_STORE_CALLS = 20.0
@@ -40,14 +36,6 @@
 _EVENTS = 8
 
 
-class Violation(NamedTuple):
-    """A promise that did not hold, and where."""
-
-    check: str
-    detail: str
-    requests: tuple[str, ...] = ()
-
-
 def _at_most_once(history: History) -> Iterator[Violation]:
     """What may not be repeated runs at most once."""
     runs = Counter(run.request for run in history.runs)
@@ -126,7 +114,7 @@
     senders = {request.name: request for request in history.requests}
     for arrival in history.arrivals:
         at, request = left_at.get(arrival.worker), senders.get(arrival.request)
-        if at is None or request is None or arrival.at <= at + DRAIN_S + _SLACK_S:
+        if at is None or request is None or arrival.at <= at + DRAIN_S + SLACK_S:
             continue
         yield _LateArrival(arrival, request, at)
 
@@ -150,55 +138,6 @@
             yield late.violation("it was known to leave")
 
 
-def _words_are_heard(history: History) -> Iterator[Violation]:
-    """A worker that said in an answer that it leaves gets nothing more from who passed it on."""
-    said_at = {word.worker: word.at for word in history.words}
-    requests = {request.name: request for request in history.requests}
-    heard: dict[tuple[str, int, int], float] = {}
-    for run in history.runs:
-        request = requests.get(run.request)
-        at = said_at.get(run.worker)
-        if request is None or at is None or run.began_at <= at or not request.whole:
-            continue
-        key = (run.worker, request.instance, request.life)
-        heard[key] = min(request.ended_at, heard.get(key, request.ended_at))
-    for arrival in history.arrivals:
-        request = requests.get(arrival.request)
-        if request is None:
-            continue
-        at = heard.get((arrival.worker, request.instance, request.life))
-        if at is None or request.sent_at <= at + DRAIN_S + _SLACK_S:
-            continue
-        if history.is_calm(f"instance {request.instance}", at, arrival.at):
-            late_s = request.sent_at - at
-            detail = f"{arrival.worker} got work {late_s:.2f} s after its answer was passed on"
-            yield Violation("", detail, (arrival.request,))
-
-
-def _rests_are_kept(history: History) -> Iterator[Violation]:
-    """Few calls of an instance reach a worker within a rest that it asked that instance for."""
-    requests = {request.name: request for request in history.requests}
-    for rest in history.rests:
-        by_sender: dict[tuple[int, int], list[Arrival]] = defaultdict(list)
-        for arrival in history.arrivals:
-            request = requests.get(arrival.request)
-            if request is not None and arrival.worker == rest.worker:
-                by_sender[request.instance, request.life].append(arrival)
-        for (instance, _), arrivals in by_sender.items():
-            for asked in arrivals:
-                if not rest.began_at < asked.at < rest.ended_at:
-                    continue
-                since, until = asked.at + _ON_THE_WAY_S, asked.at + rest.rest_s
-                late = [item for item in arrivals if since < item.at < until]
-                calm = history.is_calm(f"instance {instance}", asked.at, until)
-                if calm and len(late) > MOST_IN_A_REST:
-                    detail = (
-                        f"{rest.worker} got {len(late)} calls within {rest.rest_s:.1f} s of rest"
-                    )
-                    yield Violation("", detail, tuple(item.request for item in late))
-                    break
-
-
 def _store_calls_stay_few(history: History) -> Iterator[Violation]:
     """Calls to the store stay bounded, whatever it answers."""
     bound = MOST_STORE_CALLS * history.instances * history.seconds
@@ -220,7 +159,7 @@
         current = _switch_at(history, request.sent_at)
         if current is None or arrival.service == current.service:
             continue
-        if request.sent_at < current.at + APPLY_S + _SLACK_S:
+        if request.sent_at < current.at + APPLY_S + SLACK_S:
             continue
         if any(current.at < switch.at <= arrival.at for switch in history.switches):
             continue
@@ -292,8 +231,8 @@
         instance = f"instance {request.instance}"
         late_s = min(run.ended_at, history.ended_at) - request.ended_at
         since = request.sent_at - CONTACT_S
-        until = request.ended_at + _GONE_S + _SLACK_S
-        if late_s <= _GONE_S + _SLACK_S or run.began_at > until:
+        until = request.ended_at + _GONE_S + SLACK_S
+        if late_s <= _GONE_S + SLACK_S or run.began_at > until:
             continue
         if history.is_calm(instance, since, until) and history.is_calm(run.worker, since, until):
             detail = f"{run.worker} worked on for {late_s:.2f} s after its caller had left"
@@ -353,7 +292,7 @@
     given = {change.new: change.at for change in history.keys}
     ran = {run.request for run in history.runs}
     for request in history.requests:
-        key, bound_s = request.caller.key, APPLY_S + _SLACK_S
+        key, bound_s = request.caller.key, APPLY_S + SLACK_S
         holds = key not in taken
         since = given.get(key, 0.0) if holds else taken[key]
         is_late = request.sent_at > since + bound_s
@@ -423,8 +362,9 @@
     "events in order": _stream_order,
     "a leaving worker gets nothing": _leaving_gets_nothing,
     "what is known to leave gets nothing": _known_leaving_gets_nothing,
-    "a worker's word is heard": _words_are_heard,
-    "rests are kept": _rests_are_kept,
+    "a worker's word is heard": words_are_heard,
+    "rests are kept": rests_are_kept,
+    "limits of workers hold": limits_of_workers_hold,
     "calls to the store stay few": _store_calls_stay_few,
     "a configuration is in force": _configuration_in_force,
     "a configuration never reverts": _configuration_never_reverts,
--- a/soak/checks_test.py
+++ b/soak/checks_test.py
@@ -13,6 +13,7 @@
     KeyChange,
     LeavingWord,
     LimitChange,
+    NamedLimit,
     Order,
     Request,
     RequestKind,
@@ -83,6 +84,15 @@
         ],
         arrivals=[arrival(f"q{n}", 41.0 + 0.7 * (n - 1)) for n in range(1, 5)],
     ),
+    "limits of workers hold": NOTHING._replace(
+        named_limits=(NamedLimit("i-1", 40.0, 60.0, 1.0),),
+        requests=[
+            SERVED._replace(name=f"q{n}", owner=f"q{n}", sent_at=41.0 + n, ended_at=41.1 + n)
+            for n in range(13)
+        ],
+        runs=[run("q0", 41.0, 41.1)],
+        arrivals=[arrival(f"q{n}", 43.0 + 0.3 * n) for n in range(13)],
+    ),
     "calls to the store stay few": NOTHING._replace(store_calls=3_000, instances=2),
     "a leaving worker gets nothing": NOTHING._replace(
         requests=[SERVED], arrivals=[arrival("r1", 50.0)], withdrawals=[Withdrawal("i-1", 46.0)]
@@ -148,6 +158,7 @@
         ("a leaving worker gets nothing", Spell("store", 45.0, 46.5)),
         ("a configuration is in force", Spell("instance 1", 41.0, 42.0)),
         ("a planned stop cuts nothing off", Spell("i-7", 48.0, 49.0)),
+        ("limits of workers hold", Spell("instance 1", 43.5, 44.5)),
         ("no work for callers that are gone", Spell("i-1", 49.0, 51.0)),
     ],
 )
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -7,7 +7,7 @@
 from soak.link import Link
 from soak.organisations import SoakOrganisations
 from soak.processes import InstanceProcess, free_ports, instance_ip
-from soak.records import LeavingWord, Rest, Spell, Stop, Switch, Withdrawal
+from soak.records import LeavingWord, NamedLimit, Rest, Spell, Stop, Switch, Withdrawal
 from soak.workers import SoakWorker
 from standins.relay.fleet import Fleet
 
@@ -57,6 +57,7 @@
         self.exits: list[str] = []
         self.words: list[LeavingWord] = []
         self.rests: list[Rest] = []
+        self.named_limits: list[NamedLimit] = []
         self.older = older
         # What each worker last wrote of itself, and the worker.
         self._entries: dict[str, tuple[SoakWorker, str]] = {}
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -10,6 +10,7 @@
     "ORGANISATION_KINDS",
     "RESTORE_KINDS",
     "STOP_KINDS",
+    "WORKER_LIMIT_KINDS",
     "WORD_KINDS",
     "FaultKind",
     "PlannedFault",
@@ -54,6 +55,7 @@
     LIMIT = "an organisation's limit changes"
     WORKER_WORD = "a worker that leaves says so in its answers alone"
     WORKER_REST = "a worker turns everything away and asks for a rest"
+    WORKER_LIMIT = "a worker names the calls a second that it takes of all instances"
     STORE_RESTORE = "the store is away, and comes back from a copy that is some seconds old"
     UPGRADE = "all instances are replaced in turn by instances of the other build"
     CRASHING_REQUEST = "a request that crashes each worker which runs it comes again and again"
@@ -87,6 +89,19 @@
     FaultKind.INSTANCE_KILL,
     FaultKind.INSTANCE_PAUSE,
 )
+# Limits that workers name, while instances are stopped, killed, paused and cut off.
+WORKER_LIMIT_KINDS = (
+    FaultKind.WORKER_LIMIT,
+    FaultKind.WORKER_FAULTS,
+    FaultKind.WORKER_REST,
+    FaultKind.WORKER_DRAIN,
+    FaultKind.STORE_SILENT,
+    FaultKind.CONFIGURATION,
+    FaultKind.INSTANCE_STOP,
+    FaultKind.INSTANCE_KILL,
+    FaultKind.INSTANCE_PAUSE,
+    FaultKind.INSTANCE_RELOAD,
+)
 # What happens beside two builds of the program.
 MIXED_KINDS = (
     FaultKind.INSTANCE_KILL,
@@ -115,6 +130,7 @@
 _SPECIAL_KINDS = (
     *ORGANISATION_KINDS,
     *WORD_KINDS,
+    FaultKind.WORKER_LIMIT,
     FaultKind.STORE_RESTORE,
     FaultKind.UPGRADE,
     FaultKind.CRASHING_REQUEST,
--- a/soak/records.py
+++ b/soak/records.py
@@ -10,6 +10,7 @@
     "KeyChange",
     "LeavingWord",
     "LimitChange",
+    "NamedLimit",
     "Order",
     "Request",
     "RequestKind",
@@ -176,6 +177,22 @@
     rest_s: float
 
 
+class NamedLimit(NamedTuple):
+    """A time in which a worker named a limit over all instances in its answers.
+
+    Attributes:
+        worker: The worker.
+        began_at: When it began to name it.
+        ended_at: When it named it no longer.
+        rate: Calls a second.
+    """
+
+    worker: str
+    began_at: float
+    ended_at: float
+    rate: float
+
+
 class Switch(NamedTuple):
     """The moving route went to a service, as of a time."""
 
@@ -228,6 +245,7 @@
         crashes: Runs that crashed their workers.
         words: Workers that said in answers that they leave.
         rests: Workers that asked for a rest.
+        named_limits: Workers that named a limit over all instances.
         store_calls: Calls to the store of all instances.
         instances: How many instances there are.
         seconds: Length of the run.
@@ -250,6 +268,7 @@
     crashes: tuple[CrashingRun, ...] = ()
     words: tuple[LeavingWord, ...] = ()
     rests: tuple[Rest, ...] = ()
+    named_limits: tuple[NamedLimit, ...] = ()
     store_calls: int = 0
     instances: int = 1
     seconds: float = 30.0
--- a/soak/run.py
+++ b/soak/run.py
@@ -147,6 +147,7 @@
         crashes=tuple(run for worker in workers for run in worker.crashing_runs()),
         words=tuple(fleet.words),
         rests=tuple(fleet.rests),
+        named_limits=tuple(fleet.named_limits),
         store_calls=fleet.platform.store.calls,
         instances=len(fleet.instances),
         seconds=settings.seconds,
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -14,6 +14,7 @@
     ORGANISATION_KINDS,
     RESTORE_KINDS,
     WORD_KINDS,
+    WORKER_LIMIT_KINDS,
     FaultKind,
     plan_faults,
 )
@@ -34,6 +35,7 @@
     special = {
         *ORGANISATION_KINDS,
         *WORD_KINDS,
+        FaultKind.WORKER_LIMIT,
         FaultKind.STORE_RESTORE,
         FaultKind.UPGRADE,
         FaultKind.CRASHING_REQUEST,
@@ -132,6 +134,18 @@
     assert kinds & set(WORD_KINDS)
 
 
+@pytest.mark.alone
+async def test_limits_that_workers_name_hold_whatever_else_happens() -> None:
+    settings = RunSettings(
+        CI_SEED, seconds=20.0, instances=4, callers=12, rate=0.8, kinds=WORKER_LIMIT_KINDS
+    )
+    result = await run_soak(settings)
+    assert result.violations == []
+    kinds = {fault.kind for fault in result.faults}
+    assert FaultKind.WORKER_LIMIT in kinds
+    assert len(kinds) > 2
+
+
 @pytest.mark.alone
 async def test_two_builds_side_by_side_hold_every_promise() -> None:
     settings = RunSettings(CI_SEED, seconds=36.0, instances=3, rate=0.7, kinds=MIXED_KINDS)
@@ -143,7 +157,7 @@
 
 # What needs organisations comes last, so that the groups of the others stay what they were.
 _OF_ORGANISATIONS = ["key-table", "key-withheld", "shared-limits"]
-_LATER = ["leaving-words", "rests", "eras", "quarantine"]
+_LATER = ["leaving-words", "rests", "eras", "quarantine", "endpoint-limits"]
 _NAMES = sorted(ABLATIONS.keys() - {*_OF_ORGANISATIONS, *_LATER})
 
 
@@ -156,6 +170,7 @@
         _NAMES[8:],
         _OF_ORGANISATIONS[:2],
         ["quarantine"],
+        ["endpoint-limits"],
         pytest.param(_OF_ORGANISATIONS[2:], marks=pytest.mark.alone),
     ],
 )
--- a/soak/strike.py
+++ b/soak/strike.py
@@ -10,7 +10,7 @@
 from soak.link import Link, LinkFault
 from soak.plan import ORGANISATION_KINDS, FaultKind, PlannedFault
 from soak.processes import InstanceProcess
-from soak.records import LeavingWord, Rest, Stop, Withdrawal
+from soak.records import LeavingWord, NamedLimit, Rest, Stop, Withdrawal
 from soak.traffic import STREAM_HEADERS
 from soak.workers import CRASHING, SoakWorker
 from standins.relay import Fault, StoreMode
@@ -51,6 +51,9 @@
 _ELSEWHERE = "elsewhere/x"
 # Shortest and longest rest that a worker asks for.
 _RESTS_S = (1.0, 4.0)
+# Lowest and highest limit that a worker names, in calls a second, and for how long at the least.
+_LIMITS_PER_S = (1.0, 8.0)
+_LIMIT_S = 7.0
 _BUSY_POLL_S = 0.05
 # A request that crashes workers comes so often, for longer than it takes to be held back.
 _CRASHING_TRIES = 20
@@ -90,6 +93,7 @@
         FaultKind.WORKER_DRAIN,
         FaultKind.WORKER_WORD,
         FaultKind.WORKER_REST,
+        FaultKind.WORKER_LIMIT,
         FaultKind.UPGRADE,
         FaultKind.KEY,
         FaultKind.LIMIT,
@@ -370,6 +374,17 @@
         worker.sheds = False
         self._fleet.rests.append(Rest(worker.name, began_at, trio.current_time(), rest_s))
 
+    async def _name_limit(self, fault: PlannedFault) -> None:
+        """Have a worker name the calls a second that it takes of all instances, for a while."""
+        worker, began_at = self._pick_worker(fault), trio.current_time()
+        rate = round(self._rng.uniform(*_LIMITS_PER_S), 1)
+        worker.names_limit = f"{rate:g}"
+        await trio.sleep(_LIMIT_S + fault.for_s)
+        worker.names_limit = None
+        self._fleet.named_limits.append(
+            NamedLimit(worker.name, began_at, trio.current_time(), rate)
+        )
+
     async def _drain_worker(self, fault: PlannedFault) -> None:
         """Let a worker drain and leave."""
 
@@ -404,4 +419,5 @@
     FaultKind.WORKER_DRAIN: lambda striker: striker._drain_worker,
     FaultKind.WORKER_WORD: lambda striker: striker._say_in_answers,
     FaultKind.WORKER_REST: lambda striker: striker._ask_for_rest,
+    FaultKind.WORKER_LIMIT: lambda striker: striker._name_limit,
 }
