--- a/cleatlink/platform/names.py
+++ b/cleatlink/platform/names.py
@@ -19,6 +19,7 @@
     signature=b"server-stamp",
     expected_endpoint=b"expected-instance",
     not_run=b"not-executed",
+    endpoint=b"instance-id",
     leaving=b"server-leaving",
     rate_per_s=b"server-limit",
     stage=b"stage",
--- a/cleatlink/relay/endpoints/answer_notices.py
+++ b/cleatlink/relay/endpoints/answer_notices.py
@@ -21,6 +21,40 @@
 _LINES_S = 10.0
 
 
+# Fields of answers that are usual in HTTP and say nothing of an endpoint's state.
+_USUAL_FIELDS = frozenset(
+    {
+        b"accept-ranges",
+        b"age",
+        b"allow",
+        b"cache-control",
+        b"connection",
+        b"content-disposition",
+        b"content-encoding",
+        b"content-language",
+        b"content-length",
+        b"content-location",
+        b"content-range",
+        b"content-type",
+        b"date",
+        b"etag",
+        b"expires",
+        b"keep-alive",
+        b"last-modified",
+        b"link",
+        b"location",
+        b"server",
+        b"set-cookie",
+        b"transfer-encoding",
+        b"vary",
+        b"via",
+        b"www-authenticate",
+    }
+)
+# Other fields are told of once each, up to so many: an endpoint may make them up.
+_MOST_UNKNOWN_FIELDS = 32
+
+
 class AnswerNotices:
     """Reads the heads of answers for one instance."""
 
@@ -51,6 +85,8 @@
         self._on_rest = on_rest
         self._on_leaving = on_leaving
         self._protocol = protocol
+        self._known_fields = _USUAL_FIELDS | protocol.names.answer_fields
+        self._unknown_fields: set[bytes] = set()
         self._notices = notices
         self._metrics = metrics
         self._rest_lines = LineAllowance(_LINES, _LINES_S)
@@ -59,6 +95,7 @@
     def note_head(self, endpoint: RoutedEndpoint, head: ReplyHead) -> None:
         """Take what an answer of an endpoint says; most say nothing."""
         now = trio.current_time()
+        self._note_fields(endpoint, head)
         if self._protocol.takes_work(head):
             self._notices.note_served(endpoint.name, now)
         notice = self._protocol.read_notice(head)
@@ -70,6 +107,22 @@
         if notice.rest_s:
             self._note_rest(endpoint, notice.rest_s, now)
 
+    def _note_fields(self, endpoint: RoutedEndpoint, head: ReplyHead) -> None:
+        """Log fields that nothing here reads: an endpoint may say something of itself in them."""
+        for name, _ in head.headers:
+            field = name.lower()
+            if field in self._known_fields or field in self._unknown_fields:
+                continue
+            if len(self._unknown_fields) >= _MOST_UNKNOWN_FIELDS:
+                return
+            self._unknown_fields.add(field)
+            eliot.log_message(
+                message_type="endpoint: answers with a field that is not known",
+                endpoint=endpoint.name,
+                service=endpoint.service,
+                field=field.decode("latin-1"),
+            )
+
     def _note_leaving(self, endpoint: RoutedEndpoint, status: int, now: float) -> None:
         self._metrics.count_notice("leaving")
         if self._notices.note_leaving(endpoint.name, NoticeSource.ANSWER, now):
--- a/cleatlink/relay/endpoints/answer_notices_test.py
+++ b/cleatlink/relay/endpoints/answer_notices_test.py
@@ -120,6 +120,32 @@
     assert found == [(None, 50.0), (50.0, 20.0), (20.0, None)]
 
 
+async def test_field_that_nothing_reads_is_told_of_once() -> None:
+    """Endpoints named a limit for days, and no line of any instance said that they do."""
+    lines: list[dict[str, Any]] = []
+    take = lines.append
+    eliot.add_destinations(take)
+    try:
+        async with open_fleet() as fleet:
+            worker = Worker("plain")
+            worker.more_headers = {"Server-Temper": "bad", "Content-Language": "cs"}
+            await start(fleet, worker)
+            for _ in range(3):
+                assert (await fleet.caller().ask("/safe/x")).status == 200
+            worker.more_headers = {f"X-{number}": "1" for number in range(99)}
+            await fleet.caller().ask("/safe/x")
+    finally:
+        eliot.remove_destination(take)
+    kind = "endpoint: answers with a field that is not known"
+    fields = [
+        line["field"]
+        for line in lines
+        if line.get("message_type") == kind and line["endpoint"] == worker.name
+    ]
+    assert fields[0] == "server-temper"
+    assert len(fields) == len(set(fields)) == 32
+
+
 async def test_leaving_is_read_from_every_kind_of_answer() -> None:
     kinds = {
         "plain": ("/safe/x", {}),
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -65,6 +65,7 @@
     signature: bytes = b"x-endpoint-signature"
     expected_endpoint: bytes = b"x-expected-endpoint"
     not_run: bytes = b"x-not-run"
+    endpoint: bytes = b"x-endpoint"
     leaving: bytes = b"x-endpoint-leaving"
     rest_s: bytes = b"retry-after"
     rate_per_s: bytes = b"x-endpoint-rate"
@@ -78,6 +79,21 @@
     reserved: frozenset[bytes] = frozenset()
     kept: frozenset[bytes] = frozenset()
 
+    @property
+    def answer_fields(self) -> frozenset[bytes]:
+        """Fields that endpoints' answers carry and that are read."""
+        return frozenset(
+            {
+                self.request_id,
+                self.signature,
+                self.not_run,
+                self.endpoint,
+                self.leaving,
+                self.rest_s,
+                self.rate_per_s,
+            }
+        )
+
 
 class OrderFields(NamedTuple):
     """Names in the body of an order to take another role."""
--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -74,6 +74,8 @@
         self.asks_rest_s: float | None = None
         # Calls a second that it says it takes from all instances, as written; None says none.
         self.names_limit: str | None = None
+        # Other headers of its answers.
+        self.more_headers: dict[str, str] = {}
         # Whether it turns every call away.
         self.sheds = False
         self.arrived_at: list[float] = []
@@ -170,11 +172,11 @@
         return await self._plain(call, stream, fault)
 
     def _notice(self) -> dict[str, str]:
-        """Give the headers with which it says that it leaves, or takes few calls."""
+        """Give the headers with which it says something of itself."""
         headers = {"Server-Leaving": "1", "Connection": "close"} if self.says_leaving else {}
         if self.names_limit is not None:
             headers["Server-Limit"] = self.names_limit
-        return headers
+        return {**headers, **self.more_headers}
 
     def _rest(self) -> dict[str, str]:
         """Give the headers with which it asks for a rest."""
