--- a/cleatlink/relay/metrics.py
+++ b/cleatlink/relay/metrics.py
@@ -52,7 +52,7 @@
         )
         self._notices = self._counter(
             "cleatlink_relay_endpoint_notices_total",
-            "Answers in which endpoints said that they leave, want a rest or take few calls, by kind.",
+            "Answers in which endpoints said something of themselves, by kind.",
         )
         self._organisations: set[str] = set()
         self._dropped = Gauge(
