Arrows of the relay's folders run down again; who told of a leaving is shown

A connection that is looked at after a crash is closed when the instance ends meanwhile: a test of lives found it open (unraisable warning, once in a whole run).

--- a/cleatlink/relay/callers/server.py
+++ b/cleatlink/relay/callers/server.py
@@ -6,15 +6,15 @@
 """
 
 from abc import ABC, abstractmethod
-from typing import NamedTuple
 
 import h11
 import trio
 
 from cleatlink.core.routes import CallerLimits, Headers
+from cleatlink.relay.exchange import AnswerStream, Exchange, RawRequest
 from cleatlink.relay.sockets import quicken
 
-__all__ = ["Exchange", "Handler", "RawRequest", "serve_connections"]
+__all__ = ["Handler", "serve_connections"]
 
 # Bytes read at a time: what a socket's buffer usually holds.
 _READ_BYTES = 65_536
@@ -28,15 +28,6 @@
 _ACCEPT_PAUSE_S = 0.05
 
 
-class RawRequest(NamedTuple):
-    """A request as read."""
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes
-
-
 class _BadRequestError(Exception):
     """What was sent is no request that can be served."""
 
@@ -45,40 +36,6 @@
         self.status = status
 
 
-class Exchange:
-    """One request and its answer; the handler answers through it."""
-
-    def __init__(self, connection: "CallerConnection", request: RawRequest) -> None:
-        self._connection = connection
-        self.request = request
-        self.started = False
-        self.ended = False
-
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the head of an answer."""
-        self.started = True
-        await self._connection.send_head(status, headers)
-
-    async def send(self, data: bytes) -> None:
-        """Send a part of the body."""
-        await self._connection.send_event(h11.Data(data=data))
-
-    async def end(self) -> None:
-        """End the answer; without it the connection is broken off."""
-        await self._connection.send_event(h11.EndOfMessage())
-        self.ended = True
-
-    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole answer."""
-        length = (b"Content-Length", b"%d" % len(body))
-        if self.request.method != b"HEAD" and not _bodiless(status):
-            headers = (*headers, length)
-        await self.start(status, headers)
-        if body and self.request.method != b"HEAD" and not _bodiless(status):
-            await self.send(body)
-        await self.end()
-
-
 class Handler(ABC):
     """What serves requests."""
 
@@ -105,7 +62,7 @@
         """Answer what could not be read as a request."""
 
 
-class CallerConnection:
+class CallerConnection(AnswerStream):
     """One connection of a caller."""
 
     def __init__(self, stream: trio.SocketStream, handler: Handler) -> None:
@@ -297,7 +254,3 @@
         return
     finally:
         stream.socket.close()
-
-
-def _bodiless(status: int) -> bool:
-    return status in (204, 304)
--- a/cleatlink/relay/callers/service.py
+++ b/cleatlink/relay/callers/service.py
@@ -12,7 +12,7 @@
 from cleatlink.core.errors import ANSWERS, ErrorKind
 from cleatlink.core.routes import CallerLimits, Headers, Inbound, Route, RoutedService, RouteTable
 from cleatlink.organisations import Admission, Holder
-from cleatlink.relay.callers.server import Exchange, Handler
+from cleatlink.relay.callers.server import Handler
 from cleatlink.relay.calls.call import Call
 from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.relay.calls.plain import PlainCall
@@ -20,6 +20,7 @@
 from cleatlink.relay.calls.room import DecodeRoom
 from cleatlink.relay.calls.stream import StreamCall
 from cleatlink.relay.endpoints.pool import Reply
+from cleatlink.relay.exchange import Exchange
 from cleatlink.routing.route_index import RouteIndex, choose_service
 
 __all__ = ["RelayService"]
--- a/cleatlink/relay/calls/planned_stop_test.py
+++ b/cleatlink/relay/calls/planned_stop_test.py
@@ -22,10 +22,10 @@
 
 from cleatlink.core.data import Refusal
 from cleatlink.core.routes import Headers
-from cleatlink.relay.callers.server import Exchange, RawRequest
 from cleatlink.relay.calls.plain import PlainCall
 from cleatlink.relay.calls.planned_stop import PlannedStop
 from cleatlink.relay.endpoints import pool
+from cleatlink.relay.exchange import Exchange, RawRequest
 from standins.relay import Worker
 from standins.relay.client import Caller, Reply
 from standins.relay.example import STREAM, engines, runs, start
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -14,7 +14,6 @@
     StreamBrokenError,
 )
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.callers.server import Exchange
 from cleatlink.relay.calls.call import Call
 from cleatlink.relay.calls.decode_place import RETRY_AFTER_S, DecodePlace
 from cleatlink.relay.calls.events import EventCutter
@@ -24,6 +23,7 @@
 from cleatlink.relay.calls.watch import StreamWatch
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.protocol import ReplyHead
+from cleatlink.relay.exchange import Exchange
 from cleatlink.relay.tasks import run_watched
 
 __all__ = ["StreamCall", "StreamEnd"]
--- a/cleatlink/relay/calls/stream_test.py
+++ b/cleatlink/relay/calls/stream_test.py
@@ -338,7 +338,7 @@
         for decode in (first, second):
             decode.faults = [Fault.CUT]
         await fleet.caller().ask("/resume/x", "POST", body=b"prompt", headers=STREAM)
-        budget = fleet.instances[0]._budget("model")
+        budget = fleet.instances[0]._budgets.of("model")
         extra = len(prefill.arrivals) + len(first.arrivals) + len(second.arrivals) - 2
         assert extra >= 2
         assert len(budget._extras) == extra
--- a/cleatlink/relay/endpoint_limits_test.py
+++ b/cleatlink/relay/endpoint_limits_test.py
@@ -187,6 +187,19 @@
         assert statuses(replies) == {200}
 
 
+async def test_status_tells_of_limits_and_of_who_told_that_an_endpoint_leaves() -> None:
+    limited, leaving = plain(2)
+    async with open_instances(2, limited, leaving) as fleet:
+        limited.names_limit, leaving.says_leaving = "5", True
+        while not (limited.asked_at and leaving.asked_at):
+            await fleet.caller(0).ask("/safe/x")
+        status = fleet.instances[1].status
+        await fleet.until(lambda: status()["leaving"] and status()["limits"])
+        for instance, source in zip(fleet.instances, ("answer", "peer"), strict=True):
+            assert instance.status()["limits"] == {limited.name: 5.0}
+            assert instance.status()["leaving"] == {leaving.name: source}
+
+
 @pytest.mark.parametrize("nonsense", ["-3", "few", "1e9", "", "999999999999"])
 async def test_limit_that_is_nonsense_takes_no_endpoint_away(nonsense: str) -> None:
     (worker,) = plain(1)
--- a/cleatlink/relay/endpoints/crash_watch.py
+++ b/cleatlink/relay/endpoints/crash_watch.py
@@ -143,6 +143,10 @@
 
 async def _stays_open(connection: EndpointConnection) -> bool:
     """Tell whether a new connection is still there a moment later."""
-    with trio.move_on_after(_CLOSED_S):
-        await connection.wait_readable()
+    try:
+        with trio.move_on_after(_CLOSED_S):
+            await connection.wait_readable()
+    except BaseException:
+        connection.close()
+        raise
     return connection.usable
--- /dev/null
+++ b/cleatlink/relay/exchange.py
@@ -0,0 +1,69 @@
+"""One request of a caller and the answer that is written to it."""
+
+from abc import ABC, abstractmethod
+from typing import NamedTuple
+
+import h11
+
+from cleatlink.core.routes import Headers
+
+__all__ = ["AnswerStream", "Exchange", "RawRequest"]
+
+
+class RawRequest(NamedTuple):
+    """A request as read."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+
+
+class AnswerStream(ABC):
+    """What an answer is written to."""
+
+    @abstractmethod
+    async def send_head(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer."""
+
+    @abstractmethod
+    async def send_event(self, event: h11.Event) -> None:
+        """Send a part of an answer."""
+
+
+class Exchange:
+    """One request and its answer; the handler answers through it."""
+
+    def __init__(self, stream: AnswerStream, request: RawRequest) -> None:
+        self._stream = stream
+        self.request = request
+        self.started = False
+        self.ended = False
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer."""
+        self.started = True
+        await self._stream.send_head(status, headers)
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._stream.send_event(h11.Data(data=data))
+
+    async def end(self) -> None:
+        """End the answer; without it the connection is broken off."""
+        await self._stream.send_event(h11.EndOfMessage())
+        self.ended = True
+
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        length = (b"Content-Length", b"%d" % len(body))
+        if self.request.method != b"HEAD" and not _bodiless(status):
+            headers = (*headers, length)
+        await self.start(status, headers)
+        if body and self.request.method != b"HEAD" and not _bodiless(status):
+            await self.send(body)
+        await self.end()
+
+
+def _bodiless(status: int) -> bool:
+    return status in (204, 304)
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -11,9 +11,10 @@
 from cleatlink.core.errors import ListenError
 from cleatlink.core.routes import RoutedEndpoint, RouteTable
 from cleatlink.organisations import OrganisationGate, OrganisationLimits
+from cleatlink.relay.budgets import ServiceBudgets
 from cleatlink.relay.callers.server import Handler, serve_connections
 from cleatlink.relay.callers.service import RelayService
-from cleatlink.relay.callers.side import InstanceStatus, MetricsHandler, PeerHandler, ReadyHandler
+from cleatlink.relay.callers.side import MetricsHandler, PeerHandler, ReadyHandler
 from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.relay.calls.planned_stop import PlannedStop
 from cleatlink.relay.endpoints.answer_notices import AnswerNotices
@@ -34,8 +35,8 @@
 from cleatlink.relay.peers.snapshots import Snapshot
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.relay.sockets import listen
+from cleatlink.relay.status import InstanceStatus
 from cleatlink.relay.tasks import Task, run_once, supervise
-from cleatlink.request.shared_budget import SharedRetryBudget
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.fleet_records import FleetRecords
 from cleatlink.routing.mechanisms import Switches
@@ -53,8 +54,9 @@
 _STOP_POLL_S = 0.05
 # An exit in time of its own: the platform kills what is left at the end of the grace.
 _EXIT_S = 0.5
-# Registrations that can't be used are told up to so many: anybody may have written them.
-_MOST_UNUSABLE = 100
+# Registrations that can't be used, and words of endpoints, are told up to so many of each: anybody
+# may have written them.
+_MOST_TOLD = 100
 # Instances that may exist before any were heard.
 _FIRST_MEMBERS = 12
 
@@ -92,7 +94,7 @@
             notices.is_leaving,
             self._note_sent,
         )
-        self._budgets: dict[str, SharedRetryBudget] = {}
+        self._budgets = ServiceBudgets(settings)
         self._planned_stop = PlannedStop()
         limits = OrganisationLimits(settings.limit_tolerance, trio.current_time())
         self._gate = OrganisationGate(limits)
@@ -111,7 +113,7 @@
             self._gate,
             self._metrics,
             rng,
-            self._budget,
+            self._budgets.of,
             self._members,
             self._note_work,
             self._note_spending,
@@ -257,8 +259,7 @@
     def reload(self, settings: RelaySettings) -> None:
         """Use settings that may change while running."""
         self._settings = settings
-        for budget in self._budgets.values():
-            budget.change(settings.retry_ratio, settings.retry_allowance, settings.retry_window_s)
+        self._budgets.change(settings)
         self._gate.limits.change_tolerance(settings.limit_tolerance)
         eliot.log_message(message_type="instance: reloads its settings", name=settings.name)
 
@@ -293,16 +294,6 @@
         self._peers.send_beat()
         self._offer_room()
 
-    def _budget(self, service: str) -> SharedRetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            settings = self._settings
-            budget = SharedRetryBudget(
-                settings.retry_ratio, settings.retry_allowance, settings.retry_window_s
-            )
-            self._budgets[service] = budget
-        return budget
-
     def _allowed_connections(self, endpoint: RoutedEndpoint) -> float:
         """Give this instance's part of the connections that an endpoint takes."""
         table = self._follower.records.table
@@ -377,10 +368,12 @@
             table_revision=self.records.table_revision,
             store_era=self.records.revision.era,
             endpoints=len(self._capacity.endpoints),
-            unusable=dict(sorted(unusable.items())[:_MOST_UNUSABLE]),
+            unusable=dict(sorted(unusable.items())[:_MOST_TOLD]),
             instances=self._peers.alive,
             leads=self.leads,
             quarantine=self._quarantine.held_requests(),
+            leaving=self._capacity.notices.leaving_sources(_MOST_TOLD),
+            limits=self._capacity.limits.rates_per_s(_MOST_TOLD),
         )
 
     def render_metrics(self) -> bytes:
--- a/cleatlink/relay/peers/shared_quarantine.py
+++ b/cleatlink/relay/peers/shared_quarantine.py
@@ -13,9 +13,9 @@
 
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.quarantine import CRASHES_TO_HOLD, CrashReport, Quarantine, Trial, Verdict
-from cleatlink.relay.callers.side import HeldRequest
 from cleatlink.relay.peers.messages import CrashItem, CrashNews
 from cleatlink.relay.peers.news import NewsChannel
+from cleatlink.relay.status import HeldRequest
 
 __all__ = ["SharedQuarantine"]
 
--- a/cleatlink/relay/silence_test.py
+++ b/cleatlink/relay/silence_test.py
@@ -132,7 +132,7 @@
         await _start(fleet, prefill, first, second)
         for decode in (first, second):
             decode.silent_from, decode.silent_s = 3, 1.2
-        budget = fleet.instances[0]._budget("model")
+        budget = fleet.instances[0]._budgets.of("model")
         budget.change(0.0, 0.0, 10.0)
         reply = await _ask(fleet)
         assert (reply.status, reply.whole) == (200, True)
@@ -157,7 +157,7 @@
         await start(fleet, *workers)
         for _ in range(5):
             assert (await fleet.caller().ask("/safe/x")).status == 200
-        fleet.instances[0]._budget("plain").change(0.0, 0.0, 10.0)
+        fleet.instances[0]._budgets.of("plain").change(0.0, 0.0, 10.0)
         for worker in workers:
             worker.work_s = 0.9
         assert (await fleet.caller().ask("/safe/x")).status == 200
--- a/cleatlink/routing/endpoint_limits.py
+++ b/cleatlink/routing/endpoint_limits.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from itertools import islice
 from typing import NamedTuple
 
 from cleatlink.limits import Bucket, RateLimit, SharedLimits
@@ -83,6 +84,11 @@
         limit = self._find_limit(life)
         return None if limit is None else limit.rate
 
+    def rates_per_s(self, most: int) -> dict[str, float]:
+        """Give the limits that endpoints name, some of them at the most."""
+        limited = (life for life, named in self._named.items() if named.rate_per_s)
+        return {life: self._named[life].rate_per_s for life in islice(limited, most)}
+
     def note_answer(self, life: str, rate_per_s: float | None, now: float) -> bool:
         """Take what an answer to this instance says; tells whether that is new.
 
--- a/cleatlink/routing/notices.py
+++ b/cleatlink/routing/notices.py
@@ -88,6 +88,10 @@
         lives = sorted(self._leaving, key=lambda life: self._leaving[life].told_at, reverse=True)
         return lives[:most]
 
+    def leaving_sources(self, most: int) -> dict[str, str]:
+        """Give who told first of lives that leave, from the one of which it was told last."""
+        return {life: self._leaving[life].source.value for life in self.newest_leaving(most)}
+
     def resting(self, now: float) -> list[str]:
         """Give the lives that want nothing now."""
         return [life for life, rest in self._rests.items() if rest.until > now]
