--- a/tools/kinds/play.py
+++ b/tools/kinds/play.py
@@ -11,6 +11,8 @@
 __all__ = ["Play", "Played", "Tree", "copy_without", "play_all"]
 
 _RUN_LINE = "cleatlink.scripts.main entry"
+# A line of the instance that leads, for each order of another role.
+_ORDER_LINE = '"orders: plans a shift"'
 
 
 class Tree(NamedTuple):
@@ -29,6 +31,7 @@
         day: Name of the day.
         seed: Seed of its chance.
         tree: What plays it.
+        counts_orders: Whether orders of roles are counted, by the instances' lines.
     """
 
     kind: str
@@ -36,6 +39,7 @@
     day: str
     seed: int
     tree: Tree
+    counts_orders: bool = False
 
 
 class Played(NamedTuple):
@@ -44,6 +48,7 @@
     play: Play
     worth: float | None
     note: str
+    orders: int = 0
 
 
 class _Report(msgspec.Struct):
@@ -78,13 +83,14 @@
 def _play(bench: Path, play: Play, report: Path) -> Played:
     command = [str(bench), "run", str(play.site), play.day, "--seed", str(play.seed)]
     why = f"trial: {play.tree.label}, engines: {play.kind}, {play.day}"
+    command += ["--log", "all"] if play.counts_orders else []
     ran = _run([*command, "--report", str(report), "--why", why], play.tree.folder)
     if not report.exists():
         return Played(play, None, _last_line(ran.stdout + ran.stderr))
     found = msgspec.json.decode(report.read_bytes(), type=_Report)
     if found.fault is not None or found.breaks:
         return Played(play, None, found.fault or f"rules broken: {', '.join(found.breaks)}")
-    return Played(play, found.worth, "")
+    return Played(play, found.worth, "", ran.stdout.count(_ORDER_LINE))
 
 
 def _run(command: list[str], folder: Path) -> "subprocess.CompletedProcess[str]":
