--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -33,6 +33,7 @@
         *,
         organisations: SoakOrganisations | None = None,
         older: Path | None = None,
+        moves_clocks: bool = False,
     ) -> None:
         """Prepare a fleet.
 
@@ -43,6 +44,7 @@
             without: A mechanism that is switched off in them; empty for none.
             organisations: Whose requests they get; None for nobody's.
             older: Sources of the build that instances run at first; None for this one.
+            moves_clocks: Whether instances' clocks are to be set on.
         """
         self.platform = Fleet(nursery)
         self.organisations = organisations
@@ -65,7 +67,7 @@
         ports = free_ports(instances)
         seeds = tuple(instance_ip(number + 1) for number in range(min(_SEEDS, instances)))
         self.instances = [
-            InstanceProcess(number + 1, ports, seeds, folder, without)
+            InstanceProcess(number + 1, ports, seeds, folder, without, moves_clocks=moves_clocks)
             for number in range(instances)
         ]
         for instance in self.instances:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,8 +5,10 @@
 from typing import NamedTuple
 
 __all__ = [
+    "CLOCK_KINDS",
     "CRASH_KINDS",
     "MIXED_KINDS",
+    "MOVING_CLOCK_KINDS",
     "ORGANISATION_KINDS",
     "RESTORE_KINDS",
     "STOP_KINDS",
@@ -32,6 +34,8 @@
     INSTANCE_ROLL = "all instances are stopped as planned in turn, before the last one is back"
     INSTANCE_KILL = "an instance is killed and started again"
     INSTANCE_PAUSE = "an instance is paused"
+    INSTANCE_SUSPEND = "an instance's machine is suspended; its clock has gone on meanwhile"
+    INSTANCE_CLOCK = "an instance's time of day steps forth or back"
     INSTANCE_RELOAD = "an instance reloads settings that changed or can't be used, at any time"
     STORE_LINK_DELAY = "an instance's link to the store is slow"
     STORE_LINK_RESET = "an instance's link to the store resets"
@@ -102,6 +106,21 @@
     FaultKind.INSTANCE_PAUSE,
     FaultKind.INSTANCE_RELOAD,
 )
+# Clocks that move, while instances lead, are stopped, killed, paused and cut off.
+CLOCK_KINDS = (FaultKind.INSTANCE_SUSPEND, FaultKind.INSTANCE_CLOCK)
+MOVING_CLOCK_KINDS = (
+    *CLOCK_KINDS,
+    FaultKind.INSTANCE_STOP,
+    FaultKind.INSTANCE_KILL,
+    FaultKind.INSTANCE_PAUSE,
+    FaultKind.INSTANCE_RELOAD,
+    FaultKind.STORE_LINK_SILENCE,
+    FaultKind.WORKER_LIMIT,
+    FaultKind.WORKER_REST,
+    FaultKind.WORKER_DRAIN,
+    FaultKind.WORKER_FAULTS,
+    FaultKind.CONFIGURATION,
+)
 # What happens beside two builds of the program.
 MIXED_KINDS = (
     FaultKind.INSTANCE_KILL,
@@ -130,6 +149,7 @@
 _SPECIAL_KINDS = (
     *ORGANISATION_KINDS,
     *WORD_KINDS,
+    *CLOCK_KINDS,
     FaultKind.WORKER_LIMIT,
     FaultKind.STORE_RESTORE,
     FaultKind.UPGRADE,
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from soak.clocked import ClockOffsets, write_offsets
 from standins.ports import free_port
 from standins.relay.client import Caller
 from standins.relay.settings import Ports, write_instance_settings
@@ -45,7 +46,14 @@
     """One instance, through the lives of its process."""
 
     def __init__(
-        self, number: int, ports: Ports, seeds: tuple[str, ...], folder: Path, without: str
+        self,
+        number: int,
+        ports: Ports,
+        seeds: tuple[str, ...],
+        folder: Path,
+        without: str,
+        *,
+        moves_clocks: bool = False,
     ) -> None:
         """Prepare an instance.
 
@@ -55,6 +63,7 @@
             seeds: IP numbers of those that it asks first.
             folder: Where its settings and its output go.
             without: A mechanism that is switched off in it; empty for none.
+            moves_clocks: Whether its clocks are to be set on.
         """
         self.number = number
         self.life = 0
@@ -65,7 +74,14 @@
         self.tree: Path | None = None
         self._seeds = seeds
         self._settings = folder / f"n{number}.toml"
-        module = ["soak.broken", without] if without else ["cleatlink.scripts.main"]
+        self._offsets = ClockOffsets()
+        self._clocks = folder / f"n{number}.clocks"
+        write_offsets(self._clocks, self._offsets)
+        module = ["cleatlink.scripts.main"]
+        if without:
+            module = ["soak.broken", without]
+        elif moves_clocks:
+            module = ["soak.clocked", str(self._clocks)]
         self._command = [sys.executable, "-m", *module, "entry"]
         self._command += ["--settings-file", str(self._settings)]
         self._command += ["--metrics-listen", f"{self.ip}:{ports.metrics}"]
@@ -109,6 +125,17 @@
                 self._command, stdout=output, stderr=output, cwd=self.tree, env=environment
             )
 
+    def move_clocks(self, steady_s: float, wall_s: float) -> None:
+        """Set its clocks on, or the time of day back.
+
+        Args:
+            steady_s: Seconds for which its machine seems to have been suspended.
+            wall_s: Seconds by which its time of day steps.
+        """
+        before = self._offsets
+        self._offsets = ClockOffsets(before.steady + steady_s, before.wall + wall_s)
+        write_offsets(self._clocks, self._offsets)
+
     def exit_code(self) -> int | None:
         """Give the exit code; None while the process runs."""
         return self._process.poll() if self._process is not None else None
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,7 @@
 from soak.checks import Violation, judge
 from soak.fleet import SoakFleet
 from soak.organisations import SoakOrganisations
-from soak.plan import FaultKind, PlannedFault, plan_faults
+from soak.plan import CLOCK_KINDS, FaultKind, PlannedFault, plan_faults
 from soak.processes import InstanceProcess
 from soak.records import History
 from soak.strike import Striker
@@ -88,6 +88,7 @@
                 settings.without,
                 organisations=organisations,
                 older=older,
+                moves_clocks=bool(set(settings.kinds) & set(CLOCK_KINDS)),
             )
             try:
                 await fleet.start(settings.prefills)
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -9,8 +9,10 @@
 from soak.builds import LANDED
 from soak.link import Link, LinkFault
 from soak.plan import (
+    CLOCK_KINDS,
     CRASH_KINDS,
     MIXED_KINDS,
+    MOVING_CLOCK_KINDS,
     ORGANISATION_KINDS,
     RESTORE_KINDS,
     WORD_KINDS,
@@ -35,6 +37,7 @@
     special = {
         *ORGANISATION_KINDS,
         *WORD_KINDS,
+        *CLOCK_KINDS,
         FaultKind.WORKER_LIMIT,
         FaultKind.STORE_RESTORE,
         FaultKind.UPGRADE,
@@ -146,6 +149,18 @@
     assert len(kinds) > 2
 
 
+@pytest.mark.alone
+async def test_clocks_that_move_break_nothing() -> None:
+    settings = RunSettings(
+        CI_SEED, seconds=20.0, instances=3, rate=1.2, kinds=MOVING_CLOCK_KINDS, prefills=0
+    )
+    result = await run_soak(settings)
+    assert result.violations == []
+    kinds = {fault.kind for fault in result.faults}
+    assert kinds & set(CLOCK_KINDS)
+    assert len(kinds) > 3
+
+
 @pytest.mark.alone
 async def test_two_builds_side_by_side_hold_every_promise() -> None:
     settings = RunSettings(CI_SEED, seconds=36.0, instances=3, rate=0.7, kinds=MIXED_KINDS)
--- a/soak/strike.py
+++ b/soak/strike.py
@@ -54,6 +54,9 @@
 # Lowest and highest limit that a worker names, in calls a second, and for how long at the least.
 _LIMITS_PER_S = (1.0, 8.0)
 _LIMIT_S = 7.0
+# Seconds by which a machine was suspended beyond its pause, and by which a time of day steps.
+_SUSPENDED_S = (0.5, 30.0)
+_STEPS_S = (1.0, 4000.0)
 _BUSY_POLL_S = 0.05
 # A request that crashes workers comes so often, for longer than it takes to be held back.
 _CRASHING_TRIES = 20
@@ -90,6 +93,7 @@
         FaultKind.INSTANCE_ROLL,
         FaultKind.INSTANCE_SIGNALS,
         FaultKind.INSTANCE_STOP,
+        FaultKind.INSTANCE_CLOCK,
         FaultKind.WORKER_DRAIN,
         FaultKind.WORKER_WORD,
         FaultKind.WORKER_REST,
@@ -312,6 +316,25 @@
         finally:
             instance.send(signal.SIGCONT)
 
+    async def _suspend_instance(self, fault: PlannedFault) -> None:
+        """Pause an instance; by its clock it was away for longer."""
+        instance = self._pick_instance(fault)
+        instance.send(signal.SIGSTOP)
+        try:
+            await trio.sleep(fault.for_s)
+        finally:
+            away_s = self._rng.uniform(*_SUSPENDED_S)
+            instance.move_clocks(away_s, away_s)
+            instance.send(signal.SIGCONT)
+
+    async def _step_clock(self, fault: PlannedFault) -> None:
+        """Have an instance's time of day step, and back after a while."""
+        instance = self._pick_instance(fault)
+        step_s = self._rng.choice((-1, 1)) * self._rng.uniform(*_STEPS_S)
+        instance.move_clocks(0.0, step_s)
+        await trio.sleep(fault.for_s)
+        instance.move_clocks(0.0, -step_s)
+
     async def _reload_instance(self, fault: PlannedFault) -> None:
         """Change the settings file, or spoil it for a moment, and signal that it changed."""
         instance = self._pick_instance(fault)
@@ -411,6 +434,8 @@
     FaultKind.INSTANCE_STOP: lambda striker: striker._stop_instance,
     FaultKind.INSTANCE_KILL: lambda striker: striker._kill_instance,
     FaultKind.INSTANCE_PAUSE: lambda striker: striker._pause_instance,
+    FaultKind.INSTANCE_SUSPEND: lambda striker: striker._suspend_instance,
+    FaultKind.INSTANCE_CLOCK: lambda striker: striker._step_clock,
     FaultKind.INSTANCE_SIGNALS: lambda striker: striker._stop_with_signals,
 }
 _WORKER_CHANGES: dict[FaultKind, Callable[[Striker], _Act]] = {
