Read once more: when a stream is to be sent is one type, and whether it fits a function

No change of what is decided: the same draws in the same order, tests of routing, calls and limits as before.

--- a/cleatlink/relay/calls/room.py
+++ b/cleatlink/relay/calls/room.py
@@ -14,6 +14,7 @@
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.prompt_plan import PromptPlan, plan_prompt
 from cleatlink.routing.relay_place import (
+    SendTime,
     StreamSize,
     estimate_output,
     longest_stream_s,
@@ -133,7 +134,7 @@
         """
         standing = self._stand(call, prompt_ready)
         if not self._waiting.must_wait(call.service.name, standing.urgency, standing.since):
-            room = self._try(call, standing, is_back=False)
+            room = self._try(call, standing, is_retry=False)
             if room is not None:
                 return room
         while standing.may_wait:
@@ -239,7 +240,7 @@
         done = trio.Event()
 
         def attempt() -> bool:
-            room = self._try(call, standing, is_back=True)
+            room = self._try(call, standing, is_retry=True)
             if room is None:
                 return False
             found.append(room)
@@ -268,7 +269,7 @@
         self._parts.metrics.observe_wait(trio.current_time() - began_at)
         return found[0]
 
-    def _try(self, call: Call, standing: _Standing, *, is_back: bool) -> Room | None:
+    def _try(self, call: Call, standing: _Standing, *, is_retry: bool) -> Room | None:
         traits = call.service.engine
         assert traits is not None, "only engines decode"
         capacity = self._parts.capacity
@@ -282,7 +283,8 @@
         output = estimate_output(call.inbound, pace)
         seeker = call.seeker()
         duration_s = pace.stream_s(output) + plan.ready_s
-        sent_after_s = 0.0 if plan.direct else plan.ready_s
+        ready_in_s = 0.0 if plan.direct else plan.ready_s
+        spare_s = max(0.0, plan.spare_s - standing.first_ago_s)
         size = StreamSize(call.inbound.prompt_tokens, output, duration_s)
         endpoint = place_decode(
             call.service.name,
@@ -292,9 +294,7 @@
             seeker,
             computes_prompt=plan.direct,
             leaves_room=yields,
-            sent_after_s=sent_after_s,
-            sent_within_s=sent_after_s + max(0.0, plan.spare_s - standing.first_ago_s),
-            is_back=is_back,
+            send_time=SendTime(ready_in_s, ready_in_s + spare_s, is_retry),
         )
         if endpoint is None:
             return None
@@ -302,8 +302,7 @@
         now = seeker.now
         work = size.reserve(endpoint.name, now)._replace(suspicion=seeker.suspicion)
         capacity.reserve(key, work)
-        limits = capacity.limits
-        turn = Turn(now, limits.book(key, endpoint.name, now), limits.taken_by_peers(endpoint.name))
+        turn = self._book_turn(endpoint, key, now)
         capacity.note_demand(work, now)
         self._parts.on_work(key)
         if plan.direct:
@@ -317,9 +316,14 @@
             running=usage.running,
             computes_prompt=plan.direct,
         )
-        prompt_at = turn.due_at - sent_after_s
+        prompt_at = turn.due_at - ready_in_s
         return Room(endpoint, key, duration_s, output, plan.direct, turn, prompt_at)
 
+    def _book_turn(self, endpoint: RoutedEndpoint, key: str, now: float) -> Turn:
+        limits = self._parts.capacity.limits
+        due_at = limits.book(key, endpoint.name, now)
+        return Turn(now, due_at, limits.taken_by_peers(endpoint.name))
+
     def _reserve_prompt(
         self, call: Call, endpoint: RoutedEndpoint, key: str, ends_at: float, duration_s: float
     ) -> None:
--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -18,8 +18,10 @@
 from cleatlink.routing.reservation import Reservation
 
 __all__ = [
+    "AT_ONCE",
     "RUNS_APART",
     "Seeker",
+    "SendTime",
     "StreamSize",
     "estimate_output",
     "longest_stream_s",
@@ -99,6 +101,24 @@
         return Reservation(endpoint, Role.DECODE, tokens, ends_at, self.duration_s, self.output)
 
 
+class SendTime(NamedTuple):
+    """When a stream is to be sent, in seconds from now.
+
+    Attributes:
+        ready_in_s: When its prompt should be computed; it is sent no sooner.
+        within_s: When it has to be sent at the latest.
+        is_retry: Whether it looked for a place before, as others at other instances may do at
+            the same moment.
+    """
+
+    ready_in_s: float = 0.0
+    within_s: float = 0.0
+    is_retry: bool = False
+
+
+AT_ONCE = SendTime()
+
+
 def estimate_output(inbound: Inbound, pace: ServicePace) -> int:
     """Estimate the tokens of a stream's answer."""
     output = inbound.max_output_tokens
@@ -134,9 +154,7 @@
     *,
     computes_prompt: bool = False,
     leaves_room: bool = False,
-    sent_after_s: float = 0.0,
-    sent_within_s: float = 0.0,
-    is_back: bool = False,
+    send_time: SendTime = AT_ONCE,
 ) -> RoutedEndpoint | None:
     """Give the decode endpoint with the most room, None if none has enough.
 
@@ -150,34 +168,28 @@
             one that is at another prompt has no room.
         leaves_room: Whether room for one more such stream has to be left, on an endpoint
             that is not idle.
-        sent_after_s: Seconds until the prompt should be computed; the stream is sent no sooner.
-        sent_within_s: Seconds within which it has to be sent.
-        is_back: Whether it looked for a place before, as others at other instances may do at
-            the same moment.
+        send_time: When the stream is to be sent, for endpoints that name a limit.
     """
     count = 2 if leaves_room else 1
-    after_s = _TURN_SPREAD_S * seeker.rng.random() if is_back else 0.0
-    spread = capacity.pace(service).length_spread
+    ready_for_s = _TURN_SPREAD_S * seeker.rng.random() if send_time.is_retry else 0.0
     best: RoutedEndpoint | None = None
     best_cost = 0.0
     for endpoint in capacity.candidates(service, Role.DECODE, seeker.now):
         if endpoint.name in seeker.excluded or capacity.is_full(endpoint.name, seeker.now):
             continue
-        due_in_s = capacity.limits.due_in_s(endpoint.name, seeker.now, after_s)
-        if due_in_s > max(sent_after_s, sent_within_s):
+        due_in_s = capacity.limits.due_in_s(endpoint.name, seeker.now, ready_for_s)
+        if due_in_s > max(send_time.ready_in_s, send_time.within_s):
             continue
         if computes_prompt and capacity.usage(endpoint.name, Role.PREFILL).running:
             continue
         if _must_part(endpoint, capacity, seeker):
             continue
-        usage = capacity.usage(endpoint.name, Role.DECODE)
-        reserved = [work.reserve(endpoint.name, seeker.now)] * count
-        peak = capacity.peak_memory(endpoint.name, reserved, seeker.now, spread)
-        is_full = usage.running + count > traits.slots or peak > traits.memory_tokens
-        if usage.running and is_full:
+        added = [work.reserve(endpoint.name, seeker.now)] * count
+        load = _load_with(endpoint, added, traits, capacity, seeker.now)
+        if load is None:
             continue
-        cost = peak / traits.memory_tokens
-        if due_in_s > sent_after_s:
+        cost = load
+        if due_in_s > send_time.ready_in_s:
             cost += _TURN_DISTANCE + due_in_s
         cost += _STREAM_DISTANCE * _is_far(endpoint, capacity, seeker)
         cost += _suspicion(endpoint, capacity, seeker)
@@ -187,6 +199,27 @@
     return best
 
 
+def _load_with(
+    endpoint: RoutedEndpoint,
+    added: list[Reservation],
+    traits: EngineTraits,
+    capacity: Capacity,
+    now: float,
+) -> float | None:
+    """Give the share of a decode's memory that is held at the most with some streams more.
+
+    Returns:
+        The share; None if they don't fit. A stream that is larger than the memory fits alone.
+    """
+    usage = capacity.usage(endpoint.name, Role.DECODE)
+    spread = capacity.pace(endpoint.service).length_spread
+    peak = capacity.peak_memory(endpoint.name, added, now, spread)
+    is_full = usage.running + len(added) > traits.slots or peak > traits.memory_tokens
+    if usage.running and is_full:
+        return None
+    return peak / traits.memory_tokens
+
+
 def place_prefill(
     service: str, capacity: Capacity, seeker: Seeker, beside: str
 ) -> RoutedEndpoint | None:
