--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -35,6 +35,8 @@
 _EXPECTED_S = 0.1
 # Time in which an endpoint that was full frees some places.
 _RETRY_AFTER_S = 0.5
+# Endpoints in one line: a service may have hundreds.
+_MOST_LOGGED = 8
 
 
 class PlainCall:
@@ -194,10 +196,31 @@
         if self._failed is not None:
             return self._failed
         retry_after_s = self._opens_in_s()
+        self._log_limits(retry_after_s)
         if not self._call.sends:
             return Refusal(ErrorKind.NO_ENDPOINT, detail, retry_after_s)
         return self._call.failure(detail, retry_after_s)
 
+    def _log_limits(self, retry_after_s: float | None) -> None:
+        """Log the limits that the service's endpoints name, where there are any."""
+        capacity, now = self._parts.capacity, trio.current_time()
+        limits = capacity.limits
+        names = [item.name for item in capacity.in_role(self._call.service.name, Role.PLAIN)]
+        levels = {
+            name: (limits.rate_per_s(name), round(limits.level(name, now), 2))
+            for name in names
+            if limits.rate_per_s(name) is not None
+        }
+        if levels:
+            self._call.log(
+                "finds endpoints at their limits",
+                limits_and_levels=dict(list(levels.items())[:_MOST_LOGGED]),
+                limited=len(levels),
+                endpoints=len(names),
+                told_ago_s=limits.told_ago_s(now),
+                retry_after_s=retry_after_s,
+            )
+
     def _opens_in_s(self) -> float | None:
         """Give when a caller finds an endpoint that takes work; None if all of them leave."""
         now = trio.current_time()
