--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -78,6 +78,8 @@
         self.more_headers: dict[str, str] = {}
         # Whether it turns every call away.
         self.sheds = False
+        # Calls without an id, which are no request.
+        self.strangers: list[RawCall] = []
         self.arrived_at: list[float] = []
         # When calls of any kind came, with those that are no caller's request.
         self.asked_at: list[float] = []
@@ -153,6 +155,11 @@
             status = self._take_order(json.loads(call.body))
             await stream.send_all(answer(status, self._notice()))
             return True
+        if "attempt-id" not in call.headers:
+            # Whoever sends this takes the address for another server's.
+            self.strangers.append(call)
+            await stream.send_all(answer(400, {"Not-Executed": "1", **self._notice()}))
+            return True
         self.arrivals.append(call)
         self.arrived_at.append(trio.current_time())
         expected = call.headers.get("expected-instance", self.name)
