--- a/cleatlink/limits/shared.py
+++ b/cleatlink/limits/shared.py
@@ -56,6 +56,20 @@
         self.totals: dict[str, int] = {}
         self.returned: dict[str, int] = {}
 
+    def grown(self, known: dict[str, int], name: str, figure: int) -> int:
+        """Note a figure that only grows; gives by how much, 0 if that is not known.
+
+        Args:
+            known: Figures of one kind as last told.
+            name: Whose it is.
+            figure: As told now.
+        """
+        before = known.get(name, 0 if self.is_complete else None)
+        if before is not None and figure <= before:
+            return 0
+        known[name] = figure
+        return 0 if before is None else figure - before
+
     def forget(self) -> None:
         """Forget what was told: the peer is not asked to account for the time of its silence."""
         self.totals.clear()
@@ -165,28 +179,20 @@
             account.forget()
         account.heard_at = now
         for name, total in told.totals.items():
-            self._take_total(account, name, total, now)
+            self._debit(name, account.grown(account.totals, name, total), now)
         for name, returned in told.returned.items():
-            self._take_returned(account, name, returned, now)
+            self._refund(name, account.grown(account.returned, name, returned), now)
         account.is_complete = len(account.totals) >= told.spenders
 
-    def _take_total(self, account: _PeerAccount, name: str, total: int, now: float) -> None:
-        before = account.totals.get(name, 0 if account.is_complete else None)
-        if before is not None and total <= before:
-            return
-        account.totals[name] = total
-        bucket = self._bucket(name, now)
-        if before is not None and bucket is not None:
-            bucket.debit(total - before)
-
-    def _take_returned(self, account: _PeerAccount, name: str, returned: int, now: float) -> None:
-        before = account.returned.get(name, 0 if account.is_complete else None)
-        if before is not None and returned <= before:
-            return
-        account.returned[name] = returned
-        bucket = self._bucket(name, now)
-        if before is not None and bucket is not None:
-            bucket.refund(returned - before)
+    def _debit(self, name: str, units: int, now: float) -> None:
+        bucket = self._bucket(name, now) if units else None
+        if bucket is not None:
+            bucket.debit(units)
+
+    def _refund(self, name: str, units: int, now: float) -> None:
+        bucket = self._bucket(name, now) if units else None
+        if bucket is not None:
+            bucket.refund(units)
 
     def adopt(self, levels: Mapping[str, float], age_s: float, now: float) -> None:
         """Take over what is left of the limits from a peer that has kept account for longer."""
--- a/cleatlink/routing/endpoint_limits.py
+++ b/cleatlink/routing/endpoint_limits.py
@@ -179,6 +179,7 @@
         """Count a call of any kind that is sent to an endpoint, booked or not."""
         unsent = self._unsent.get(life)
         if unsent:
+            # Which of the calls that booked it is counts for nothing: the first one's turn was due.
             key = next(iter(unsent))
             self._drop_unsent(life, key)
             del self._booked[key]
