--- a/cleatlink/organisations/limits_test.py
+++ b/cleatlink/organisations/limits_test.py
@@ -288,10 +288,10 @@
     """What the checks above rest on shows when it is taken away."""
     if fault == "counts doubles":
 
-        def take(self: Any, account: Any, name: str, total: int, now: float) -> None:
-            self._bucket(name, now).debit(total)
+        def grown(self: Any, known: dict[str, int], name: str, figure: int) -> int:
+            return figure
 
-        monkeypatch.setattr(OrganisationLimits, "_take_total", take)
+        monkeypatch.setattr("cleatlink.limits.shared._PeerAccount.grown", grown)
         with pytest.raises(AssertionError):
             test_totals_that_are_doubled_late_or_lost_change_nothing_for_good()
     elif fault == "forgets peers":
