--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -185,7 +185,7 @@
         _NAMES[8:],
         _OF_ORGANISATIONS[:2],
         ["quarantine"],
-        ["endpoint-limits"],
+        pytest.param(["endpoint-limits"], marks=pytest.mark.alone),
         pytest.param(_OF_ORGANISATIONS[2:], marks=pytest.mark.alone),
     ],
 )
--- a/soak/strike.py
+++ b/soak/strike.py
@@ -52,7 +52,7 @@
 # Shortest and longest rest that a worker asks for.
 _RESTS_S = (1.0, 4.0)
 # Lowest and highest limit that a worker names, in calls a second, and for how long at the least.
-_LIMITS_PER_S = (1.0, 8.0)
+_LIMITS_PER_S = (0.5, 3.0)
 _LIMIT_S = 7.0
 # Seconds by which a machine was suspended beyond its pause, and by which a time of day steps.
 _SUSPENDED_S = (0.5, 30.0)
