A stopped daemon leaves its process without the interpreter's end

Nothing was in flight.

Cause: measured step by step on one instance with 20 callers' connections, four stops on the machine as it was and eight beside 12 busy processes. From the end of the stop to the end of all tasks 1 to 9 ms, trio and the command line 0 to 3 ms. From the last exit function to the end of the process, where the interpreter releases modules and objects, 122 to 163 ms, and 233 to 691 ms beside the 12 processes. The work leaves 500 ms of the grace. Sockets, peers, the log writer and worker threads were ruled out.

Change: the daemon flushes its streams and ends its process when its work has ended. A process that meets an exception, and all other commands, end as before. Afterwards, the same measurement: 4 to 9 ms from the end of the stop to the end of the process, 12 to 65 ms beside 12 busy processes. The 500 ms stay: the last answers have 100 ms of them.

The new test failed before: an interpreter whose end takes a minute (exit function and thread) was still there after 20 s.

Conclusion: the end no longer depends on what the process holds.

--- a/cleatlink/relay/daemon_test.py
+++ b/cleatlink/relay/daemon_test.py
@@ -15,6 +15,15 @@
 from standins.relay.fleet import Fleet, open_fleet
 from standins.relay.settings import write_settings
 
+# How the program is run with an interpreter that takes a minute to end.
+SLOW_END = """
+import atexit, sys, threading, time
+atexit.register(time.sleep, 60)
+threading.Thread(target=time.sleep, args=(60,)).start()
+from cleatlink.scripts.main import main
+sys.argv[0] = "cleatlink"
+main()
+"""
 PROGRAM = [sys.executable, "-m", "cleatlink.scripts.main", "entry"]
 
 
@@ -117,6 +126,31 @@
             process.wait()
 
 
+async def test_stopped_process_is_gone_however_long_its_interpreter_takes(tmp_path: Path) -> None:
+    """A process ends when its work has ended.
+
+    Processes were still there 5 s after SIGTERM on a busy machine, and were killed: the
+    interpreter released all that it had, after the last answer and the last log line.
+    """
+    async with open_fleet() as fleet:
+        await offer_plain_service(fleet)
+        file = tmp_path / "local.toml"
+        ports = write_settings(file, fleet)
+        output = (tmp_path / "out.log").open("wb")
+        command = [sys.executable, "-c", SLOW_END, "entry", "--settings-file", str(file)]
+        process = subprocess.Popen(command, stdout=output)
+        try:
+            await wait_ready(ports.ready)
+            process.send_signal(signal.SIGTERM)
+            assert await trio.to_thread.run_sync(process.wait, 20) == 0
+        finally:
+            process.kill()
+            process.wait()
+            output.close()
+        last = (tmp_path / "out.log").read_text().splitlines()[-1]
+        assert json.loads(last)["message_type"] == "instance: has stopped"
+
+
 def test_bad_settings_end_with_a_line_for_each_fault(tmp_path: Path) -> None:
     file = tmp_path / "local.toml"
     file.write_text('node = "n1"\nip = "127.0.0.1"\ninternal_ports = [1]\nseeds = []\n')
--- a/cleatlink/scripts/main.py
+++ b/cleatlink/scripts/main.py
@@ -2,6 +2,7 @@
 
 import sys
 
+from cleatlink.scripts.exits import leave_process
 from cleatlink.scripts.signals import handle_early_signals, ignore_late_signals
 
 __all__ = ["main"]
@@ -12,13 +13,18 @@
 
 def main() -> None:
     """Run the command."""
-    if sys.argv[1:2] == [_DAEMON]:
+    is_daemon = sys.argv[1:2] == [_DAEMON]
+    if is_daemon:
         # Imports take most of a start, and a reload that met them ended the process.
         handle_early_signals()
     from cleatlink.scripts.commands import main as run_command  # noqa: PLC0415
 
     try:
         run_command()
+    except SystemExit as end:
+        if is_daemon:
+            leave_process(end.code)
+        raise
     finally:
         ignore_late_signals()
 
