A stream that its decode turns away looks for another at once, then waits longer each time

Callers saw streams refused whose prompt had been computed. A traced one was sent to the same decode 23, 113 and 201 ms after its prompt was ready and turned away each time, while other decodes had room.

Cause: a route that allows one endpoint asked the same decode thrice within 0.2 s and gave up. A route that allows more left the decode for good, also when no other had room, and stood among those whose prompts were not computed.

Ruled out: sending beyond the endpoints that a route allows, also for a refused send. Each send still takes from the retry budget.

Change: routing/shed.py plans what follows from the refusals so far, room elsewhere, the life of the prompt's result and the caller's time. Another decode with room gets the stream at once if the route allows it; otherwise the same one is asked after 0.08, 0.16 and 0.32 s, and another is looked for again after each pause. A stream whose prompt is computed goes before those whose is not. The line 'goes on after a refusal' tells what was decided.

Before the change the new test of a route with one endpoint got 503 where it gets its answer now.

--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -79,11 +79,15 @@
 
     def lives(self) -> bool:
         """Tell whether there is a handle that surely has not lapsed."""
+        return self.lives_for_s() > 0
+
+    def lives_for_s(self) -> float:
+        """Give for how many seconds the handle surely lives; 0 without one."""
         traits = self._call.service.engine
         if self.handle is None or self.source is None or traits is None:
-            return False
+            return 0.0
         age_s = trio.current_time() - self.handle.made_at
-        return age_s < _HANDLE_SHARE * traits.handle_lifetime_s
+        return max(0.0, _HANDLE_SHARE * traits.handle_lifetime_s - age_s)
 
     async def run(self, data_centre: str) -> Refusal | None:
         """Have the prompt computed; without any prefill endpoint the decode does it."""
--- a/cleatlink/relay/calls/room.py
+++ b/cleatlink/relay/calls/room.py
@@ -14,6 +14,7 @@
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.prompt_plan import PromptPlan, plan_prompt
 from cleatlink.routing.relay_place import (
+    Seeker,
     SendTime,
     StreamSize,
     estimate_output,
@@ -35,7 +36,8 @@
 _MIN_RETRY_S = 0.4
 # Where nothing can be foreseen, an endpoint that fell silent may be back by then.
 _NO_FORECAST_S = 1.0
-# Above every priority of a route.
+# Above every priority of a route: a prompt that is computed is for nothing if it lapses.
+_READY_URGENCY = 50
 _BEGUN_URGENCY = 100
 
 
@@ -93,6 +95,13 @@
     may_wait: bool = True
 
 
+class _Fit(NamedTuple):
+    """An endpoint that has room for a stream, and what the stream takes of it."""
+
+    endpoint: RoutedEndpoint
+    size: StreamSize
+
+
 class DecodeRoom:
     """Gives streams room at decode endpoints."""
 
@@ -161,7 +170,7 @@
             # it: its caller can come back with the last event that it has.
             may_wait = call.ran is Ran.NO
             return _Standing(_BEGUN_URGENCY, now, prompt_ready, may_wait=may_wait)
-        urgency = -call.priority
+        urgency = (_READY_URGENCY if prompt_ready else 0) - call.priority
         back = self._returns.take(call.inbound, now)
         if back is None:
             return _Standing(urgency, now, prompt_ready)
@@ -280,24 +289,12 @@
         yields = self._yields(plan, standing)
         if yields and plan.queue_s > pace.prompt_s(call.inbound.prompt_tokens):
             return None
-        output = estimate_output(call.inbound, pace)
         seeker = call.seeker()
-        duration_s = pace.stream_s(output) + plan.ready_s
-        ready_in_s = 0.0 if plan.direct else plan.ready_s
-        spare_s = max(0.0, plan.spare_s - standing.first_ago_s)
-        size = StreamSize(call.inbound.prompt_tokens, output, duration_s)
-        endpoint = place_decode(
-            call.service.name,
-            size,
-            traits,
-            capacity,
-            seeker,
-            computes_prompt=plan.direct,
-            leaves_room=yields,
-            send_time=SendTime(ready_in_s, ready_in_s + spare_s, is_retry),
-        )
-        if endpoint is None:
+        fit = self._fit(call, plan, standing, seeker, is_retry=is_retry)
+        if fit is None:
             return None
+        endpoint, size = fit
+        ready_in_s = 0.0 if plan.direct else plan.ready_s
         key = f"{call.inbound.request_id}/{call.sends}/d"
         now = seeker.now
         work = size.reserve(endpoint.name, now)._replace(suspicion=seeker.suspicion)
@@ -317,7 +314,45 @@
             computes_prompt=plan.direct,
         )
         prompt_at = turn.due_at - ready_in_s
-        return Room(endpoint, key, duration_s, output, plan.direct, turn, prompt_at)
+        return Room(endpoint, key, size.duration_s, size.output, plan.direct, turn, prompt_at)
+
+    def _fit(
+        self,
+        call: Call,
+        plan: PromptPlan,
+        standing: _Standing,
+        seeker: Seeker,
+        *,
+        is_retry: bool,
+    ) -> _Fit | None:
+        """Give the endpoint that has room for a call now, and what the call takes there."""
+        traits = call.service.engine
+        assert traits is not None, "only engines decode"
+        capacity = self._parts.capacity
+        pace = capacity.pace(call.service.name)
+        output = estimate_output(call.inbound, pace)
+        size = StreamSize(call.inbound.prompt_tokens, output, pace.stream_s(output) + plan.ready_s)
+        ready_in_s = 0.0 if plan.direct else plan.ready_s
+        spare_s = max(0.0, plan.spare_s - standing.first_ago_s)
+        endpoint = place_decode(
+            call.service.name,
+            size,
+            traits,
+            capacity,
+            seeker,
+            computes_prompt=plan.direct,
+            leaves_room=self._yields(plan, standing),
+            send_time=SendTime(ready_in_s, ready_in_s + spare_s, is_retry),
+        )
+        return None if endpoint is None else _Fit(endpoint, size)
+
+    def has_room_beside(self, call: Call, endpoint: RoutedEndpoint, prompt_ready: bool) -> bool:
+        """Tell whether an endpoint other than a given one has room for a call now."""
+        standing = _Standing(_READY_URGENCY - call.priority, trio.current_time(), prompt_ready)
+        plan = self._plan_prompt(call, standing)
+        seeker = call.seeker()
+        seeker = seeker._replace(excluded=seeker.excluded | {endpoint.name})
+        return self._fit(call, plan, standing, seeker, is_retry=False) is not None
 
     def _book_turn(self, endpoint: RoutedEndpoint, key: str, now: float) -> Turn:
         limits = self._parts.capacity.limits
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -25,15 +25,12 @@
 from cleatlink.relay.endpoints.protocol import ReplyHead
 from cleatlink.relay.exchange import Exchange
 from cleatlink.relay.tasks import run_watched
+from cleatlink.routing.shed import ShedAction, ShedPlan, plan_after_shed
 
 __all__ = ["StreamCall", "StreamEnd"]
 
 # Far above the body of a failure.
 _MOST_REPLY_BYTES = 65_536
-# An engine that is full just now has room after some steps.
-_OFFER_AGAIN_S = 0.08
-# With the pause between them this stays within a handle's life.
-_MOST_REFUSALS = 2
 # A resumable stream looks for another endpoint when its own is silent for so long.
 _FIRST_EVENT_S = 1.5
 # So many of the route's longest pauses count as silence, within these bounds.
@@ -272,23 +269,54 @@
         await self._exchange.start(head.status, parts.protocol.passed_back(head))
 
     async def _note_refused(self, endpoint: RoutedEndpoint, head: ReplyHead) -> StreamEnd | None:
-        """Take a refusal: the handle may still serve here a little later, or elsewhere."""
+        """Take a refusal: another endpoint may have room, or this one a little later."""
         call, place = self._call, self._place
         call.note_not_run()
         call.note_refused(endpoint, head)
         self._refusals += 1
-        # Also after a 421: the address has another endpoint now.
-        if call.may_try_another():
-            place.move_on()
-            return None
-        if self._refusals > _MOST_REFUSALS or not call.may_send(endpoint):
+        plan = self._plan_after_shed(endpoint)
+        if plan.action is ShedAction.AGAIN:
+            await trio.sleep(plan.pause_s)
+            if self._has_room_elsewhere(endpoint):
+                plan = plan._replace(action=ShedAction.ELSEWHERE)
+        call.log(
+            "goes on after a refusal",
+            endpoint=endpoint.name,
+            refusals=self._refusals,
+            action=plan.action.value,
+            pause_ms=int(1000 * plan.pause_s),
+            keeps_handle=plan.keeps_handle,
+        )
+        if plan.action is ShedAction.GIVE_UP:
             return self._give_up(call.failure("the decode endpoint has no room", RETRY_AFTER_S))
-        await trio.sleep(_OFFER_AGAIN_S)
-        if self._refusals > 1 or not place.prefill.lives():
-            # The refusal may be the handle's: the endpoint can compute the prompt itself.
+        if not plan.keeps_handle:
             place.prefill.drop("refused")
+        if plan.action is ShedAction.ELSEWHERE:
+            place.move_on()
+            return None
         return await self._decode()
 
+    def _plan_after_shed(self, endpoint: RoutedEndpoint) -> ShedPlan:
+        call = self._call
+        if not self._parts.capacity.takes_work(endpoint.name):
+            # It leaves, or its address has another endpoint now.
+            return ShedPlan(ShedAction.ELSEWHERE)
+        if not call.may_send(endpoint):
+            return ShedPlan(ShedAction.GIVE_UP)
+        return plan_after_shed(
+            self._refusals,
+            room_elsewhere=self._has_room_elsewhere(endpoint),
+            handle_left_s=self._place.prefill.lives_for_s(),
+            left_s=min(call.left_s, call.route.patience_s - call.age_s),
+        )
+
+    def _has_room_elsewhere(self, endpoint: RoutedEndpoint) -> bool:
+        """Tell whether another endpoint that the route still allows has room now."""
+        call = self._call
+        if not call.may_try_another():
+            return False
+        return self._rooms.has_room_beside(call, endpoint, self._place.prefill.lives())
+
     def _after_break(self) -> StreamEnd | None:
         """Decide what follows a stream that broke off, never came or goes on elsewhere."""
         call = self._call
--- a/cleatlink/relay/calls/stream_test.py
+++ b/cleatlink/relay/calls/stream_test.py
@@ -1,5 +1,7 @@
 """Streams through whole instances of the relay, over real connections."""
 
+from itertools import pairwise
+
 import trio
 
 from cleatlink.routing.mechanisms import Mechanism
@@ -79,6 +81,27 @@
         assert fleet.instances[0].capacity.own == {}
 
 
+async def test_stream_that_may_go_nowhere_else_waits_longer_each_time_at_its_decode() -> None:
+    """A decode that was full for a quarter of a second was asked thrice within 0.2 s.
+
+    The stream was refused then, and its prompt had been computed for nothing.
+    """
+    async with open_fleet() as fleet:
+        prefill, decode, _ = engines()
+        await start(fleet, prefill, decode)
+        fleet.add_route("/once/", "streaming", "model", attempts=1)
+        version = fleet.configure()
+        await fleet.until(lambda: fleet.instances[0].records.table_revision == version)
+        decode.faults = [Fault.FULL] * 3
+        reply = await fleet.caller().ask("/once/x", "POST", body=b"prompt", headers=STREAM)
+        assert (reply.status, reply.whole) == (200, True)
+        pauses_s = [after - before for before, after in pairwise(decode.arrived_at)]
+        assert len(pauses_s) == 3
+        assert pauses_s[0] >= 0.08
+        assert pauses_s[1] >= 0.16
+        assert pauses_s[2] >= 0.32
+
+
 async def test_stream_without_room_is_refused_at_once_with_a_time_to_come_back() -> None:
     async with open_fleet() as fleet:
         prefill, decode, _ = engines()
--- /dev/null
+++ b/cleatlink/routing/shed_test.py
@@ -0,0 +1,41 @@
+"""A decode turned away a stream whose prompt is computed."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cleatlink.routing.shed import ShedAction, plan_after_shed
+
+HANDLE_S = 0.35
+
+
+def test_stream_does_not_wait_at_a_full_decode_while_another_has_room() -> None:
+    """A stream was sent to one decode three times within 0.2 s and refused each time.
+
+    Others had room meanwhile. The result of its prompt lasts for half a second.
+    """
+    plan = plan_after_shed(1, room_elsewhere=True, handle_left_s=HANDLE_S, left_s=5.0)
+    assert (plan.action, plan.pause_s, plan.keeps_handle) == (ShedAction.ELSEWHERE, 0.0, True)
+
+
+def test_pauses_grow_where_there_is_no_other() -> None:
+    plans = [
+        plan_after_shed(count, room_elsewhere=False, handle_left_s=HANDLE_S, left_s=5.0)
+        for count in (1, 2, 3, 4)
+    ]
+    assert [plan.action for plan in plans] == [ShedAction.AGAIN] * 3 + [ShedAction.GIVE_UP]
+    assert [plan.pause_s for plan in plans[:3]] == [0.08, 0.16, 0.32]
+    assert [plan.keeps_handle for plan in plans[:3]] == [True, False, False]
+
+
+@given(st.integers(1, 10), st.booleans(), st.floats(0.0, 2.0), st.floats(-1.0, 20.0))
+def test_plan_holds_its_bounds(
+    refusals: int, room_elsewhere: bool, handle_left_s: float, left_s: float
+) -> None:
+    plan = plan_after_shed(
+        refusals, room_elsewhere=room_elsewhere, handle_left_s=handle_left_s, left_s=left_s
+    )
+    assert plan.action is ShedAction.GIVE_UP or refusals <= 3
+    assert plan.action is not ShedAction.ELSEWHERE or room_elsewhere
+    if plan.action is ShedAction.AGAIN:
+        assert plan.pause_s < left_s
+        assert not plan.keeps_handle or plan.pause_s < handle_left_s
