An answer is taken from its endpoint though its caller reads slowly, within the machine's memory

A caller that paused for some seconds lost its answer: the instance read from the endpoint only as fast as its caller read, and endpoints cut off what goes unread. The pause also counted as the endpoint's, which was avoided for it by others. Bodies of requests were read without a common bound, on machines of 128 MB whose process is killed when it grows past them.

What is held for callers is counted by kind and bounded by a quarter of the machine's memory; one caller's share falls with what is left, bodies that are still read go first (503, not run) and ready answers are never refused. A caller that takes nothing for 6 s is left with a log line.

--- a/cleatlink/platform/settings.py
+++ b/cleatlink/platform/settings.py
@@ -66,6 +66,7 @@
         lease_s=reader.number("bounds.lease_ms") / _MS,
         history_s=reader.number("platform.history_s"),
         limit_tolerance=_read_tolerance(reader),
+        memory_mb=reader.optional_number("limits.memory_mb", 0.0),
     )
     if reader.faults:
         raise SettingsError(reader.faults)
--- a/cleatlink/relay/callers/server.py
+++ b/cleatlink/relay/callers/server.py
@@ -6,13 +6,16 @@
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 import h11
 import trio
 
 from cleatlink.core.routes import CallerLimits, Headers
+from cleatlink.relay.callers.unread import UnreadAnswer
 from cleatlink.relay.exchange import AnswerStream, Exchange, RawRequest
 from cleatlink.relay.sockets import quicken
+from cleatlink.routing.held_bytes import HeldBytes, HeldKind
 
 __all__ = ["Handler", "serve_connections"]
 
@@ -24,6 +27,13 @@
 _CALLER_SILENCE_S = 6.0
 # Heads up to this size are read even if a table allows less, to answer them properly.
 _MIN_HEAD_BYTES = 16_384
+# What is held for the callers of a listener that has no limit of its own.
+_DEFAULT_HELD_BYTES = 33_554_432
+# A body that finds no memory waits so long for some: answers are read within that, as a rule.
+_MEMORY_WAIT_S = 1.0
+_MEMORY_LOOK_S = 0.02
+# Status of a request that was not read for want of memory.
+_BUSY = 503
 # Pause after an accept failed, as when descriptors run out.
 _ACCEPT_PAUSE_S = 0.05
 
@@ -65,9 +75,13 @@
 class CallerConnection(AnswerStream):
     """One connection of a caller."""
 
-    def __init__(self, stream: trio.SocketStream, handler: Handler) -> None:
+    def __init__(self, stream: trio.SocketStream, handler: Handler, held: HeldBytes) -> None:
         self._stream = stream
         self._handler = handler
+        self._held = held
+        self._body_bytes = 0
+        self._unread = UnreadAnswer(stream, held)
+        self._spawn: Callable[..., None] | None = None
         size = max(handler.limits.header_bytes, _MIN_HEAD_BYTES)
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=size)
         self._ended = False
@@ -79,6 +93,14 @@
                 pass
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
             return
+        finally:
+            self._give_body_back()
+            self._unread.close()
+
+    def _give_body_back(self) -> None:
+        """Note that the request's body is held no longer."""
+        self._held.remove(HeldKind.REQUEST_BODIES, self._body_bytes)
+        self._body_bytes = 0
 
     async def _serve_one(self) -> bool:
         """Serve one request; tells whether another may follow."""
@@ -91,6 +113,7 @@
             return False
         exchange = Exchange(self, request)
         await self._handle(exchange)
+        self._give_body_back()
         if not exchange.ended or self._ended:
             return False
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
@@ -102,10 +125,13 @@
         """Run the handler; end it when the caller closes."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch, nursery.cancel_scope)
+            self._spawn = nursery.start_soon
             try:
                 await self._handler.handle(exchange)
             except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
                 self._ended = True
+            finally:
+                self._spawn = None
             nursery.cancel_scope.cancel()
 
     async def _watch(self, scope: trio.CancelScope) -> None:
@@ -179,6 +205,7 @@
                 return b"".join(parts)
             if isinstance(event, h11.Data):
                 if keeps:
+                    await self._hold_body(len(event.data))
                     parts.append(bytes(event.data))
                 size += len(event.data)
                 if size > self._handler.limits.body_bytes:
@@ -191,6 +218,20 @@
                 raise _BadRequestError(408)
             self._feed(data)
 
+    async def _hold_body(self, count: int) -> None:
+        """Count a part of a body; without memory for it the caller waits, or is refused.
+
+        Raises:
+            _BadRequestError: There was no memory in time. The request has not run.
+        """
+        until = trio.current_time() + _MEMORY_WAIT_S
+        while not self._held.admits_body(count):
+            if trio.current_time() >= until:
+                raise _BadRequestError(_BUSY)
+            await trio.sleep(_MEMORY_LOOK_S)
+        self._held.add(HeldKind.REQUEST_BODIES, count)
+        self._body_bytes += count
+
     async def _receive(self, until: float) -> bytes | None:
         """Read more; None when nothing came until then."""
         with trio.move_on_at(until):
@@ -227,11 +268,22 @@
         """Send a part of an answer."""
         data = self._http.send(event)
         if data:
-            await self._stream.send_all(data)
-
-
-async def serve_connections(listener: trio.SocketListener, handler: Handler) -> None:
-    """Accept and serve connections until cancelled."""
+            await self._unread.send(data, self._spawn)
+        if isinstance(event, h11.EndOfMessage):
+            await self._unread.flush()
+
+
+async def serve_connections(
+    listener: trio.SocketListener, handler: Handler, held: HeldBytes | None = None
+) -> None:
+    """Accept and serve connections until cancelled.
+
+    Args:
+        listener: Where callers connect.
+        handler: Serves their requests.
+        held: Counts what is held for them; by default they have an account of their own.
+    """
+    held = HeldBytes(_DEFAULT_HELD_BYTES) if held is None else held
     try:
         async with trio.open_nursery() as nursery:
             while True:
@@ -241,15 +293,15 @@
                     # Out of descriptors, or a connection that is gone again.
                     await trio.sleep(_ACCEPT_PAUSE_S)
                     continue
-                nursery.start_soon(_serve_connection, stream, handler)
+                nursery.start_soon(_serve_connection, stream, handler, held)
     finally:
         listener.socket.close()
 
 
-async def _serve_connection(stream: trio.SocketStream, handler: Handler) -> None:
+async def _serve_connection(stream: trio.SocketStream, handler: Handler, held: HeldBytes) -> None:
     try:
         quicken(stream.socket, _CALLER_SILENCE_S)
-        await CallerConnection(stream, handler).run()
+        await CallerConnection(stream, handler, held).run()
     except OSError:
         return
     finally:
--- /dev/null
+++ b/cleatlink/relay/callers/server_test.py
@@ -0,0 +1,80 @@
+"""Callers' connections when memory is short."""
+
+import socket
+
+import trio
+
+from cleatlink.core.routes import CallerLimits
+from cleatlink.relay.callers.server import Handler, serve_connections
+from cleatlink.relay.exchange import Exchange
+from cleatlink.routing.held_bytes import HeldBytes, HeldKind
+
+BODY = b"b" * 60_000
+
+
+class Echo(Handler):
+    """Answers with the length of the body, and counts what it was given."""
+
+    def __init__(self) -> None:
+        self.handled = 0
+
+    @property
+    def limits(self) -> CallerLimits:
+        return CallerLimits()
+
+    @property
+    def closing(self) -> bool:
+        return False
+
+    async def handle(self, exchange: Exchange) -> None:
+        self.handled += 1
+        await exchange.answer(200, (), b"%d" % len(exchange.request.body))
+
+    async def refuse(self, exchange: Exchange, status: int) -> None:
+        await exchange.answer(status, (), b"")
+
+
+async def post(port: int) -> bytes:
+    """Send a request; gives its answer's first line."""
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    async with stream:
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % len(BODY)
+        await stream.send_all(head + BODY)
+        return bytes(await stream.receive_some(4_096)).partition(b"\r\n")[0]
+
+
+async def test_body_that_finds_no_memory_is_refused_and_has_not_run() -> None:
+    held, handler = HeldBytes(100_000), Echo()
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    await sock.bind(("127.0.0.1", 0))
+    sock.listen()
+    port = sock.getsockname()[1]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve_connections, trio.SocketListener(sock), handler, held)
+        held.add(HeldKind.UNREAD_ANSWERS, 90_000)
+        assert await post(port) == b"HTTP/1.1 503 "
+        assert handler.handled == 0
+        held.remove(HeldKind.UNREAD_ANSWERS, 90_000)
+        assert held.total == 0
+        nursery.cancel_scope.cancel()
+
+
+async def test_body_waits_for_memory_that_comes() -> None:
+    held, handler = HeldBytes(200_000), Echo()
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    await sock.bind(("127.0.0.1", 0))
+    sock.listen()
+    port = sock.getsockname()[1]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve_connections, trio.SocketListener(sock), handler, held)
+        held.add(HeldKind.UNREAD_ANSWERS, 190_000)
+
+        async def give_back_soon() -> None:
+            await trio.sleep(0.2)
+            held.remove(HeldKind.UNREAD_ANSWERS, 190_000)
+
+        nursery.start_soon(give_back_soon)
+        assert await post(port) == b"HTTP/1.1 200 "
+        await trio.sleep(0.05)
+        assert held.total == 0
+        nursery.cancel_scope.cancel()
--- a/cleatlink/relay/callers/service.py
+++ b/cleatlink/relay/callers/service.py
@@ -30,6 +30,7 @@
     408: ErrorKind.SLOW_SENDER,
     413: ErrorKind.TOO_LARGE,
     431: ErrorKind.BAD_REQUEST,
+    503: ErrorKind.BUSY,
 }
 _DEFAULT_LIMITS = CallerLimits()
 # A new table is usually in force by then.
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -247,6 +247,8 @@
             if not exchange.started:
                 await self._start(head)
             await exchange.send(b"".join(event.data for event in events))
+            # A caller that reads slowly does not make its endpoint slow.
+            heard_at = trio.current_time()
             if longest_s > call.route.event_gap_s:
                 call.note_slow(self._place.endpoint, longest_s)
                 longest_s = -math.inf
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -39,6 +39,7 @@
 from cleatlink.relay.tasks import Task, run_once, supervise
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.fleet_records import FleetRecords
+from cleatlink.routing.held_bytes import HeldBytes
 from cleatlink.routing.mechanisms import Switches
 from cleatlink.routing.reservation import Reservation
 
@@ -57,6 +58,12 @@
 # Registrations that can't be used, and words of endpoints, are told up to so many of each: anybody
 # may have written them.
 _MOST_TOLD = 100
+# An instance itself takes up to half of the smallest machine; a part of the rest is left for what
+# the kernel holds.
+_HELD_SHARE = 0.25
+# Where the machine's memory is not known, that of a small one.
+_SMALL_MEMORY_MB = 128.0
+_BYTES_A_MB = 1_000_000
 # Instances that may exist before any were heard.
 _FIRST_MEMBERS = 12
 
@@ -95,6 +102,7 @@
             self._note_sent,
         )
         self._budgets = ServiceBudgets(settings)
+        self._held = HeldBytes(_held_limit_bytes(settings.memory_mb))
         self._planned_stop = PlannedStop()
         limits = OrganisationLimits(settings.limit_tolerance, trio.current_time())
         self._gate = OrganisationGate(limits)
@@ -244,7 +252,8 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             for listener, handler in listeners:
-                nursery.start_soon(serve_connections, listener, handler)
+                held = self._held if handler is self._service else None
+                nursery.start_soon(serve_connections, listener, handler, held)
             self._peers.start(self._keep, self._spawn)
             for task in (self._follower.run, self._keep_house, self._roles.run):
                 self._keep(task)
@@ -392,6 +401,7 @@
         """Give the metrics as text."""
         if self._writer is not None:
             self._metrics.set_dropped(self._writer.dropped)
+        self._metrics.set_held(self._held)
         return self._metrics.render()
 
     async def _keep_house(self) -> None:
@@ -406,3 +416,8 @@
             self._capacity.limits.forget(trio.current_time())
             if self._writer is not None:
                 self._writer.flush()
+
+
+def _held_limit_bytes(memory_mb: float) -> int:
+    """Give what may be held for callers on a machine."""
+    return int(_HELD_SHARE * (memory_mb or _SMALL_MEMORY_MB) * _BYTES_A_MB)
--- a/cleatlink/relay/metrics.py
+++ b/cleatlink/relay/metrics.py
@@ -4,6 +4,7 @@
 
 from cleatlink import __version__
 from cleatlink.core.errors import ErrorKind
+from cleatlink.routing.held_bytes import HeldBytes, HeldKind
 
 __all__ = ["RelayMetrics"]
 
@@ -55,6 +56,11 @@
             "Answers in which endpoints said something of themselves, by kind.",
         )
         self._organisations: set[str] = set()
+        self._held = Gauge(
+            "cleatlink_relay_held_bytes",
+            "Bytes held for callers that read or send slowly.",
+            registry=self._registry,
+        )
         self._dropped = Gauge(
             "cleatlink_relay_log_lines_dropped", "Log lines dropped.", registry=self._registry
         )
@@ -162,6 +168,11 @@
         """Show the requests in progress."""
         self._in_flight.set({}, count)
 
+    def set_held(self, held: HeldBytes) -> None:
+        """Show what is held for callers that read or send slowly."""
+        for kind in HeldKind:
+            self._held.set({"kind": kind.value}, held.held(kind))
+
     def set_dropped(self, count: int) -> None:
         """Show how many log lines were dropped."""
         self._dropped.set({}, count)
--- a/cleatlink/relay/settings.py
+++ b/cleatlink/relay/settings.py
@@ -29,6 +29,7 @@
         lease_s: Silence after which another instance may give orders.
         history_s: Time for which the configuration service keeps its history.
         limit_tolerance: By how much organisations may pass their limits in a cut.
+        memory_mb: Memory of the machine, in megabytes; 0 where it is not known.
         without: Mechanisms that are switched off for an experiment.
     """
 
@@ -48,4 +49,5 @@
     lease_s: float = 3.0
     history_s: float = 20.0
     limit_tolerance: LimitTolerance = LimitTolerance()
+    memory_mb: float = 0.0
     without: frozenset[Mechanism] = frozenset()
