--- a/cleatlink/relay/calls/room.py
+++ b/cleatlink/relay/calls/room.py
@@ -1,5 +1,6 @@
 """Finds room for streams, and lets them wait for it in the order of their priority."""
 
+import math
 from typing import NamedTuple
 
 import trio
@@ -32,6 +33,9 @@
 _PROMPT = "/p"
 # A call that waits is judged anew so often: what was foreseen may not come.
 _LOOK_AGAIN_S = 0.25
+# Work of all instances changes tens of times a second, and each try looks at every decode: those
+# who wait try no more often than this.
+_OFFER_PAUSE_S = 0.02
 # Sooner, a caller meets what it has just left.
 _MIN_RETRY_S = 0.4
 # Where nothing can be foreseen, an endpoint that fell silent may be back by then.
@@ -109,6 +113,8 @@
         self._parts = parts
         self._waiting = WaitingRoom()
         self._returns = Returns(parts.capacity)
+        self._offered_at = -math.inf
+        self._is_offering = False
 
     @property
     def waiting(self) -> int:
@@ -116,7 +122,22 @@
         return len(self._waiting)
 
     def offer(self) -> None:
-        """Let those who wait try again."""
+        """Let those who wait try again: at once, or soon where they have tried just now."""
+        if not self._waiting or self._is_offering:
+            return
+        if trio.current_time() - self._offered_at >= _OFFER_PAUSE_S:
+            self._offer_now()
+            return
+        self._is_offering = True
+        self._parts.spawn(self._offer_later)
+
+    async def _offer_later(self) -> None:
+        await trio.sleep_until(self._offered_at + _OFFER_PAUSE_S)
+        self._is_offering = False
+        self._offer_now()
+
+    def _offer_now(self) -> None:
+        self._offered_at = trio.current_time()
         self._waiting.offer()
 
     def release(self, key: str) -> None:
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -418,7 +418,8 @@
             self._capacity.peer_reserve(changes.name, item.key, work)
         for key in changes.over:
             self._capacity.peer_release(changes.name, key)
-        self._hooks.on_work()
+        if changes.over:
+            self._hooks.on_work()
 
     def _note_placed(self, peer: str, key: str, item: Reservation) -> None:
         if not self._capacity.knows(peer, key):
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -49,7 +49,10 @@
 
     def pace(self, service: str) -> ServicePace:
         """Give what was learned of a service's pace."""
-        return self._paces.setdefault(service, ServicePace(self.switches))
+        pace = self._paces.get(service)
+        if pace is None:
+            pace = self._paces[service] = ServicePace(self.switches)
+        return pace
 
     def pace_summaries(self, now: float) -> dict[str, tuple[PaceSummary, float]]:
         """Give what peers may take over of services' paces, with its age in seconds."""
--- a/cleatlink/routing/forecast.py
+++ b/cleatlink/routing/forecast.py
@@ -15,7 +15,6 @@
 from cleatlink.core.data import Role
 from cleatlink.core.routes import EngineTraits
 from cleatlink.routing.capacity import Capacity
-from cleatlink.routing.reservation import peak_memory
 
 __all__ = ["RoomForecast", "StreamDemand"]
 
@@ -121,7 +120,7 @@
 ) -> _Opening:
     placed = capacity.placed(name, Role.DECODE)
     ends = [(item.expected_end(now), item.tokens) for item in placed]
-    held = peak_memory(placed, now, spread)
+    held = capacity.peak_memory(name, [], now, spread)
     prompts_until = capacity.free_at(name, Role.PREFILL, now)
     tokens = min(traits.memory_tokens - held, capacity.free_tokens(name, now) - 1)
     slots = traits.slots - len(placed)
--- a/cleatlink/routing/workload.py
+++ b/cleatlink/routing/workload.py
@@ -3,11 +3,13 @@
 from collections.abc import Callable, Sequence
 
 from cleatlink.core.data import Role
-from cleatlink.routing.reservation import Reservation, Usage, peak_memory
+from cleatlink.routing.reservation import MemoryProfile, Reservation, Usage
 
 __all__ = ["Workload"]
 
 _UNUSED = Usage()
+# What an endpoint's work holds is looked at anew after so many seconds without a change of it.
+_PROFILE_S = 0.02
 
 
 class Workload:
@@ -28,6 +30,7 @@
         self._peers: dict[str, dict[str, Reservation]] = {}
         self._usage: dict[tuple[str, Role], Usage] = {}
         self._placed: dict[tuple[str, Role], list[Reservation]] = {}
+        self._profiles: dict[str, MemoryProfile] = {}
         self._suspects = 0
 
     @property
@@ -113,7 +116,11 @@
         self, name: str, work: Sequence[Reservation], now: float, spread: float = 0.0
     ) -> float:
         """Give the most memory that a decode will hold if it takes some work too."""
-        return peak_memory([*self.placed(name, Role.DECODE), *work], now, spread)
+        profile = self._profiles.get(name)
+        if profile is None or not 0 <= now - profile.made_at <= _PROFILE_S:
+            profile = MemoryProfile(self.placed(name, Role.DECODE), now)
+            self._profiles[name] = profile
+        return profile.peak_with(work, now, spread)
 
     def suspicion(self, name: str) -> int:
         """Give at how many crashes the most suspect request was that an endpoint runs."""
@@ -124,6 +131,8 @@
 
     def _add(self, reservation: Reservation, sign: int) -> None:
         self._suspects += sign * bool(reservation.suspicion)
+        if reservation.role is Role.DECODE:
+            self._profiles.pop(reservation.endpoint, None)
         key = (reservation.endpoint, reservation.role)
         placed = self._placed.setdefault(key, [])
         if sign > 0:
