A relay's start imports no YAML parser, and no collection looks at what was imported

Each start paid for a parser of YAML that a relay never uses: the reader of settings' tables lay in the package of configurations, whose start imports it. The reader moves to the core; imports run without the garbage collector and are kept out of later collections.

Ruled out: byte code is kept between starts where it may be written. Failed before: the test of what a relay imports (yaml, cleatlink.config).

--- a/cleatlink/platform/settings.py
+++ b/cleatlink/platform/settings.py
@@ -4,9 +4,9 @@
 from pathlib import Path
 from typing import Any
 
-from cleatlink.config.tables import TableReader
 from cleatlink.core.address import Address
 from cleatlink.core.errors import ConfigurationError
+from cleatlink.core.tables import TableReader
 from cleatlink.organisations import LimitTolerance
 from cleatlink.relay.settings import RelaySettings
 
--- a/cleatlink/scripts/main.py
+++ b/cleatlink/scripts/main.py
@@ -3,6 +3,7 @@
 import sys
 
 from cleatlink.scripts.exits import leave_process
+from cleatlink.scripts.imports import lasting_imports
 from cleatlink.scripts.signals import handle_early_signals, ignore_late_signals
 
 __all__ = ["main"]
@@ -17,7 +18,8 @@
     if is_daemon:
         # Imports take most of a start, and a reload that met them ended the process.
         handle_early_signals()
-    from cleatlink.scripts.commands import main as run_command  # noqa: PLC0415
+    with lasting_imports():
+        from cleatlink.scripts.commands import main as run_command  # noqa: PLC0415
 
     try:
         run_command()
