Large fleets tell each other through reflectors, in bundles

Heartbeats, changes of work and news went from all to all: a process among 90 was woken for each of 89 heartbeats a second and for each change of work near it. In fleets of more than 16 peers an instance now hands what it tells to two reflectors of each data centre, which pass it on in bundles to the instances of theirs. Peers of earlier builds are told directly, as before; so is a data centre in which no reflector is heard. Work is told apart from heartbeats, in the order in which it changed, and unchanged work is not removed and added again.

--- a/cleatlink/platform/settings.py
+++ b/cleatlink/platform/settings.py
@@ -67,6 +67,7 @@
         history_s=reader.number("platform.history_s"),
         limit_tolerance=_read_tolerance(reader),
         memory_mb=reader.optional_number("limits.memory_mb", 0.0),
+        size=_read_size(reader),
     )
     if reader.faults:
         raise SettingsError(reader.faults)
@@ -81,3 +82,9 @@
         reader.optional_number("bounds.quota_slack", usual.slack),
         reader.optional_number("bounds.quota_window_s", usual.window_s) or usual.window_s,
     )
+
+
+def _read_size(reader: TableReader) -> float:
+    """Read how much of processors the process gets; not every platform tells."""
+    share = reader.optional_number("limits.cpu_share", 1.0)
+    return share * reader.optional_number("limits.cores", 1.0) or 1.0
--- a/cleatlink/relay/peers/contract_test.py
+++ b/cleatlink/relay/peers/contract_test.py
@@ -23,12 +23,14 @@
 PROGRAM = Path(message_samples.__file__).resolve()
 # Messages by the build that first knew them; earlier ones count them as not understood.
 FIRST_KNOWN = {
+    "Bundle": "",
     "CrashNews": "820ff69",
     "EndpointSpending": "4207a6e",
     "NoticeNews": "709868b",
     "ShedNews": "",
     "SourceNews": "",
     "Spending": "c558fa2",
+    "WorkList": "",
 }
 # Builds that read this one's snapshots. Earlier ones read a registration as a tuple of fewer
 # fields; they log that they can't fetch, and go by the configuration service.
--- a/cleatlink/relay/peers/datagrams.py
+++ b/cleatlink/relay/peers/datagrams.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Iterable
+from functools import lru_cache
 
 import trio
 
@@ -15,6 +16,9 @@
 # A datagram holds no more.
 _MOST_BYTES = 60_000
 _READ_BYTES = 65_536
+# Datagrams that are read before other tasks run.
+_MOST_AT_ONCE = 64
+_MOST_ADDRESSES = 2_048
 
 
 class DatagramSocket:
@@ -38,24 +42,41 @@
 
     def send(self, message: Message, addresses: Iterable[str]) -> None:
         """Send a message to some addresses, without a wait."""
-        data = encode(message)
+        self.send_bytes(encode(message), addresses)
+
+    def send_bytes(self, data: bytes, addresses: Iterable[str]) -> None:
+        """Send an encoded message to some addresses, without a wait."""
         if len(data) > _MOST_BYTES:
             self._metrics.count_message("too_long")
             return
+        send = self._socket._sock.sendto  # type: ignore[attr-defined]
         for address in addresses:
-            host, _, port = address.rpartition(":")
             try:
                 # A full buffer loses the datagram, as the network might.
-                self._socket._sock.sendto(data, (host, int(port)))  # type: ignore[attr-defined]
+                send(data, _parts(address))
             except OSError:
                 self._metrics.count_message("not_sent")
 
-    async def receive(self) -> Message | None:
-        """Wait for a datagram; None for one that is none of ours."""
+    async def receive(self) -> list[Message | None]:
+        """Wait for datagrams, and give those that are there; None for one that is none of ours."""
+        sock = self._socket._sock  # type: ignore[attr-defined]
         while True:
-            try:
-                data, _ = await self._socket.recvfrom(_READ_BYTES)
-            except OSError:
-                # An earlier datagram met a closed port.
-                continue
-            return decode_datagram(data)
+            await trio.lowlevel.wait_readable(sock)
+            found: list[Message | None] = []
+            while len(found) < _MOST_AT_ONCE:
+                try:
+                    found.append(decode_datagram(sock.recv(_READ_BYTES)))
+                except BlockingIOError:
+                    break
+                except OSError:
+                    # An earlier datagram met a closed port.
+                    continue
+            if found:
+                return found
+
+
+@lru_cache(maxsize=_MOST_ADDRESSES)
+def _parts(address: str) -> tuple[str, int]:
+    """Give the host and the port of an address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/cleatlink/relay/peers/endpoint_limit_news.py
+++ b/cleatlink/relay/peers/endpoint_limit_news.py
@@ -46,6 +46,11 @@
         self._changed.add(life)
         self._wake.set()
 
+    @property
+    def bears_delay(self) -> bool:
+        """No: what others took of a limit is counted until the next call is let pass."""
+        return False
+
     async def next(self) -> list[EndpointSpending]:
         """Wait for something to tell every peer, and give it."""
         await trio.sleep(_PAUSE_S)
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -1,10 +1,11 @@
 """An instance among its peers: heartbeats, shared work, and what one knows for all.
 
-Datagrams carry heartbeats and changes of work; they may be lost, and each
-heartbeat repeats all work. Who is there is told by rosters, to a peer that is
-new and to a few others with each heartbeat. A route table or list that a peer
-knows and this instance does not is fetched over HTTP, so that one that the
-configuration service turns away keeps up with the others.
+Datagrams carry heartbeats and changes of work; they may be lost, and all work is
+repeated. In a large fleet they go through reflectors (see ``delivery``). Who is
+there is told by rosters, to a peer that is new and to a few others with each
+heartbeat. A route table or list that a peer knows and this instance does not is
+fetched over HTTP, so that one that the configuration service turns away keeps up
+with the others.
 """
 
 import random
@@ -13,10 +14,10 @@
 from typing import Any
 
 import eliot
+import msgspec
 import trio
 
 from cleatlink.core.address import Address
-from cleatlink.core.data import Role
 from cleatlink.core.revisions import StoreRevision
 from cleatlink.members.leadership import Hearing
 from cleatlink.members.watchers import is_watcher
@@ -25,6 +26,7 @@
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peers.catch_up import CatchUp
 from cleatlink.relay.peers.datagrams import DatagramSocket
+from cleatlink.relay.peers.delivery import Delivery
 from cleatlink.relay.peers.endpoint_limit_news import EndpointLimitNews
 from cleatlink.relay.peers.heard import HeardPeers
 from cleatlink.relay.peers.hints import Hints
@@ -32,11 +34,13 @@
 from cleatlink.relay.peers.limit_news import LimitNews
 from cleatlink.relay.peers.messages import (
     Beat,
+    Bundle,
     Changes,
     CrashNews,
     EndpointHint,
     EndpointSpending,
     HintKind,
+    Message,
     NoticeNews,
     PaceNews,
     Roster,
@@ -44,6 +48,8 @@
     SourceNews,
     Spending,
     WorkItem,
+    WorkList,
+    decode_datagram,
 )
 from cleatlink.relay.peers.news import NewsChannel
 from cleatlink.relay.peers.shared_notices import SharedNotices
@@ -76,6 +82,11 @@
 # Changes that come within so long of each other go in one datagram: about the pause
 # between two steps of one stream.
 _GATHER_S = 0.002
+# The same where reflectors gather changes of all instances anyway.
+_LARGE_GATHER_S = 0.02
+# Ticks of a large fleet; each second one tells a heartbeat.
+_TICK_S = 0.5
+_MS = 1000.0
 
 
 class PeerGroup:
@@ -130,6 +141,10 @@
         self._spawn: Callable[..., None] = _drop_task
         self._socket = DatagramSocket(settings.peer_listen, metrics)
         self._takers = self._list_takers()
+        self._delivery = Delivery(settings, incarnation, self._peers, self._socket)
+        self._heard_work: dict[str, int] = {}
+        self._beat_due = False
+        self._is_work_new = False
 
     @property
     def listen(self) -> Address:
@@ -162,7 +177,7 @@
             spawn: Runs a task once.
         """
         self._spawn = spawn
-        for task in (self._receive, self._beat_always, self._tell_changes):
+        for task in (self._receive, self._beat_always, self._tell_changes, self._delivery.run):
             keep(task)
         for channel in self._channels:
             keep(partial(self._tell_news, channel))
@@ -211,14 +226,40 @@
     async def _tell_news(self, channel: NewsChannel) -> None:
         while True:
             for news in await channel.next():
-                near = self._peers.addresses_by_data_centre().get(self._settings.data_centre, [])
-                self._socket.send(news, near if channel.is_local else self._peers.addresses)
+                here = [self._settings.data_centre] if channel.is_local else None
+                if self._delivery.uses_reflectors and channel.bears_delay:
+                    self._delivery.tell(news, here, earlier=news)
+                elif channel.is_local:
+                    near = self._peers.addresses_by_data_centre()
+                    self._socket.send(news, near.get(self._settings.data_centre, []))
+                else:
+                    self._socket.send(news, self._peers.addresses)
 
     def send_beat(self) -> None:
-        """Send a heartbeat to every known address."""
+        """Send a heartbeat to every known address; in a large fleet, with the next tick."""
+        if not self._delivery.uses_reflectors:
+            self._socket.send(self._beat(), self._peers.known_addresses)
+        elif self._hooks.state().leaving:
+            self._tell_beat(urgent=True)
+        else:
+            self._beat_due = True
+
+    def _tell_beat(self, *, urgent: bool = False) -> Beat:
+        """Tell a heartbeat through reflectors, and with all work to peers of earlier builds."""
+        now = trio.current_time()
+        beat = self._beat(work_apart=True)
+        earlier = None
+        if self._peers.earlier_addresses():
+            earlier = msgspec.structs.replace(beat, work=self._news.work(now), work_apart=False)
+        self._beat_due = False
+        self._delivery.tell(beat, earlier=earlier, urgent=urgent)
+        return beat
+
+    def _beat(self, *, work_apart: bool = False) -> Beat:
+        """Give a heartbeat of now."""
         state = self._hooks.state()
         now = trio.current_time()
-        beat = Beat(
+        return Beat(
             self._settings.name,
             self._incarnation,
             self._settings.data_centre,
@@ -226,7 +267,7 @@
             state.leaving,
             state.table,
             state.newest.number,
-            [WorkItem.of(key, item, now) for key, item in self._shared_work()],
+            [] if work_apart else self._news.work(now),
             self.fence,
             {name: round(left, 2) for name, left in self._capacity.switching(now).items()},
             self.vote,
@@ -237,20 +278,22 @@
             state.newest.era,
             self._capacity.limits.spenders,
             state.finds_source,
+            self._delivery.size,
+            self._delivery.next_number(),
+            work_apart,
         )
-        self._socket.send(beat, self._peers.known_addresses)
 
-    def _send_rosters(self) -> None:
+    def _tell_few(self, *first: Message) -> None:
         """Tell a few peers, picked anew each time, who is there and what was measured."""
         addresses = self._peers.addresses
         chosen = self._rng.sample(addresses, min(_ROSTERS, len(addresses)))
-        self._socket.send(self._roster(_MEMBERS_A_ROSTER), chosen)
+        messages = [*first, self._roster(_MEMBERS_A_ROSTER)]
         paces = self._capacity.pace_summaries(trio.current_time())
         if paces:
-            self._socket.send(PaceNews(self._settings.name, paces), chosen)
+            messages.append(PaceNews(self._settings.name, paces))
         for channel in self._channels:
-            for news in channel.repeat():
-                self._socket.send(news, chosen)
+            messages += channel.repeat()
+        self._delivery.send_directly(messages, chosen)
 
     def _roster(self, most: int | None = None) -> Roster:
         """Give the instances that are known here, or at the most some of them."""
@@ -259,28 +302,52 @@
             names = self._rng.sample(names, most)
         return Roster(self._settings.name, [self._peers.member(name) for name in names])
 
-    def _shared_work(self) -> list[tuple[str, Reservation]]:
-        own = self._capacity.own.items()
-        return [(key, item) for key, item in own if item.role is not Role.PLAIN]
-
     async def _beat_always(self) -> None:
         while True:
             self._forget_silent()
-            self.send_beat()
-            self._send_rosters()
-            await trio.sleep(_BEAT_S)
+            if self._delivery.uses_reflectors:
+                self._tick(is_beat_due=True)
+                await trio.sleep(_TICK_S)
+                self._tick(is_beat_due=False)
+                await trio.sleep(_BEAT_S - _TICK_S)
+            else:
+                self._delivery.tick(trio.current_time())
+                self.send_beat()
+                self._tell_few()
+                await trio.sleep(_BEAT_S)
+
+    def _tick(self, *, is_beat_due: bool) -> None:
+        """Tell peers of a large fleet what is due, or what a new reflector has missed."""
+        now = trio.current_time()
+        has_new = self._delivery.tick(now)
+        if not (is_beat_due or has_new or self._beat_due):
+            return
+        beat = self._tell_beat()
+        if is_beat_due:
+            self._socket.send(self._beat(), self._peers.unheard_addresses())
+            self._tell_few(beat)
+        due = self._news.due(self._peers.addresses_by_data_centre(), now)
+        if due:
+            self._delivery.tell(self._news.list_all(now), due, urgent=False, copies=1)
 
     async def _tell_changes(self) -> None:
         while True:
             await self._wake.wait()
             self._wake = trio.Event()
+            is_large = self._delivery.uses_reflectors
+            if is_large:
+                await trio.sleep(_LARGE_GATHER_S)
             changed, self._changed = self._changed, set()
             addresses = self._peers.addresses_by_data_centre()
             now = trio.current_time()
             told = self._news.changes(changed, addresses, len(self._peers), now)
             for data_centre, changes in told.items():
-                self._socket.send(changes, addresses[data_centre])
-            await trio.sleep(_GATHER_S)
+                if is_large:
+                    self._delivery.tell(changes, [data_centre], earlier=changes, copies=1)
+                else:
+                    self._socket.send(changes, addresses[data_centre])
+            if not is_large:
+                await trio.sleep(_GATHER_S)
 
     def _forget_silent(self) -> None:
         now = trio.current_time()
@@ -288,6 +355,7 @@
         self._capacity.expire_peers(now, _WORK_SLACK_S)
         for lost in self._peers.forget_silent(now):
             self._capacity.forget_peer(lost.name)
+            self._heard_work.pop(lost.name, None)
             eliot.log_message(
                 message_type="peers: lost a peer",
                 peer=lost.name,
@@ -297,17 +365,17 @@
 
     async def _receive(self) -> None:
         while True:
-            message = await self._socket.receive()
-            take = self._takers.get(type(message))
-            if take is None:
-                self._metrics.count_message("not_understood")
-            else:
-                take(message)
+            for message in await self._socket.receive():
+                self._take(message, 0.0)
+            self._limit_news.look(trio.current_time())
+            if self._is_work_new:
+                self._is_work_new = False
+                self._hooks.on_work()
 
     def _list_takers(self) -> dict[type, Callable[[Any], None]]:
         """Give what takes each kind of message."""
         return {
-            Beat: self._take_beat,
+            Bundle: self._take_bundle,
             Changes: self._take_changes,
             EndpointHint: self._take_hint,
             Roster: self._take_roster,
@@ -318,6 +386,7 @@
             ShedNews: self._take_shed_news,
             SourceNews: self._take_source_news,
             Spending: self._take_spending,
+            WorkList: self._take_list,
         }
 
     def _take_hint(self, hint: EndpointHint) -> None:
@@ -355,39 +424,83 @@
         self._metrics.count_message("spending")
         self._limit_news.take_spending(news, trio.current_time())
 
-    def _take_beat(self, beat: Beat) -> None:
-        if beat.name == self._settings.name:
+    def _take(self, message: Message | None, age_s: float) -> None:
+        """Take a message that was told so many seconds ago."""
+        if isinstance(message, Beat):
+            self._take_beat(message, age_s)
             return
-        self._metrics.count_message("beat")
+        take = self._takers.get(type(message))
+        if take is None:
+            self._metrics.count_message("not_understood")
+        else:
+            take(message)
+
+    def _take_bundle(self, bundle: Bundle) -> None:
+        """Take what others told, each message once, however often it comes."""
+        self._metrics.count_message("bundle")
         now = trio.current_time()
-        known = self._peers.incarnation(beat.name)
-        if known is not None and beat.incarnation < known:
+        for item in bundle.items:
+            is_new = self._delivery.take(item, bundle.pass_on, now)
+            if item.sender == self._settings.name:
+                self._delivery.note_echo(bundle.name, now)
+            elif is_new:
+                message = decode_datagram(item.data)
+                # A bundle in a bundle is none of ours: it would be passed on for ever.
+                known = None if isinstance(message, Bundle) else message
+                self._take(known, max(0, item.age_ms) / _MS)
+
+    def _take_beat(self, beat: Beat, age_s: float) -> None:
+        if beat.name == self._settings.name or self._peers.is_old(beat):
             return
+        self._metrics.count_message("beat")
+        now = trio.current_time() - age_s
         if self._peers.note_beat(beat, now):
             eliot.log_message(message_type="peers: heard a peer", peer=beat.name, alive=self.alive)
-            self._introduce(beat.address)
+            self._introduce(beat)
         self._limit_news.take_beat(beat, now)
         self.fence = max(self.fence, beat.fence)
         for endpoint, left_s in beat.switching.items():
             self._capacity.note_switching(endpoint, now + left_s)
-        if beat.work or self._capacity.has_work_of(beat.name):
-            self._take_work(beat, now)
+        if not beat.work_apart and (beat.work or self._capacity.has_work_of(beat.name)):
+            self._take_work(beat.name, beat.work, now)
         self._catch_up.note(beat, self._spawn)
 
-    def _take_work(self, beat: Beat, now: float) -> None:
+    def _take_list(self, told: WorkList) -> None:
+        """Take all the work of a peer, told apart from its heartbeat."""
+        self._metrics.count_message("work")
+        if self._is_in_order(told):
+            self._take_work(told.name, told.work, trio.current_time())
+
+    def _is_in_order(self, told: Changes | WorkList) -> bool:
+        """Tell whether news of a peer's work is newer than what it told before."""
+        if self._peers.incarnation(told.name) != told.incarnation:
+            return False
+        if told.number:
+            if told.number <= self._heard_work.get(told.name, 0):
+                return False
+            self._heard_work[told.name] = told.number
+        return True
+
+    def _take_work(self, peer: str, items: list[WorkItem], now: float) -> None:
         """Take all the work of a peer; most instances of a large fleet have none."""
-        work = {item.key: item.reservation(now) for item in beat.work}
+        work = {item.key: item.reservation(now) for item in items}
         for key, item in work.items():
-            self._note_placed(beat.name, key, item)
-        self._capacity.peer_replace(beat.name, work)
-        self._hooks.on_work()
+            self._note_placed(peer, key, item)
+        self._capacity.peer_replace(peer, work)
+        self._is_work_new = True
 
-    def _introduce(self, address: str) -> None:
+    def _introduce(self, beat: Beat) -> None:
         """Tell a peer that is new who is there, and all news."""
-        self._socket.send(self._roster(), [address])
+        messages: list[Message] = []
+        known = len(self.members | self._peers.names)
+        if not self._delivery.uses_reflectors or beat.members < known:
+            messages.append(self._roster())
         for channel in self._channels:
-            for news in channel.introduction():
-                self._socket.send(news, [address])
+            messages += channel.introduction()
+        if self._delivery.uses_reflectors and beat.size and self._news.work(trio.current_time()):
+            messages.append(self._news.list_all(trio.current_time()))
+        if messages:
+            self._delivery.send_directly(messages, [beat.address])
 
     def _take_paces(self, news: PaceNews) -> None:
         """Take over what a peer measured, where this instance has not."""
@@ -405,11 +518,14 @@
         near = self._peers.addresses_by_data_centre().get(here, [])
         addresses = self._peers.addresses if kind is HintKind.SLOW else near
         hint = EndpointHint(self._settings.name, endpoint, kind)
-        self._socket.send(hint, addresses)
+        if self._delivery.uses_reflectors:
+            self._delivery.tell(hint, None if kind is HintKind.SLOW else [here], earlier=hint)
+        else:
+            self._socket.send(hint, addresses)
         self._hints.take(hint, now)
 
     def _take_changes(self, changes: Changes) -> None:
-        if self._peers.incarnation(changes.name) != changes.incarnation:
+        if not self._is_in_order(changes):
             return
         now = trio.current_time()
         for item in changes.placed:
@@ -418,8 +534,7 @@
             self._capacity.peer_reserve(changes.name, item.key, work)
         for key in changes.over:
             self._capacity.peer_release(changes.name, key)
-        if changes.over:
-            self._hooks.on_work()
+        self._is_work_new = self._is_work_new or bool(changes.over)
 
     def _note_placed(self, peer: str, key: str, item: Reservation) -> None:
         if not self._capacity.knows(peer, key):
--- a/cleatlink/relay/peers/heard.py
+++ b/cleatlink/relay/peers/heard.py
@@ -1,10 +1,11 @@
 """Which peers are heard, where, and which ones others told of."""
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from typing import NamedTuple
 
 from cleatlink.members.leadership import Hearing
+from cleatlink.members.reflectors import Candidate
 from cleatlink.relay.peers.messages import Beat, Member, Roster
 
 __all__ = ["HeardPeers", "LostPeer"]
@@ -81,6 +82,46 @@
             found[peer.beat.data_centre].append(peer.beat.address)
         return found
 
+    def unheard_addresses(self) -> list[str]:
+        """Give the addresses at which a peer may be that is not heard."""
+        return list(self._addresses.keys() - set(self.addresses))
+
+    def earlier_addresses(self, data_centres: Set[str] | None = None) -> list[str]:
+        """Give the addresses of peers that take no bundles, in some data centres or in all."""
+        beats = (peer.beat for peer in self._peers.values())
+        return [
+            beat.address
+            for beat in beats
+            if not beat.size and (data_centres is None or beat.data_centre in data_centres)
+        ]
+
+    def bundle_addresses(self, data_centre: str | None = None) -> list[str]:
+        """Give the addresses of peers that take bundles, in one data centre or in all."""
+        beats = (peer.beat for peer in self._peers.values())
+        return [
+            beat.address
+            for beat in beats
+            if beat.size and (data_centre is None or beat.data_centre == data_centre)
+        ]
+
+    def takes_bundles(self, name: str) -> bool:
+        """Tell whether a peer takes bundles."""
+        peer = self._peers.get(name)
+        return peer is not None and peer.beat.size > 0
+
+    def address(self, name: str) -> str | None:
+        """Give the address of a peer; None for one that is not heard."""
+        peer = self._peers.get(name)
+        return None if peer is None else peer.beat.address
+
+    def candidates(self, now: float) -> list[Candidate]:
+        """Give the peers that may reflect."""
+        return [
+            Candidate(name, peer.beat.data_centre, peer.beat.size, now - peer.heard_at)
+            for name, peer in self._peers.items()
+            if not peer.beat.leaving
+        ]
+
     def incarnation(self, name: str) -> int | None:
         """Give the incarnation of a peer; None for one that is not heard."""
         peer = self._peers.get(name)
@@ -111,10 +152,27 @@
             set(self._left),
         )
 
+    def is_old(self, beat: Beat) -> bool:
+        """Tell whether a heartbeat was overtaken by a later one of its sender."""
+        peer = self._peers.get(beat.name)
+        if peer is None:
+            return False
+        known = peer.beat
+        if beat.incarnation != known.incarnation:
+            return beat.incarnation < known.incarnation
+        return 0 < beat.number <= known.number
+
     def note_beat(self, beat: Beat, now: float) -> bool:
-        """Take a heartbeat; tells whether its sender is new."""
-        is_new = beat.name not in self._peers
-        self._peers[beat.name] = _Peer(beat, now)
+        """Take a heartbeat; tells whether its sender is new.
+
+        Args:
+            beat: The heartbeat, which is not old.
+            now: When it was told.
+        """
+        known = self._peers.get(beat.name)
+        is_new = known is None
+        heard_at = now if known is None else max(now, known.heard_at)
+        self._peers[beat.name] = _Peer(beat, heard_at)
         self._most_members = max(self._most_members, len(self._peers) + 1)
         self._addresses[beat.address] = now
         if beat.leaving:
--- a/cleatlink/relay/peers/limit_news.py
+++ b/cleatlink/relay/peers/limit_news.py
@@ -74,7 +74,10 @@
         self._take_totals(spending, now)
 
     def take_beat(self, beat: Beat, now: float) -> None:
-        """Take what a peer let pass, and that it is there or leaves, by its own word."""
+        """Take what a peer let pass, and that it is there or leaves, by its own word.
+
+        After some heartbeats, :meth:`look` goes by who is heard then.
+        """
         if beat.leaving:
             self._presence.note_leaving(beat.name)
         else:
@@ -83,7 +86,6 @@
         # It tells of endpoints' limits when it takes something; heartbeats tell that it did not.
         took = PeerTotals(beat.name, beat.incarnation, {}, beat.limited_endpoints, beat.age_s)
         self._endpoint_limits.take_totals(took, now)
-        self.look(now)
 
     def _take_totals(self, told: Beat | Spending, now: float) -> None:
         totals = PeerTotals(told.name, told.incarnation, told.totals, told.spenders, told.age_s)
--- a/cleatlink/relay/peers/messages.py
+++ b/cleatlink/relay/peers/messages.py
@@ -14,6 +14,8 @@
 
 __all__ = [
     "Beat",
+    "Bundle",
+    "BundleItem",
     "Changes",
     "CrashItem",
     "CrashNews",
@@ -29,6 +31,7 @@
     "SourceNews",
     "Spending",
     "WorkItem",
+    "WorkList",
     "decode_datagram",
     "encode",
 ]
@@ -114,6 +117,9 @@
         limited_endpoints: Of how many endpoints' limits the sender took something.
         finds_source: Whether the configuration service answered the sender last, and the sender
             can watch it for others.
+        size: Part of processors that the sender has, in cores; 0 for one that takes no bundles.
+        number: Counts what the sender tells; 0 for one that does not count.
+        work_apart: Whether its work is told in messages of its own in place of here.
     """
 
     name: str
@@ -134,6 +140,9 @@
     era: int = 0
     limited_endpoints: int = 0
     finds_source: bool = False
+    size: float = 0.0
+    number: int = 0
+    work_apart: bool = False
 
     @property
     def newest_revision(self) -> StoreRevision:
@@ -188,12 +197,71 @@
 
 
 class Changes(msgspec.Struct, array_like=True, frozen=True, tag="c"):
-    """Work that an instance has placed, and the keys of work that is over."""
+    """Work that an instance has placed, and the keys of work that is over.
+
+    Attributes:
+        name: Sender.
+        incarnation: Grows with each start of the sender.
+        placed: Work that has begun.
+        over: Keys of work that has ended.
+        number: Counts what the sender tells of work; 0 for one that does not count.
+    """
 
     name: str
     incarnation: int
     placed: list[WorkItem]
     over: list[str]
+    number: int = 0
+
+
+class WorkList(msgspec.Struct, array_like=True, frozen=True, tag="k"):
+    """All work of an instance, in place of what was known of it.
+
+    Attributes:
+        name: Sender.
+        incarnation: Grows with each start of the sender.
+        work: All its work.
+        number: Counts what the sender tells of work.
+    """
+
+    name: str
+    incarnation: int
+    work: list[WorkItem]
+    number: int
+
+
+class BundleItem(msgspec.Struct, array_like=True, frozen=True):
+    """A message of an instance in a bundle.
+
+    Attributes:
+        sender: Who told it first.
+        incarnation: Grows with each start of that sender.
+        number: Counts what that sender tells.
+        age_ms: For how long it was held on its way, in milliseconds.
+        urgent: Whether it is passed on at once, in place of with the next bundle.
+        data: The message as it was encoded.
+    """
+
+    sender: str
+    incarnation: int
+    number: int
+    age_ms: int
+    urgent: bool
+    data: bytes
+
+
+class Bundle(msgspec.Struct, array_like=True, frozen=True, tag="d"):
+    """Messages of one or of many instances.
+
+    Attributes:
+        name: Sender of the bundle.
+        pass_on: Whether the receiver passes its items on to the instances of its data centre.
+        items: The messages.
+    """
+
+    name: str
+    pass_on: bool
+    items: list[BundleItem]
 
 
 class CrashItem(msgspec.Struct, array_like=True, frozen=True):
@@ -344,6 +412,8 @@
     | EndpointSpending
     | ShedNews
     | SourceNews
+    | WorkList
+    | Bundle
 )
 _DECODER = msgspec.msgpack.Decoder(Message)
 
--- a/cleatlink/relay/peers/news.py
+++ b/cleatlink/relay/peers/news.py
@@ -20,6 +20,11 @@
         """Whether only peers of the own data centre are told."""
         return False
 
+    @property
+    def bears_delay(self) -> bool:
+        """Whether it may wait some tens of milliseconds for others on its way."""
+        return True
+
     @abstractmethod
     async def next(self) -> Sequence[Message]:
         """Wait for something to tell every peer, and give it."""
--- a/cleatlink/relay/settings.py
+++ b/cleatlink/relay/settings.py
@@ -30,6 +30,7 @@
         history_s: Time for which the configuration service keeps its history.
         limit_tolerance: By how much organisations may pass their limits in a cut.
         memory_mb: Memory of the machine, in megabytes; 0 where it is not known.
+        size: Its part of processors, in cores.
         without: Mechanisms that are switched off for an experiment.
     """
 
@@ -50,4 +51,5 @@
     history_s: float = 20.0
     limit_tolerance: LimitTolerance = LimitTolerance()
     memory_mb: float = 0.0
+    size: float = 1.0
     without: frozenset[Mechanism] = frozenset()
--- a/cleatlink/routing/mechanisms.py
+++ b/cleatlink/routing/mechanisms.py
@@ -37,6 +37,8 @@
     SHED_LIMITS = "shed-limits"
     # A few instances of a data centre that watch the configuration service for all.
     SHARED_WATCH = "shared-watch"
+    # Messages among many instances passed on by some of them; off: told to each one.
+    REFLECTORS = "reflectors"
     # Safe calls that leave a silent endpoint for another one.
     PATIENCE = "patience"
 
--- a/cleatlink/routing/workload.py
+++ b/cleatlink/routing/workload.py
@@ -10,6 +10,8 @@
 _UNUSED = Usage()
 # What an endpoint's work holds is looked at anew after so many seconds without a change of it.
 _PROFILE_S = 0.02
+# Ends of the same work as a peer tells them twice differ by what messages take.
+_SAME_END_S = 0.5
 
 
 class Workload:
@@ -68,8 +70,10 @@
         """Take a peer's whole list of work in place of what was known."""
         for key in self._peers.get(peer, {}).keys() - reservations.keys():
             self.peer_release(peer, key)
+        known = self._peers.get(peer, {})
         for key, reservation in reservations.items():
-            self.peer_reserve(peer, key, reservation)
+            if key not in known or not _is_same(known[key], reservation):
+                self.peer_reserve(peer, key, reservation)
 
     def has_work_of(self, peer: str) -> bool:
         """Tell whether any work of a peer is counted."""
@@ -147,3 +151,9 @@
             self._usage[key] = changed
         else:
             self._usage.pop(key, None)
+
+
+def _is_same(known: Reservation, told: Reservation) -> bool:
+    """Tell whether a peer repeats work as it is known; its end comes with some delay."""
+    is_near = abs(known.ends_at - told.ends_at) < _SAME_END_S
+    return is_near and told._replace(ends_at=known.ends_at) == known
