Speeds of endpoints are measured by all instances together

What callers saw: on fleets whose engines differ in speed (0.7, 0.7, 1.7) each engine was taken for as fast as its service; streams placed on slow ones began late while fast ones had room.

Cause: ServicePace knows a service and no endpoint, and one instance among 90 measures one engine about once in 90 s.

Ruled out: each instance alone (too few samples), means of logarithms added up by senders (one wait that nobody saw moves them). Room that an engine lacks is known by its refusals already (shed limits); a second measure of it, by shares of refusals, was built and taken out again.

Change: EndpointPaces keeps the newest measurements of all instances by life; Capacity.speed gives what follows from them. Message 'e' tells an instance's own newest six of each life that changed, every 2 s at the most. An introduction carries the paces of services, which were told to three random peers a second. A prefill's queue goes by its speed. Switch: endpoint-pace.

Tests: new ones only; without the module they fail on import. The test of the contract between builds learned the new message's name.

Conclusion: a speed of 1.7 is known within 20% from one measurement of each of 90 instances (endpoint_pace_test.py).

--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -16,6 +16,7 @@
 from cleatlink.relay.endpoints.pool import FRESH_LIMIT_S, IDLE_LIMIT_S, Reply
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
 from cleatlink.relay.tasks import run_watched
+from cleatlink.routing.endpoint_pace import PaceKind
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.relay_place import place_plain, place_plain_later
 from cleatlink.routing.reservation import Reservation
@@ -112,7 +113,6 @@
             Its answer, or None if another endpoint is to be tried.
         """
         call, parts = self._call, self._parts
-        pace = parts.capacity.pace(call.service.name)
         key = f"{call.inbound.request_id}/{call.sends}"
         ends_at = trio.current_time() + _EXPECTED_S
         work = Reservation(endpoint.name, Role.PLAIN, 0, ends_at, suspicion=call.suspicion)
@@ -129,12 +129,20 @@
             parts.capacity.release(key)
             parts.capacity.limits.give_up(key, trio.current_time())
         if answer is None:
-            pace.note_plain(trio.current_time() - began_at)
+            self._note_taken(endpoint, trio.current_time() - began_at)
             raise EndpointSilentError("another endpoint is asked")
         if not parts.protocol.not_run(answer.head):
-            pace.note_plain(trio.current_time() - began_at)
+            self._note_taken(endpoint, trio.current_time() - began_at)
         return self._judge(endpoint, answer)
 
+    def _note_taken(self, endpoint: RoutedEndpoint, seconds: float) -> None:
+        """Learn how long the endpoint, and its service, take for a call."""
+        capacity = self._parts.capacity
+        pace = capacity.pace(self._call.service.name)
+        now = trio.current_time()
+        capacity.note_duration(endpoint.name, PaceKind.PLAIN, seconds, pace.plain_s, now)
+        pace.note_plain(seconds)
+
     async def _leave_when_silent(self, endpoint: RoutedEndpoint, leave: trio.CancelScope) -> None:
         """Have an endpoint left that is silent for long, once another one can be asked.
 
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -180,7 +180,7 @@
             return await self._pass_failure(head, connection)
         if not parts.protocol.signed(head):
             raise OutcomeUnknownError("the answer has no signature")
-        watch = StreamWatch(call, parts.capacity.pace(call.service.name), sent_at, handed_over)
+        watch = StreamWatch(call, parts.capacity, endpoint.name, sent_at, handed_over)
         await self._relay(head, connection, watch)
         watch.note_end(self._place.room)
         call.note_served()
--- a/cleatlink/relay/calls/watch.py
+++ b/cleatlink/relay/calls/watch.py
@@ -4,7 +4,7 @@
 
 from cleatlink.relay.calls.call import Call
 from cleatlink.relay.calls.room import Room
-from cleatlink.routing.pace import ServicePace
+from cleatlink.routing.capacity import Capacity
 
 __all__ = ["StreamWatch"]
 
@@ -13,20 +13,25 @@
 
 
 class StreamWatch:
-    """Tells a service's pace what a stream shows of it."""
+    """Tells what a stream shows of the paces of its service and its endpoint."""
 
-    def __init__(self, call: Call, pace: ServicePace, sent_at: float, handed_over: bool) -> None:
+    def __init__(
+        self, call: Call, capacity: Capacity, endpoint: str, sent_at: float, handed_over: bool
+    ) -> None:
         """Begin to watch.
 
         Args:
             call: The call.
-            pace: What was learned of its service.
+            capacity: What is believed of endpoints.
+            endpoint: Name of the endpoint that runs it.
             sent_at: When the request was sent to the decode.
             handed_over: Whether its prompt had been computed elsewhere.
         """
         traits = call.service.engine
         self._call = call
-        self._pace = pace
+        self._capacity = capacity
+        self._pace = capacity.pace(call.service.name)
+        self._endpoint = endpoint
         self._sent_at = sent_at
         self._handed_over = handed_over
         self._event_tokens = traits.event_tokens if traits is not None else 1
@@ -44,9 +49,15 @@
         self._events += count
         self._stretch += count
         if self._stretch >= _STRETCH_EVENTS:
-            self._pace.note_tokens(self._stretch * self._event_tokens, now - self._stretch_from)
+            self._note_stretch(now)
             self._stretch, self._stretch_from = 0, now
 
+    def _note_stretch(self, now: float) -> None:
+        """Learn from a stretch that ends now."""
+        tokens, seconds = self._stretch * self._event_tokens, now - self._stretch_from
+        self._pace.note_tokens(tokens, seconds)
+        self._capacity.note_tokens(self._endpoint, tokens, seconds, now)
+
     def note_end(self, room: Room) -> None:
         """Note that the stream came to its end; one that goes on another says no length.
 
@@ -57,7 +68,7 @@
         now = trio.current_time()
         if self._stretch and self._events <= _STRETCH_EVENTS:
             # Without it a service of short answers has no pace, and roles are never planned.
-            self._pace.note_tokens(self._stretch * self._event_tokens, now - self._stretch_from)
+            self._note_stretch(now)
         if inbound.last_event is None and self._call.sends == 1:
             self._pace.note_length(inbound.output_hint, tokens)
         self._call.log(
--- a/cleatlink/relay/metrics.py
+++ b/cleatlink/relay/metrics.py
@@ -1,5 +1,8 @@
 """Counters and latency histograms of the relay."""
 
+from collections.abc import Sequence
+from statistics import median
+
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from cleatlink import __version__
@@ -74,6 +77,11 @@
         self._in_flight = Gauge(
             "cleatlink_relay_requests_in_flight", "Requests in progress.", registry=self._registry
         )
+        self._speeds = Gauge(
+            "cleatlink_relay_endpoint_speed",
+            "Speeds of endpoints beside their service's usual one: slowest, median, fastest.",
+            registry=self._registry,
+        )
         self._first = self._histogram(
             "cleatlink_relay_first_byte_seconds", "Arrival to the first byte of the answer."
         )
@@ -168,6 +176,13 @@
         """Show the requests in progress."""
         self._in_flight.set({}, count)
 
+    def set_speeds(self, speeds: Sequence[float]) -> None:
+        """Show how fast endpoints are beside their service's usual speed."""
+        if speeds:
+            shown = {"slowest": min(speeds), "median": median(speeds), "fastest": max(speeds)}
+            for which, speed in shown.items():
+                self._speeds.set({"which": which}, round(speed, 3))
+
     def set_held(self, held: HeldBytes) -> None:
         """Show what is held for callers that read or send slowly."""
         for kind in HeldKind:
--- a/cleatlink/relay/peers/contract_test.py
+++ b/cleatlink/relay/peers/contract_test.py
@@ -25,6 +25,7 @@
 FIRST_KNOWN = {
     "Bundle": "",
     "CrashNews": "820ff69",
+    "EndpointPaceNews": "",
     "EndpointSpending": "4207a6e",
     "NoticeNews": "709868b",
     "ShedNews": "",
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -28,6 +28,7 @@
 from cleatlink.relay.peers.datagrams import DatagramSocket
 from cleatlink.relay.peers.delivery import Delivery
 from cleatlink.relay.peers.endpoint_limit_news import EndpointLimitNews
+from cleatlink.relay.peers.endpoint_pace_news import EndpointPaceTeller
 from cleatlink.relay.peers.heard import HeardPeers
 from cleatlink.relay.peers.hints import Hints
 from cleatlink.relay.peers.hooks import PeerHooks
@@ -38,6 +39,7 @@
     Changes,
     CrashNews,
     EndpointHint,
+    EndpointPaceNews,
     EndpointSpending,
     HintKind,
     Message,
@@ -110,6 +112,9 @@
         self._limits = limits
         self._limit_news = LimitNews(settings.name, incarnation, limits, capacity.limits)
         self._endpoint_limits = EndpointLimitNews(settings.name, incarnation, capacity.limits)
+        self._endpoint_paces = EndpointPaceTeller(
+            settings.name, incarnation, capacity.endpoint_paces, metrics
+        )
         self._quarantine = quarantine
         self._notices = notices
         self._source_news = SourceNewsChannel(settings.name)
@@ -117,6 +122,7 @@
         self._channels: tuple[NewsChannel, ...] = (
             self._limit_news,
             self._endpoint_limits,
+            self._endpoint_paces,
             quarantine,
             notices,
             self._source_news,
@@ -382,6 +388,7 @@
             PaceNews: self._take_paces,
             CrashNews: self._take_crashes,
             NoticeNews: self._take_notices,
+            EndpointPaceNews: self._take_endpoint_paces,
             EndpointSpending: self._take_endpoint_spending,
             ShedNews: self._take_shed_news,
             SourceNews: self._take_source_news,
@@ -410,6 +417,10 @@
         self._metrics.count_message("endpoint_limits")
         self._endpoint_limits.take(news)
 
+    def _take_endpoint_paces(self, news: EndpointPaceNews) -> None:
+        self._metrics.count_message("endpoint_paces")
+        self._endpoint_paces.take(news)
+
     def _take_shed_news(self, news: ShedNews) -> None:
         self._metrics.count_message("shed")
         now = trio.current_time()
@@ -490,11 +501,14 @@
         self._is_work_new = True
 
     def _introduce(self, beat: Beat) -> None:
-        """Tell a peer that is new who is there, and all news."""
+        """Tell a peer that is new who is there, what was measured, and all news."""
         messages: list[Message] = []
         known = len(self.members | self._peers.names)
         if not self._delivery.uses_reflectors or beat.members < known:
             messages.append(self._roster())
+        paces = self._capacity.pace_summaries(trio.current_time())
+        if paces:
+            messages.append(PaceNews(self._settings.name, paces))
         for channel in self._channels:
             messages += channel.introduction()
         if self._delivery.uses_reflectors and beat.size and self._news.work(trio.current_time()):
--- a/cleatlink/relay/peers/messages.py
+++ b/cleatlink/relay/peers/messages.py
@@ -20,11 +20,13 @@
     "CrashItem",
     "CrashNews",
     "EndpointHint",
+    "EndpointPaceNews",
     "EndpointSpending",
     "HintKind",
     "Member",
     "Message",
     "NoticeNews",
+    "PaceItem",
     "PaceNews",
     "Roster",
     "ShedNews",
@@ -344,6 +346,36 @@
     levels: dict[str, float]
 
 
+class PaceItem(msgspec.Struct, array_like=True, frozen=True):
+    """A measurement of an endpoint, in steps that take a byte each.
+
+    Attributes:
+        kind: What was measured, as in ``PaceKind``.
+        log: Logarithm of measured by expected time, in steps of 1/32.
+        age: Time since then, in steps of 0.5 s.
+    """
+
+    kind: int
+    log: int
+    age: int
+
+
+class EndpointPaceNews(msgspec.Struct, array_like=True, frozen=True, tag="e"):
+    """What the sender itself measured of some endpoints lately, in place of what it told before.
+
+    Attributes:
+        name: Sender.
+        incarnation: Grows with each start of the sender.
+        number: Grows with each such message of the sender.
+        lives: Its newest measurements by the endpoint's life.
+    """
+
+    name: str
+    incarnation: int
+    number: int
+    lives: dict[str, list[PaceItem]]
+
+
 class ShedNews(msgspec.Struct, array_like=True, frozen=True, tag="o"):
     """Decodes that had no room for a stream just now.
 
@@ -410,6 +442,7 @@
     | CrashNews
     | NoticeNews
     | EndpointSpending
+    | EndpointPaceNews
     | ShedNews
     | SourceNews
     | WorkList
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -10,6 +10,7 @@
 from cleatlink.core.routes import EngineTraits, RoutedEndpoint
 from cleatlink.routing.demand import DemandMeter, RoleDemand, StreamPromise
 from cleatlink.routing.endpoint_limits import EndpointLimits
+from cleatlink.routing.endpoint_pace import EndpointPaces, PaceKind
 from cleatlink.routing.mechanisms import Mechanism, Switches
 from cleatlink.routing.notices import EndpointNotices
 from cleatlink.routing.outcomes import EndpointOutcomes
@@ -33,6 +34,7 @@
         """
         self.notices = EndpointNotices()
         self.limits = EndpointLimits(now)
+        self.endpoint_paces = EndpointPaces()
         super().__init__(self.notices.begin_work, self.notices.end_work)
         self.switches = switches or Switches()
         self._endpoints: dict[str, RoutedEndpoint] = {}
@@ -54,6 +56,35 @@
             pace = self._paces[service] = ServicePace(self.switches)
         return pace
 
+    def speed(self, name: str, now: float) -> float:
+        """Give how fast an endpoint is beside its service's usual pace; 1.0 if not known."""
+        if not self.switches.uses(Mechanism.ENDPOINT_PACE):
+            return 1.0
+        return self.endpoint_paces.speed(name, now)
+
+    def note_tokens(self, name: str, tokens: int, seconds: float, now: float) -> None:
+        """Learn an endpoint's speed from a stretch of a stream beside others."""
+        endpoint = self._endpoints.get(name)
+        if endpoint is None or tokens <= 0:
+            return
+        load = self.usage(name, Role.DECODE).running / max(1, endpoint.slots)
+        self.endpoint_paces.note_tokens(name, endpoint.service, seconds / tokens, load, now)
+
+    def note_duration(
+        self, name: str, kind: PaceKind, seconds: float, usual_s: float, now: float
+    ) -> None:
+        """Learn an endpoint's speed from a prompt or a plain call.
+
+        Args:
+            name: The endpoint.
+            kind: What it did.
+            seconds: How long it took.
+            usual_s: How long it takes on the service's endpoints; 0 if that is not known.
+            now: The time.
+        """
+        if name in self._endpoints and usual_s > 0:
+            self.endpoint_paces.note(name, kind, seconds / usual_s, now)
+
     def pace_summaries(self, now: float) -> dict[str, tuple[PaceSummary, float]]:
         """Give what peers may take over of services' paces, with its age in seconds."""
         found = {name: pace.summary(now) for name, pace in self._paces.items()}
@@ -167,6 +198,7 @@
         """Forget an endpoint."""
         self._endpoints.pop(name, None)
         self._outcomes.forget(name)
+        self.endpoint_paces.forget(name)
         self._shed_limits.forget(name)
         self._refuted.pop(name, None)
         self._switching.pop(name, None)
@@ -295,10 +327,11 @@
 
     def begins_in_s(self, name: str, now: float) -> float:
         """Give in how many seconds a prefill begins a new prompt: its queue, and its limit."""
-        return max(self.queue_s(name), self.limits.due_in_s(name, now))
+        queue_s = self.queue_s(name) / self.speed(name, now)
+        return max(queue_s, self.limits.due_in_s(name, now))
 
     def queue_s(self, name: str) -> float:
-        """Give how long a prefill still takes for the prompts that it has.
+        """Give how long a prefill of the usual speed would still take for its prompts.
 
         It follows from their sizes alone: when each one was expected to be computed
         depends on those before it, and an error there would grow from one to the next.
--- a/cleatlink/routing/mechanisms.py
+++ b/cleatlink/routing/mechanisms.py
@@ -15,6 +15,8 @@
 
     # Engines' paces and answers' lengths as measured; off: as routes promise.
     LEARNED_PACE = "learned-pace"
+    # Endpoints' own speeds as all instances measured them; off: all as their service.
+    ENDPOINT_PACE = "endpoint-pace"
     # Room kept for answers that get longer than estimated.
     SPREAD_ROOM = "spread-room"
     # Refusals as soon as it is known that a stream would be late; off: all wait.
