Prompts and streams are placed by the speed of each endpoint

What callers saw: with engines at 0.7, 0.7 and 1.7 of the usual speed, prompts waited behind slow prefills while fast ones stood idle.

Cause: queues were counted in tokens at the service's pace.

Change: the prompt at a prefill, the time for which a decode holds a stream, foreseen room and ends all go by Capacity.speed; a decode's load is compared by speed.

With equal speeds each decision is as before (property test). An endpoint that takes 2.5 times the service's usual time is told of as slow, as before.

--- a/cleatlink/relay/calls/decode_place.py
+++ b/cleatlink/relay/calls/decode_place.py
@@ -189,7 +189,8 @@
         pace = self._parts.capacity.pace(self._call.service.name)
         if self.prefill.source is None:
             return longest_stream_s(self._call.inbound, pace)
-        return pace.stream_s(estimate_output(self._call.inbound, pace))
+        speed = self._parts.capacity.speed(self.endpoint.name, trio.current_time())
+        return pace.stream_s(estimate_output(self._call.inbound, pace)) / speed
 
     def _leave_connection(self) -> None:
         connection, self._connection = self._connection, None
--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -18,6 +18,7 @@
 from cleatlink.relay.calls.turns import own_turn
 from cleatlink.relay.endpoints.pool import IDLE_LIMIT_S
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
+from cleatlink.routing.endpoint_pace import PaceKind
 from cleatlink.routing.relay_place import place_prefill
 from cleatlink.routing.reservation import Reservation
 
@@ -35,6 +36,8 @@
 _SLOW_FACTOR = 2.5
 # And at least so much, so that short prompts say nothing.
 _SLOW_BASE_S = 0.1
+# What a prompt took behind a longer queue, as a share of its own time, says little of the endpoint.
+_SHORT_QUEUE_SHARE = 0.5
 # A handle is offered again while it surely lives.
 _HANDLE_SHARE = 0.7
 # A handle lapses by itself soon; so many tries within that time are worth it.
@@ -98,7 +101,13 @@
             if barred is not None:
                 return barred
             seeker = call.seeker()
-            endpoint = place_prefill(call.service.name, parts.capacity, seeker, data_centre)
+            endpoint = place_prefill(
+                call.service.name,
+                parts.capacity,
+                seeker,
+                data_centre,
+                call.inbound.prompt_tokens,
+            )
             if endpoint is None:
                 call.log("has its prompt computed by the decode")
                 return None
@@ -140,7 +149,8 @@
         tokens = call.inbound.prompt_tokens
         pace = parts.capacity.pace(call.service.name)
         queue_s = parts.capacity.begins_in_s(endpoint.name, now)
-        expected_s = queue_s + pace.prompt_s(tokens)
+        usual_s = pace.prompt_s(tokens)
+        expected_s = queue_s + usual_s / parts.capacity.speed(endpoint.name, now)
         work = Reservation(endpoint.name, Role.PREFILL, tokens, now + expected_s, expected_s)
         parts.capacity.reserve(key, work)
         parts.on_work(key)
@@ -161,9 +171,10 @@
                 queue_ms=int(1000 * queue_s),
             )
             parts.metrics.observe_prefill(taken_s)
-            if taken_s > _SLOW_FACTOR * expected_s + _SLOW_BASE_S:
+            # An endpoint that turned sick is told of, also where its speed is known.
+            if taken_s > _SLOW_FACTOR * (queue_s + usual_s) + _SLOW_BASE_S:
                 call.note_slow(endpoint, taken_s)
-            pace.note_prompt(tokens, queue_s, max(0.0, taken_s - _PREFILL_BASE_S))
+            self._note_pace(endpoint, queue_s, max(0.0, taken_s - _PREFILL_BASE_S))
             parts.capacity.note_success(endpoint.name, trio.current_time())
             parts.capacity.note_room(endpoint.name)
         finally:
@@ -171,6 +182,17 @@
             parts.capacity.limits.give_up(key, trio.current_time())
             parts.on_work(key)
 
+    def _note_pace(self, endpoint: RoutedEndpoint, queue_s: float, seconds: float) -> None:
+        """Learn how fast the endpoint, and its service, compute prompts."""
+        capacity = self._parts.capacity
+        pace = capacity.pace(self._call.service.name)
+        tokens = self._call.inbound.prompt_tokens
+        usual_s = pace.prompt_s(tokens)
+        if pace.is_known and queue_s < _SHORT_QUEUE_SHARE * usual_s:
+            now = trio.current_time()
+            capacity.note_duration(endpoint.name, PaceKind.PROMPT, seconds - queue_s, usual_s, now)
+        pace.note_prompt(tokens, queue_s, seconds)
+
     async def _ask_prefill(self, endpoint: RoutedEndpoint) -> Handle:
         call, parts = self._call, self._parts
         call.note_begun()
--- a/cleatlink/relay/calls/room.py
+++ b/cleatlink/relay/calls/room.py
@@ -318,13 +318,15 @@
         ready_in_s = 0.0 if plan.direct else plan.ready_s
         key = f"{call.inbound.request_id}/{call.sends}/d"
         now = seeker.now
-        work = size.reserve(endpoint.name, now)._replace(suspicion=seeker.suspicion)
+        speed = capacity.speed(endpoint.name, now)
+        work = size.reserve(endpoint.name, now, speed)._replace(suspicion=seeker.suspicion)
         capacity.reserve(key, work)
         turn = self._book_turn(endpoint, key, now)
         capacity.note_demand(work, now)
         self._parts.on_work(key)
         if plan.direct:
-            self._reserve_prompt(call, endpoint, key, now + plan.ready_s, plan.ready_s)
+            prompt_s = plan.ready_s / speed
+            self._reserve_prompt(call, endpoint, key, now + prompt_s, prompt_s)
         usage = capacity.usage(endpoint.name, Role.DECODE)
         call.log(
             "has room",
@@ -332,10 +334,11 @@
             tokens=work.tokens,
             reserved=usage.tokens,
             running=usage.running,
+            speed=round(speed, 2),
             computes_prompt=plan.direct,
         )
         prompt_at = turn.due_at - ready_in_s
-        return Room(endpoint, key, size.duration_s, size.output, plan.direct, turn, prompt_at)
+        return Room(endpoint, key, work.duration_s, size.output, plan.direct, turn, prompt_at)
 
     def _fit(
         self,
@@ -352,7 +355,9 @@
         capacity = self._parts.capacity
         pace = capacity.pace(call.service.name)
         output = estimate_output(call.inbound, pace)
-        size = StreamSize(call.inbound.prompt_tokens, output, pace.stream_s(output) + plan.ready_s)
+        duration_s = pace.stream_s(output) + plan.ready_s
+        apart_s = 0.0 if plan.direct else plan.ready_s
+        size = StreamSize(call.inbound.prompt_tokens, output, duration_s, apart_s)
         ready_in_s = 0.0 if plan.direct else plan.ready_s
         spare_s = max(0.0, plan.spare_s - standing.first_ago_s)
         endpoint = place_decode(
--- a/cleatlink/routing/forecast.py
+++ b/cleatlink/routing/forecast.py
@@ -24,7 +24,7 @@
 
     Attributes:
         tokens: Memory that it holds at its end.
-        duration_s: How long it should take.
+        duration_s: How long it should take on an endpoint of the usual speed.
         prompt_s: How long the decode computes its prompt; 0 if a prefill does.
     """
 
@@ -45,7 +45,9 @@
         *,
         full_until: float,
         pause_s: float,
+        speed: float,
     ) -> None:
+        self._speed = speed
         self._pause_s = pause_s
         self._prompts_until = prompts_until
         self._full_until = full_until
@@ -71,10 +73,10 @@
             self._full_until = max(at, self._full_until) + self._pause_s
         self._tokens -= stream.tokens
         self._slots -= 1
-        insort(self._ends, (at + stream.duration_s, stream.tokens))
+        insort(self._ends, (at + stream.duration_s / self._speed, stream.tokens))
         self._freed = [0, *accumulate(freed for _, freed in self._ends)]
         if stream.prompt_s:
-            self._prompts_until = at + stream.prompt_s
+            self._prompts_until = at + stream.prompt_s / self._speed
 
 
 class RoomForecast:
@@ -131,4 +133,5 @@
         prompts_until,
         full_until=capacity.opens_at(name, now),
         pause_s=capacity.limits.pause_s(name),
+        speed=capacity.speed(name, now),
     )
--- a/cleatlink/routing/prompt_plan.py
+++ b/cleatlink/routing/prompt_plan.py
@@ -43,6 +43,18 @@
         return self.spare_s < 0
 
 
+class _Ready(NamedTuple):
+    """When a prefill has a prompt ready, in seconds.
+
+    Attributes:
+        queue_s: Until it begins.
+        prompt_s: What it takes then.
+    """
+
+    queue_s: float
+    prompt_s: float
+
+
 def plan_prompt(
     inbound: Inbound,
     route: Route,
@@ -68,10 +80,10 @@
 
     direct_s = DIRECT_FACTOR * alone_s
     direct = plan(True, 0.0, direct_s, pace.token_s)
-    queue_s = _shortest_queue_s(service.name, capacity, seeker)
-    if queue_s is None:
+    first = _first_ready(service.name, capacity, seeker, alone_s)
+    if first is None:
         return direct
-    apart = plan(False, queue_s, alone_s, pace.start_s)
+    apart = plan(False, first.queue_s, first.prompt_s, pace.start_s)
     pause_s = pace.direct_pause_s(alone_s, service.engine.event_tokens)
     shares = capacity.switches.uses(Mechanism.SHARED_PROMPTS)
     if not apart.is_late or pause_s > route.event_gap_s or not shares:
@@ -79,10 +91,19 @@
     return apart if direct.is_late else direct
 
 
-def _shortest_queue_s(service: str, capacity: Capacity, seeker: Seeker) -> float | None:
-    """Give how long the prefill that is free first is still busy; None without any."""
+def _first_ready(service: str, capacity: Capacity, seeker: Seeker, alone_s: float) -> _Ready | None:
+    """Give when the prefill that has a prompt ready first is done; None without any.
+
+    Args:
+        service: The service.
+        capacity: What is believed of its endpoints.
+        seeker: Who seeks.
+        alone_s: Seconds that one of the usual speed takes for the prompt.
+    """
     names = (item.name for item in capacity.candidates(service, Role.PREFILL, seeker.now))
-    queues = (
-        capacity.begins_in_s(name, seeker.now) for name in names if name not in seeker.excluded
+    found = (
+        _Ready(capacity.begins_in_s(name, seeker.now), alone_s / capacity.speed(name, seeker.now))
+        for name in names
+        if name not in seeker.excluded
     )
-    return min(queues, default=None)
+    return min(found, key=sum, default=None)
--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -59,6 +59,12 @@
 # Others go beside one only when no other endpoint of their data centre has room. Loads that
 # are compared stay below this figure.
 _BESIDE_SUSPECT = 1.0
+# The share of a prompt's time by which prefills of unequal speed are surely compared; the rest is
+# spread by chance, so that instances that don't know yet of each other's don't all choose one.
+_SURE_SHARE = 0.5
+# Loads are compared by what an endpoint gets done; one slower than this counts like it, so that
+# a sick one does not make the loads of all others look alike.
+_MIN_SPEED = 0.5
 # Endpoints that differ by less than this share of a distance count as equal.
 _TIE = 0.01
 
@@ -87,18 +93,28 @@
     Attributes:
         prompt: Tokens of the prompt.
         output: Tokens of the answer, as estimated.
-        duration_s: How long it runs.
+        duration_s: How long it runs on an endpoint of the usual speed.
+        apart_s: The part of it in which the prompt is computed elsewhere.
     """
 
     prompt: int
     output: int
     duration_s: float
-
-    def reserve(self, endpoint: str, now: float) -> Reservation:
-        """Give the work that it is for an endpoint."""
-        ends_at = now + self.duration_s
+    apart_s: float = 0.0
+
+    def reserve(self, endpoint: str, now: float, speed: float = 1.0) -> Reservation:
+        """Give the work that it is for an endpoint.
+
+        Args:
+            endpoint: Its name.
+            now: The time.
+            speed: Its speed beside its service's usual one.
+        """
+        duration_s = self.duration_s
+        if speed != 1.0:
+            duration_s = self.apart_s + (duration_s - self.apart_s) / speed
         tokens = self.prompt + self.output
-        return Reservation(endpoint, Role.DECODE, tokens, ends_at, self.duration_s, self.output)
+        return Reservation(endpoint, Role.DECODE, tokens, now + duration_s, duration_s, self.output)
 
 
 class SendTime(NamedTuple):
@@ -174,7 +190,9 @@
     ready_for_s = _TURN_SPREAD_S * seeker.rng.random() if send_time.is_retry else 0.0
     best: RoutedEndpoint | None = None
     best_cost = 0.0
-    for endpoint in capacity.candidates(service, Role.DECODE, seeker.now):
+    candidates = capacity.candidates(service, Role.DECODE, seeker.now)
+    slowest = min((_speed(item, capacity, seeker) for item in candidates), default=1.0)
+    for endpoint in candidates:
         if endpoint.name in seeker.excluded or capacity.is_full(endpoint.name, seeker.now):
             continue
         due_in_s = capacity.limits.due_in_s(endpoint.name, seeker.now, ready_for_s)
@@ -184,11 +202,13 @@
             continue
         if _must_part(endpoint, capacity, seeker):
             continue
-        added = [work.reserve(endpoint.name, seeker.now)] * count
+        speed = capacity.speed(endpoint.name, seeker.now)
+        added = [work.reserve(endpoint.name, seeker.now, speed)] * count
         load = _load_with(endpoint, added, traits, capacity, seeker.now)
         if load is None:
             continue
-        cost = load
+        # What is full to the same share is free again sooner on a faster one.
+        cost = load * slowest / _speed(endpoint, capacity, seeker)
         if due_in_s > send_time.ready_in_s:
             cost += _TURN_DISTANCE + due_in_s
         cost += _STREAM_DISTANCE * _is_far(endpoint, capacity, seeker)
@@ -199,6 +219,11 @@
     return best
 
 
+def _speed(endpoint: RoutedEndpoint, capacity: Capacity, seeker: Seeker) -> float:
+    """Give the speed by which an endpoint's load is compared with others'."""
+    return max(_MIN_SPEED, capacity.speed(endpoint.name, seeker.now))
+
+
 def _load_with(
     endpoint: RoutedEndpoint,
     added: list[Reservation],
@@ -224,16 +249,31 @@
 
 
 def place_prefill(
-    service: str, capacity: Capacity, seeker: Seeker, beside: str
+    service: str, capacity: Capacity, seeker: Seeker, beside: str, tokens: int = 0
 ) -> RoutedEndpoint | None:
-    """Give the prefill endpoint with the least to do, preferring ``beside``'s data centre."""
+    """Give the prefill endpoint that has a prompt ready first.
+
+    Args:
+        service: The service.
+        capacity: What is believed of its endpoints.
+        seeker: Who seeks.
+        beside: Data centre that is preferred, as the decode is there.
+        tokens: Tokens of the prompt.
+    """
     best: RoutedEndpoint | None = None
     best_cost = 0.0
-    far_s = capacity.pace(service).prompt_s(_DISTANCE_TOKENS)
-    for endpoint in capacity.candidates(service, Role.PREFILL, seeker.now):
+    pace = capacity.pace(service)
+    far_s, alone_s = pace.prompt_s(_DISTANCE_TOKENS), pace.prompt_s(tokens)
+    candidates = capacity.candidates(service, Role.PREFILL, seeker.now)
+    differ = any(capacity.speed(item.name, seeker.now) != 1.0 for item in candidates)
+    for endpoint in candidates:
         if endpoint.name in seeker.excluded or capacity.is_full(endpoint.name, seeker.now):
             continue
         cost = capacity.begins_in_s(endpoint.name, seeker.now)
+        # What it takes for the prompt beyond what one of the usual speed would.
+        if differ:
+            spread = _SURE_SHARE + (1 - _SURE_SHARE) * seeker.rng.expovariate(1.0)
+            cost += alone_s / capacity.speed(endpoint.name, seeker.now) * spread
         cost += far_s * (endpoint.data_centre != beside)
         cost += far_s * _TIE * seeker.rng.random()
         if best is None or cost < best_cost:
