Roles count the speed of their engines, and the fastest that is free changes

What callers saw: decodes at 0.7 of the usual speed were taken for usual ones; streams waited for places while prefills were idle and no change was planned.

Cause: the planner compared numbers of engines.

Change: late_share takes the mean speed of each role; plan_shift compares what a change leaves in both roles, and the engine that gets the most done in the new role within the time that a change has to win is the one that changes: speed beside work and data centre. The line of a plan tells its speed.

--- a/cleatlink/relay/orders.py
+++ b/cleatlink/relay/orders.py
@@ -149,6 +149,7 @@
             most=most,
             change_s=change_s,
             settled=settled,
+            speeds={endpoint.name: capacity.speed(endpoint.name, now) for endpoint in endpoints},
         )
         # An order is a call like any other: at an endpoint that rests it can wait.
         shifts = [item for item in planned if capacity.opens_at(item.endpoint.name, now) <= now]
@@ -175,6 +176,7 @@
             message_type="orders: plans a shift",
             endpoint=shift.endpoint.name,
             role=shift.role.value,
+            speed=round(self._capacity.speed(shift.endpoint.name, trio.current_time()), 2),
             prefills=prefills,
             decodes=decodes,
             **seen,
--- a/cleatlink/routing/demand.py
+++ b/cleatlink/routing/demand.py
@@ -83,12 +83,64 @@
         """Mean arrivals a second."""
         return sum(self.rates) / len(self.rates) if self.rates else 0.0
 
-    def late_share(self, prefills: int, decodes: int) -> float:
+    def late_share(
+        self,
+        prefills: int,
+        decodes: int,
+        prefill_speed: float = 1.0,
+        decode_speed: float = 1.0,
+    ) -> float:
         """Estimate the share of streams that are late or refused with given roles.
 
         Decodes compute the share of the prompts that is best computed there.
+
+        Args:
+            prefills: Engines that compute prompts.
+            decodes: Engines that run streams.
+            prefill_speed: Mean speed of the prefills beside the service's usual one.
+            decode_speed: Mean speed of the decodes.
         """
-        return _late_share(self, prefills, decodes)
+        return _late_share(self._at(prefill_speed, decode_speed), prefills, decodes)
+
+    def _at(self, prefill_speed: float, decode_speed: float) -> "_SpeedDemand":
+        """Give the demand on engines of given speeds."""
+        prompt_s = self.prompt_s / prefill_speed
+        return _SpeedDemand(
+            self.rates,
+            self.place_rates,
+            prompt_s,
+            DIRECT_FACTOR * self.prompt_s / decode_speed,
+            self.stream_s / decode_speed,
+            self.places,
+            self.slack_s - (prompt_s - self.prompt_s),
+            self.slack_s,
+            self.shares_prompts,
+            self.prompt_s,
+        )
+
+
+class _SpeedDemand(NamedTuple):
+    """Demand on engines of given speeds; as in ``RoleDemand`` but for these.
+
+    Attributes:
+        prompt_s: Seconds that a prefill takes for a prompt.
+        direct_s: Seconds that a decode takes for one.
+        stream_s: Seconds for which a stream holds its place.
+        prompt_slack_s: Seconds that a prompt may wait at a prefill and be in time.
+        slack_s: Seconds that a stream may wait for a place and be in time.
+        usual_prompt_s: Seconds that a prefill of the usual speed takes for a prompt.
+    """
+
+    rates: tuple[float, ...]
+    place_rates: tuple[float, ...]
+    prompt_s: float
+    direct_s: float
+    stream_s: float
+    places: float
+    prompt_slack_s: float
+    slack_s: float
+    shares_prompts: bool
+    usual_prompt_s: float
 
     def prompts_in_time(self, rate: float, share: float, prefills: int, decodes: int) -> float:
         """Estimate the share of prompts that are done in time.
@@ -99,16 +151,15 @@
             prefills: Engines that compute prompts apart.
             decodes: Engines that compute them beside their streams.
         """
-        direct_s = DIRECT_FACTOR * self.prompt_s
-        apart = in_time_share((1 - share) * rate, self.prompt_s, prefills, self.slack_s)
-        slack_s = self.slack_s - (direct_s - self.prompt_s)
-        beside = in_time_share(share * rate, direct_s, decodes, slack_s)
+        apart = in_time_share((1 - share) * rate, self.prompt_s, prefills, self.prompt_slack_s)
+        slack_s = self.slack_s - (self.direct_s - self.usual_prompt_s)
+        beside = in_time_share(share * rate, self.direct_s, decodes, slack_s)
         return (1 - share) * apart + share * beside
 
 
 # A plan compares the same numbers of engines several times, and each figure takes milliseconds.
 @lru_cache(maxsize=64)
-def _late_share(demand: RoleDemand, prefills: int, decodes: int) -> float:
+def _late_share(demand: _SpeedDemand, prefills: int, decodes: int) -> float:
     shares = _DIRECT_SHARES if demand.shares_prompts else (0.0,)
     if not prefills:
         shares = (1.0,)
--- a/cleatlink/routing/role_planner.py
+++ b/cleatlink/routing/role_planner.py
@@ -90,7 +90,7 @@
 
 
 def choose_prefills(prefills: int, count: int, demand: RoleDemand) -> int:
-    """Give how many of ``count`` endpoints best serve prefill, at most one from now.
+    """Give how many of ``count`` endpoints of one speed best serve prefill, at most one from now.
 
     Args:
         prefills: How many serve it now.
@@ -101,6 +101,42 @@
     return min(numbers, key=lambda number: demand.late_share(number, count - number))
 
 
+class _Roles(NamedTuple):
+    """Speeds of a service's endpoints in each role, beside its usual one."""
+
+    prefills: tuple[float, ...]
+    decodes: tuple[float, ...]
+
+    def late_share(self, demand: RoleDemand) -> float:
+        """Estimate the share of streams that are late with these roles."""
+        return demand.late_share(
+            len(self.prefills), len(self.decodes), _mean(self.prefills), _mean(self.decodes)
+        )
+
+    def without(self, speed: float, role: Role) -> "_Roles":
+        """Give the roles while an endpoint changes to another: it serves neither."""
+        if role is Role.DECODE:
+            return _Roles(_less(self.prefills, speed), self.decodes)
+        return _Roles(self.prefills, _less(self.decodes, speed))
+
+    def after(self, speed: float, role: Role) -> "_Roles":
+        """Give the roles once an endpoint has changed."""
+        during = self.without(speed, role)
+        if role is Role.DECODE:
+            return _Roles(during.prefills, (*during.decodes, speed))
+        return _Roles((*during.prefills, speed), during.decodes)
+
+
+def _mean(speeds: Sequence[float]) -> float:
+    return sum(speeds) / len(speeds) if speeds else 1.0
+
+
+def _less(speeds: tuple[float, ...], speed: float) -> tuple[float, ...]:
+    """Give some speeds without one of them, or without the first if it is not there."""
+    at = speeds.index(speed) if speed in speeds else 0
+    return speeds[:at] + speeds[at + 1 :]
+
+
 def plan_shift(
     prefills: Sequence[RoutedEndpoint],
     decodes: Sequence[RoutedEndpoint],
@@ -110,6 +146,7 @@
     *,
     change_s: float = 0.0,
     settled: bool = True,
+    speeds: Mapping[str, float] = MappingProxyType({}),
 ) -> RoleShift | None:
     """Give the endpoint that is to change its role now, if any.
 
@@ -124,13 +161,46 @@
         change_s: Seconds that a change takes once an endpoint is free.
         settled: Whether no endpoint is away that may be back soon; without any
             decode a change does not wait for that.
+        speeds: Speeds of endpoints beside their service's usual one, where known.
     """
     endpoints = [*prefills, *decodes]
-    roles = [targets.get(endpoint.name, endpoint.role) for endpoint in endpoints]
-    counts = roles.count(Role.PREFILL), roles.count(Role.DECODE)
-    role = _wanted_change(*counts, demand, change_s)
-    if role is None or (decodes and not settled):
+    if decodes and not settled:
         return None
+    shifts = {
+        role: _candidate(endpoints, decodes, role, work=work, targets=targets, speeds=speeds)
+        for role in (Role.DECODE, Role.PREFILL)
+    }
+    roles = _Roles(
+        _speeds_in(Role.PREFILL, endpoints, targets, speeds),
+        _speeds_in(Role.DECODE, endpoints, targets, speeds),
+    )
+    return _wanted_change(roles, shifts, demand, change_s, speeds)
+
+
+def _speeds_in(
+    role: Role,
+    endpoints: Sequence[RoutedEndpoint],
+    targets: Mapping[str, Role],
+    speeds: Mapping[str, float],
+) -> tuple[float, ...]:
+    """Give the speeds of the endpoints that have a role, or will have it."""
+    return tuple(
+        speeds.get(endpoint.name, 1.0)
+        for endpoint in endpoints
+        if targets.get(endpoint.name, endpoint.role) is role
+    )
+
+
+def _candidate(
+    endpoints: Sequence[RoutedEndpoint],
+    decodes: Sequence[RoutedEndpoint],
+    role: Role,
+    *,
+    work: Mapping[str, float],
+    targets: Mapping[str, Role],
+    speeds: Mapping[str, float],
+) -> RoleShift | None:
+    """Give the endpoint that would best take a role; None if none can."""
     free = [
         endpoint
         for endpoint in endpoints
@@ -139,7 +209,7 @@
     if not free:
         return None
     kept = Counter(endpoint.data_centre for endpoint in decodes)
-    return RoleShift(_best_to_change(free, role, kept, work), role)
+    return RoleShift(_best_to_change(free, role, kept, work, speeds), role)
 
 
 def plan_shifts(
@@ -152,6 +222,7 @@
     most: int,
     change_s: float = 0.0,
     settled: bool = True,
+    speeds: Mapping[str, float] = MappingProxyType({}),
 ) -> list[RoleShift]:
     """Give the endpoints that are to change their role now, all to the same one.
 
@@ -168,12 +239,20 @@
         most: How many may begin to change.
         change_s: Seconds that a change takes once an endpoint is free.
         settled: Whether no endpoint is away that may be back soon.
+        speeds: Speeds of endpoints beside their service's usual one, where known.
     """
     shifts: list[RoleShift] = []
     expected = dict(targets)
     while len(shifts) < most:
         shift = plan_shift(
-            prefills, decodes, demand, work, expected, change_s=change_s, settled=settled
+            prefills,
+            decodes,
+            demand,
+            work,
+            expected,
+            change_s=change_s,
+            settled=settled,
+            speeds=speeds,
         )
         if shift is None or (shifts and shift.role is not shifts[0].role):
             break
@@ -183,29 +262,49 @@
 
 
 def _wanted_change(
-    prefills: int, decodes: int, demand: RoleDemand | None, change_s: float
-) -> Role | None:
-    """Give the role that one more endpoint is to take, if any."""
-    count = prefills + decodes
-    if count < 2:
-        return Role.DECODE if prefills else None
-    if not decodes:
-        return Role.DECODE
-    if not prefills:
-        return Role.PREFILL
+    roles: _Roles,
+    shifts: Mapping[Role, RoleShift | None],
+    demand: RoleDemand | None,
+    change_s: float,
+    speeds: Mapping[str, float],
+) -> RoleShift | None:
+    """Give the one of some changes that is to be made, if any."""
+    if len(roles.prefills) + len(roles.decodes) < 2:
+        return shifts[Role.DECODE] if roles.prefills else None
+    if not roles.decodes:
+        return shifts[Role.DECODE]
+    if not roles.prefills:
+        return shifts[Role.PREFILL]
     if demand is None or demand.requests < _MIN_REQUESTS or demand.seconds < _MIN_SECONDS:
         return None
-    wanted = choose_prefills(prefills, count, demand)
-    if wanted == prefills or not _wins_back(prefills, wanted, count, demand, change_s):
+    late = roles.late_share(demand)
+    best: RoleShift | None = None
+    for role, shift in shifts.items():
+        # A role that nobody is free to take may be the one that is short all the same.
+        speed = 1.0 if shift is None else speeds.get(shift.endpoint.name, 1.0)
+        after = roles.after(speed, role)
+        if not after.prefills or not after.decodes:
+            continue
+        found = after.late_share(demand)
+        if found < late:
+            best, late = shift, found
+    if best is None or not _wins_back(roles, best, demand, change_s, speeds):
         return None
-    return Role.DECODE if wanted < prefills else Role.PREFILL
+    return best
 
 
-def _wins_back(prefills: int, wanted: int, count: int, demand: RoleDemand, change_s: float) -> bool:
+def _wins_back(
+    roles: _Roles,
+    shift: RoleShift,
+    demand: RoleDemand,
+    change_s: float,
+    speeds: Mapping[str, float],
+) -> bool:
     """Tell whether a change spares more streams from being late than it costs while it lasts."""
-    before = demand.late_share(prefills, count - prefills)
-    gain = before - demand.late_share(wanted, count - wanted)
-    during = demand.late_share(min(prefills, wanted), count - max(prefills, wanted))
+    speed = speeds.get(shift.endpoint.name, 1.0)
+    before = roles.late_share(demand)
+    gain = before - roles.after(speed, shift.role).late_share(demand)
+    during = roles.without(speed, shift.role).late_share(demand)
     won, cost = gain * _WIN_BACK_S, (during - before) * change_s
     if gain < _MIN_GAIN:
         return gain >= _MIN_CHEAP_GAIN and won > _CHEAP_FACTOR * cost
@@ -217,6 +316,7 @@
     role: Role,
     decodes: Mapping[str, int],
     work: Mapping[str, float],
+    speeds: Mapping[str, float],
 ) -> RoutedEndpoint:
     """Give the endpoint that best takes a role.
 
@@ -225,12 +325,16 @@
         role: The role.
         decodes: Number of decodes by data centre.
         work: Seconds until its work is over by the name of an endpoint.
+        speeds: Speeds of endpoints beside their service's usual one, where known.
     """
 
-    def cost(endpoint: RoutedEndpoint) -> tuple[bool, float, str]:
+    def cost(endpoint: RoutedEndpoint) -> tuple[bool, float, float, str]:
         here = decodes.get(endpoint.data_centre, 0)
         # A new decode is worth most where there is none; a last one is kept.
         uncovers = here > 0 if role is Role.DECODE else here < 2
-        return uncovers, work.get(endpoint.name, 0.0), endpoint.name
+        left_s = work.get(endpoint.name, 0.0)
+        # What it would get done in the new role, in the time that a change has to win.
+        done = speeds.get(endpoint.name, 1.0) * (_WIN_BACK_S - left_s)
+        return uncovers, -done, left_s, endpoint.name
 
     return min(endpoints, key=cost)
--- a/cleatlink/routing/role_planner_test.py
+++ b/cleatlink/routing/role_planner_test.py
@@ -410,3 +410,53 @@
 
 def test_many_endpoints_change_a_few_at_a_time_and_few_one_by_one() -> None:
     assert [most_changing(count) for count in (2, 5, 11, 12, 22, 100)] == [1, 1, 1, 2, 3, 16]
+
+
+def test_roles_count_the_speed_of_their_engines_and_not_their_number() -> None:
+    """Two slow decodes were taken for two usual ones, and had no help from idle prefills."""
+    demand = asks(0.3, 1.2)
+    assert demand.late_share(3, 2, 1.0, 0.6) > demand.late_share(3, 2) + 0.05
+    assert demand.late_share(3, 2, 1.0, 1.7) < demand.late_share(3, 2)
+    assert demand.late_share(1, 2, 0.2, 1.0) > demand.late_share(1, 2)
+    prefills, decodes = endpoints(Role.PREFILL, 3), endpoints(Role.DECODE, 2)
+    assert plan_shift(prefills, decodes, demand, {}, change_s=CHANGE_S) is None
+    slow = {"decode0": 0.6, "decode1": 0.6}
+    shift = plan_shift(prefills, decodes, demand, {}, change_s=CHANGE_S, speeds=slow)
+    assert shift is not None
+    assert shift.role is Role.DECODE
+
+
+def test_fast_engine_takes_the_role_that_is_short_unless_it_is_busy_for_long() -> None:
+    prefills, decodes = endpoints(Role.PREFILL, 3), endpoints(Role.DECODE, 2)
+    speeds = {"prefill0": 0.7, "prefill1": 0.7, "prefill2": 1.7}
+    answers = asks(0.5, 2.8)
+
+    def first(work: dict[str, float], speeds: dict[str, float]) -> str:
+        shift = plan_shift(prefills, decodes, answers, work, change_s=CHANGE_S, speeds=speeds)
+        assert shift is not None
+        return shift.endpoint.name
+
+    assert first({}, speeds) == "prefill2"
+    assert first({}, {}) == "prefill0"
+    assert first({"prefill2": 5.0}, speeds) == "prefill2"
+    assert first({"prefill2": 25.0}, speeds) == "prefill0"
+
+
+@given(
+    st.integers(0, 6),
+    st.integers(0, 6),
+    st.floats(0.05, 8.0),
+    st.floats(0.05, 8.0),
+    st.integers(1, 3),
+)
+def test_with_equal_speeds_plans_are_as_by_number(
+    reading: int, writing: int, prompts: float, answers: float, most: int
+) -> None:
+    demand = asks(prompts, answers, seconds=4)
+    prefills, decodes = endpoints(Role.PREFILL, reading), endpoints(Role.DECODE, writing)
+    speeds = {endpoint.name: 1.0 for endpoint in (*prefills, *decodes)}
+    by_number = plan_shifts(prefills, decodes, demand, {}, most=most)
+    assert plan_shifts(prefills, decodes, demand, {}, most=most, speeds=speeds) == by_number
+    if by_number and reading and writing:
+        change = 1 if by_number[0].role is Role.PREFILL else -1
+        assert choose_prefills(reading, reading + writing, demand) == reading + change
