News of speeds costs less to take, and is told every 3 s

What was seen: taking one message of three lives took 82 to 103 us on the busy machine, and 45 of them come a second in a fleet of 90.

Change: a pool holds flat entries, sorted in place; kinds are looked up once; messages go out every 3 s at the most (2 s before); each peer tells one that is new of its newest 16 endpoints (64 before): 89 peers told the same ones.

--- a/cleatlink/relay/peers/endpoint_pace_news.py
+++ b/cleatlink/relay/peers/endpoint_pace_news.py
@@ -13,16 +13,17 @@
 __all__ = ["EndpointPaceTeller"]
 
 # Time between two messages, in seconds: some measurements of each busy endpoint.
-_PAUSE_S = 2.0
+_PAUSE_S = 3.0
 # Endpoints in one datagram, so that it stays within a few hundred bytes.
 _MOST_LIVES = 8
 # Endpoints that are told of at a time.
 _MOST_CHANGED = 16
-# Endpoints that a peer which is new is told of.
-_MOST_INTRODUCED = 64
+# Endpoints that each of its peers tells one that is new of: together they know all.
+_MOST_INTRODUCED = 16
 # Steps in which logarithms and ages are told: one byte each.
 _LOG_STEP = 1 / 32
 _AGE_STEP_S = 0.5
+_KINDS = {kind.value: kind for kind in PaceKind}
 # A speed that changed by less than this factor is not logged again.
 _LOGGED_FACTOR = 1.25
 # Lines about changed speeds at a time.
@@ -72,7 +73,7 @@
         return self._messages(self._paces.own_lives(trio.current_time())[:_MOST_LIVES])
 
     def introduction(self) -> list[EndpointPaceNews]:
-        """Give all that this instance measured lately, for a peer that is new."""
+        """Give what this instance measured last, for a peer that is new."""
         return self._messages(self._paces.own_lives(trio.current_time())[:_MOST_INTRODUCED])
 
     def _messages(self, lives: Sequence[str]) -> list[EndpointPaceNews]:
@@ -130,8 +131,7 @@
 
 def _samples(items: Sequence[PaceItem], now: float) -> Iterator[PaceSample]:
     """Give what a peer measured; kinds that are not known are left."""
-    kinds = {kind.value: kind for kind in PaceKind}
     for item in items:
-        if item.kind in kinds:
-            at = now - max(0, item.age) * _AGE_STEP_S
-            yield PaceSample(at, kinds[item.kind], item.log * _LOG_STEP)
+        kind = _KINDS.get(item.kind)
+        if kind is not None:
+            yield PaceSample(now - max(0, item.age) * _AGE_STEP_S, kind, item.log * _LOG_STEP)
--- a/cleatlink/routing/endpoint_pace.py
+++ b/cleatlink/routing/endpoint_pace.py
@@ -67,7 +67,8 @@
 class _Pooled(NamedTuple):
     """A measurement with the instance that took it; empty for this one."""
 
-    sample: PaceSample
+    at: float
+    log: float
     sender: str
 
 
@@ -144,8 +145,8 @@
 
     def take(self, sender: str, life: str, samples: Sequence[PaceSample]) -> None:
         """Take all that a peer measured of an endpoint lately, in place of what it told before."""
-        usable = [item._replace(log=_bounded(item.log)) for item in samples if _is_finite(item)]
-        self._pool(life, sender, usable[:_OWN_SAMPLES], replace=True)
+        usable = [item for item in samples[:_OWN_SAMPLES] if _is_finite(item)]
+        self._pool(life, sender, usable, replace=True)
 
     def _pool(
         self, life: str, sender: str, samples: Sequence[PaceSample], *, replace: bool
@@ -153,8 +154,9 @@
         known = self._pools.get(life, [])
         if replace:
             known = [item for item in known if item.sender != sender]
-        pooled = sorted([*known, *(_Pooled(item, sender) for item in samples)])
-        self._pools[life] = pooled[-_POOL:]
+        known = known + [_Pooled(item.at, _bounded(item.log), sender) for item in samples]
+        known.sort()
+        self._pools[life] = known[-_POOL:]
 
     def own(self, life: str, now: float) -> list[PaceSample]:
         """Give what this instance measured of an endpoint lately."""
@@ -199,14 +201,13 @@
     def newest_ago_s(self, life: str, now: float) -> float | None:
         """Give how many seconds ago an endpoint was last measured; None if it never was."""
         pool = self._pools.get(life)
-        return round(now - pool[-1].sample.at, 2) if pool else None
+        return round(now - pool[-1].at, 2) if pool else None
 
 
 def _speed(pool: Sequence[_Pooled], now: float) -> float:
     """Give the speed that the newest measurements of all instances show."""
-    samples = [item.sample for item in pool]
-    fresh = [sample.log for sample in samples if now - sample.at < _FRESH_S]
-    believed = [sample.log for sample in samples if now - sample.at < _BELIEVED_S]
+    fresh = [item.log for item in pool if now - item.at < _FRESH_S]
+    believed = [item.log for item in pool if now - item.at < _BELIEVED_S]
     logs = fresh if len(fresh) >= _FRESH_SAMPLES else believed
     slowness = median([*logs, *[0.0] * _PRIOR_SAMPLES])
     newest = logs[-_SICK_SAMPLES:]
