--- a/cleatlink/routing/unequal_test.py
+++ b/cleatlink/routing/unequal_test.py
@@ -8,7 +8,7 @@
 import heapq
 import math
 import random
-from collections.abc import Set
+from collections.abc import Callable, Set
 from typing import NamedTuple
 
 import pytest
@@ -70,8 +70,22 @@
     seconds: float
 
 
-def late_prompts(instances: int, without: Set[Mechanism], seed: int, loss: float) -> int:
-    """Give how many of the prompts of 30 s are ready later than a second after they came."""
+def late_prompts(
+    instances: int,
+    without: Set[Mechanism],
+    seed: int,
+    loss: float,
+    speeds: Callable[[int, float], float],
+) -> int:
+    """Give how many of the prompts of 30 s are ready later than a second after they came.
+
+    Args:
+        instances: How many place them.
+        without: Mechanisms that are switched off.
+        seed: Of arrivals, losses and choices.
+        loss: Share of work that peers hear of with a heartbeat only.
+        speeds: Gives the speed of an engine at a time.
+    """
     rng = random.Random(seed)
     fleets = [fleet(Role.PREFILL, 6, without) for _ in range(instances)]
     free_at = [0.0] * 6
@@ -106,7 +120,7 @@
         assert chosen is not None
         engine = int(chosen.name[1:])
         began_at = max(now, free_at[engine])
-        free_at[engine] = began_at + USUAL_S / SPEEDS[engine % 3]
+        free_at[engine] = began_at + USUAL_S / speeds(engine, now)
         late += free_at[engine] - now > 1.0
         queue_s = own.begins_in_s(chosen.name, now)
         expected_s = queue_s + USUAL_S / own.speed(chosen.name, now)
@@ -124,15 +138,36 @@
     return late
 
 
+def unequal(engine: int, now: float) -> float:
+    """Give the speed of one of six unequal engines."""
+    return SPEEDS[engine % 3]
+
+
+def one_sick(engine: int, now: float) -> float:
+    """Give the speed of one of six equal engines, the first of which is sick for a while."""
+    return 0.2 if engine == 0 and 10.0 < now < 20.0 else 1.0
+
+
 @pytest.mark.parametrize("instances", [8, 60])
 @pytest.mark.parametrize("loss", [0.0, 0.4])
 def test_fewer_prompts_are_late_than_by_the_number_of_engines(instances: int, loss: float) -> None:
     seeds = range(3)
-    by_number = sum(late_prompts(instances, OFF, seed, loss) for seed in seeds)
-    by_speed = sum(late_prompts(instances, frozenset(), seed, loss) for seed in seeds)
+    by_number, by_speed = (
+        sum(late_prompts(instances, without, seed, loss, unequal) for seed in seeds)
+        for without in (OFF, frozenset[Mechanism]())
+    )
     assert by_speed < 0.7 * by_number, (by_speed, by_number)
 
 
+def test_an_engine_that_turns_sick_is_left_and_used_again_when_it_is_well() -> None:
+    """One of six engines takes five times as long for ten seconds."""
+    by_number, by_speed = (
+        sum(late_prompts(60, without, seed, 0.2, one_sick) for seed in range(3))
+        for without in (OFF, frozenset[Mechanism]())
+    )
+    assert by_speed < 0.9 * by_number, (by_speed, by_number)
+
+
 def test_full_to_the_same_share_the_faster_decode_is_chosen() -> None:
     capacity = fleet(Role.DECODE, 3)
     for name, speed in zip(("e0", "e1", "e2"), SPEEDS, strict=True):
