Streams go to another data centre before their own is full, if that is worth the crossing

Callers of a data centre at the height of its wave saw streams turned away or late while others had room: another data centre was used only when no decode at home had any. Prompts, on the other side, crossed for a queue of 45 ms, and moved their results with them.

Change: routing/spill_over.py compares the best place at home with the best elsewhere, by the share of memory and by what prompts wait as a share of the target. A stream crosses when home counts 0.85 or more and the other one less by the cost of the crossing, a setting (routing.crossing_share, 0.25 of the target without it). A prompt alone crosses only if it saves more than that. Groups of up to 16 peers place as before, by a property test.

Ruled out: a state with two thresholds at each instance; the margin alone keeps two data centres from sending each other their load (property test).

Tests of routing, documentation, streams, holds and the platform's side pass (326).

--- a/cleatlink/platform/settings.py
+++ b/cleatlink/platform/settings.py
@@ -9,6 +9,7 @@
 from cleatlink.core.tables import TableReader
 from cleatlink.organisations import LimitTolerance
 from cleatlink.relay.settings import RelaySettings
+from cleatlink.routing.spill_over import CROSSING_SHARE
 
 __all__ = ["SettingsError", "load_settings", "read_settings"]
 
@@ -68,6 +69,7 @@
         limit_tolerance=_read_tolerance(reader),
         memory_mb=reader.optional_number("limits.memory_mb", 0.0),
         size=_read_size(reader),
+        crossing_share=reader.optional_number("routing.crossing_share", CROSSING_SHARE),
     )
     if reader.faults:
         raise SettingsError(reader.faults)
--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -107,6 +107,7 @@
                 seeker,
                 data_centre,
                 call.inbound.prompt_tokens,
+                call.route.target_s,
             )
             if endpoint is None:
                 call.log("has its prompt computed by the decode")
--- a/cleatlink/relay/calls/room.py
+++ b/cleatlink/relay/calls/room.py
@@ -1,6 +1,7 @@
 """Finds room for streams, and lets them wait for it in the order of their priority."""
 
 import math
+from collections.abc import Mapping
 from typing import NamedTuple
 
 import trio
@@ -15,6 +16,7 @@
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.prompt_plan import PromptPlan, plan_prompt
 from cleatlink.routing.relay_place import (
+    NO_WAITS,
     Seeker,
     SendTime,
     StreamSize,
@@ -33,6 +35,7 @@
     LeftRoom,
     due_at,
 )
+from cleatlink.routing.spill_over import prompt_waits
 
 __all__ = ["DecodeRoom", "Room", "Turn"]
 
@@ -378,7 +381,9 @@
             running=usage.running,
             speed=round(speed, 2),
             computes_prompt=plan.direct,
+            is_far=endpoint.data_centre != seeker.data_centre,
         )
+        self._parts.metrics.count_place(is_far=endpoint.data_centre != seeker.data_centre)
         prompt_at = turn.due_at - ready_in_s
         return Room(endpoint, key, work.duration_s, size.output, plan.direct, turn, prompt_at)
 
@@ -411,6 +416,7 @@
             computes_prompt=plan.direct,
             leaves_room=self._yields(plan, standing),
             send_time=SendTime(ready_in_s, ready_in_s + spare_s, is_retry),
+            prompt_waits=self._prompt_waits(call, plan, standing, seeker),
         )
         if endpoint is None:
             if standing.left is not None:
@@ -419,6 +425,19 @@
         fit = _Fit(endpoint, size)
         return fit if self._leaves_enough(call, plan, standing, fit, seeker) else None
 
+    def _prompt_waits(
+        self, call: Call, plan: PromptPlan, standing: _Standing, seeker: Seeker
+    ) -> Mapping[str, float]:
+        """Give what a call's prompt waits for decodes of each data centre."""
+        capacity, service = self._parts.capacity, call.service.name
+        spill_over = capacity.spill_over
+        if not spill_over.is_in_use or plan.direct or standing.prompt_ready:
+            return NO_WAITS
+        queues_s = capacity.prompt_queues_s(service, seeker.now)
+        decodes = capacity.candidates(service, Role.DECODE, seeker.now)
+        places = {endpoint.data_centre for endpoint in decodes}
+        return prompt_waits(queues_s, places, call.route.target_s, spill_over.crossing_share)
+
     def _leaves_enough(
         self, call: Call, plan: PromptPlan, standing: _Standing, fit: _Fit, seeker: Seeker
     ) -> bool:
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -84,6 +84,7 @@
         self._incarnation = incarnation
         self._writer = writer
         self._capacity = Capacity(Switches(settings.without), trio.current_time())
+        self._capacity.spill_over.crossing_share = settings.crossing_share
         self._metrics = RelayMetrics()
         notices = self._capacity.notices
         self._answer_notices = AnswerNotices(
@@ -273,6 +274,7 @@
         """Use settings that may change while running."""
         self._settings = settings
         self._budgets.change(settings)
+        self._capacity.spill_over.crossing_share = settings.crossing_share
         self._gate.limits.change_tolerance(settings.limit_tolerance)
         eliot.log_message(message_type="instance: reloads its settings", name=settings.name)
 
--- a/cleatlink/relay/metrics.py
+++ b/cleatlink/relay/metrics.py
@@ -62,6 +62,10 @@
             "cleatlink_relay_room_left_total",
             "Streams that left room to others that wait at other instances.",
         )
+        self._places = self._counter(
+            "cleatlink_relay_stream_places_total",
+            "Places that streams got, by whether they are in this data centre.",
+        )
         self._organisations: set[str] = set()
         self._held = Gauge(
             "cleatlink_relay_held_bytes",
@@ -168,6 +172,10 @@
         """Count a stream that left room to others that wait at other instances."""
         self._room_left.inc({})
 
+    def count_place(self, *, is_far: bool) -> None:
+        """Count a place that a stream got in this data centre, or in another one."""
+        self._places.inc({"data_centre": "other" if is_far else "own"})
+
     def observe_prefill(self, seconds: float) -> None:
         """Note how long a prefill took."""
         self._prefill.observe({}, seconds)
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -366,6 +366,7 @@
         self._limit_news.look(now)
         self._capacity.expire_peers(now, _WORK_SLACK_S)
         self._capacity.waiting.note_peers(len(self._peers))
+        self._capacity.spill_over.note_peers(len(self._peers))
         for lost in self._peers.forget_silent(now):
             self._capacity.forget_peer(lost.name)
             self._heard_work.pop(lost.name, None)
--- a/cleatlink/relay/settings.py
+++ b/cleatlink/relay/settings.py
@@ -5,6 +5,7 @@
 from cleatlink.core.address import Address
 from cleatlink.organisations import LimitTolerance
 from cleatlink.routing.mechanisms import Mechanism
+from cleatlink.routing.spill_over import CROSSING_SHARE
 
 __all__ = ["RelaySettings"]
 
@@ -31,6 +32,8 @@
         limit_tolerance: By how much organisations may pass their limits in a cut.
         memory_mb: Memory of the machine, in megabytes; 0 where it is not known.
         size: Its part of processors, in cores.
+        crossing_share: What it costs to send a stream to another data centre, as a share of its
+            target.
         without: Mechanisms that are switched off for an experiment.
     """
 
@@ -52,4 +55,5 @@
     limit_tolerance: LimitTolerance = LimitTolerance()
     memory_mb: float = 0.0
     size: float = 1.0
+    crossing_share: float = CROSSING_SHARE
     without: frozenset[Mechanism] = frozenset()
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -6,6 +6,8 @@
 health checks, decide whether an endpoint is avoided for a while.
 """
 
+import math
+
 from cleatlink.core.data import Role
 from cleatlink.core.routes import EngineTraits, RoutedEndpoint
 from cleatlink.routing.demand import DemandMeter, RoleDemand, StreamPromise
@@ -18,6 +20,7 @@
 from cleatlink.routing.reservation import Reservation
 from cleatlink.routing.shared_waiting import SharedWaiting
 from cleatlink.routing.shed_limits import ShedLimits
+from cleatlink.routing.spill_over import SpillOver
 from cleatlink.routing.workload import Workload
 
 __all__ = ["Capacity"]
@@ -38,6 +41,7 @@
         self.endpoint_paces = EndpointPaces()
         super().__init__(self.notices.begin_work, self.notices.end_work)
         self.switches = switches or Switches()
+        self.spill_over = SpillOver(is_on=self.switches.uses(Mechanism.SPILL_OVER))
         self.waiting = SharedWaiting(is_on=self.switches.uses(Mechanism.SHARED_WAITING))
         self._endpoints: dict[str, RoutedEndpoint] = {}
         self._by_service: dict[str, list[RoutedEndpoint]] = {}
@@ -332,6 +336,15 @@
         queue_s = self.queue_s(name) / self.speed(name, now)
         return max(queue_s, self.limits.due_in_s(name, now))
 
+    def prompt_queues_s(self, service: str, now: float) -> dict[str, float]:
+        """Give in how many seconds a prefill begins a prompt, by its data centre."""
+        found: dict[str, float] = {}
+        for endpoint in self.candidates(service, Role.PREFILL, now):
+            begins_in_s = self.begins_in_s(endpoint.name, now)
+            known_s = found.get(endpoint.data_centre, math.inf)
+            found[endpoint.data_centre] = min(known_s, begins_in_s)
+        return found
+
     def queue_s(self, name: str) -> float:
         """Give how long a prefill of the usual speed would still take for its prompts.
 
--- a/cleatlink/routing/mechanisms.py
+++ b/cleatlink/routing/mechanisms.py
@@ -45,6 +45,8 @@
     PATIENCE = "patience"
     # Room left for streams that wait at other instances and go before.
     SHARED_WAITING = "shared-waiting"
+    # Streams that go to another data centre before their own is full.
+    SPILL_OVER = "spill-over"
 
 
 class Switches:
--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -7,7 +7,8 @@
 
 import math
 import random
-from collections.abc import Iterator, Set
+from collections.abc import Iterator, Mapping, Set
+from types import MappingProxyType
 from typing import NamedTuple
 
 from cleatlink.core.data import Role
@@ -32,10 +33,6 @@
     "place_prefill",
 ]
 
-# A stream goes to a decode of another data centre only when none here has room: a cut
-# between the two would break it off, and each of its bytes would cross. Loads that are
-# compared stay below this figure.
-_STREAM_DISTANCE = 2.0
 # A stream waits for its turn at an endpoint that names a limit only when no other, wherever it
 # is, can take it at once.
 _TURN_DISTANCE = 4.0
@@ -134,6 +131,17 @@
 
 
 AT_ONCE = SendTime()
+NO_WAITS: Mapping[str, float] = MappingProxyType({})
+
+
+class _Option(NamedTuple):
+    """A place for a stream, and what counts against it."""
+
+    cost: float
+    endpoint: RoutedEndpoint | None
+
+
+_NOWHERE = _Option(math.inf, None)
 
 
 def estimate_output(inbound: Inbound, pace: ServicePace) -> int:
@@ -172,6 +180,7 @@
     computes_prompt: bool = False,
     leaves_room: bool = False,
     send_time: SendTime = AT_ONCE,
+    prompt_waits: Mapping[str, float] = NO_WAITS,
 ) -> RoutedEndpoint | None:
     """Give the decode endpoint with the most room, None if none has enough.
 
@@ -186,11 +195,12 @@
         leaves_room: Whether room for one more such stream has to be left, on an endpoint
             that is not idle.
         send_time: When the stream is to be sent, for endpoints that name a limit.
+        prompt_waits: What prompts wait for decodes of a data centre, as shares of the
+            stream's target.
     """
     count = 2 if leaves_room else 1
     ready_for_s = _TURN_SPREAD_S * seeker.rng.random() if send_time.is_retry else 0.0
-    best: RoutedEndpoint | None = None
-    best_cost = 0.0
+    best = {False: _NOWHERE, True: _NOWHERE}
     candidates = capacity.candidates(service, Role.DECODE, seeker.now)
     slowest = min((_speed(item, capacity, seeker) for item in candidates), default=1.0)
     for endpoint in candidates:
@@ -210,14 +220,16 @@
             continue
         # What is full to the same share is free again sooner on a faster one.
         cost = load * slowest / _speed(endpoint, capacity, seeker)
+        cost += prompt_waits.get(endpoint.data_centre, 0.0)
         if due_in_s > send_time.ready_in_s:
             cost += _TURN_DISTANCE + due_in_s
-        cost += _STREAM_DISTANCE * _is_far(endpoint, capacity, seeker)
         cost += _suspicion(endpoint, capacity, seeker)
         cost += seeker.rng.random() * 0.01
-        if best is None or cost < best_cost:
-            best, best_cost = endpoint, cost
-    return best
+        is_far = _is_far(endpoint, capacity, seeker)
+        if cost < best[is_far].cost:
+            best[is_far] = _Option(cost, endpoint)
+    near, far = best[False], best[True]
+    return (far if capacity.spill_over.crosses(near.cost, far.cost) else near).endpoint
 
 
 def _speed(endpoint: RoutedEndpoint, capacity: Capacity, seeker: Seeker) -> float:
@@ -284,7 +296,12 @@
 
 
 def place_prefill(
-    service: str, capacity: Capacity, seeker: Seeker, beside: str, tokens: int = 0
+    service: str,
+    capacity: Capacity,
+    seeker: Seeker,
+    beside: str,
+    tokens: int = 0,
+    target_s: float = 0.0,
 ) -> RoutedEndpoint | None:
     """Give the prefill endpoint that has a prompt ready first.
 
@@ -294,11 +311,14 @@
         seeker: Who seeks.
         beside: Data centre that is preferred, as the decode is there.
         tokens: Tokens of the prompt.
+        target_s: Time within which the stream should begin; bounds what a crossing costs.
     """
     best: RoutedEndpoint | None = None
     best_cost = 0.0
     pace = capacity.pace(service)
     far_s, alone_s = pace.prompt_s(_DISTANCE_TOKENS), pace.prompt_s(tokens)
+    if capacity.spill_over.is_in_use and target_s < math.inf:
+        far_s = max(far_s, capacity.spill_over.crossing_share * target_s)
     candidates = capacity.candidates(service, Role.PREFILL, seeker.now)
     differ = any(capacity.speed(item.name, seeker.now) != 1.0 for item in candidates)
     for endpoint in candidates:
