Engines are told the priority of streams in large groups

Urgent prompts stood behind less urgent ones at the engines, and urgent streams were put back like any other where memory ran out. Engines know priorities; they were told none.

Change: a stream's priority goes with its prompt and with the stream itself, from 0 to 9, in groups of more than 16 peers. Smaller ones send what they sent before. The mechanism endpoint-priority switches it off.

Ruled out: telling them everywhere; small fleets are to be served as before.

Before the change the new test found no such header at either engine.

--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -16,6 +16,7 @@
 from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.relay.endpoints.protocol import OTHER_ENDPOINT, ReplyHead
 from cleatlink.relay.peers.messages import HintKind
+from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.relay_place import RUNS_APART, Seeker
 
 __all__ = ["Call"]
@@ -94,6 +95,13 @@
             return self.route.priority
         return organisation.priority
 
+    @property
+    def told_priority(self) -> int | None:
+        """The priority that engines are told; None where urgency is not shared."""
+        capacity = self._parts.capacity
+        tells = capacity.switches.uses(Mechanism.ENDPOINT_PRIORITY)
+        return self.priority if tells and capacity.waiting.is_large_group else None
+
     @property
     def is_allowed(self) -> bool:
         """Whether its key has not been taken away since it came; what has run goes on."""
--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -199,7 +199,9 @@
         call.note_begun()
 
         def make() -> OutgoingRequest:
-            return parts.protocol.forward(call.inbound, endpoint, call.left_s, prefill=True)
+            return parts.protocol.forward(
+                call.inbound, endpoint, call.left_s, prefill=True, priority=call.told_priority
+            )
 
         reply = await parts.pool.call(endpoint, IDLE_LIMIT_S, make, _MOST_REPLY_BYTES)
         return self._read_handle(endpoint, reply.head, reply.body)
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -164,6 +164,7 @@
             kv_source=prefill.source,
             hold=self._place.hold.use(endpoint),
             last_event=self._cutter.last,
+            priority=call.told_priority,
         )
         self._succession.listen(_FIRST_EVENT_S)
         head = await connection.exchange(request)
--- a/cleatlink/relay/calls/stream_test.py
+++ b/cleatlink/relay/calls/stream_test.py
@@ -2,6 +2,7 @@
 
 from itertools import pairwise
 
+import pytest
 import trio
 
 from cleatlink.routing.mechanisms import Mechanism
@@ -102,6 +103,23 @@
         assert pauses_s[2] >= 0.32
 
 
+@pytest.mark.parametrize(("peers", "told"), [(17, "1"), (16, None)])
+async def test_engines_are_told_the_priority_in_large_groups(
+    peers: int, told: str | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Urgent prompts stood behind others at the engines, which know priorities themselves."""
+    async with open_fleet() as fleet:
+        prefill, decode, _ = engines()
+        await start(fleet, prefill, decode)
+        waiting = fleet.instances[0].capacity.waiting
+        waiting.note_peers(peers)
+        monkeypatch.setattr(waiting, "note_peers", lambda _: None)
+        reply = await fleet.caller().ask("/stream/x", "POST", body=b"prompt", headers=STREAM)
+        assert reply.status == 200
+        for worker in (prefill, decode):
+            assert worker.arrivals[0].headers.get("request-priority") == told
+
+
 async def test_stream_without_room_is_refused_at_once_with_a_time_to_come_back() -> None:
     async with open_fleet() as fleet:
         prefill, decode, _ = engines()
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -149,6 +149,10 @@
     body: bytes
 
 
+# Endpoints know priorities up to this.
+_LEAST_PRIORITY = 9
+
+
 class Protocol:
     """Reads callers' requests and writes endpoints' ones by a set of names."""
 
@@ -230,6 +234,7 @@
         kv_source: KvSource | None = None,
         hold: str = "",
         last_event: int | None = None,
+        priority: int | None = None,
     ) -> OutgoingRequest:
         """Write a caller's request for an endpoint.
 
@@ -241,6 +246,8 @@
             kv_source: Where the prompt's result waits.
             hold: Name of the room that is held for the request; empty for none.
             last_event: Last event that has been passed on.
+            priority: From 0, the most urgent, for endpoints that let such requests in first;
+                None tells none.
         """
         names = self.names
         headers = list(inbound.headers)
@@ -249,6 +256,8 @@
             headers.append((names.organisation, inbound.organisation.encode()))
         if left_s < math.inf:
             headers.append((names.deadline_ms, b"%d" % max(1, int(left_s * _MS))))
+        if priority is not None:
+            headers.append((names.priority, b"%d" % min(_LEAST_PRIORITY, max(0, priority))))
         if prefill:
             headers.append((names.stage, b"prefill"))
         if kv_source is not None:
--- a/cleatlink/routing/shared_waiting.py
+++ b/cleatlink/routing/shared_waiting.py
@@ -182,10 +182,15 @@
         self._on_change: Callable[[], None] = _ignore
         self._own: Callable[[], Sequence[WaitingGroup]] = tuple
 
+    @property
+    def is_large_group(self) -> bool:
+        """Whether there are so many instances that one rarely holds two streams that wait."""
+        return self._peers > _FEW_PEERS
+
     @property
     def is_in_use(self) -> bool:
         """Whether instances tell each other what waits."""
-        return self._is_on and self._peers > _FEW_PEERS
+        return self._is_on and self.is_large_group
 
     def note_peers(self, peers: int) -> None:
         """Note how many other instances there are."""
