--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -107,7 +107,7 @@
                 seeker,
                 data_centre,
                 call.inbound.prompt_tokens,
-                call.route.target_s,
+                target_s=call.route.target_s,
             )
             if endpoint is None:
                 call.log("has its prompt computed by the decode")
--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -301,6 +301,7 @@
     seeker: Seeker,
     beside: str,
     tokens: int = 0,
+    *,
     target_s: float = 0.0,
 ) -> RoutedEndpoint | None:
     """Give the prefill endpoint that has a prompt ready first.
--- a/cleatlink/routing/spill_over_test.py
+++ b/cleatlink/routing/spill_over_test.py
@@ -200,7 +200,7 @@
     assert queue_s > capacity.pace("s").prompt_s(1500)
 
     def goes_to(target_s: float) -> str:
-        found = place_prefill("s", capacity, seeker, "a", target_s)
+        found = place_prefill("s", capacity, seeker, "a", target_s=target_s)
         assert found is not None
         return found.data_centre
 
