Plain calls are admitted and spread by what all instances send

What callers saw: in an overload of a service of plain calls nearly all who were served were late. Endpoints queue several times their places before they refuse, each instance knew its own calls alone and chose the endpoint of its own data centre, and what one endpoint refused was tried at the next.

Cause: no instance knew what the service bears, nor what others send.

Change: instances tell each other totals of their plain calls (message "f"): arrivals by service and rank, and by endpoint the calls that ended, the time that calls were in progress and refusals. While half of the places or more are taken, as many calls pass as the endpoints bear, by rank; the rest waits for a quarter of its target at most, if that can help, and is refused at once else, with a time to come back that differs from caller to caller. Repeated calls and callers that are back too early yield to the others. Calls are drawn over endpoints the more, the busier the near one is with peers' calls. Switch: plain-admission.

--- a/cleatlink/relay/callers/service.py
+++ b/cleatlink/relay/callers/service.py
@@ -16,6 +16,7 @@
 from cleatlink.relay.calls.call import Call
 from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.relay.calls.plain import PlainCall
+from cleatlink.relay.calls.plain_gate import PlainGate
 from cleatlink.relay.calls.planned_stop import ANSWER_S
 from cleatlink.relay.calls.room import DecodeRoom
 from cleatlink.relay.calls.stream import StreamCall
@@ -52,6 +53,7 @@
         self._parts = parts
         self._index: RouteIndex | None = None
         self._room = DecodeRoom(parts)
+        self._plain_gate = PlainGate(parts)
         self._in_flight = 0
         self._scopes: set[trio.CancelScope] = set()
 
@@ -270,7 +272,7 @@
 
     async def _drive(self, call: Call, exchange: Exchange) -> None:
         if call.service.engine is None:
-            result = await PlainCall(call, self._parts).run()
+            result = await PlainCall(call, self._plain_gate, self._parts).run()
             if isinstance(result, Refusal):
                 await self._refuse_call(call, exchange, result)
             else:
--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -13,11 +13,13 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.calls.call import Call
 from cleatlink.relay.calls.parts import RelayParts
+from cleatlink.relay.calls.plain_gate import PlainGate
 from cleatlink.relay.endpoints.pool import FRESH_LIMIT_S, IDLE_LIMIT_S, Reply
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
 from cleatlink.relay.tasks import run_watched
 from cleatlink.routing.endpoint_pace import PaceKind
 from cleatlink.routing.mechanisms import Mechanism
+from cleatlink.routing.plain_load import CallEnd
 from cleatlink.routing.relay_place import place_plain, place_plain_later
 from cleatlink.routing.reservation import Reservation
 
@@ -43,8 +45,9 @@
 class PlainCall:
     """One plain call on its way."""
 
-    def __init__(self, call: Call, parts: RelayParts) -> None:
+    def __init__(self, call: Call, gate: PlainGate, parts: RelayParts) -> None:
         self._call = call
+        self._gate = gate
         self._parts = parts
         self._failed: Reply | None = None
         self._next: RoutedEndpoint | None = None
@@ -59,6 +62,9 @@
                 return barred
             endpoint, self._next = self._next, None
             if endpoint is None:
+                refusal = await self._gate.enter(call)
+                if refusal is not None:
+                    return self._refuse(refusal)
                 endpoint = self._place()
                 if endpoint is None or not call.may_send(endpoint):
                     return self._give_up("no endpoint may be tried")
@@ -117,21 +123,29 @@
         ends_at = trio.current_time() + _EXPECTED_S
         work = Reservation(endpoint.name, Role.PLAIN, 0, ends_at, suspicion=call.suspicion)
         parts.capacity.reserve(key, work)
+        load, outcome = parts.capacity.plain, CallEnd.LOST
+        began_at = None
         try:
             if not await self._wait_for_turn(endpoint, key):
                 return None
             began_at = trio.current_time()
+            load.begin(endpoint.name, began_at)
             answer = await run_watched(
                 lambda: self._exchange(endpoint),
                 lambda leave: self._leave_when_silent(endpoint, leave),
             )
+            if answer is not None:
+                not_run = parts.protocol.not_run(answer.head)
+                outcome = CallEnd.REFUSED if not_run else CallEnd.RAN
         finally:
             parts.capacity.release(key)
             parts.capacity.limits.give_up(key, trio.current_time())
+            if began_at is not None:
+                load.end(endpoint.name, outcome, trio.current_time())
         if answer is None:
             self._note_taken(endpoint, trio.current_time() - began_at)
             raise EndpointSilentError("another endpoint is asked")
-        if not parts.protocol.not_run(answer.head):
+        if outcome is CallEnd.RAN:
             self._note_taken(endpoint, trio.current_time() - began_at)
         return self._judge(endpoint, answer)
 
@@ -159,7 +173,7 @@
             other = place_plain(call.service.name, self._parts.capacity, call.seeker())
             if other is None or not call.may_send(other):
                 continue
-            if call.spend("plain"):
+            if self._gate.has_room(call) and call.spend("plain"):
                 self._next = other
                 leave.cancel()
             return
@@ -200,6 +214,14 @@
         self._call.excluded.add(endpoint.name)
         self._call.note_refused(endpoint, head)
 
+    def _refuse(self, refusal: Refusal) -> Reply | Refusal:
+        """Give what the gate's refusal comes to, after what endpoints did with the call."""
+        if self._failed is not None:
+            return self._failed
+        if self._call.ran is Ran.NO:
+            return refusal
+        return self._call.failure(refusal.detail)
+
     def _give_up(self, detail: str) -> Reply | Refusal:
         if self._failed is not None:
             return self._failed
@@ -234,4 +256,6 @@
         now = trio.current_time()
         capacity, service = self._parts.capacity, self._call.service.name
         opens_in_s = capacity.opens_in_s(service, Role.PLAIN, now)
-        return None if opens_in_s is None else max(_RETRY_AFTER_S, opens_in_s)
+        if opens_in_s is None:
+            return None
+        return max(self._gate.retry_after_s(self._call, _RETRY_AFTER_S), opens_in_s)
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -416,6 +416,8 @@
             self._quarantine.keep_house()
             self._capacity.notices.forget(trio.current_time())
             self._capacity.limits.forget(trio.current_time())
+            self._capacity.plain.forget(self._capacity.endpoints.keys(), trio.current_time())
+            self._capacity.plain_returns.forget(trio.current_time())
             if self._writer is not None:
                 self._writer.flush()
 
--- a/cleatlink/relay/metrics.py
+++ b/cleatlink/relay/metrics.py
@@ -66,6 +66,10 @@
             "cleatlink_relay_stream_places_total",
             "Places that streams got, by whether they are in this data centre.",
         )
+        self._plain = self._counter(
+            "cleatlink_relay_plain_admissions_total",
+            "Plain calls that found their service nearly full, by outcome.",
+        )
         self._organisations: set[str] = set()
         self._held = Gauge(
             "cleatlink_relay_held_bytes",
@@ -164,6 +168,10 @@
         """Count an answer in which an endpoint said something of itself."""
         self._notices.inc({"kind": kind})
 
+    def count_plain(self, outcome: str) -> None:
+        """Count a plain call that found its service nearly full."""
+        self._plain.inc({"outcome": outcome})
+
     def count_unusable(self, reason: str) -> None:
         """Count a registration or a route table that can't be used."""
         self._unusable.inc({"reason": reason})
--- a/cleatlink/relay/peers/contract_test.py
+++ b/cleatlink/relay/peers/contract_test.py
@@ -30,6 +30,7 @@
     "NoticeNews": "709868b",
     "ShedNews": "",
     "SourceNews": "",
+    "PlainCalls": "",
     "Spending": "c558fa2",
     "WorkList": "",
     "WaitNews": "",
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -45,6 +45,7 @@
     Message,
     NoticeNews,
     PaceNews,
+    PlainCalls,
     Roster,
     ShedNews,
     SourceNews,
@@ -55,6 +56,7 @@
     decode_datagram,
 )
 from cleatlink.relay.peers.news import NewsChannel
+from cleatlink.relay.peers.plain_news import PlainNews
 from cleatlink.relay.peers.shared_notices import SharedNotices
 from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
 from cleatlink.relay.peers.shed_news import ShedNewsChannel
@@ -124,7 +126,9 @@
         self._notices = notices
         self._source_news = SourceNewsChannel(settings.name)
         self._shed_news = ShedNewsChannel(settings.name)
+        self._plain_news = PlainNews(settings.name, incarnation, capacity)
         self._channels: tuple[NewsChannel, ...] = (
+            self._plain_news,
             self._limit_news,
             self._endpoint_limits,
             self._endpoint_paces,
@@ -393,6 +397,7 @@
             Bundle: self._take_bundle,
             Changes: self._take_changes,
             EndpointHint: self._take_hint,
+            PlainCalls: self._take_plain_calls,
             Roster: self._take_roster,
             PaceNews: self._take_paces,
             CrashNews: self._take_crashes,
@@ -406,6 +411,10 @@
             WaitNews: self._take_wait_news,
         }
 
+    def _take_plain_calls(self, news: PlainCalls) -> None:
+        self._metrics.count_message("plain_calls")
+        self._plain_news.take(news)
+
     def _take_hint(self, hint: EndpointHint) -> None:
         self._metrics.count_message(hint.kind.value)
         self._hints.take(hint, trio.current_time())
--- a/cleatlink/relay/peers/messages.py
+++ b/cleatlink/relay/peers/messages.py
@@ -29,6 +29,7 @@
     "NoticeNews",
     "PaceItem",
     "PaceNews",
+    "PlainCalls",
     "Roster",
     "ShedNews",
     "SourceNews",
@@ -482,6 +483,27 @@
     items: list[WaitItem]
 
 
+class PlainCalls(msgspec.Struct, array_like=True, frozen=True, tag="f"):
+    """The sender's plain calls, as totals since its start; all, or those that changed lately.
+
+    Attributes:
+        name: Sender.
+        incarnation: Grows with each start of the sender.
+        age_s: Seconds since the sender's start.
+        arrived: Services, with a rank and the calls of that rank that callers made.
+        endpoints: Endpoints' lives, with the calls that ended there, the milliseconds that calls
+            were in progress there, and the calls that it refused.
+        returns: Requests that were refused just now, with the seconds until they may be back.
+    """
+
+    name: str
+    incarnation: int
+    age_s: float
+    arrived: list[tuple[str, int, int]]
+    endpoints: list[tuple[str, int, int, int]]
+    returns: list[tuple[bytes, float]]
+
+
 class HintKind(StrEnum):
     """What a hint says of an endpoint."""
 
@@ -513,6 +535,7 @@
     | WorkList
     | Bundle
     | WaitNews
+    | PlainCalls
 )
 _DECODER = msgspec.msgpack.Decoder(Message)
 
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -17,6 +17,8 @@
 from cleatlink.routing.notices import EndpointNotices
 from cleatlink.routing.outcomes import EndpointOutcomes
 from cleatlink.routing.pace import PaceSummary, ServicePace
+from cleatlink.routing.plain_load import PlainLoad
+from cleatlink.routing.plain_returns import PlainReturns
 from cleatlink.routing.reservation import Reservation
 from cleatlink.routing.shared_waiting import SharedWaiting
 from cleatlink.routing.shed_limits import ShedLimits
@@ -39,6 +41,8 @@
         self.notices = EndpointNotices()
         self.limits = EndpointLimits(now)
         self.endpoint_paces = EndpointPaces()
+        self.plain = PlainLoad(now)
+        self.plain_returns = PlainReturns()
         super().__init__(self.notices.begin_work, self.notices.end_work)
         self.switches = switches or Switches()
         self.spill_over = SpillOver(is_on=self.switches.uses(Mechanism.SPILL_OVER))
--- a/cleatlink/routing/mechanisms.py
+++ b/cleatlink/routing/mechanisms.py
@@ -49,6 +49,8 @@
     ENDPOINT_PRIORITY = "endpoint-priority"
     # Streams that go to another data centre before their own is full.
     SPILL_OVER = "spill-over"
+    # Plain calls spread and admitted by what all instances send; off: each goes by its own.
+    PLAIN_ADMISSION = "plain-admission"
 
 
 class Switches:
--- a/cleatlink/routing/mechanisms_test.py
+++ b/cleatlink/routing/mechanisms_test.py
@@ -17,8 +17,9 @@
 )
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.mechanisms import Mechanism, Switches
+from cleatlink.routing.plain_load import CallTotals, EndpointTotals
 from cleatlink.routing.prompt_plan import plan_prompt
-from cleatlink.routing.relay_place import Seeker, StreamSize, place_decode
+from cleatlink.routing.relay_place import Seeker, StreamSize, place_decode, place_plain
 from cleatlink.routing.reservation import Reservation
 from cleatlink.scripts.commands import main
 
@@ -80,6 +81,20 @@
     assert avoided is not off
 
 
+@pytest.mark.parametrize("off", [False, True])
+def test_plain_admission(off: bool) -> None:
+    """The endpoint of this data centre is full of peers' calls, another one is idle."""
+    capacity = Capacity(Switches({Mechanism.PLAIN_ADMISSION} if off else set()))
+    for name, place in (("w1", "a"), ("w2", "b")):
+        capacity.set_endpoint(RoutedEndpoint(name, "127.0.0.1:1", place, "s", Role.PLAIN, 6))
+    for step in range(1, 6):
+        told = {"w1": EndpointTotals(20 * step, 0.9 * step, 0)}
+        capacity.plain.take(CallTotals("p", 1, 0.1 * step, {}, told), 0.1 * step)
+    seeker = SEEKER._replace(now=0.5)
+    found = [place_plain("s", capacity, seeker) for _ in range(50)]
+    assert all(item is not None and item.name == "w1" for item in found) is off
+
+
 def test_command_names_what_can_be_switched_off_and_refuses_the_rest() -> None:
     ran = CliRunner().invoke(main, ["entry", "--without", "no-such"])
     assert ran.exit_code == 2
--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -16,6 +16,7 @@
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.pace import ServicePace
+from cleatlink.routing.plain_spread import plain_weights, spread_share
 from cleatlink.routing.reservation import Reservation
 
 __all__ = [
@@ -338,12 +339,19 @@
 
 
 def place_plain(service: str, capacity: Capacity, seeker: Seeker) -> RoutedEndpoint | None:
-    """Give the plain endpoint with the least of this instance's and peers' calls a slot."""
+    """Give the plain endpoint with the least of this instance's and peers' calls a slot.
+
+    While that one is busy with peers' calls, which are known too late to go by their number, the
+    call may go to any, by what each of them bears.
+    """
     best: RoutedEndpoint | None = None
     best_cost = 0.0
-    for endpoint in _open_plain(service, capacity, seeker):
-        if capacity.limits.due_in_s(endpoint.name, seeker.now):
-            continue
+    found = [
+        endpoint
+        for endpoint in _open_plain(service, capacity, seeker)
+        if not capacity.limits.due_in_s(endpoint.name, seeker.now)
+    ]
+    for endpoint in found:
         usage = capacity.usage(endpoint.name, Role.PLAIN)
         cost = usage.running / max(1, endpoint.slots)
         cost += _PLAIN_DISTANCE * _is_far(endpoint, capacity, seeker)
@@ -351,7 +359,28 @@
         cost += seeker.rng.random() * 0.02
         if best is None or cost < best_cost:
             best, best_cost = endpoint, cost
-    return best
+    if best is None or not capacity.switches.uses(Mechanism.PLAIN_ADMISSION):
+        return best
+    share = spread_share(best, capacity.plain, seeker.now)
+    if not share or seeker.rng.random() >= share:
+        return best
+    return _draw_plain(service, found, capacity, seeker)
+
+
+def _draw_plain(
+    service: str, found: list[RoutedEndpoint], capacity: Capacity, seeker: Seeker
+) -> RoutedEndpoint:
+    """Give the one of two endpoints, drawn by what they bear, that has fewer of own calls."""
+    usual_s = capacity.pace(service).plain_s
+    weights = plain_weights(found, capacity.plain, usual_s, seeker.now)
+    drawn = seeker.rng.choices(found, weights, k=2)
+    return min(drawn, key=lambda endpoint: _own_plain(endpoint, capacity, seeker))
+
+
+def _own_plain(endpoint: RoutedEndpoint, capacity: Capacity, seeker: Seeker) -> float:
+    """Give what counts against an endpoint and is known exactly: own calls a slot, suspects."""
+    running = capacity.usage(endpoint.name, Role.PLAIN).running
+    return running / max(1, endpoint.slots) + _suspicion(endpoint, capacity, seeker)
 
 
 def place_plain_later(
