Tests of whole fleets in one process run in virtual time

Tests of fleets failed beside load.

Cause: the tests judge waits of the program, but measured them with the time that a busy machine takes for everything else.

Change: whole files run with trio's own mock clock over real sockets. Time goes on to the next deadline once nothing has happened for 2 ms, and by a ten-thousandth of real time besides: a wait shorter than a step of the clock's number never ended otherwise. No bound, count or check changed, and none was left out. Files with processes (daemon, soak) stay there too.

--- a/cleatlink/analysis/report_test.py
+++ b/cleatlink/analysis/report_test.py
@@ -18,6 +18,8 @@
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 
 @pytest.fixture
 def log(tmp_path: Path) -> Iterator[Path]:
--- a/cleatlink/clock_test.py
+++ b/cleatlink/clock_test.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+import pytest
 import trio
 
 import cleatlink
@@ -18,6 +19,8 @@
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import Fleet, open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 ROOT = Path(cleatlink.__file__).parent
 # Readings of time that are the clock's alone.
 READINGS = {"time", "monotonic", "perf_counter", "clock_gettime", "time_ns", "monotonic_ns"}
--- a/cleatlink/relay/calls/hold_test.py
+++ b/cleatlink/relay/calls/hold_test.py
@@ -1,5 +1,6 @@
 """Room that a decode endpoint holds for a stream before its prompt is computed."""
 
+import pytest
 import trio
 
 from cleatlink.routing.mechanisms import Mechanism
@@ -7,6 +8,8 @@
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import Fleet, open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 HOLDS = {"hold_ms": 2000}
 
 
--- a/cleatlink/relay/calls/plain_test.py
+++ b/cleatlink/relay/calls/plain_test.py
@@ -7,6 +7,8 @@
 from standins.relay.example import runs, start
 from standins.relay.fleet import open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 
 async def test_a_call_passes_as_it_came() -> None:
     async with open_fleet() as fleet:
--- a/cleatlink/relay/calls/planned_stop_test.py
+++ b/cleatlink/relay/calls/planned_stop_test.py
@@ -31,6 +31,8 @@
 from standins.relay.example import STREAM, engines, runs, start
 from standins.relay.fleet import Fleet, open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 # Callers that would wait for any of these answers.
 _PATIENT = {**STREAM, "Token-Counts": "100,20", "Deadline-Milliseconds": "9000"}
 # Answers of 20 events and 1.5 s, and a grace of 4 s, of which the exit needs 0.5 s.
--- a/cleatlink/relay/calls/stream_test.py
+++ b/cleatlink/relay/calls/stream_test.py
@@ -10,6 +10,8 @@
 from standins.relay.example import STREAM, engines, runs, start
 from standins.relay.fleet import open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 # Callers that have time for answers of some seconds.
 LONG = {**STREAM, "Deadline-Milliseconds": "9000"}
 
@@ -155,6 +157,7 @@
         assert (len(first.runs), len(second.runs)) == (2, 2)
 
 
+@pytest.mark.real_time
 async def test_one_instance_shifts_a_prefill_to_decode_when_answers_need_it() -> None:
     async with open_fleet() as fleet:
         prefills = [Worker("model", "prefill"), Worker("model", "prefill")]
--- a/cleatlink/relay/endpoint_limits_test.py
+++ b/cleatlink/relay/endpoint_limits_test.py
@@ -17,6 +17,8 @@
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import Fleet, open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 # From so long after the first answer that names a limit it holds, for each span of this length.
 KNOWN_S = 2.0
 SPAN_S = 4.0
--- a/cleatlink/relay/endpoints/answer_notices_test.py
+++ b/cleatlink/relay/endpoints/answer_notices_test.py
@@ -13,6 +13,8 @@
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 LEAVING = (b"Server-Leaving", b"1")
 
 
--- a/cleatlink/relay/endpoints/crash_watch_test.py
+++ b/cleatlink/relay/endpoints/crash_watch_test.py
@@ -14,6 +14,8 @@
 from standins.relay.example import start
 from standins.relay.fleet import Fleet, open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 Crash = tuple[str, Mapping[bytes, float]]
 
 
--- a/cleatlink/relay/entries_test.py
+++ b/cleatlink/relay/entries_test.py
@@ -15,6 +15,8 @@
 from standins.relay.example import start
 from standins.relay.fleet import Fleet, open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 KEY = "servers/i-other"
 BAD = (
     b"",
--- a/cleatlink/relay/fleet_test.py
+++ b/cleatlink/relay/fleet_test.py
@@ -9,6 +9,8 @@
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 
 async def test_new_configuration_is_in_force_at_once_and_an_older_never() -> None:
     async with open_fleet() as fleet:
--- a/cleatlink/relay/following/follower_test.py
+++ b/cleatlink/relay/following/follower_test.py
@@ -21,6 +21,8 @@
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.fleet_records import EndpointRecord
 
+pytestmark = pytest.mark.virtual_time
+
 
 class QuietSource(ConfigurationSource):
     """A source without any change, which notes how long it may take to say so."""
--- a/cleatlink/relay/lives_test.py
+++ b/cleatlink/relay/lives_test.py
@@ -15,6 +15,8 @@
 from standins.relay.example import STREAM, start
 from standins.relay.fleet import Fleet, open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 BORN = 1_700_000_000_000
 # What is known to be over ends within this; the shortest silence that counts is as long.
 AT_ONCE_S = 0.5
--- a/cleatlink/relay/notices_test.py
+++ b/cleatlink/relay/notices_test.py
@@ -16,6 +16,8 @@
 from standins.relay.example import STREAM, start
 from standins.relay.fleet import Fleet, open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 # An endpoint that leaves gets nothing that a caller sent later than this after its word.
 LEAVING_S = 2.0
 # Calls that are on their way arrive within this of an endpoint's word.
--- a/cleatlink/relay/operations_test.py
+++ b/cleatlink/relay/operations_test.py
@@ -15,6 +15,8 @@
 from standins.relay import Fault, Worker
 from standins.relay.fleet import Fleet, open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 PAGE = Path(__file__).parent.parent.parent / "docs" / "OPERATIONS.md"
 STREAM = {"Token-Counts": "100,50", "Model": "m"}
 
--- a/cleatlink/relay/organisations_test.py
+++ b/cleatlink/relay/organisations_test.py
@@ -10,6 +10,8 @@
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import Fleet, open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 KEY = {"Authorization": "Bearer k-first"}
 OTHER_KEY = {"Authorization": "Bearer k-other"}
 
--- a/cleatlink/relay/peers/shared_notices_test.py
+++ b/cleatlink/relay/peers/shared_notices_test.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 import trio
 
 from cleatlink.relay.peers.messages import NoticeNews, decode_datagram, encode
@@ -11,6 +12,8 @@
 from standins.relay.example import start
 from standins.relay.fleet import Fleet, open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 
 def shared(name: str = "n1") -> tuple[SharedNotices, EndpointNotices]:
     """Give one instance's side, and what it knows."""
--- a/cleatlink/relay/quarantine_test.py
+++ b/cleatlink/relay/quarantine_test.py
@@ -28,6 +28,8 @@
 from standins.relay.example import STREAM, start
 from standins.relay.fleet import Fleet, open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 # Crashed endpoints come back soon, so that there is always one that could be crashed next.
 _RESTART_S = 0.15
 _INSTANCES = 3
--- a/cleatlink/relay/restored_store_test.py
+++ b/cleatlink/relay/restored_store_test.py
@@ -14,6 +14,8 @@
 from standins.relay.fleet import Fleet, open_fleet
 from standins.relay.store import StoreCopy
 
+pytestmark = pytest.mark.virtual_time
+
 AWAY_S = 0.3
 # Calls of two instances in the 6 s after a restore, by the stated aim.
 MOST_CALLS = 20
--- a/cleatlink/relay/silence_test.py
+++ b/cleatlink/relay/silence_test.py
@@ -11,6 +11,7 @@
 It is no matter of stops: any pause did this while the other engines were full.
 """
 
+import pytest
 import trio
 
 from standins.relay import Worker
@@ -18,6 +19,8 @@
 from standins.relay.example import STREAM, engines, start
 from standins.relay.fleet import Fleet, open_fleet
 
+pytestmark = pytest.mark.virtual_time
+
 # The route's longest pause of 100 ms makes half a second of silence too long.
 _SILENCE_S = 0.5
 # A caller that would wait for any of these answers.
--- a/conftest.py
+++ b/conftest.py
@@ -3,8 +3,11 @@
 from typing import Any
 
 import eliot
+import pytest
 from hypothesis import settings
 
+from standins.virtual_time import run_in_virtual_time
+
 settings.register_profile("same", derandomize=True, deadline=None, database=None)
 settings.load_profile("same")
 
@@ -18,3 +21,12 @@
 
 
 eliot.add_destinations(_drop)
+
+
+@pytest.hookimpl(trylast=True)
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Run in virtual time what is marked so; the first mark of the runner holds."""
+    for item in items:
+        marks = {mark.name for mark in item.iter_markers()}
+        if {"trio", "virtual_time"} <= marks and "real_time" not in marks:
+            item.add_marker(pytest.mark.trio(run=run_in_virtual_time), append=False)
