A full data centre of unequal engines gives streams to others

What callers would see: where engines differ in speed, streams stayed in a data centre whose engines held nine tenths of their memory while others were idle.

Cause: loads are weighed by speed and scaled to the slowest engine, and the rule that compares data centres takes them for fullness: at 0.7, 0.7 and 1.7 an engine nine tenths full counted as 0.37, never nearly full.

Change: within a data centre speed decides as before; between data centres the fullness of the emptiest engine on each side does, whatever its speed.

The new test failed before with speeds known and passed without the mechanism; both pass now.

--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -202,6 +202,8 @@
     count = 2 if leaves_room else 1
     ready_for_s = _TURN_SPREAD_S * seeker.rng.random() if send_time.is_retry else 0.0
     best = {False: _NOWHERE, True: _NOWHERE}
+    # How full the emptiest place of either side is, whatever its speed.
+    least = {False: math.inf, True: math.inf}
     candidates = capacity.candidates(service, Role.DECODE, seeker.now)
     slowest = min((_speed(item, capacity, seeker) for item in candidates), default=1.0)
     for endpoint in candidates:
@@ -220,17 +222,19 @@
         if load is None:
             continue
         # What is full to the same share is free again sooner on a faster one.
-        cost = load * slowest / _speed(endpoint, capacity, seeker)
-        cost += prompt_waits.get(endpoint.data_centre, 0.0)
+        weighed = load * slowest / _speed(endpoint, capacity, seeker)
+        extra = prompt_waits.get(endpoint.data_centre, 0.0)
         if due_in_s > send_time.ready_in_s:
-            cost += _TURN_DISTANCE + due_in_s
-        cost += _suspicion(endpoint, capacity, seeker)
-        cost += seeker.rng.random() * 0.01
+            extra += _TURN_DISTANCE + due_in_s
+        extra += _suspicion(endpoint, capacity, seeker)
+        extra += seeker.rng.random() * 0.01
+        cost = weighed + extra
         is_far = _is_far(endpoint, capacity, seeker)
+        least[is_far] = min(least[is_far], load + extra)
         if cost < best[is_far].cost:
             best[is_far] = _Option(cost, endpoint)
-    near, far = best[False], best[True]
-    return (far if capacity.spill_over.crosses(near.cost, far.cost) else near).endpoint
+    crosses = capacity.spill_over.crosses(least[False], least[True])
+    return best[crosses].endpoint
 
 
 def _speed(endpoint: RoutedEndpoint, capacity: Capacity, seeker: Seeker) -> float:
--- a/cleatlink/routing/unequal_test.py
+++ b/cleatlink/routing/unequal_test.py
@@ -236,3 +236,29 @@
             made.append(seeker.rng.random())
         decided.append(made)
     assert decided[0] == decided[1]
+
+
+@pytest.mark.parametrize("without", [OFF, frozenset[Mechanism]()])
+def test_nearly_full_data_centre_of_unequal_engines_gives_work_to_another(
+    without: Set[Mechanism],
+) -> None:
+    """Loads weighed by speed never looked nearly full, so that no stream crossed.
+
+    Engines at 0.7, 0.7 and 1.7 held nine tenths of their memory here; those elsewhere were idle.
+    """
+    capacity = fleet(Role.DECODE, 3, without)
+    capacity.spill_over.note_peers(60)
+    for name, speed in zip(("e0", "e1", "e2"), SPEEDS, strict=True):
+        teach(capacity, name, speed)
+        capacity.reserve(name, Reservation(name, Role.DECODE, 24_000, 9.0, 9.0, 0))
+    far = RoutedEndpoint("far", "127.0.0.1:1", "b", "s", Role.DECODE, TRAITS.slots)
+    capacity.set_endpoint(far)
+    seeker = Seeker("a", frozenset(), 0.5, random.Random(1))
+    size = StreamSize(500, 100, 1.0)
+    chosen = place_decode("s", size, TRAITS, capacity, seeker)
+    assert chosen == far
+    # One engine here that has room is enough to stay, whichever is the best of them by speed.
+    capacity.release("e0")
+    chosen = place_decode("s", size, TRAITS, capacity, seeker)
+    assert chosen is not None
+    assert chosen.data_centre == "a"
