A new route table is told at once by those who watch for others

The table itself had reached others after 0.1 to 4 s, since in a large fleet it is told by the next heartbeat, and each asks by itself then.

A watcher's heartbeat with a new table goes to all at once and does not wait for the next tick.

--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -160,6 +160,7 @@
         self._delivery = Delivery(settings, incarnation, self._peers, self._socket)
         self._heard_work: dict[str, int] = {}
         self._beat_due = False
+        self._told_table = 0
         self._is_work_new = False
 
     @property
@@ -255,11 +256,17 @@
         """Send a heartbeat to every known address; in a large fleet, with the next tick."""
         if not self._delivery.uses_reflectors:
             self._socket.send(self._beat(), self._peers.known_addresses)
-        elif self._hooks.state().leaving:
+        elif self._hooks.state().leaving or self._has_new_table():
             self._tell_beat(urgent=True)
         else:
             self._beat_due = True
 
+    def _has_new_table(self) -> bool:
+        """Tell whether this instance watches for others and has a table that it has not told."""
+        table = self._hooks.state().table
+        is_new, self._told_table = table != self._told_table, table
+        return is_new and self.must_watch()
+
     def _tell_beat(self, *, urgent: bool = False) -> Beat:
         """Tell a heartbeat through reflectors, and with all work to peers of earlier builds."""
         now = trio.current_time()
