--- a/cleatlink/relay/peers/delivery.py
+++ b/cleatlink/relay/peers/delivery.py
@@ -7,10 +7,12 @@
 
 from collections.abc import Collection, Iterable
 
+import eliot
 import trio
 
 from cleatlink.members.duplicates import Duplicates
 from cleatlink.members.reflectors import Candidate, ReflectorChoice
+from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peers.datagrams import DatagramSocket
 from cleatlink.relay.peers.heard import HeardPeers
 from cleatlink.relay.peers.messages import Bundle, BundleItem, Message, encode
@@ -31,6 +33,7 @@
         incarnation: int,
         peers: HeardPeers,
         socket: DatagramSocket,
+        metrics: RelayMetrics,
     ) -> None:
         """Prepare.
 
@@ -39,12 +42,14 @@
             incarnation: Grows with each start of this instance.
             peers: Who is heard.
             socket: Takes datagrams.
+            metrics: Counters.
         """
         self._name = settings.name
         self._data_centre = settings.data_centre
         self._incarnation = incarnation
         self._peers = peers
         self._socket = socket
+        self._metrics = metrics
         self._is_on = Mechanism.REFLECTORS not in settings.without
         self._size = settings.size if self._is_on else 0.0
         self._choice = ReflectorChoice(settings.data_centre)
@@ -79,7 +84,14 @@
         self._duplicates.keep(self._peers.names)
         self._choice.note_echo(self._name, now)
         own = Candidate(self._name, self._data_centre, self._size, 0.0)
-        return self._choice.choose([own, *self._peers.candidates(now)], now)
+        has_new = self._choice.choose([own, *self._peers.candidates(now)], now)
+        if has_new and self.uses_reflectors:
+            eliot.log_message(
+                message_type="peers: has other reflectors",
+                chosen=self._choice.chosen,
+                alive=len(self._peers) + 1,
+            )
+        return has_new
 
     def tell(
         self,
@@ -157,8 +169,11 @@
                     self._socket.send(bundle, addresses)
 
     def _hold(self, item: BundleItem, now: float) -> None:
+        dropped = self._reflection.dropped
         if self._reflection.add(item, now):
             self._wake.set()
+        if self._reflection.dropped > dropped:
+            self._metrics.count_message("not_passed_on")
 
     def _places(self) -> set[str]:
         return {self._data_centre, *self._peers.addresses_by_data_centre()}
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -157,7 +157,7 @@
         self._spawn: Callable[..., None] = _drop_task
         self._socket = DatagramSocket(settings.peer_listen, metrics)
         self._takers = self._list_takers()
-        self._delivery = Delivery(settings, incarnation, self._peers, self._socket)
+        self._delivery = Delivery(settings, incarnation, self._peers, self._socket, metrics)
         self._heard_work: dict[str, int] = {}
         self._beat_due = False
         self._told_table = 0
