Admission of plain calls goes by endpoints' speed; a popular request is no repeat

What callers would see: a request that many callers ask for alike, refused once, put all of them behind the others for as long as it went on being refused. And endpoints whose calls are not measured yet counted as equally fast.

Cause: a refused call is known again by what it asks, whoever asks; what an endpoint bears before it is measured came from the service's mean alone.

Change: four early requests that are alike go behind others, more are taken for different callers. Until enough calls ended at an endpoint, it bears its places divided by the time of a call at its own speed. Tests over real connections: refusals of an overloaded service (unsafe calls ran once or not at all, callers are asked back at different moments, all is served again once the load is gone), two instances, size and bounds of the message.

--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -72,6 +72,10 @@
             return 1.0
         return self.endpoint_paces.speed(name, now)
 
+    def plain_s(self, endpoint: RoutedEndpoint, now: float) -> float:
+        """Give the seconds that an endpoint takes for a plain call; 0 if that is not known."""
+        return self.pace(endpoint.service).plain_s / self.speed(endpoint.name, now)
+
     def note_tokens(self, name: str, tokens: int, seconds: float, now: float) -> None:
         """Learn an endpoint's speed from a stretch of a stream beside others."""
         endpoint = self._endpoints.get(name)
--- a/cleatlink/routing/plain_admission.py
+++ b/cleatlink/routing/plain_admission.py
@@ -92,7 +92,7 @@
     Args:
         endpoint: The endpoint.
         load: What it had to do lately.
-        usual_s: Seconds that a call of its service takes as a rule; 0 if that is not known.
+        usual_s: Seconds that a call takes there as a rule; 0 if that is not known.
 
     Returns:
         The rate; infinite if nothing is known.
@@ -109,20 +109,22 @@
 
 
 def find_bearing(
-    endpoints: Iterable[RoutedEndpoint], loads: Mapping[str, EndpointLoad], usual_s: float
+    endpoints: Iterable[RoutedEndpoint],
+    loads: Mapping[str, EndpointLoad],
+    usual_s: Mapping[str, float],
 ) -> Bearing:
     """Give how a service stands.
 
     Args:
         endpoints: Its endpoints that are in reach.
         loads: What each of them had to do lately, by name.
-        usual_s: Seconds that a call takes as a rule; 0 if that is not known.
+        usual_s: Seconds that a call takes there as a rule, by name; 0 if that is not known.
     """
     per_s = running = 0.0
     slots = 0
     for endpoint in endpoints:
         load = loads[endpoint.name]
-        per_s += bears(endpoint, load, usual_s)
+        per_s += bears(endpoint, load, usual_s[endpoint.name])
         slots += max(1, endpoint.slots)
         # One that refuses calls has no place left, whatever is known of them.
         running += max(load.running, endpoint.slots) if load.refused else load.running
--- a/cleatlink/routing/plain_admission_test.py
+++ b/cleatlink/routing/plain_admission_test.py
@@ -157,6 +157,18 @@
     assert found.judge(Applicant("s", 0, b"a"), 1.2).bearing.is_free
 
 
+def test_many_callers_who_ask_for_the_same_are_no_repeats() -> None:
+    """One popular request would otherwise be behind all others for as long as it is refused."""
+    returns = PlainReturns()
+    returns.expect(b"a", 1.0)
+    found = []
+    for number in range(40):
+        found.append(returns.take(b"a", 0.01 * number))
+        returns.expect(b"a", 1.0)
+    assert found.count(Return.EARLY) == 4
+    assert set(found[4:]) == {Return.FIRST}
+
+
 def test_callers_that_are_back_too_early_yield() -> None:
     returns = PlainReturns()
     returns.expect(b"a", 1.0)
--- a/cleatlink/routing/plain_judge.py
+++ b/cleatlink/routing/plain_judge.py
@@ -73,7 +73,8 @@
         capacity = self._capacity
         endpoints = capacity.candidates(service, Role.PLAIN, now)
         loads = {item.name: capacity.plain.endpoint(item.name, now) for item in endpoints}
-        return find_bearing(endpoints, loads, capacity.pace(service).plain_s)
+        usual_s = {item.name: capacity.plain_s(item, now) for item in endpoints}
+        return find_bearing(endpoints, loads, usual_s)
 
     def expected(self, judgement: Judgement, service: str, within_s: float, now: float) -> float:
         """Give how many calls that wait here should pass within some seconds."""
--- a/cleatlink/routing/plain_returns.py
+++ b/cleatlink/routing/plain_returns.py
@@ -13,6 +13,8 @@
 _GRACE_S = 0.5
 # Callers' clocks and ways differ by so much.
 _EARLY_S = 0.02
+# More callers than this who ask for the same are no single one who repeats.
+_MOST_EARLY = 4
 # Refused calls that are remembered; the oldest are forgotten first.
 _MOST = 1024
 # Refused calls that wait to be told to peers; what is not told in time is of no use.
@@ -32,11 +34,11 @@
 
     Attributes:
         due: When its caller may be back.
-        is_first: Whether nobody with the same request came back early.
+        early: How many with the same request came before that.
     """
 
     due: float
-    is_first: bool
+    early: int = 0
 
 
 class PlainReturns:
@@ -58,8 +60,8 @@
 
     def expect_told(self, identity: bytes, due: float) -> None:
         """Note that some instance refused a call."""
-        self._expected.pop(identity, None)
-        self._expected[identity] = _Expected(due, is_first=True)
+        before = self._expected.pop(identity, None)
+        self._expected[identity] = _Expected(due, before.early if before is not None else 0)
         if len(self._expected) > _MOST:
             del self._expected[next(iter(self._expected))]
 
@@ -69,10 +71,10 @@
         if expected is None or now > expected.due + _GRACE_S:
             return Return.FIRST
         if now < expected.due - _EARLY_S:
-            self._expected[identity] = expected._replace(is_first=False)
-            return Return.EARLY
+            self._expected[identity] = expected._replace(early=expected.early + 1)
+            return Return.EARLY if expected.early < _MOST_EARLY else Return.FIRST
         del self._expected[identity]
-        return Return.IN_TIME if expected.is_first else Return.FIRST
+        return Return.FIRST if expected.early else Return.IN_TIME
 
     def untold(self, most: int, now: float) -> list[tuple[bytes, float]]:
         """Give refused calls to tell of, with the seconds until they may be back."""
--- a/cleatlink/routing/plain_spread.py
+++ b/cleatlink/routing/plain_spread.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 
 from cleatlink.core.routes import RoutedEndpoint
+from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.plain_admission import bears
 from cleatlink.routing.plain_load import PlainLoad
 
@@ -39,21 +40,21 @@
 
 
 def plain_weights(
-    endpoints: Sequence[RoutedEndpoint], load: PlainLoad, usual_s: float, now: float
+    endpoints: Sequence[RoutedEndpoint], capacity: Capacity, now: float
 ) -> list[float]:
     """Give the weights by which calls are drawn to endpoints: what each of them bears.
 
     Args:
         endpoints: The endpoints.
-        load: The plain calls of all instances.
-        usual_s: Seconds that a call of their service takes as a rule; 0 if that is not known.
+        capacity: What is believed of them.
         now: The time.
     """
-    weights = []
-    for endpoint in endpoints:
-        lately = load.endpoint(endpoint.name, now)
-        weight = bears(endpoint, lately, usual_s)
-        if not math.isfinite(weight):
-            return [float(max(1, item.slots)) for item in endpoints]
-        weights.append(weight)
+    weights = [
+        bears(
+            endpoint, capacity.plain.endpoint(endpoint.name, now), capacity.plain_s(endpoint, now)
+        )
+        for endpoint in endpoints
+    ]
+    if not all(map(math.isfinite, weights)):
+        return [float(max(1, endpoint.slots)) for endpoint in endpoints]
     return weights
--- a/cleatlink/routing/relay_place.py
+++ b/cleatlink/routing/relay_place.py
@@ -390,15 +390,12 @@
     share = spread_share(best, capacity.plain, seeker.now)
     if not share or seeker.rng.random() >= share:
         return best
-    return _draw_plain(service, found, capacity, seeker)
+    return _draw_plain(found, capacity, seeker)
 
 
-def _draw_plain(
-    service: str, found: list[RoutedEndpoint], capacity: Capacity, seeker: Seeker
-) -> RoutedEndpoint:
+def _draw_plain(found: list[RoutedEndpoint], capacity: Capacity, seeker: Seeker) -> RoutedEndpoint:
     """Give the one of two endpoints, drawn by what they bear, that has fewer of own calls."""
-    usual_s = capacity.pace(service).plain_s
-    weights = plain_weights(found, capacity.plain, usual_s, seeker.now)
+    weights = plain_weights(found, capacity, seeker.now)
     drawn = seeker.rng.choices(found, weights, k=2)
     return min(drawn, key=lambda endpoint: _own_plain(endpoint, capacity, seeker))
 
