Messages of peers are counted by the library when somebody looks

A count of a message took a quarter of the time of receiving it under a profile (60 instances in one process): the metrics library sorts and checks labels each time. Counts are gathered and handed to the library when the metrics are read; what is read is the same.

--- a/cleatlink/relay/metrics.py
+++ b/cleatlink/relay/metrics.py
@@ -1,5 +1,6 @@
 """Counters and latency histograms of the relay."""
 
+from collections import defaultdict
 from collections.abc import Sequence
 from statistics import median
 
@@ -42,6 +43,9 @@
         self._messages = self._counter(
             "cleatlink_relay_peer_messages_total", "Datagrams of peers, by kind."
         )
+        # Messages since the last look at the metrics: hundreds come a second, and the library sorts
+        # and checks labels each time.
+        self._messages_since: dict[str, int] = defaultdict(int)
         self._orders = self._counter("cleatlink_relay_orders_total", "Orders, by status.")
         self._admissions = self._counter(
             "cleatlink_relay_admissions_total", "Requests, by organisation and outcome."
@@ -154,7 +158,7 @@
 
     def count_message(self, kind: str) -> None:
         """Count a datagram of a peer."""
-        self._messages.inc({"kind": kind})
+        self._messages_since[kind] += 1
 
     def count_order(self, status: str) -> None:
         """Count an order to an endpoint; status 0 stands for no answer."""
@@ -218,6 +222,9 @@
 
     def render(self) -> bytes:
         """Render all metrics in the text form."""
+        for kind, count in self._messages_since.items():
+            self._messages.add({"kind": kind}, count)
+        self._messages_since.clear()
         content, _ = render(self._registry, ["text/plain"])
         return bytes(content)
 
