Routes' priorities decide among organisations of the same priority

Cause: an organisation's priority goes before that of the route, and the route's was not looked at then; here nearly all organisations have the same.

Change: among streams that wait at many instances, the route's priority decides where the organisation's is equal (rank() in routing/shared_waiting.py). The organisation's still goes first: 2 s of head start for each priority, 0.9 s for each of the route, of which two count. Engines are told the organisation's alone, as before.

Ruled out: routes before organisations; an operator's order of organisations goes first.

--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -18,6 +18,7 @@
 from cleatlink.relay.peers.messages import HintKind
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.relay_place import RUNS_APART, Seeker
+from cleatlink.routing.shared_waiting import rank
 
 __all__ = ["Call"]
 
@@ -95,6 +96,14 @@
             return self.route.priority
         return organisation.priority
 
+    @property
+    def shared_urgency(self) -> int:
+        """How urgent it is among those that wait at many instances; larger goes first."""
+        organisation = self.holder.organisation
+        if organisation is None or organisation.priority is None:
+            return rank(self.priority)
+        return rank(self.priority, self.route.priority)
+
     @property
     def told_priority(self) -> int | None:
         """The priority that engines are told; None where urgency is not shared."""
--- a/cleatlink/relay/calls/room.py
+++ b/cleatlink/relay/calls/room.py
@@ -209,7 +209,9 @@
             # it: its caller can come back with the last event that it has.
             may_wait = call.ran is Ran.NO
             return _Standing(_BEGUN_URGENCY, now, prompt_ready, may_wait=may_wait)
-        urgency = (_READY_URGENCY if prompt_ready else 0) - call.priority
+        urgency = call.shared_urgency if self._shared.is_in_use else -call.priority
+        if prompt_ready:
+            urgency = _READY_URGENCY - call.priority
         urgency = self._shared.draw_urgency(call.service.name, urgency, self._parts.rng, now)
         back = self._returns.take(call.inbound, now)
         if back is None:
--- a/cleatlink/routing/shared_waiting.py
+++ b/cleatlink/routing/shared_waiting.py
@@ -27,11 +27,18 @@
     "WaitingGroup",
     "WaitingReport",
     "due_at",
+    "rank",
 ]
 
-# Seconds of head start for each point of urgency: longer than urgent streams may wait and be in
-# time, and short enough that others wait at the most about twice as long.
-HEAD_START_S = 1.5
+# Seconds of head start for each point of urgency.
+HEAD_START_S = 0.1
+# Points of urgency for each priority: urgent streams may wait for less than that and be in time,
+# and others wait at the most about twice as long.
+_PRIORITY_POINTS = 20
+# Points for each priority of a route among streams of one priority of an organisation, and the
+# least urgent that counts: together they stay below one priority of an organisation.
+_ROUTE_POINTS = 9
+_MOST_ROUTE_PRIORITY = 2
 # What is told counts whole for so long: it is told again before.
 _FRESH_S = 0.6
 # Then it counts less and less, and no more after this.
@@ -162,6 +169,18 @@
     heard_at: float
 
 
+def rank(priority: int, route_priority: int = 0) -> int:
+    """Give the urgency with which a stream waits among many instances; larger goes first.
+
+    Args:
+        priority: From 0, the most urgent: its organisation's, or else its route's.
+        route_priority: Its route's, where its organisation has one too: that goes first, and
+            this decides among streams of the same.
+    """
+    route_points = _ROUTE_POINTS * min(_MOST_ROUTE_PRIORITY, route_priority)
+    return -(_PRIORITY_POINTS * priority + route_points)
+
+
 def due_at(since: float, urgency: int, head_start_s: float = HEAD_START_S) -> float:
     """Give where a stream stands that came at a time; smaller goes first."""
     return since - urgency * head_start_s
--- a/cleatlink/routing/shared_waiting_test.py
+++ b/cleatlink/routing/shared_waiting_test.py
@@ -29,6 +29,7 @@
     WaitingGroup,
     WaitingReport,
     due_at,
+    rank,
 )
 from cleatlink.routing.waiting import WaitingRoom
 
@@ -113,6 +114,7 @@
         self._now = now
         urgency = -arrival.priority
         if self._is_shared:
+            urgency = rank(arrival.priority)
             shared = self._shared[arrival.instance]
             urgency = shared.draw_urgency("s", urgency, self._rng, now)
         room = self._rooms[arrival.instance]
@@ -254,7 +256,7 @@
 GROUPS = st.builds(
     WaitingGroup,
     service=st.just("s"),
-    urgency=st.integers(-9, 0),
+    urgency=st.integers(-200, 0),
     is_late=st.booleans(),
     streams=st.integers(1, 5),
     tokens=st.integers(1, 9_000),
@@ -310,6 +312,16 @@
     assert shared.ahead(claim, 0.1) == NOBODY_AHEAD
 
 
+def test_priority_of_an_organisation_goes_before_that_of_its_routes() -> None:
+    """All streams of a deployment were alike: its organisations had one priority.
+
+    The routes' own was not looked at then, and the most urgent did worse than the least.
+    """
+    assert rank(1, 0) > rank(1, 1) > rank(1, 2) > rank(2, 0)
+    assert rank(1, 2) == rank(1, 9)
+    assert rank(0) > rank(1) > rank(2)
+
+
 def test_few_instances_tell_each_other_nothing() -> None:
     shared = SharedWaiting()
     shared.note_peers(16)
