Large fleets: a restarted peer's work, the first seconds, and who joins

Three faults of reflectors. (1) The numbers of a peer's news of work were compared across its restarts: one that was back within four seconds was not believed until it had told as much as before, and what it had worked on stayed counted; both go by its incarnation now. (2) While a fleet is small nothing is handed to a reflector, and yet its echo was missed: after two seconds the reflectors of the own data centre were avoided for 15 s, and a tick each second counted as a pause. (3) Who joined was heard by all only with its second heartbeat; it tells addresses that are new to it at once.

Failed before: the test of an instance that starts anew.

--- a/cleatlink/relay/peers/delivery.py
+++ b/cleatlink/relay/peers/delivery.py
@@ -82,10 +82,14 @@
         """Choose reflectors anew, each half second; tells whether one is new."""
         self._reflection.tick(now)
         self._duplicates.keep(self._peers.names)
+        if not self.uses_reflectors:
+            # None is handed anything, so that none could bring it back.
+            self._choice = ReflectorChoice(self._data_centre)
+            return False
         self._choice.note_echo(self._name, now)
         own = Candidate(self._name, self._data_centre, self._size, 0.0)
         has_new = self._choice.choose([own, *self._peers.candidates(now)], now)
-        if has_new and self.uses_reflectors:
+        if has_new:
             eliot.log_message(
                 message_type="peers: has other reflectors",
                 chosen=self._choice.chosen,
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -12,7 +12,7 @@
 import random
 from collections.abc import Callable, Set
 from functools import partial
-from typing import Any
+from typing import Any, NamedTuple
 
 import eliot
 import msgspec
@@ -64,7 +64,7 @@
 from cleatlink.relay.peers.shed_news import ShedNewsChannel
 from cleatlink.relay.peers.source_news import SourceNewsChannel
 from cleatlink.relay.peers.waiting_news import WaitingNews
-from cleatlink.relay.peers.work_news import WorkNews
+from cleatlink.relay.peers.work_news import FEW_PEERS, WorkNews
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.mechanisms import Mechanism
@@ -101,6 +101,16 @@
 _LOOK_S = 0.2
 
 
+class _WorkNumber(NamedTuple):
+    """Orders what a peer tells of its work."""
+
+    incarnation: int
+    number: int
+
+
+_NO_NUMBER = _WorkNumber(0, 0)
+
+
 class PeerGroup:
     """This instance's peers."""
 
@@ -164,7 +174,8 @@
         self._socket = DatagramSocket(settings.peer_listen, metrics)
         self._takers = self._list_takers()
         self._delivery = Delivery(settings, incarnation, self._peers, self._socket, metrics)
-        self._heard_work: dict[str, int] = {}
+        # The last numbers with which peers told of their work, with their incarnations.
+        self._heard_work: dict[str, _WorkNumber] = {}
         self._beat_due = False
         self._told_table = 0
         self._beat_number = 0
@@ -447,7 +458,10 @@
 
     def _take_roster(self, roster: Roster) -> None:
         self._metrics.count_message("roster")
-        self._peers.note_roster(roster, trio.current_time())
+        found = self._peers.note_roster(roster, trio.current_time())
+        if found and len(self._peers) + len(found) > FEW_PEERS:
+            # Who joins a large fleet is heard a heartbeat earlier, and hears it.
+            self._socket.send(self._beat(), found)
 
     def _take_crashes(self, news: CrashNews) -> None:
         self._metrics.count_message("crashes")
@@ -532,6 +546,10 @@
             return
         self._metrics.count_message("beat")
         self._heard_beats.pop(beat.name, None)
+        if self._peers.incarnation(beat.name) not in (None, beat.incarnation):
+            # Started anew: what it worked on before is over.
+            self._capacity.forget_peer(beat.name)
+            self._is_work_new = True
         now = trio.current_time()
         if self._peers.note_beat(beat, now - age_s):
             eliot.log_message(message_type="peers: heard a peer", peer=beat.name, alive=self.alive)
@@ -555,9 +573,10 @@
         if self._peers.incarnation(told.name) != told.incarnation:
             return False
         if told.number:
-            if told.number <= self._heard_work.get(told.name, 0):
+            number = _WorkNumber(told.incarnation, told.number)
+            if number <= self._heard_work.get(told.name, _NO_NUMBER):
                 return False
-            self._heard_work[told.name] = told.number
+            self._heard_work[told.name] = number
         return True
 
     def _take_work(self, peer: str, items: list[WorkItem], now: float) -> None:
--- a/cleatlink/relay/peers/heard.py
+++ b/cleatlink/relay/peers/heard.py
@@ -202,14 +202,17 @@
             self._left.pop(beat.name, None)
         return is_new
 
-    def note_roster(self, roster: Roster, now: float) -> None:
-        """Take the names and addresses that a peer knows."""
+    def note_roster(self, roster: Roster, now: float) -> list[str]:
+        """Take the names and addresses that a peer knows; gives the addresses that are new."""
+        found = []
         for member in roster.members:
             if member.name in self._left or member.name == self._name:
                 continue
             self._told.add(member.name)
             if member.address and member.address not in self._addresses:
                 self._addresses[member.address] = now
+                found.append(member.address)
+        return found
 
     def member(self, name: str) -> Member:
         """Describe an instance for a roster; without an address if it is not heard."""
--- a/cleatlink/relay/peers/large_fleet_test.py
+++ b/cleatlink/relay/peers/large_fleet_test.py
@@ -374,6 +374,28 @@
             hearer.group._take(Changes(teller.name, 1, [item], [], 999), 0.0)
             assert not hearer.capacity.knows(teller.name, "k")
 
+    async def test_instance_that_starts_anew_is_believed_at_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Its messages count from one again, and what it worked on before is over.
+
+        What it told was taken for overtaken until it had told as much as before its restart.
+        """
+        async with open_fleet(monkeypatch) as fleet:
+            await fleet.start(MANY)
+            teller, hearer = fleet.instances[1], fleet.instances[4]
+            work = Reservation("e-b", Role.DECODE, 10, trio.current_time() + 3, 3.0)
+            before = WorkItem.of("before", work, trio.current_time())
+            after = WorkItem.of("after", work, trio.current_time())
+            hearer.group._take(Changes(teller.name, 1, [before], [], 1_000), 0.0)
+            beat = Beat(
+                teller.name, 2, "b", teller.address, False, 0, 0, [], 0, {}, "", 1, work_apart=True
+            )
+            hearer.group._take(beat, 0.0)
+            hearer.group._take(Changes(teller.name, 2, [after], [], 1), 0.0)
+            assert not hearer.capacity.knows(teller.name, "before")
+            assert hearer.capacity.knows(teller.name, "after")
+
     async def test_hint_of_a_data_centre_stays_there(self, monkeypatch: pytest.MonkeyPatch) -> None:
         async with open_fleet(monkeypatch) as fleet:
             await fleet.start(MANY)
--- a/cleatlink/relay/peers/reflection.py
+++ b/cleatlink/relay/peers/reflection.py
@@ -14,9 +14,10 @@
 # bundle is a datagram to every instance of the data centre.
 _GATHER_S = 0.01
 _PAUSE_S = 0.1
-# A tick comes each half second. One that came later tells of a pause of this process, in which
-# messages lay unread: their age is not known, and they are not passed on.
-_STALL_S = 1.0
+# A tick comes each half second, in a small fleet each second. One that came later tells of a
+# pause of this process, in which messages lay unread: their age is not known, and they are not
+# passed on.
+_STALL_S = 1.2
 _AFTER_STALL_S = 0.5
 # Bytes of items in a bundle, below what a datagram holds.
 _BUNDLE_BYTES = 32_000
