A safe call leaves a silent endpoint also before its service's pace is known

What callers saw: the first safe call of a service that met a silent endpoint got 504 after its whole time, though another endpoint was free. Cause: how long silence is was told from the pace of the service's calls alone, and without one an endpoint was never left.

Change: without a pace a call leaves when its answer should be there by the target of its route, or after half of the time that is left to it if that is sooner. It spends from the budget as before; without another endpoint or budget it stays. Calls that may not run twice stay always.

--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -164,11 +164,10 @@
         """
         call = self._call
         impatient = self._parts.capacity.switches.uses(Mechanism.PATIENCE)
-        usual_s = self._parts.capacity.pace(call.service.name).plain_s
-        if not call.repeatable or not impatient or not usual_s:
+        if not call.repeatable or not impatient:
             return
         while True:
-            await trio.sleep(max(_MIN_PATIENCE_S, _USUAL_FACTOR * usual_s))
+            await trio.sleep(self._silence_s())
             call.excluded.add(endpoint.name)
             other = place_plain(call.service.name, self._parts.capacity, call.seeker())
             if other is None or not call.may_send(other):
@@ -178,6 +177,18 @@
                 leave.cancel()
             return
 
+    def _silence_s(self) -> float:
+        """Give the seconds after which a silent endpoint is left.
+
+        Until it is known how long calls take, that is when the answer should be there by what the
+        route promises, as long as half of the call's time is left to the next endpoint.
+        """
+        call = self._call
+        usual_s = self._parts.capacity.pace(call.service.name).plain_s
+        if not usual_s:
+            return max(_MIN_PATIENCE_S, min(call.route.target_s, call.left_s / 2))
+        return max(_MIN_PATIENCE_S, _USUAL_FACTOR * usual_s)
+
     async def _exchange(self, endpoint: RoutedEndpoint) -> Reply:
         call, parts = self._call, self._parts
         limit_s = IDLE_LIMIT_S if call.repeatable else FRESH_LIMIT_S
--- a/cleatlink/relay/calls/plain_test.py
+++ b/cleatlink/relay/calls/plain_test.py
@@ -4,6 +4,7 @@
 import trio
 
 from standins.relay import Fault, Worker
+from standins.relay.client import Reply
 from standins.relay.example import runs, start
 from standins.relay.fleet import open_fleet
 
@@ -213,6 +214,34 @@
         assert len(first.runs) + len(second.runs) <= 10
 
 
+@pytest.mark.parametrize("target_ms", [400, 5000])
+async def test_silent_worker_is_left_before_any_pace_is_known(target_ms: int) -> None:
+    """The first call of a service met a silent worker and waited out its whole time (504).
+
+    How long calls take was not known yet, and what the route promises was not asked.
+    """
+    async with open_fleet() as fleet:
+        workers = Worker("plain"), Worker("plain")
+        await start(fleet, *workers)
+        fleet.add_route("/new/", "safe", "plain", target_latency_ms=target_ms)
+        version = fleet.configure()
+        await fleet.until(lambda: fleet.instances[0].records.table_revision == version)
+        for worker in workers:
+            worker.faults = [Fault.MUTE]
+        replies: list[Reply] = []
+
+        async def ask() -> None:
+            replies.append(await fleet.caller().ask("/new/x"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await fleet.until(lambda: any(worker.arrivals for worker in workers))
+            for worker in workers:
+                worker.faults = []
+        assert [reply.status for reply in replies] == [200]
+        assert [len(worker.arrivals) for worker in workers] == [1, 1]
+
+
 async def test_silent_worker_is_still_left_where_calls_are_quick() -> None:
     async with open_fleet() as fleet:
         first, second = Worker("plain"), Worker("plain")
