--- a/cleatlink/relay/calls/stream_test.py
+++ b/cleatlink/relay/calls/stream_test.py
@@ -157,7 +157,6 @@
         assert (len(first.runs), len(second.runs)) == (2, 2)
 
 
-@pytest.mark.real_time
 async def test_one_instance_shifts_a_prefill_to_decode_when_answers_need_it() -> None:
     async with open_fleet() as fleet:
         prefills = [Worker("model", "prefill"), Worker("model", "prefill")]
