--- a/cleatlink/relay/calls/plain_gate.py
+++ b/cleatlink/relay/calls/plain_gate.py
@@ -73,8 +73,7 @@
         """
         if not self._is_used:
             return None
-        asks = Applicant(call.service.name, call.priority, call.identity, call.sends > 0)
-        judged = self._judge.judge(asks, trio.current_time())
+        judged = self._judge.judge(self._applicant(call), trio.current_time())
         if judged.bearing.is_free:
             if call.service.name in self._lines:
                 self._lines[call.service.name].open()
@@ -84,10 +83,13 @@
         waiter = line.waiters[ticket] = _Waiter()
         line.settle()
         began_at = trio.current_time()
-        if not waiter.decided.is_set() and self._should_wait(call, ticket, judged):
-            with trio.move_on_after(self._wait_s(call)):
-                await waiter.decided.wait()
-        self._leave(line, ticket)
+        try:
+            if not waiter.decided.is_set() and self._should_wait(call, ticket, judged):
+                with trio.move_on_after(self._wait_s(call)):
+                    await waiter.decided.wait()
+        finally:
+            # Also for a caller that leaves: its turn goes to another one.
+            self._leave(line, ticket)
         if waiter.passes or (not waiter.decided.is_set() and self.has_room(call)):
             waited_s = trio.current_time() - began_at
             self._parts.metrics.count_plain("waited" if waited_s else "passed")
@@ -112,6 +114,11 @@
         spare_s = call.route.heeded_share * call.left_s
         return retry_after_s(spare_s, self._parts.rng.random())
 
+    def _applicant(self, call: Call) -> Applicant:
+        """Describe a call; what it asks is worked out only where a refused call is expected."""
+        identity = call.identity if len(self._parts.capacity.plain_returns) else b""
+        return Applicant(call.service.name, call.priority, identity, call.sends > 0)
+
     def _wait_s(self, call: Call) -> float:
         return max(0.0, min(WAIT_SHARE * call.route.target_s - call.age_s, call.left_s))
 
--- a/cleatlink/routing/plain_judge.py
+++ b/cleatlink/routing/plain_judge.py
@@ -17,7 +17,7 @@
     Attributes:
         service: Its service.
         priority: From 0, the most urgent.
-        identity: Who asks for what.
+        identity: Who asks for what; empty where no refused call is expected back.
         is_retry: Whether it was sent before.
     """
 
