Soak: a planned stop that ends badly tells of which build the process was

Nothing told whether it was the earlier build, whose end is slow on a busy machine, or this one. The check is as it was; it names the build now.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -200,7 +200,8 @@
     for stop in history.stops:
         instance = f"instance {stop.instance}"
         if stop.code != 0:
-            yield Violation("", f"{instance} ended with {stop.code}")
+            build = "an earlier build" if stop.is_earlier_build else "this build"
+            yield Violation("", f"{instance}, of {build}, ended with {stop.code}")
         since = stop.began_at - CONTACT_S
         for request in history.requests:
             if (request.instance, request.life) != (stop.instance, stop.life):
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -72,6 +72,8 @@
         self.output = folder / f"n{number}.log"
         # Sources of the build that it runs from its next start on; None for this one.
         self.tree: Path | None = None
+        # Whether the process that runs is of an earlier build.
+        self.is_earlier_build = False
         self._seeds = seeds
         self._settings = folder / f"n{number}.toml"
         self._offsets = ClockOffsets()
@@ -118,6 +120,7 @@
         """Start a process."""
         self.life += 1
         environment = None
+        self.is_earlier_build = self.tree is not None
         if self.tree is not None:
             environment = {**os.environ, "PYTHONPATH": str(self.tree)}
         with self.output.open("ab") as output:
--- a/soak/records.py
+++ b/soak/records.py
@@ -201,13 +201,23 @@
 
 
 class Stop(NamedTuple):
-    """A planned stop of an instance's process."""
+    """A planned stop of an instance's process.
+
+    Attributes:
+        instance: Number of the instance.
+        life: Counts its processes.
+        began_at: When it was asked to stop.
+        ended_at: When it had ended, or was no longer waited for.
+        code: Exit code of the process; -9 for one that had to be killed.
+        is_earlier_build: Whether the process was of an earlier build.
+    """
 
     instance: int
     life: int
     began_at: float
     ended_at: float
     code: int
+    is_earlier_build: bool = False
 
 
 class Spell(NamedTuple):
--- a/soak/strike.py
+++ b/soak/strike.py
@@ -285,11 +285,19 @@
 
     async def _stop(self, instance: InstanceProcess) -> None:
         began_at, life = trio.current_time(), instance.life
+        is_earlier_build = instance.is_earlier_build
         instance.stop()
         code = await instance.wait(_GRACE_S)
         ended_at = trio.current_time()
         self._fleet.stops.append(
-            Stop(instance.number, life, began_at, ended_at, -9 if code is None else code)
+            Stop(
+                instance.number,
+                life,
+                began_at,
+                ended_at,
+                -9 if code is None else code,
+                is_earlier_build,
+            )
         )
         # The stop itself excuses nothing; what follows it does.
         await self._restart(instance)
