What waits is read from its message in one step, and a question that nobody asked is gone

Read once more: WaitItem named each of its fields again to give them as WaitingGroup, and HeardPeers.takes_bundles had no caller. Behaviour is as before.

--- a/cleatlink/relay/peers/heard.py
+++ b/cleatlink/relay/peers/heard.py
@@ -104,11 +104,6 @@
             if beat.size and (data_centre is None or beat.data_centre == data_centre)
         ]
 
-    def takes_bundles(self, name: str) -> bool:
-        """Tell whether a peer takes bundles."""
-        peer = self._peers.get(name)
-        return peer is not None and peer.beat.size > 0
-
     def address(self, name: str) -> str | None:
         """Give the address of a peer; None for one that is not heard."""
         peer = self._peers.get(name)
--- a/cleatlink/relay/peers/messages.py
+++ b/cleatlink/relay/peers/messages.py
@@ -454,15 +454,7 @@
 
     def group(self) -> WaitingGroup:
         """Give it as what waits."""
-        return WaitingGroup(
-            self.service,
-            self.urgency,
-            self.is_late,
-            self.streams,
-            self.tokens,
-            self.oldest_s,
-            self.spare_s,
-        )
+        return WaitingGroup(*msgspec.structs.astuple(self))
 
 
 class WaitNews(msgspec.Struct, array_like=True, frozen=True, tag="w"):
