From how many peers on a fleet is large is said in one place

Four modules had the number by themselves (reflectors and work, the shared watch, shared waiting, spill-over); had one moved alone, a fleet of that size would have been large for some of its parts and small for others. It is one constant now, routing/fleet_sizes.py, with the same value.

--- a/cleatlink/relay/peers/delivery.py
+++ b/cleatlink/relay/peers/delivery.py
@@ -17,8 +17,8 @@
 from cleatlink.relay.peers.heard import HeardPeers
 from cleatlink.relay.peers.messages import Bundle, BundleItem, Message, encode
 from cleatlink.relay.peers.reflection import Reflection
-from cleatlink.relay.peers.work_news import FEW_PEERS
 from cleatlink.relay.settings import RelaySettings
+from cleatlink.routing.fleet_sizes import FEW_PEERS
 from cleatlink.routing.mechanisms import Mechanism
 
 __all__ = ["Delivery"]
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -64,9 +64,10 @@
 from cleatlink.relay.peers.shed_news import ShedNewsChannel
 from cleatlink.relay.peers.source_news import SourceNewsChannel
 from cleatlink.relay.peers.waiting_news import WaitingNews
-from cleatlink.relay.peers.work_news import FEW_PEERS, WorkNews
+from cleatlink.relay.peers.work_news import WorkNews
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.fleet_sizes import FEW_PEERS
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.reservation import Reservation
 
@@ -83,8 +84,6 @@
 # Whole ones would be 20 of the 37 kB that one of 195 instances sends each second (encoded
 # sizes); these are 2.4.
 _MEMBERS_A_ROSTER = 24
-# Up to so many peers each instance watches the configuration service itself.
-_MOST_WATCHING = 16
 # Two heartbeats: work that is over is usually told before.
 _WORK_SLACK_S = 2.0
 # Changes that come within so long of each other go in one datagram: about the pause
@@ -224,7 +223,7 @@
     @property
     def shares_watch(self) -> bool:
         """Whether some instances watch the configuration service for the others."""
-        is_large = len(self._peers) > _MOST_WATCHING
+        is_large = len(self._peers) > FEW_PEERS
         return is_large and self._capacity.switches.uses(Mechanism.SHARED_WATCH)
 
     def must_watch(self) -> bool:
--- a/cleatlink/relay/peers/work_news.py
+++ b/cleatlink/relay/peers/work_news.py
@@ -13,13 +13,10 @@
 from cleatlink.core.data import Role
 from cleatlink.relay.peers.messages import Changes, WorkItem, WorkList
 from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.fleet_sizes import FEW_PEERS
 from cleatlink.routing.reservation import Reservation
 
-__all__ = ["FEW_PEERS", "WorkNews"]
-
-# Up to so many peers all are told at once: a datagram to each costs less than what an
-# old view does. In between lie the fleets that were measured, of 7 and 58 instances.
-FEW_PEERS = 16
+__all__ = ["WorkNews"]
 
 
 # All work is told again after so long: a change that was lost heals by it.
--- a/cleatlink/routing/shared_waiting.py
+++ b/cleatlink/routing/shared_waiting.py
@@ -17,6 +17,8 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+from cleatlink.routing.fleet_sizes import FEW_PEERS
+
 __all__ = [
     "HEAD_START_S",
     "NOBODY_AHEAD",
@@ -50,8 +52,6 @@
 _LOT_SHARE = 0.25
 # The highest urgency that a priority gives.
 _MOST_URGENT = 0
-# In groups of fewer instances each hears of room at the same moment as the others.
-_FEW_PEERS = 16
 
 
 class WaitingGroup(NamedTuple):
@@ -204,7 +204,7 @@
     @property
     def is_large_group(self) -> bool:
         """Whether there are so many instances that one rarely holds two streams that wait."""
-        return self._peers > _FEW_PEERS
+        return self._peers > FEW_PEERS
 
     @property
     def is_in_use(self) -> bool:
--- a/cleatlink/routing/spill_over.py
+++ b/cleatlink/routing/spill_over.py
@@ -14,6 +14,8 @@
 import math
 from collections.abc import Mapping
 
+from cleatlink.routing.fleet_sizes import FEW_PEERS
+
 __all__ = ["CROSSING_SHARE", "ONLY_IF_FULL", "SpillOver", "prompt_waits"]
 
 # What a crossing costs where no operator says it, as a share of a stream's target: a round trip
@@ -25,8 +27,6 @@
 # Load, in shares of an engine's memory and of a target, above which a place counts as nearly
 # full: estimates of lengths are off by more than what is left.
 _NEARLY_FULL = 0.85
-# In groups of fewer instances all know of all work at once.
-_FEW_PEERS = 16
 
 
 class SpillOver:
@@ -45,7 +45,7 @@
     @property
     def is_in_use(self) -> bool:
         """Whether streams cross before their own data centre is full."""
-        return self._is_on and self._peers > _FEW_PEERS
+        return self._is_on and self._peers > FEW_PEERS
 
     def note_peers(self, peers: int) -> None:
         """Note how many other instances there are."""
