--- a/cleatlink/relay/callers/service.py
+++ b/cleatlink/relay/callers/service.py
@@ -36,6 +36,7 @@
 _DEFAULT_LIMITS = CallerLimits()
 # A new table is usually in force by then.
 _NO_SERVICE_RETRY_S = 1.0
+_MS = 1000.0
 
 
 class _Found(NamedTuple):
@@ -200,7 +201,9 @@
             message_type="relay: refuses",
             request=inbound.request_id,
             kind=refusal.kind.value,
-            revision=self._index.table.revision if self._index else 0,
+            revision=self._parts.tables.in_force,
+            newest=self._parts.tables.newest,
+            behind_ms=int(_MS * self._parts.tables.behind_s(trio.current_time())),
         )
         await self._send_refusal(exchange, refusal, request_id=inbound.request_id)
 
--- a/cleatlink/relay/calls/parts.py
+++ b/cleatlink/relay/calls/parts.py
@@ -14,6 +14,7 @@
 from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
 from cleatlink.request.shared_budget import SharedRetryBudget
 from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.table_knowledge import TableKnowledge
 
 __all__ = ["RelayParts"]
 
@@ -28,6 +29,7 @@
         capacity: What is believed of endpoints.
         stop: The planned stop of this instance.
         gate: Whose requests are served, and how many.
+        tables: Which route table is in force, and whether a newer one is known to exist.
         metrics: Counters and histograms.
         rng: The seeded generator.
         budget: Gives the retry budget of a service.
@@ -47,6 +49,7 @@
     capacity: Capacity
     stop: PlannedStop
     gate: OrganisationGate
+    tables: TableKnowledge
     metrics: RelayMetrics
     rng: random.Random
     budget: Callable[[str], SharedRetryBudget]
--- a/cleatlink/relay/following/follower.py
+++ b/cleatlink/relay/following/follower.py
@@ -21,6 +21,7 @@
 from cleatlink.relay.peers.snapshots import Snapshot
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.fleet_records import FleetRecords
+from cleatlink.routing.table_knowledge import TableKnowledge
 
 __all__ = ["Follower", "FollowerHooks"]
 
@@ -60,6 +61,7 @@
 # Pauses between two that follow each other without changes between them, doubled up to the most.
 _REREAD_FIRST_S = 0.25
 _REREAD_MOST_S = 2.0
+_MS = 1000.0
 
 # Lines about route tables that can't be used, at the most in so many seconds: anybody who may
 # write there could fill the log with them.
@@ -100,11 +102,13 @@
         pool: ConnectionPool,
         metrics: RelayMetrics,
         *,
+        tables: TableKnowledge,
         rng: random.Random,
         hooks: FollowerHooks,
         leaving_s: float,
     ) -> None:
         self.records = FleetRecords()
+        self._tables = tables
         self._source = source
         self._metrics = metrics
         self._rng = rng
@@ -355,11 +359,24 @@
         if snapshot.table is not None:
             self.take_table(snapshot.table, "peer")
 
+    def note_table(self, revision: int, peer: str) -> None:
+        """Note that a peer knows of a table."""
+        if self._tables.hear(revision, trio.current_time()) and self._tables.is_behind:
+            eliot.log_message(
+                message_type="source: a newer route table exists",
+                revision=revision,
+                in_force=self._tables.in_force,
+                peer=peer,
+            )
+
     def take_table(self, table: RouteTable, source: str) -> None:
         """Put a table in force if it is newer, wherever it came from."""
         before = self.records.table_revision
         if not self.records.offer_table(table):
             return
+        now = trio.current_time()
+        behind_s = self._tables.behind_s(now)
+        self._tables.use(table.revision, now)
         self._hooks.use_table(table)
         self._metrics.set_revision(table.revision)
         eliot.log_message(
@@ -368,5 +385,6 @@
             before=before,
             source=source,
             routes=len(table.routes),
+            behind_ms=int(_MS * behind_s),
         )
         self._hooks.on_news()
--- a/cleatlink/relay/following/follower_test.py
+++ b/cleatlink/relay/following/follower_test.py
@@ -20,6 +20,7 @@
 from cleatlink.relay.peers.source_news import SourceNewsChannel
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.fleet_records import EndpointRecord
+from cleatlink.routing.table_knowledge import TableKnowledge
 
 pytestmark = pytest.mark.virtual_time
 
@@ -54,6 +55,7 @@
         Capacity(),
         ConnectionPool(),
         RelayMetrics(),
+        tables=TableKnowledge(),
         rng=random.Random(seed),
         hooks=hooks,
         leaving_s=leaving_s,
@@ -223,6 +225,7 @@
             Capacity(),
             ConnectionPool(),
             RelayMetrics(),
+            tables=TableKnowledge(),
             rng=random.Random(number),
             hooks=hooks,
             leaving_s=3.0,
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -42,6 +42,7 @@
 from cleatlink.routing.held_bytes import HeldBytes
 from cleatlink.routing.mechanisms import Switches
 from cleatlink.routing.reservation import Reservation
+from cleatlink.routing.table_knowledge import TableKnowledge
 
 __all__ = ["RelayInstance"]
 
@@ -107,6 +108,7 @@
         self._planned_stop = PlannedStop()
         limits = OrganisationLimits(settings.limit_tolerance, trio.current_time())
         self._gate = OrganisationGate(limits)
+        self._tables = TableKnowledge()
         rng = random.Random(incarnation)
         self._quarantine = SharedQuarantine(settings.name, rng)
         self._shared_notices = SharedNotices(settings.name, notices, rng)
@@ -120,6 +122,7 @@
             self._capacity,
             self._planned_stop,
             self._gate,
+            self._tables,
             self._metrics,
             rng,
             self._budgets.of,
@@ -147,6 +150,7 @@
             self._capacity,
             self._pool,
             self._metrics,
+            tables=self._tables,
             rng=self._parts.rng,
             hooks=follower_hooks,
             leaving_s=settings.leaving_s,
@@ -159,6 +163,7 @@
             self._note_peer_demand,
             self._close_connections,
             self._follower.take_news,
+            self._follower.note_table,
         )
         self._peers = PeerGroup(
             settings,
--- a/cleatlink/relay/peers/catch_up.py
+++ b/cleatlink/relay/peers/catch_up.py
@@ -31,6 +31,7 @@
 _HEAR_OF_IT_S = 0.15
 _ASK_PEER_S = 0.2
 _SNAPSHOT_PATH = b"/snapshot"
+_MS = 1000.0
 
 
 class KnownState(NamedTuple):
@@ -63,6 +64,8 @@
         on_snapshot: Callable[[Snapshot], None],
         metrics: RelayMetrics,
         rng: random.Random,
+        *,
+        on_table: Callable[[int, str], None],
     ) -> None:
         """Prepare.
 
@@ -72,16 +75,19 @@
             on_snapshot: Takes what a peer knows.
             metrics: Counters.
             rng: Spreads the instances that ask one peer.
+            on_table: Told of the revision of a peer's route table, and the peer's name.
         """
         self._state = state
         self._look_again = look_again
         self._on_snapshot = on_snapshot
         self._metrics = metrics
         self._rng = rng
+        self._on_table = on_table
         self._busy = False
 
     def note(self, beat: Beat, spawn: Callable[..., None]) -> None:
         """Begin to catch up if a peer's heartbeat tells of something newer."""
+        self._on_table(beat.table, beat.name)
         if self._state().is_behind(beat) and not self._busy:
             self._busy = True
             spawn(self._run, beat)
@@ -99,8 +105,9 @@
             self._busy = False
 
     async def _fetch(self, beat: Beat) -> None:
+        started_at = trio.current_time()
         try:
-            with trio.move_on_after(_FETCH_S):
+            with trio.move_on_after(_FETCH_S) as scope:
                 body = await _ask(beat.address)
                 self._on_snapshot(decode_snapshot(body))
                 self._metrics.count_message("snapshot")
@@ -110,11 +117,25 @@
                     table=beat.table,
                     newest=beat.newest,
                     era=beat.era,
+                    bytes=len(body),
+                    took_ms=_ms_since(started_at),
+                )
+            if scope.cancelled_caught:
+                eliot.log_message(
+                    message_type="peers: gave a fetch up",
+                    peer=beat.name,
+                    table=beat.table,
+                    newest=beat.newest,
+                    took_ms=_ms_since(started_at),
                 )
         except (EndpointError, msgspec.MsgspecError) as error:
             eliot.log_message(message_type="peers: can't fetch", peer=beat.name, error=repr(error))
 
 
+def _ms_since(started_at: float) -> int:
+    return int(_MS * (trio.current_time() - started_at))
+
+
 async def _ask(address: str) -> bytes:
     connection = await EndpointConnection.open(address, _FETCH_S, _FETCH_S)
     try:
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -164,7 +164,12 @@
         self._hints = Hints(capacity)
         self._rng = random.Random(incarnation)
         self._catch_up = CatchUp(
-            hooks.state, hooks.look_again, hooks.on_snapshot, metrics, self._rng
+            hooks.state,
+            hooks.look_again,
+            hooks.on_snapshot,
+            metrics,
+            self._rng,
+            on_table=hooks.on_table,
         )
         self.fence = 0
         self.vote = ""
--- /dev/null
+++ b/cleatlink/routing/table_knowledge.py
@@ -0,0 +1,45 @@
+"""Which route table is in force at an instance, beside the newest that it knows to exist."""
+
+__all__ = ["TableKnowledge"]
+
+
+class TableKnowledge:
+    """What is known of route tables; every method takes the time as an argument."""
+
+    def __init__(self) -> None:
+        self._in_force = 0
+        self._newest = 0
+        self._behind_since = 0.0
+
+    @property
+    def in_force(self) -> int:
+        """Revision of the table in force; 0 before the first."""
+        return self._in_force
+
+    @property
+    def newest(self) -> int:
+        """Highest revision that the service or any peer told of."""
+        return self._newest
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether a newer table than the one in force exists."""
+        return self._newest > self._in_force
+
+    def behind_s(self, now: float) -> float:
+        """Give for how many seconds a newer table has been known to exist; 0 if none is."""
+        return now - self._behind_since if self.is_behind else 0.0
+
+    def hear(self, revision: int, now: float) -> bool:
+        """Note that a table exists; tells whether that is news."""
+        if revision <= self._newest:
+            return False
+        if not self.is_behind:
+            self._behind_since = now
+        self._newest = revision
+        return True
+
+    def use(self, revision: int, now: float) -> None:
+        """Note that a table is in force from now on."""
+        self.hear(revision, now)
+        self._in_force = max(self._in_force, revision)
