--- a/cleatlink/core/errors.py
+++ b/cleatlink/core/errors.py
@@ -171,7 +171,7 @@
 
 
 class EndpointSilentError(EndpointError):
-    """The endpoint said nothing for too long, and another one goes on with its work."""
+    """The endpoint said nothing for too long, and is not waited for any longer."""
 
 
 class StreamBrokenError(EndpointError):
--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -5,12 +5,14 @@
 line as the caller wrote it. h11, which those libraries use, shows all three.
 """
 
+import math
 from collections.abc import Callable
 
 import h11
 import trio
 
 from cleatlink.core.errors import (
+    EndpointSilentError,
     EndpointUnreachableError,
     OutcomeUnknownError,
     StreamBrokenError,
@@ -186,21 +188,33 @@
             return None
         raise StreamBrokenError("the connection ended within the answer")
 
-    async def read_body(self, most_bytes: int) -> bytes:
+    async def read_body(self, most_bytes: int, *, silence_s: float = math.inf) -> bytes:
         """Read the whole body.
 
+        Args:
+            most_bytes: Longest body that is read.
+            silence_s: Longest time without any byte of it.
+
         Raises:
+            EndpointSilentError: Nothing came for ``silence_s``.
             StreamBrokenError: It broke off, or is longer than ``most_bytes``.
         """
         parts: list[bytes] = []
         size = 0
-        while (chunk := await self.read_chunk()) is not None:
+        while (chunk := await self._read_chunk_within(silence_s)) is not None:
             parts.append(chunk)
             size += len(chunk)
             if size > most_bytes:
                 raise StreamBrokenError("the body is too long")
         return b"".join(parts)
 
+    async def _read_chunk_within(self, silence_s: float) -> bytes | None:
+        try:
+            with trio.fail_after(silence_s):
+                return await self.read_chunk()
+        except trio.TooSlowError as error:
+            raise EndpointSilentError(f"no byte of the answer for {silence_s} s") from error
+
     async def _next_event(self) -> object:
         while True:
             event = self._http.next_event()
--- a/cleatlink/relay/endpoints/connection_test.py
+++ b/cleatlink/relay/endpoints/connection_test.py
@@ -1,16 +1,22 @@
 """One connection to an endpoint: what it sends, and what it takes for an answer."""
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
 import pytest
 import trio
 
 from cleatlink.core.errors import (
+    EndpointSilentError,
     EndpointUnreachableError,
     OutcomeUnknownError,
     StreamBrokenError,
 )
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.protocol import OutgoingRequest
+from standins.relay import RawCall, RawServer
 from standins.relay.fleet import free_address
+from standins.relay.http import answer
 
 BODY = b"x" * 8_000_000
 HOST = (b"Host", b"h.example")
@@ -142,3 +148,48 @@
 async def test_connection_that_does_not_come_up_sent_nothing() -> None:
     with pytest.raises(EndpointUnreachableError):
         await EndpointConnection.open(str(free_address()), 1.0, 1.0)
+
+
+class PausingServer(RawServer):
+    """Sends a body of two bytes, with a pause before the second."""
+
+    def __init__(self, pause_s: float) -> None:
+        super().__init__()
+        self._pause_s = pause_s
+
+    async def serve(self, call: RawCall, stream: trio.SocketStream) -> bool:
+        """Answer with a pause."""
+        data = answer(200, {}, b"ok")
+        await stream.send_all(data[:-1])
+        await trio.sleep(self._pause_s)
+        await stream.send_all(data[-1:])
+        return True
+
+
+@asynccontextmanager
+async def pausing_connection(pause_s: float) -> AsyncIterator[EndpointConnection]:
+    """Open a connection on which the body of an answer pauses."""
+    async with trio.open_nursery() as nursery:
+        server = PausingServer(pause_s)
+        await server.start(nursery)
+        connection = await EndpointConnection.open(server.address, 1.0, 1.0)
+        try:
+            await connection.exchange(REQUEST)
+            yield connection
+        finally:
+            connection.close()
+            server.close()
+            nursery.cancel_scope.cancel()
+
+
+@pytest.mark.virtual_time
+async def test_body_that_goes_silent_is_not_waited_for() -> None:
+    async with pausing_connection(0.6) as connection:
+        with pytest.raises(EndpointSilentError):
+            await connection.read_body(1000, silence_s=0.5)
+
+
+@pytest.mark.virtual_time
+async def test_pause_shorter_than_the_limit_on_silence_breaks_no_body() -> None:
+    async with pausing_connection(0.4) as connection:
+        assert await connection.read_body(1000, silence_s=0.5) == b"ok"
