--- a/cleatlink/relay/following/store_client.py
+++ b/cleatlink/relay/following/store_client.py
@@ -16,6 +16,9 @@
 _CONNECT_S = 0.5
 # The kernel gives a connection up whose data is not acknowledged for so long.
 _SILENCE_S = 1.5
+# A body may take as long as bytes keep coming, up to a bound in all.
+_BODY_SILENCE_S = 1.0
+_BODY_S = 10.0
 # Far above the largest table and list: a value of a store holds a megabyte.
 _MOST_BYTES = 64_000_000
 _FOUND = 200
@@ -78,13 +81,16 @@
     async def get(self, path: str, timeout_s: float) -> StoreAnswer:
         """Make a reading call.
 
+        Args:
+            path: Path and query.
+            timeout_s: Seconds until the head of the answer is there; its body may take longer.
+
         Raises:
             HistoryGoneError: What is asked for is not kept.
             PlatformError: There was no answer, or one of an older era than is known.
         """
         try:
-            with trio.fail_after(timeout_s):
-                return await self._ask(path)
+            return await self._ask(path, timeout_s)
         except (EndpointError, trio.TooSlowError) as error:
             self.close()
             raise PlatformError(repr(error)) from error
@@ -92,17 +98,15 @@
             self.close()
             raise
 
-    async def _ask(self, path: str) -> StoreAnswer:
-        if self._connection is None or not self._connection.usable:
-            self.close()
-            self._connection = await EndpointConnection.open(
-                str(self._address), _SILENCE_S, _CONNECT_S
-            )
-        headers = ((b"Host", str(self._address).encode()),)
-        request = OutgoingRequest(b"GET", path.encode(), headers, b"")
-        head = await self._connection.exchange(request)
-        body = await self._connection.read_body(_MOST_BYTES)
-        if not self._connection.finish(trio.current_time()):
+    async def _ask(self, path: str, timeout_s: float) -> StoreAnswer:
+        with trio.fail_after(timeout_s):
+            connection = await self._connect()
+            headers = ((b"Host", str(self._address).encode()),)
+            request = OutgoingRequest(b"GET", path.encode(), headers, b"")
+            head = await connection.exchange(request)
+        with trio.fail_after(_BODY_S):
+            body = await connection.read_body(_MOST_BYTES, silence_s=_BODY_SILENCE_S)
+        if not connection.finish(trio.current_time()):
             self.close()
         era = self._read_era(head)
         if head.status == _HISTORY_GONE:
@@ -111,6 +115,15 @@
             raise PlatformError(f"status {head.status}")
         return StoreAnswer(head.status == _FOUND, era, body)
 
+    async def _connect(self) -> EndpointConnection:
+        """Give a connection that can be used; opens one if there is none."""
+        if self._connection is None or not self._connection.usable:
+            self.close()
+            self._connection = await EndpointConnection.open(
+                str(self._address), _SILENCE_S, _CONNECT_S
+            )
+        return self._connection
+
     def _read_era(self, head: ReplyHead) -> int:
         """Take the era of an answer, also of one that fails; one that tells none is of the last.
 
