--- a/cleatlink/relay/callers/side.py
+++ b/cleatlink/relay/callers/side.py
@@ -5,6 +5,8 @@
 from cleatlink.core.routes import CallerLimits
 from cleatlink.relay.callers.server import Handler
 from cleatlink.relay.exchange import Exchange
+from cleatlink.relay.peers.deflate import DEFLATE_HEADERS, accepts_deflate
+from cleatlink.relay.peers.snapshots import Part
 from cleatlink.relay.status import InstanceState
 
 __all__ = [
@@ -49,8 +51,12 @@
     """Gives peers what this instance knows."""
 
     async def handle(self, exchange: Exchange) -> None:
-        """Answer with a snapshot."""
-        await exchange.answer(200, (), self._state.snapshot())
+        """Answer with the part that the path names, compressed where the peer takes that."""
+        request = exchange.request
+        is_compressed = accepts_deflate(request.headers)
+        headers = DEFLATE_HEADERS if is_compressed else ()
+        body = self._state.snapshot(Part.of_target(request.target), is_compressed=is_compressed)
+        await exchange.answer(200, headers, body)
 
 
 class MetricsHandler(SideHandler):
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -27,12 +27,13 @@
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.orders import RoleKeeper
 from cleatlink.relay.peers.catch_up import KnownState
+from cleatlink.relay.peers.encoded_parts import EncodedParts
 from cleatlink.relay.peers.group import PeerGroup
 from cleatlink.relay.peers.hooks import PeerHooks
-from cleatlink.relay.peers.messages import HintKind, encode
+from cleatlink.relay.peers.messages import HintKind
 from cleatlink.relay.peers.shared_notices import SharedNotices
 from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
-from cleatlink.relay.peers.snapshots import Snapshot
+from cleatlink.relay.peers.snapshots import Part
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.relay.sockets import listen
 from cleatlink.relay.status import InstanceStatus
@@ -155,6 +156,7 @@
             hooks=follower_hooks,
             leaving_s=settings.leaving_s,
         )
+        self._encoded_parts = EncodedParts(self._follower.records)
         hooks = PeerHooks(
             self._state,
             self._follower.look_again,
@@ -378,10 +380,9 @@
         """Count work that a peer placed as demand."""
         self._capacity.note_demand(work, trio.current_time())
 
-    def snapshot(self) -> bytes:
-        """Give all that this instance knows, encoded for a peer."""
-        records = self._follower.records
-        return encode(Snapshot.of(records.table, records.records, records.revision))
+    def snapshot(self, part: Part, *, is_compressed: bool) -> bytes:
+        """Give a part of what this instance knows, encoded for a peer."""
+        return self._encoded_parts.get(part, is_compressed=is_compressed)
 
     def status(self) -> InstanceStatus:
         """Give what is known just now, for an operator."""
--- a/cleatlink/relay/peers/snapshots.py
+++ b/cleatlink/relay/peers/snapshots.py
@@ -1,6 +1,7 @@
 """All that an instance knows of routes and endpoints, for a peer that knows less."""
 
 from collections.abc import Iterable
+from enum import Enum
 
 import msgspec
 
@@ -9,7 +10,21 @@
 from cleatlink.core.routes import RoutedEndpoint, RouteTable
 from cleatlink.routing.fleet_records import EndpointRecord
 
-__all__ = ["RecordItem", "Snapshot", "decode_snapshot"]
+__all__ = ["Part", "RecordItem", "Snapshot", "decode_snapshot"]
+
+
+class Part(Enum):
+    """A part of what an instance knows; its value is the path under which peers ask for it."""
+
+    TABLE = b"/table"
+    REGISTRATIONS = b"/registrations"
+    WHOLE = b"/snapshot"
+
+    @classmethod
+    def of_target(cls, target: bytes) -> "Part":
+        """Give the part that a request asks for; a path that is not known means everything."""
+        path = target.partition(b"?")[0]
+        return next((part for part in cls if part.value == path), cls.WHOLE)
 
 
 class RecordItem(msgspec.Struct, array_like=True, frozen=True):
--- a/cleatlink/relay/status.py
+++ b/cleatlink/relay/status.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol, TypedDict
 
+from cleatlink.relay.peers.snapshots import Part
+
 __all__ = ["HeldRequest", "InstanceState", "InstanceStatus"]
 
 
@@ -58,8 +60,13 @@
     def ready(self) -> bool:
         """Whether it takes new connections."""
 
-    def snapshot(self) -> bytes:
-        """Give all that it knows, encoded for a peer."""
+    def snapshot(self, part: Part, *, is_compressed: bool) -> bytes:
+        """Give a part of what it knows, encoded for a peer.
+
+        Args:
+            part: What of it.
+            is_compressed: Whether to compress it.
+        """
 
     def render_metrics(self) -> bytes:
         """Give its metrics as text."""
