--- a/cleatlink/platform/store.py
+++ b/cleatlink/platform/store.py
@@ -17,13 +17,14 @@
     read_record,
 )
 from cleatlink.platform.tables import read_table
-from cleatlink.relay.following.source import ConfigurationSource, SourceChange
-from cleatlink.relay.following.store_client import StoreClient
+from cleatlink.relay.following.source import ConfigurationSource, SourceChange, SourceTable
+from cleatlink.relay.following.store_client import StoreAnswer, StoreClient
 from cleatlink.routing.fleet_records import EndpointRecord
 
 __all__ = ["PlatformStore"]
 
 _ANSWER_S = 1.0
+_CONFIG_PATH = f"/kv-key?private_key={quote(CONFIG_KEY, safe='')}"
 _MS = 1000.0
 # Rises by one each time that the store comes back from a copy.
 _ERA_HEADER = b"store-era"
@@ -47,18 +48,20 @@
 
     def __init__(self, address: Address) -> None:
         self._client = StoreClient(address, _ERA_HEADER)
+        # A connection carries one call at a time, and a watch may wait for long.
+        self._table_client = StoreClient(address, _ERA_HEADER)
 
     async def read(self) -> SourceChange:
         """Read everything, all of it of one era."""
         records, revision = await self._read_list()
-        answer = await self._client.get(
-            f"/kv-key?private_key={quote(CONFIG_KEY, safe='')}", _ANSWER_S
-        )
+        answer = await self._client.get(_CONFIG_PATH, _ANSWER_S)
         answer.require_era(revision.era)
-        if not answer.is_found:
-            return SourceChange(None, records, revision, whole=True)
-        table, fault = _read_configuration(read_item(msgspec.Raw(answer.body)))
-        return SourceChange(table, records, revision, whole=True, table_fault=fault)
+        found = _read_answer(answer)
+        return SourceChange(found.table, records, revision, whole=True, table_fault=found.fault)
+
+    async def read_table(self) -> SourceTable:
+        """Read the configuration alone."""
+        return _read_answer(await self._table_client.get(_CONFIG_PATH, _ANSWER_S))
 
     async def _read_list(self) -> tuple[list[EndpointRecord], StoreRevision]:
         """Read the workers' entries, page by page.
@@ -105,16 +108,17 @@
             if item is None:
                 continue
             if item.private_key == CONFIG_KEY and not item.is_gone:
-                found, fault = _read_configuration(item)
-                table = found or table
+                found = _read_configuration(item)
+                table, fault = found.table or table, found.fault
             elif item.private_key.startswith(WORKERS):
                 records.append(read_record(item, answer.era))
         revision = StoreRevision(answer.era, told.at)
         return SourceChange(table, records, revision, whole=False, table_fault=fault)
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close all connections."""
         self._client.close()
+        self._table_client.close()
 
 
 def _list_path(after: str) -> str:
@@ -122,11 +126,18 @@
     return path + (f"&after={quote(after, safe='')}" if after else "")
 
 
-def _read_configuration(item: Item | None) -> tuple[RouteTable | None, ReadFault | None]:
+def _read_answer(answer: StoreAnswer) -> SourceTable:
+    """Read the configuration out of an answer; there may be none yet."""
+    if not answer.is_found:
+        return SourceTable(None)
+    return _read_configuration(read_item(msgspec.Raw(answer.body)))
+
+
+def _read_configuration(item: Item | None) -> SourceTable:
     """Read the configuration; without a table there is a reason."""
     if item is None:
-        return None, ReadFault(FaultKind.JSON, "no item of the store")
+        return SourceTable(None, ReadFault(FaultKind.JSON, "no item of the store"))
     try:
-        return read_table(item), None
+        return SourceTable(read_table(item))
     except UnreadableError as error:
-        return None, error.fault
+        return SourceTable(None, error.fault)
--- a/cleatlink/relay/following/follower.py
+++ b/cleatlink/relay/following/follower.py
@@ -359,6 +359,21 @@
         if snapshot.table is not None:
             self.take_table(snapshot.table, "peer")
 
+    async def read_table(self) -> None:
+        """Read the route table alone from the configuration service, where that answers."""
+        if not self._connected:
+            return
+        try:
+            found = await self._source.read_table()
+        except PlatformError as error:
+            self._metrics.count_read("failed")
+            eliot.log_message(message_type="source: can't read the table", error=repr(error))
+            return
+        self._metrics.count_read("table")
+        self._note_table_fault(found.fault)
+        if found.table is not None:
+            self.take_table(found.table, "source")
+
     def note_table(self, revision: int, peer: str) -> None:
         """Note that a peer knows of a table."""
         if self._tables.hear(revision, trio.current_time()) and self._tables.is_behind:
--- a/cleatlink/relay/following/follower_test.py
+++ b/cleatlink/relay/following/follower_test.py
@@ -14,6 +14,7 @@
     ConfigurationSource,
     HistoryGoneError,
     SourceChange,
+    SourceTable,
 )
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peers.messages import SourceNews
@@ -39,6 +40,9 @@
         await trio.sleep(0.001)
         return SourceChange(None, [], after, whole=False)
 
+    async def read_table(self) -> SourceTable:
+        return SourceTable(None)
+
     def close(self) -> None:
         """Nothing is open."""
 
@@ -195,6 +199,9 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    async def read_table(self) -> SourceTable:
+        return SourceTable(None)
+
     def close(self) -> None:
         """Nothing is open."""
 
--- a/cleatlink/relay/following/source.py
+++ b/cleatlink/relay/following/source.py
@@ -1,6 +1,7 @@
 """Where route tables and registrations come from: an interface, and what it is told to."""
 
 from abc import ABC, abstractmethod
+from typing import NamedTuple
 
 from cleatlink.core.decoding import ReadFault
 from cleatlink.core.errors import PlatformError
@@ -8,7 +9,7 @@
 from cleatlink.core.routes import RouteTable
 from cleatlink.routing.fleet_records import EndpointRecord
 
-__all__ = ["ConfigurationSource", "HistoryGoneError", "SourceChange"]
+__all__ = ["ConfigurationSource", "HistoryGoneError", "SourceChange", "SourceTable"]
 
 
 class HistoryGoneError(PlatformError):
@@ -46,6 +47,18 @@
         self.table_fault = table_fault
 
 
+class SourceTable(NamedTuple):
+    """The route table that a source holds now.
+
+    Attributes:
+        table: The table; None if there is none, or none that can be used.
+        fault: Why it can't be used; None if it can, or is not there.
+    """
+
+    table: RouteTable | None
+    fault: ReadFault | None = None
+
+
 class ConfigurationSource(ABC):
     """A configuration service that is read and watched."""
 
@@ -70,6 +83,14 @@
             PlatformError: It did not answer as documented.
         """
 
+    @abstractmethod
+    async def read_table(self) -> SourceTable:
+        """Read the route table alone; may be called while a watch waits.
+
+        Raises:
+            PlatformError: It did not answer as documented.
+        """
+
     @abstractmethod
     def close(self) -> None:
         """Close all connections."""
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -26,10 +26,10 @@
 from cleatlink.relay.logs import LineWriter
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.orders import RoleKeeper
-from cleatlink.relay.peers.catch_up import KnownState
 from cleatlink.relay.peers.encoded_parts import EncodedParts
 from cleatlink.relay.peers.group import PeerGroup
 from cleatlink.relay.peers.hooks import PeerHooks
+from cleatlink.relay.peers.known_state import KnownState
 from cleatlink.relay.peers.messages import HintKind
 from cleatlink.relay.peers.shared_notices import SharedNotices
 from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
@@ -166,6 +166,7 @@
             self._close_connections,
             self._follower.take_news,
             self._follower.note_table,
+            self._follower.read_table,
         )
         self._peers = PeerGroup(
             settings,
--- a/cleatlink/relay/peers/catch_up.py
+++ b/cleatlink/relay/peers/catch_up.py
@@ -1,146 +1,147 @@
 """Learns what a peer knows and this instance does not.
 
-The configuration service is asked first: it may have lost a wait of this
-instance, and it bears all instances at once better than a peer does. An
-instance that the service turns away fetches everything from the peer.
+An instance that watches the configuration service asks it anew first: it may have lost a wait.
+Registrations are copied from the peer after that. A route table is copied from a peer of the same
+data centre, which costs the service nothing; if that takes long, the service is asked for the
+table as well, whatever revision of registrations is known here.
 """
 
 import random
-from collections.abc import Callable
-from typing import NamedTuple
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 import eliot
-import msgspec
 import trio
 
-from cleatlink.core.errors import EndpointError
-from cleatlink.core.revisions import StoreRevision
-from cleatlink.relay.endpoints.connection import EndpointConnection
-from cleatlink.relay.endpoints.protocol import OutgoingRequest
+from cleatlink.core.errors import PeerError
 from cleatlink.relay.metrics import RelayMetrics
+from cleatlink.relay.peers.heard import HeardPeers
+from cleatlink.relay.peers.hooks import PeerHooks
 from cleatlink.relay.peers.messages import Beat
-from cleatlink.relay.peers.snapshots import Snapshot, decode_snapshot
+from cleatlink.relay.peers.peer_copy import fetch
+from cleatlink.relay.peers.snapshots import Part
 
-__all__ = ["CatchUp", "KnownState"]
+__all__ = ["CatchUp"]
 
-# A peer answers with all that it knows in milliseconds; one that does not is left.
-_FETCH_S = 1.0
-# Far above the largest table and list: a store's value holds a megabyte.
-_FETCH_BYTES = 64_000_000
 # Pauses before the configuration service is asked, and the peer.
 _HEAR_OF_IT_S = 0.15
 _ASK_PEER_S = 0.2
-_SNAPSHOT_PATH = b"/snapshot"
+# Instances ask peers within so long of each other: who asks later finds more that have it.
+_SPREAD_S = 0.2
+# A peer of the same data centre has so long before the service is asked for a table beside it.
+_NEAR_COPY_S = 0.4
 _MS = 1000.0
 
 
-class KnownState(NamedTuple):
-    """What an instance tells of itself.
-
-    Attributes:
-        leaving: Whether it is stopping.
-        table: Revision of its route table.
-        newest: Revision of the newest registration that it knows.
-        finds_source: Whether the configuration service answered it last.
-    """
-
-    leaving: bool
-    table: int
-    newest: StoreRevision
-    finds_source: bool = False
-
-    def is_behind(self, beat: Beat) -> bool:
-        """Tell whether a peer knows something newer."""
-        return beat.table > self.table or beat.newest_revision > self.newest
-
-
 class CatchUp:
     """Catches up with one peer at a time."""
 
     def __init__(
         self,
-        state: Callable[[], KnownState],
-        look_again: Callable[[], None],
-        on_snapshot: Callable[[Snapshot], None],
+        data_centre: str,
+        hooks: PeerHooks,
+        heard: HeardPeers,
         metrics: RelayMetrics,
         rng: random.Random,
         *,
-        on_table: Callable[[int, str], None],
+        must_watch: Callable[[], bool],
     ) -> None:
         """Prepare.
 
         Args:
-            state: Gives what this instance knows.
-            look_again: Has the configuration service asked anew.
-            on_snapshot: Takes what a peer knows.
+            data_centre: Where this instance runs.
+            hooks: Give what this instance knows, and take what it learns.
+            heard: The peers that can be asked.
             metrics: Counters.
-            rng: Spreads the instances that ask one peer.
-            on_table: Told of the revision of a peer's route table, and the peer's name.
+            rng: Spreads the instances over the peers that they ask.
+            must_watch: Tells whether this instance watches the service itself.
         """
-        self._state = state
-        self._look_again = look_again
-        self._on_snapshot = on_snapshot
+        self._data_centre = data_centre
+        self._hooks = hooks
+        self._heard = heard
         self._metrics = metrics
         self._rng = rng
-        self._on_table = on_table
+        self._must_watch = must_watch
         self._busy = False
 
     def note(self, beat: Beat, spawn: Callable[..., None]) -> None:
         """Begin to catch up if a peer's heartbeat tells of something newer."""
-        self._on_table(beat.table, beat.name)
-        if self._state().is_behind(beat) and not self._busy:
+        self._hooks.on_table(beat.table, beat.name)
+        if self._hooks.state().is_behind(beat) and not self._busy:
             self._busy = True
             spawn(self._run, beat)
 
     async def _run(self, beat: Beat) -> None:
         try:
             await trio.sleep(_HEAR_OF_IT_S)
-            if not self._state().is_behind(beat):
-                return
-            self._look_again()
-            await trio.sleep(_ASK_PEER_S * (1 + self._rng.random()))
-            if self._state().is_behind(beat):
-                await self._fetch(beat)
+            if self._needs_source(beat):
+                self._hooks.look_again()
+                await trio.sleep(_ASK_PEER_S)
+            await trio.sleep(_SPREAD_S * self._rng.random())
+            state = self._hooks.state()
+            if state.lacks_table(beat):
+                await self._get_table(beat)
+            elif state.is_behind(beat):
+                await self._copy(beat, Part.REGISTRATIONS)
         finally:
             self._busy = False
 
-    async def _fetch(self, beat: Beat) -> None:
+    def _needs_source(self, beat: Beat) -> bool:
+        """Tell whether a look at the changes of the service may bring what is missing."""
+        state = self._hooks.state()
+        if state.lacks_table(beat):
+            return self._must_watch()
+        return state.is_behind(beat)
+
+    async def _get_table(self, beat: Beat) -> None:
+        """Get a newer table: from a near peer, from the service, at last from any peer."""
+        near = self._heard.table_holders(beat.table, self._data_centre)
+        async with trio.open_nursery() as nursery:
+            if near:
+                copy = partial(self._copy, self._rng.choice(near), Part.TABLE)
+                nursery.start_soon(self._until_known, beat, copy, nursery.cancel_scope)
+                await trio.sleep(_NEAR_COPY_S)
+            read = self._hooks.read_table
+            nursery.start_soon(self._until_known, beat, read, nursery.cancel_scope)
+        holders = self._heard.table_holders(beat.table)
+        if holders and self._hooks.state().lacks_table(beat):
+            await self._copy(self._rng.choice(holders), Part.TABLE)
+
+    async def _until_known(
+        self, beat: Beat, get: Callable[[], Awaitable[None]], others: trio.CancelScope
+    ) -> None:
+        """Get a table one way; once it is known, the other ways are ended."""
+        await get()
+        if not self._hooks.state().lacks_table(beat):
+            others.cancel()
+
+    async def _copy(self, beat: Beat, part: Part) -> None:
+        """Copy a part of what a peer knows."""
         started_at = trio.current_time()
         try:
-            with trio.move_on_after(_FETCH_S) as scope:
-                body = await _ask(beat.address)
-                self._on_snapshot(decode_snapshot(body))
-                self._metrics.count_message("snapshot")
-                eliot.log_message(
-                    message_type="peers: took what a peer knows",
-                    peer=beat.name,
-                    table=beat.table,
-                    newest=beat.newest,
-                    era=beat.era,
-                    bytes=len(body),
-                    took_ms=_ms_since(started_at),
-                )
-            if scope.cancelled_caught:
-                eliot.log_message(
-                    message_type="peers: gave a fetch up",
-                    peer=beat.name,
-                    table=beat.table,
-                    newest=beat.newest,
-                    took_ms=_ms_since(started_at),
-                )
-        except (EndpointError, msgspec.MsgspecError) as error:
-            eliot.log_message(message_type="peers: can't fetch", peer=beat.name, error=repr(error))
+            copy = await fetch(beat.address, part)
+        except PeerError as error:
+            eliot.log_message(
+                message_type="peers: can't fetch",
+                peer=beat.name,
+                part=part.name.lower(),
+                error=repr(error),
+                took_ms=_ms_since(started_at),
+            )
+            return
+        self._hooks.on_snapshot(copy.snapshot)
+        self._metrics.count_message("snapshot")
+        eliot.log_message(
+            message_type="peers: took what a peer knows",
+            peer=beat.name,
+            part=part.name.lower(),
+            table=beat.table,
+            newest=beat.newest,
+            era=beat.era,
+            bytes=copy.transferred_bytes,
+            took_ms=_ms_since(started_at),
+        )
 
 
 def _ms_since(started_at: float) -> int:
     return int(_MS * (trio.current_time() - started_at))
-
-
-async def _ask(address: str) -> bytes:
-    connection = await EndpointConnection.open(address, _FETCH_S, _FETCH_S)
-    try:
-        headers = ((b"Host", address.encode()),)
-        await connection.exchange(OutgoingRequest(b"GET", _SNAPSHOT_PATH, headers, b""))
-        return await connection.read_body(_FETCH_BYTES)
-    finally:
-        connection.close()
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -164,12 +164,12 @@
         self._hints = Hints(capacity)
         self._rng = random.Random(incarnation)
         self._catch_up = CatchUp(
-            hooks.state,
-            hooks.look_again,
-            hooks.on_snapshot,
+            settings.data_centre,
+            hooks,
+            self._peers,
             metrics,
             self._rng,
-            on_table=hooks.on_table,
+            must_watch=self.must_watch,
         )
         self.fence = 0
         self.vote = ""
--- a/cleatlink/relay/peers/group_test.py
+++ b/cleatlink/relay/peers/group_test.py
@@ -11,9 +11,9 @@
 from cleatlink.core.revisions import NO_REVISION
 from cleatlink.organisations import OrganisationLimits
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.peers.catch_up import KnownState
 from cleatlink.relay.peers.group import PeerGroup
 from cleatlink.relay.peers.hooks import PeerHooks
+from cleatlink.relay.peers.known_state import KnownState
 from cleatlink.relay.peers.messages import (
     Beat,
     EndpointHint,
--- a/cleatlink/relay/peers/hooks.py
+++ b/cleatlink/relay/peers/hooks.py
@@ -1,9 +1,11 @@
 """What the group of peers needs of its instance."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-from cleatlink.relay.peers.catch_up import KnownState
+import trio
+
+from cleatlink.relay.peers.known_state import KnownState
 from cleatlink.relay.peers.messages import SourceNews
 from cleatlink.relay.peers.snapshots import Snapshot
 from cleatlink.routing.reservation import Reservation
@@ -23,6 +25,7 @@
         on_leaving: Told of a life of which a peer tells that it leaves.
         on_source_news: Takes what a peer read from the configuration service.
         on_table: Told of the revision of a peer's route table, and the peer's name.
+        read_table: Reads the route table alone from the configuration service.
     """
 
     state: Callable[[], KnownState]
@@ -33,3 +36,4 @@
     on_leaving: Callable[[str], None]
     on_source_news: Callable[[SourceNews], None]
     on_table: Callable[[int, str], None] = lambda *_: None
+    read_table: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
--- a/cleatlink/relay/peers/large_fleet_test.py
+++ b/cleatlink/relay/peers/large_fleet_test.py
@@ -21,9 +21,9 @@
 from cleatlink.organisations import OrganisationLimits
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peers import group as group_module
-from cleatlink.relay.peers.catch_up import KnownState
 from cleatlink.relay.peers.group import SILENCE_S, PeerGroup
 from cleatlink.relay.peers.hooks import PeerHooks
+from cleatlink.relay.peers.known_state import KnownState
 from cleatlink.relay.peers.messages import (
     Beat,
     Bundle,
--- a/standins/relay/fleet.py
+++ b/standins/relay/fleet.py
@@ -160,9 +160,10 @@
 
     def turn_away(self, instance: int) -> None:
         """Have the store refuse an instance from now on."""
-        client = self._sources[instance]._client
-        client.close()
-        client._address = free_address()
+        source = self._sources[instance]
+        for client in (source._client, source._table_client):
+            client.close()
+            client._address = free_address()
 
     def caller(self, instance: int = 0) -> Caller:
         """Give a caller of an instance."""
