--- a/cleatlink/routing/fleet_records.py
+++ b/cleatlink/routing/fleet_records.py
@@ -51,6 +51,8 @@
         self._removed_lives: dict[str, str] = {}
         self._revision = NO_REVISION
         self._newest = NO_REVISION
+        # Highest revision of any record, also of one before which some are missing.
+        self._newest_offered = NO_REVISION
 
     @property
     def table(self) -> RouteTable | None:
@@ -69,7 +71,10 @@
 
     @property
     def newest(self) -> StoreRevision:
-        """Highest revision of any registration or removal that is known."""
+        """Highest revision of a registration or removal before which none is missing.
+
+        Peers compare it: one that counted records beyond a gap would look as if it lacked nothing.
+        """
         return self._newest
 
     @property
@@ -113,7 +118,7 @@
         if known.endpoint is not None and record.endpoint is None:
             self._removed_lives[record.name] = known.endpoint.name
         self._records[record.name] = record
-        self._newest = max(self._newest, record.revision)
+        self._newest_offered = max(self._newest_offered, record.revision)
         return known
 
     def was_removed(self, endpoint: RoutedEndpoint) -> bool:
@@ -123,6 +128,15 @@
     def note_complete(self, revision: StoreRevision) -> None:
         """Note that every change up to a revision is known."""
         self._revision = max(self._revision, revision)
+        self._newest = self._find_newest()
+
+    def _find_newest(self) -> StoreRevision:
+        if self._newest_offered <= self._revision:
+            return self._newest_offered
+        known = (record.revision for record in self._records.values())
+        complete = (revision for revision in known if revision <= self._revision)
+        # A record beyond the gap may have replaced the newest one before it.
+        return max(self._newest, max(complete, default=NO_REVISION))
 
     def changes_of_list(
         self, records: list[EndpointRecord], revision: StoreRevision
