--- a/cleatlink/relay/callers/server.py
+++ b/cleatlink/relay/callers/server.py
@@ -82,8 +82,7 @@
         self._body_bytes = 0
         self._unread = UnreadAnswer(stream, held)
         self._spawn: Callable[..., None] | None = None
-        size = max(handler.limits.header_bytes, _MIN_HEAD_BYTES)
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=size)
+        self._http = self._open_cycle(b"")
         self._ended = False
 
     async def run(self) -> None:
@@ -97,6 +96,18 @@
             self._give_body_back()
             self._unread.close()
 
+    def _open_cycle(self, data: bytes) -> h11.Connection:
+        """Give the protocol of one request, under the limits in force now.
+
+        Args:
+            data: What was received of the request.
+        """
+        size = max(self._handler.limits.header_bytes, _MIN_HEAD_BYTES)
+        http = h11.Connection(h11.SERVER, max_incomplete_event_size=size)
+        if data:
+            http.receive_data(data)
+        return http
+
     def _give_body_back(self) -> None:
         """Note that the request's body is held no longer."""
         self._held.remove(HeldKind.REQUEST_BODIES, self._body_bytes)
@@ -116,10 +127,7 @@
         self._give_body_back()
         if not exchange.ended or self._ended:
             return False
-        if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
-            return False
-        self._http.start_next_cycle()
-        return True
+        return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
 
     async def _handle(self, exchange: Exchange) -> None:
         """Run the handler; end it when the caller closes."""
@@ -169,29 +177,32 @@
         return any(name in (b"content-length", b"transfer-encoding") for name, _ in head.headers)
 
     async def _read_head(self) -> h11.Request | None:
-        started = bool(self._http.trailing_data[0])
-        idle_from = trio.current_time()
-        began_at = idle_from
+        """Read a head; None when the caller closed or was idle for too long."""
+        data = self._http.trailing_data[0] or await self._receive_first()
+        if not data:
+            return None
+        self._http = self._open_cycle(data)
+        began_at = trio.current_time()
         while True:
             event = self._next_event()
             if isinstance(event, h11.Request):
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            limits = self._handler.limits
-            until = idle_from + limits.idle_timeout_s
-            if started:
-                until = began_at + limits.header_timeout_s
-            data = await self._receive(until)
-            if data is None:
-                if not started and self._handler.limits.idle_timeout_s > limits.idle_timeout_s:
-                    continue
-                if started:
-                    raise _BadRequestError(408)
-                return None
-            if data and not started:
-                started, began_at = True, trio.current_time()
-            self._feed(data)
+            more = await self._receive(began_at + self._handler.limits.header_timeout_s)
+            if more is None:
+                raise _BadRequestError(408)
+            self._feed(more)
+
+    async def _receive_first(self) -> bytes | None:
+        """Wait for the first bytes of a request; None when the caller was idle for too long."""
+        idle_from = trio.current_time()
+        while True:
+            limit_s = self._handler.limits.idle_timeout_s
+            data = await self._receive(idle_from + limit_s)
+            # A new table may have raised the limit meanwhile.
+            if data is not None or self._handler.limits.idle_timeout_s <= limit_s:
+                return data
 
     async def _read_body(self, keeps: bool) -> bytes:
         """Read a body; one that is not kept is read past, so that its caller reads the answer."""
