--- a/cleatlink/relay/callers/server.py
+++ b/cleatlink/relay/callers/server.py
@@ -32,6 +32,7 @@
 # A body that finds no memory waits so long for some: answers are read within that, as a rule.
 _MEMORY_WAIT_S = 1.0
 _MEMORY_LOOK_S = 0.02
+_LINE_ENDS = b"\r\n"
 # Status of a request that was not read for want of memory.
 _BUSY = 503
 # Pause after an accept failed, as when descriptors run out.
@@ -178,7 +179,7 @@
 
     async def _read_head(self) -> h11.Request | None:
         """Read a head; None when the caller closed or was idle for too long."""
-        data = self._http.trailing_data[0] or await self._receive_first()
+        data = await self._receive_first()
         if not data:
             return None
         self._http = self._open_cycle(data)
@@ -195,8 +196,20 @@
             self._feed(more)
 
     async def _receive_first(self) -> bytes | None:
-        """Wait for the first bytes of a request; None when the caller was idle for too long."""
+        """Wait for the first bytes of a request; None or empty when the caller was idle or closed.
+
+        Empty lines before a request are none of it: some callers send one after a body.
+        """
         idle_from = trio.current_time()
+        first = self._http.trailing_data[0].lstrip(_LINE_ENDS)
+        while not first:
+            data = await self._receive_while_idle(idle_from)
+            if not data:
+                return data
+            first = data.lstrip(_LINE_ENDS)
+        return first
+
+    async def _receive_while_idle(self, idle_from: float) -> bytes | None:
         while True:
             limit_s = self._handler.limits.idle_timeout_s
             data = await self._receive(idle_from + limit_s)
