--- a/cleatlink/relay/callers/server.py
+++ b/cleatlink/relay/callers/server.py
@@ -12,6 +12,7 @@
 import trio
 
 from cleatlink.core.routes import CallerLimits, Headers
+from cleatlink.relay.callers.targets import to_origin_form
 from cleatlink.relay.callers.unread import UnreadAnswer
 from cleatlink.relay.exchange import AnswerStream, Exchange, RawRequest
 from cleatlink.relay.sockets import quicken
@@ -166,12 +167,12 @@
         size = sum(len(name) + len(value) + 4 for name, value in head.headers)
         if size + len(head.target) > self._handler.limits.header_bytes:
             raise _BadRequestError(431)
-        headers = tuple(head.headers.raw_items())
-        keeps = not self._has_body(head) or self._handler.keeps_body(head.target, headers)
+        target, headers = to_origin_form(head.target, tuple(head.headers.raw_items()))
+        keeps = not self._has_body(head) or self._handler.keeps_body(target, headers)
         body = b""
         if keeps or not self._http.they_are_waiting_for_100_continue:
             body = await self._read_body(keeps)
-        return RawRequest(head.method, head.target, headers, body)
+        return RawRequest(head.method, target, headers, body)
 
     @staticmethod
     def _has_body(head: h11.Request) -> bool:
--- a/cleatlink/relay/callers/unusual_requests_test.py
+++ b/cleatlink/relay/callers/unusual_requests_test.py
@@ -48,6 +48,12 @@
     "a query with slashes and marks": Sent(
         (line(target=b"/safe/x?a=/b/?c&&=;'|\"{}"),), target="/safe/x?a=/b/?c&&=;'|\"{}"
     ),
+    "a target in absolute form": Sent(
+        (line(target=b"http://h.example/safe/x?a=1"),), target="/safe/x?a=1"
+    ),
+    "a target in absolute form with a port": Sent(
+        (line(target=b"HTTP://H.example:8080/safe/x"),), target="/safe/x"
+    ),
     "a method in lower case": Sent((line(b"get"),), "get"),
     "a method in mixed case": Sent(
         (line(b"PoSt", more=b"Content-Length: 5\r\n") + b"hello",), "PoSt", body=b"hello"
@@ -220,3 +226,18 @@
             await trio.sleep(0.5)
             await caller.send((line(),))
             assert (await caller.receive()).status == 200
+
+
+async def test_host_of_a_target_in_absolute_form_goes_before_the_host_header() -> None:
+    """A request that named its host in its target got 404."""
+    head = b"GET http://h.example?a=/b HTTP/1.1\r\n" + _HEAD.replace(b"h.example", b"other")
+    async with open_fleet() as fleet:
+        worker = Worker("plain")
+        fleet.add_route("/", "safe", "plain")
+        await start(fleet, worker)
+        async with await connect(str(fleet.instances[0]._settings.listen)) as stream:
+            caller = Raw(stream)
+            await caller.send((head + b"\r\n",))
+            assert (await caller.receive()).status == 200
+        (run,) = worker.runs
+        assert (run.call.target, run.call.headers["host"]) == ("/?a=/b", "h.example")
