--- a/cleatlink/relay/peers/peer_copy_test.py
+++ b/cleatlink/relay/peers/peer_copy_test.py
@@ -29,22 +29,28 @@
 
 
 class AnsweringPeer(RawServer):
-    """A peer that gives one answer to whatever it is asked, in parts and with pauses."""
+    """A peer that gives one answer to whatever it is asked: its body in parts, with pauses."""
 
-    def __init__(self, data: bytes, parts: int = 1, pause_s: float = 0.0) -> None:
+    def __init__(
+        self, data: bytes, parts: int = 1, pause_s: float = 0.0, *, head_s: float = 0.0
+    ) -> None:
         super().__init__()
         self.asked: list[RawCall] = []
-        self._data = data
+        head, end, self._body = data.partition(b"\r\n\r\n")
+        self._head = head + end
         self._parts = parts
         self._pause_s = pause_s
+        self._head_s = head_s
 
     async def serve(self, call: RawCall, stream: trio.SocketStream) -> bool:
         """Answer in parts."""
         self.asked.append(call)
-        size = max(1, -(-len(self._data) // self._parts))
-        for begin in range(0, len(self._data), size):
-            await stream.send_all(self._data[begin : begin + size])
+        await trio.sleep(self._head_s)
+        await stream.send_all(self._head)
+        size = max(1, -(-len(self._body) // self._parts))
+        for begin in range(0, len(self._body), size):
             await trio.sleep(self._pause_s)
+            await stream.send_all(self._body[begin : begin + size])
         return False
 
 
@@ -114,20 +120,22 @@
 
 
 @pytest.mark.parametrize(
-    ("parts", "pause_s", "within_s"),
+    ("head_s", "pause_s", "after_s", "error"),
     [
-        pytest.param(1000, 1.5, 1.1, id="no head"),
-        pytest.param(2, 1.5, 1.1, id="silent body"),
-        pytest.param(100, 0.5, 11.0, id="endless body"),
+        pytest.param(5.0, 0.0, 1.0, "TooSlowError", id="no head"),
+        pytest.param(0.0, 5.0, 1.0, "EndpointSilentError", id="silent body"),
+        pytest.param(0.5, 0.5, 10.0, "TooSlowError", id="endless body"),
     ],
 )
 async def test_peer_that_does_not_get_on_is_left(
-    parts: int, pause_s: float, within_s: float
+    head_s: float, pause_s: float, after_s: float, error: str
 ) -> None:
     data = answer(200, {}, b"x" * 1000)
-    async with running(AnsweringPeer(data, parts, pause_s)) as peer:
-        with trio.fail_after(within_s), pytest.raises(PeerError):
+    async with running(AnsweringPeer(data, 1000, pause_s, head_s=head_s)) as peer:
+        began_at = trio.current_time()
+        with pytest.raises(PeerError, match=error):
             await fetch(peer.address, Part.TABLE)
+        assert trio.current_time() - began_at == pytest.approx(after_s, abs=0.1)
 
 
 @pytest.mark.parametrize(
