--- a/cleatlink/platform/store.py
+++ b/cleatlink/platform/store.py
@@ -51,6 +51,11 @@
         # A connection carries one call at a time, and a watch may wait for long.
         self._table_client = StoreClient(address, _ERA_HEADER)
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether the answer to a call of ``read`` or ``watch`` is on its way."""
+        return self._client.is_answering
+
     async def read(self) -> SourceChange:
         """Read everything, all of it of one era."""
         records, revision = await self._read_list()
--- a/cleatlink/relay/following/follower.py
+++ b/cleatlink/relay/following/follower.py
@@ -211,9 +211,14 @@
         return min(most_s, _GATHER_S * members / _MANY_INSTANCES)
 
     def look_again(self) -> None:
-        """End a wait for changes, which the other side may have forgotten, and ask anew."""
+        """End a wait for changes, which the other side may have forgotten, and ask anew.
+
+        An answer that is on its way is left to come: begun anew each time that a peer tells of
+        something newer, a long one never ended.
+        """
         self._asks_now = True
-        self._call.cancel()
+        if not self._source.is_answering:
+            self._call.cancel()
 
     async def _pause(self, seconds: float) -> None:
         """Wait before the next try, unless a peer is found to know more."""
--- a/cleatlink/relay/following/follower_test.py
+++ b/cleatlink/relay/following/follower_test.py
@@ -32,6 +32,10 @@
     def __init__(self) -> None:
         self.waits_s: list[float] = []
 
+    @property
+    def is_answering(self) -> bool:
+        return False
+
     async def read(self) -> SourceChange:
         return SourceChange(None, [], StoreRevision(0, 1), whole=True)
 
@@ -181,6 +185,10 @@
         self.revision = 1
         self._changed = trio.Event()
 
+    @property
+    def is_answering(self) -> bool:
+        return False
+
     async def read(self) -> SourceChange:
         return SourceChange(None, [], StoreRevision(0, self.revision), whole=True)
 
@@ -331,3 +339,40 @@
         follower.take_news(SourceNews("peer", 0, 1, 9, [], 60.0))
         assert follower.records.revision == StoreRevision(0, 9)
         nursery.cancel_scope.cancel()
+
+
+class SlowSource(QuietSource):
+    """A source whose changes take two seconds on their way."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._is_answering = False
+
+    @property
+    def is_answering(self) -> bool:
+        return self._is_answering
+
+    async def watch(self, after: StoreRevision, wait_s: float) -> SourceChange:
+        self.waits_s.append(wait_s)
+        self._is_answering = True
+        try:
+            await trio.sleep(2.0)
+        finally:
+            self._is_answering = False
+        later = after._replace(number=9)
+        return SourceChange(None, [EndpointRecord("e1", later, None)], later, whole=False)
+
+
+async def test_answer_on_its_way_is_not_begun_anew_by_a_peers_word(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Each heartbeat that told of something newer cut the answer that brought it."""
+    source = SlowSource()
+    follower = follower_of(source, 8)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        for _ in range(6):
+            await trio.sleep(0.5)
+            follower.look_again()
+        assert follower.records.revision.number == 9
+        nursery.cancel_scope.cancel()
--- a/cleatlink/relay/following/source.py
+++ b/cleatlink/relay/following/source.py
@@ -62,6 +62,11 @@
 class ConfigurationSource(ABC):
     """A configuration service that is read and watched."""
 
+    @property
+    @abstractmethod
+    def is_answering(self) -> bool:
+        """Whether the answer to a call of ``read`` or ``watch`` is on its way."""
+
     @abstractmethod
     async def read(self) -> SourceChange:
         """Read everything.
--- a/cleatlink/relay/following/store_client.py
+++ b/cleatlink/relay/following/store_client.py
@@ -65,9 +65,15 @@
         self._address = address
         self._era_header = era_header
         self._connection: EndpointConnection | None = None
+        self._is_answering = False
         # The latest era that was told, by any answer or by peers.
         self._era = 0
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether the head of an answer was read, and its body is on its way."""
+        return self._is_answering
+
     def close(self) -> None:
         """Close the connection."""
         if self._connection is not None:
@@ -104,8 +110,12 @@
             headers = ((b"Host", str(self._address).encode()),)
             request = OutgoingRequest(b"GET", path.encode(), headers, b"")
             head = await connection.exchange(request)
-        with trio.fail_after(_BODY_S):
-            body = await connection.read_body(_MOST_BYTES, silence_s=_BODY_SILENCE_S)
+        self._is_answering = True
+        try:
+            with trio.fail_after(_BODY_S):
+                body = await connection.read_body(_MOST_BYTES, silence_s=_BODY_SILENCE_S)
+        finally:
+            self._is_answering = False
         if not connection.finish(trio.current_time()):
             self.close()
         era = self._read_era(head)
