--- a/cleatlink/limits/shared.py
+++ b/cleatlink/limits/shared.py
@@ -44,6 +44,13 @@
     returned: Mapping[str, int] = {}
 
 
+class _ToldLevel(NamedTuple):
+    """What was left of a limit, as a peer told before the limit was known here."""
+
+    level: float
+    at: float
+
+
 class _PeerAccount:
     """The totals of one peer as last told."""
 
@@ -84,6 +91,8 @@
         """Begin without anything heard."""
         self._buckets: dict[str, Bucket] = {}
         self._peers: dict[str, _PeerAccount] = {}
+        # Peers answer the first heartbeat of an instance, which may have no route table yet.
+        self._told_levels: dict[str, _ToldLevel] = {}
         self._share = 1.0
         self._age_from = now
         self._adopted_age_s = 0.0
@@ -114,12 +123,19 @@
             return None
         bucket = self._buckets.get(name)
         if bucket is None:
-            bucket = self._buckets[name] = self._first_bucket(limit, now)
+            bucket = self._buckets[name] = self._open_bucket(name, limit, now)
         bucket.refill(now, self._share)
         if bucket.limit != limit:
             bucket.change(limit)
         return bucket
 
+    def _open_bucket(self, name: str, limit: RateLimit, now: float) -> Bucket:
+        """Give a bucket for a name that is new, at the level that was told of it."""
+        told = self._told_levels.pop(name, None)
+        if told is None:
+            return self._first_bucket(limit, now)
+        return Bucket(limit, min(told.level, limit.burst), told.at)
+
     def _fills_in_s(self, bucket: Bucket, units: float) -> float:
         """Give in how many seconds a bucket has some units, at the share that is heard."""
         return max(0.0, units - bucket.level) / (self._share * bucket.limit.rate)
@@ -196,6 +212,9 @@
         bucket = self._bucket(name, now) if units else None
         if bucket is not None:
             bucket.debit(units)
+        elif name in self._told_levels:
+            told = self._told_levels[name]
+            self._told_levels[name] = told._replace(level=told.level - units)
 
     def _refund(self, name: str, units: int, now: float) -> None:
         bucket = self._bucket(name, now) if units else None
@@ -211,10 +230,13 @@
             bucket = self._bucket(name, now)
             if bucket is not None:
                 bucket.level = min(level, bucket.limit.burst)
+            else:
+                self._told_levels[name] = _ToldLevel(level, now)
 
     def _forget(self, name: str) -> None:
         """Forget a name that has no limit any more, here and in what peers told."""
         self._buckets.pop(name, None)
+        self._told_levels.pop(name, None)
         for account in self._peers.values():
             account.totals.pop(name, None)
             account.returned.pop(name, None)
