--- a/cleatlink/relay/peers/delivery.py
+++ b/cleatlink/relay/peers/delivery.py
@@ -16,7 +16,7 @@
 from cleatlink.relay.peers.datagrams import DatagramSocket
 from cleatlink.relay.peers.heard import HeardPeers
 from cleatlink.relay.peers.messages import Bundle, BundleItem, Message, encode
-from cleatlink.relay.peers.reflection import Reflection
+from cleatlink.relay.peers.reflection import Reflection, split_items
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.routing.fleet_sizes import FEW_PEERS
 from cleatlink.routing.mechanisms import Mechanism
@@ -139,14 +139,15 @@
             self._socket.send(earlier, self._peers.earlier_addresses(places))
 
     def send_directly(self, messages: Iterable[Message], addresses: Collection[str]) -> None:
-        """Tell some peers directly: in one datagram if they take bundles."""
+        """Tell some peers directly: in as few datagrams as hold it if they take bundles."""
         taking = set(self._peers.bundle_addresses()) if self.uses_reflectors else set()
         together = [address for address in addresses if address in taking]
         apart = [address for address in addresses if address not in taking]
         told = list(messages)
         if together:
             items = [self._item(encode(message), False) for message in told]
-            self._socket.send(Bundle(self._name, False, items), together)
+            for part in split_items(items):
+                self._socket.send(Bundle(self._name, False, part), together)
         for message in told:
             self._socket.send(message, apart)
 
--- /dev/null
+++ b/cleatlink/relay/peers/delivery_test.py
@@ -0,0 +1,65 @@
+"""Messages that are told directly to some peers of a large fleet."""
+
+from collections.abc import Iterable
+
+import msgspec
+import pytest
+
+from cleatlink.relay.metrics import RelayMetrics
+from cleatlink.relay.peers.datagrams import DatagramSocket
+from cleatlink.relay.peers.delivery import Delivery
+from cleatlink.relay.peers.heard import HeardPeers
+from cleatlink.relay.peers.messages import Beat, Bundle, Message, Spending, decode_datagram, encode
+from cleatlink.relay.settings import RelaySettings
+from standins.relay.fleet import free_address
+
+pytestmark = pytest.mark.virtual_time
+
+DATAGRAM_BYTES = 60_000
+MEMBERS = 20
+
+
+class SentDatagrams(DatagramSocket):
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[bytes] = []
+
+    def send(self, message: Message, addresses: Iterable[str]) -> None:
+        self.sent += [encode(message) for _ in addresses]
+
+
+def open_delivery(socket: DatagramSocket) -> Delivery:
+    """Make an instance's ways to its peers, in a fleet that uses reflectors."""
+    settings = RelaySettings(
+        name="n0",
+        data_centre="a",
+        listen=free_address(),
+        ready_listen=free_address(),
+        peer_listen=free_address(),
+        peers=(),
+        store=free_address(),
+    )
+    peers = HeardPeers("n0", (), 0.0)
+    for number in range(1, MEMBERS):
+        beat = Beat(f"n{number}", 1, "a", f"127.0.0.1:{number}", False, 0, 0, [], 0, {}, "", 1)
+        peers.note_beat(msgspec.structs.replace(beat, size=1.0), 0.0)
+    return Delivery(settings, 1, peers, socket, RelayMetrics())
+
+
+def spending(number: int, organisations: int) -> Spending:
+    """Make a message of some size."""
+    totals = {f"organisation-{number}-{item}": 1 for item in range(organisations)}
+    return Spending("n0", 1, totals, {}, 1.0, organisations)
+
+
+async def test_messages_that_do_not_fit_one_datagram_are_told_in_several() -> None:
+    """All that an instance told to who was new was lost, without a line, if it was too much."""
+    socket = SentDatagrams()
+    messages = [spending(number, 1_000) for number in range(6)]
+    open_delivery(socket).send_directly(messages, ["127.0.0.1:7"])
+    assert max(map(len, socket.sent)) <= DATAGRAM_BYTES
+    bundles = [decode_datagram(data) for data in socket.sent]
+    assert all(isinstance(bundle, Bundle) for bundle in bundles)
+    items = [item for bundle in bundles if isinstance(bundle, Bundle) for item in bundle.items]
+    assert [decode_datagram(item.data) for item in items] == messages
--- a/cleatlink/relay/peers/reflection.py
+++ b/cleatlink/relay/peers/reflection.py
@@ -1,11 +1,12 @@
 """What a reflector holds until its next bundle; decides alone, without I/O."""
 
 import math
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from cleatlink.relay.peers.messages import Bundle, BundleItem
 
-__all__ = ["Reflection"]
+__all__ = ["Reflection", "split_items"]
 
 # Items without haste go with the next bundle, at the latest after so long: a heartbeat each second
 # comes within the time for which a peer counts as heard for limits.
@@ -78,22 +79,25 @@
 
     def take(self, now: float) -> list[Bundle]:
         """Give what waits as bundles, oldest first."""
-        bundles = []
-        items: list[BundleItem] = []
-        size = 0
-        for held in self._held:
-            length = len(held.item.data) + _ITEM_BYTES
-            if items and size + length > _BUNDLE_BYTES:
-                bundles.append(Bundle(self._name, False, items))
-                items, size = [], 0
-            items.append(_aged(held, now))
-            size += length
-        if items:
-            bundles.append(Bundle(self._name, False, items))
+        parts = split_items(_aged(held, now) for held in self._held)
         self._held = []
         self._due_at = math.inf
         self._last_at = now
-        return bundles
+        return [Bundle(self._name, False, part) for part in parts]
+
+
+def split_items(items: Iterable[BundleItem]) -> list[list[BundleItem]]:
+    """Split items, in their order, into parts that fit a bundle each."""
+    parts: list[list[BundleItem]] = []
+    size = 0
+    for item in items:
+        length = len(item.data) + _ITEM_BYTES
+        if not parts or size + length > _BUNDLE_BYTES:
+            parts.append([])
+            size = 0
+        parts[-1].append(item)
+        size += length
+    return parts
 
 
 def _aged(held: _Held, now: float) -> BundleItem:
