--- a/cleatlink/limits/shared.py
+++ b/cleatlink/limits/shared.py
@@ -222,8 +222,11 @@
             bucket.refund(units)
 
     def adopt(self, levels: Mapping[str, float], age_s: float, now: float) -> None:
-        """Take over what is left of the limits from a peer that has kept account for longer."""
-        if age_s <= max(self._adopted_age_s, self.age_s(now)):
+        """Take over what is left of the limits from a peer that has kept account for longer.
+
+        It may tell them in several messages, all of the same age.
+        """
+        if age_s <= self.age_s(now) or age_s < self._adopted_age_s:
             return
         self._adopted_age_s = age_s
         for name, level in levels.items():
--- a/cleatlink/relay/peers/limit_news.py
+++ b/cleatlink/relay/peers/limit_news.py
@@ -13,6 +13,8 @@
 # Where little is left of a limit, what was let pass is told so often, in seconds: in the model
 # an organisation at eight times its limit fills its fullest window to 0.83 of what may pass.
 _SPENDING_S = 0.1
+# Organisations in one message to a peer that is new, far below what a datagram holds.
+_MOST_NAMES = 200
 
 
 class LimitNews(NewsChannel):
@@ -49,21 +51,31 @@
         await trio.sleep(_SPENDING_S)
         await self._is_spending.wait()
         self._is_spending = trio.Event()
-        return [self._spending(trio.current_time())]
+        now = trio.current_time()
+        return [self._spending(self._limits.totals(now), {}, now)]
 
     def repeat(self) -> list[Spending]:
         """Give nothing: heartbeats carry what was let pass."""
         return []
 
     def introduction(self) -> list[Spending]:
-        """Give all that is known, for a peer that is new."""
-        return [self._spending(trio.current_time(), whole=True)] if len(self._limits) else []
-
-    def _spending(self, now: float, *, whole: bool = False) -> Spending:
-        """Give what this instance let pass: all of it with what is left, or what changed."""
+        """Give all that is known, for a peer that is new, in as many messages as it takes."""
+        now = trio.current_time()
+        limits = self._limits
+        totals, levels = limits.totals(now, whole=True), limits.levels(now)
+        names = list(levels)
+        parts = [names[begin : begin + _MOST_NAMES] for begin in range(0, len(names), _MOST_NAMES)]
+        return [
+            self._spending(
+                {name: totals[name] for name in part if name in totals},
+                {name: levels[name] for name in part},
+                now,
+            )
+            for part in parts
+        ]
+
+    def _spending(self, totals: dict[str, int], levels: dict[str, float], now: float) -> Spending:
         limits = self._limits
-        totals = limits.totals(now, whole=whole)
-        levels = limits.levels(now) if whole else {}
         age_s = round(limits.age_s(now), 3)
         return Spending(self._name, self._incarnation, totals, levels, age_s, limits.spenders)
 
