--- a/cleatlink/relay/peers/datagrams.py
+++ b/cleatlink/relay/peers/datagrams.py
@@ -4,9 +4,11 @@
 from collections.abc import Iterable
 from functools import lru_cache
 
+import eliot
 import trio
 
 from cleatlink.core.address import Address
+from cleatlink.relay.logs import LineAllowance
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peers.messages import Message, decode_datagram, encode
 from cleatlink.relay.sockets import bind
@@ -19,6 +21,9 @@
 # Datagrams that are read before other tasks run.
 _MOST_AT_ONCE = 64
 _MOST_ADDRESSES = 2_048
+# Lines about messages that are too long, at the most in so many seconds.
+_TOO_LONG_LINES = 5
+_TOO_LONG_LINES_S = 10.0
 
 
 class DatagramSocket:
@@ -31,6 +36,7 @@
             ListenError: The address can't be had.
         """
         self._metrics = metrics
+        self._too_long_lines = LineAllowance(_TOO_LONG_LINES, _TOO_LONG_LINES_S)
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
         bind(sock, address.host, address.port)
@@ -47,7 +53,7 @@
     def send_bytes(self, data: bytes, addresses: Iterable[str]) -> None:
         """Send an encoded message to some addresses, without a wait."""
         if len(data) > _MOST_BYTES:
-            self._metrics.count_message("too_long")
+            self._note_too_long(len(data), len(list(addresses)))
             return
         send = self._socket._sock.sendto  # type: ignore[attr-defined]
         for address in addresses:
@@ -57,6 +63,14 @@
             except OSError:
                 self._metrics.count_message("not_sent")
 
+    def _note_too_long(self, size: int, addresses: int) -> None:
+        """Count a message that no datagram holds, and log it, within bounds."""
+        self._metrics.count_message("too_long")
+        if self._too_long_lines.take(trio.current_time()):
+            eliot.log_message(
+                message_type="peers: a message is too long", bytes=size, addresses=addresses
+            )
+
     async def receive(self) -> list[Message | None]:
         """Wait for datagrams, and give those that are there; None for one that is none of ours."""
         sock = self._socket._sock  # type: ignore[attr-defined]
--- /dev/null
+++ b/cleatlink/relay/peers/datagrams_test.py
@@ -0,0 +1,30 @@
+"""What becomes of a message that no datagram holds."""
+
+import eliot
+import pytest
+
+from cleatlink.relay.metrics import RelayMetrics
+from cleatlink.relay.peers.datagrams import DatagramSocket
+from cleatlink.relay.peers.messages import Spending, encode
+from standins.relay.fleet import free_address
+
+pytestmark = pytest.mark.virtual_time
+
+
+async def test_message_that_is_too_long_is_logged() -> None:
+    """Such a message was dropped without a line, and nobody knew what peers had missed."""
+    lines: list[dict[str, object]] = []
+    totals = {f"organisation-{number}": number for number in range(5_000)}
+    message = Spending("n1", 1, totals, {}, 1.0, 1)
+    socket = DatagramSocket(free_address(), RelayMetrics())
+    eliot.add_destinations(lines.append)
+    try:
+        for _ in range(100):
+            socket.send(message, ["127.0.0.1:9", "127.0.0.1:10"])
+    finally:
+        eliot.remove_destination(lines.append)
+        socket.close()
+    told = [line for line in lines if line["message_type"] == "peers: a message is too long"]
+    assert 0 < len(told) < 100
+    assert told[0]["bytes"] == len(encode(message))
+    assert told[0]["addresses"] == 2
