--- a/cleatlink/serving/entry.py
+++ b/cleatlink/serving/entry.py
@@ -211,11 +211,11 @@
         have the one in force.
         """
         await self._ask_platform(nursery)
-        await self._ask_peers()
+        await self._ask_peers(nursery)
         while not self._store.complete:
             await trio.sleep(_STOP_POLL_S)
             if not self._store.complete:
-                await self._ask_peers()
+                await self._ask_peers(nursery)
         await self._poll_once()
         self._ready = True
         self._peers.set_state(State.READY)
@@ -229,13 +229,18 @@
             nursery.start_soon(watch_platform, self._platform, kind, self._store, asked)
             await asked.wait()
 
-    async def _ask_peers(self) -> None:
-        """Ask every known peer for its documents, all at once."""
-        addresses = self._peers.addresses(trio.current_time())
+    async def _ask_peers(self, nursery: trio.Nursery) -> None:
+        """Ask every known peer for its documents, all at once; large ones may come later."""
+        asked = trio.Event()
+        nursery.start_soon(self._fetch_documents, asked)
         with trio.move_on_after(_ASK_PEERS_S):
-            async with trio.open_nursery() as nursery:
-                for address in addresses:
-                    nursery.start_soon(self._peers.fetch_documents, address)
+            await asked.wait()
+
+    async def _fetch_documents(self, asked: trio.Event) -> None:
+        async with trio.open_nursery() as nursery:
+            for address in self._peers.addresses(trio.current_time()):
+                nursery.start_soon(self._peers.fetch_documents, address)
+        asked.set()
 
     async def _poll_always(self, nursery: trio.Nursery) -> None:
         while True:
--- a/cleatlink/serving/peers.py
+++ b/cleatlink/serving/peers.py
@@ -27,6 +27,8 @@
 __all__ = ["ClaimOrder", "PeerParts", "Peers", "Settlement"]
 
 _ASK_TIMEOUT_S = 2.0
+# Documents may be large and links slow; the link itself notices a peer that says nothing more.
+_DOCUMENTS_TIMEOUT_S = 60.0
 _CLAIM = "claim"
 _SETTLE = "settle"
 _DOCUMENTS = "documents"
@@ -91,6 +93,8 @@
         self._unconfirmed: dict[tuple[str, str], Note] = {}
         self._keepers: dict[str, list[Peer]] = {}
         self._fetching: set[str] = set()
+        # Addresses of peers that gave no documents when they were asked last.
+        self._not_fetched: set[str] = set()
         self._settled = News()
         self._last_tick = trio.current_time()
         self._log = Log("peers")
@@ -166,18 +170,35 @@
             self._log.say("settlement lost.", key=settlement.key, reason=repr(error))
 
     async def fetch_documents(self, address: str) -> bool:
-        """Ask a peer for its documents and take those that are newer."""
+        """Ask a peer for its documents and take those that are newer.
+
+        Returns:
+            Whether it answered; False as well if it is being asked already.
+        """
+        if address in self._fetching:
+            return False
+        self._fetching.add(address)
         try:
-            data = await self._ask(address, _DOCUMENTS, None)
+            data = await self._ask(address, _DOCUMENTS, None, _DOCUMENTS_TIMEOUT_S)
             documents = msgspec.msgpack.decode(data, type=PeerDocuments)
-        except (PeerError, msgspec.MsgspecError):
+        except (PeerError, msgspec.MsgspecError) as error:
+            self._note_not_fetched(address, error)
             return False
+        finally:
+            self._fetching.discard(address)
+        self._not_fetched.discard(address)
         if documents.configuration is not None:
             self._parts.store.offer(DocumentKind.CONFIG, documents.configuration)
         if documents.instances is not None:
             self._parts.store.offer(DocumentKind.INSTANCES, documents.instances)
         return True
 
+    def _note_not_fetched(self, address: str, error: Exception) -> None:
+        """Log that a peer gave no documents, once until it gives some."""
+        if address not in self._not_fetched:
+            self._not_fetched.add(address)
+            self._log.say("documents not fetched.", peer=address, reason=repr(error))
+
     async def answer(self, path: str, body: bytes) -> bytes:
         """Answer what a peer asks.
 
@@ -229,10 +250,12 @@
         configuration = Document(*published) if published is not None else None
         return PeerDocuments(configuration, self._parts.store.fleet)
 
-    async def _ask(self, address: str, path: str, question: object) -> bytes:
+    async def _ask(
+        self, address: str, path: str, question: object, timeout_s: float = _ASK_TIMEOUT_S
+    ) -> bytes:
         body = msgspec.msgpack.encode(question)
         self._parts.metrics.count_peer_bytes("question", len(body))
-        with trio.move_on_after(_ASK_TIMEOUT_S):
+        with trio.move_on_after(timeout_s):
             return await self._parts.link.ask(address, path, body)
         raise PeerError("no answer in time")
 
@@ -303,15 +326,8 @@
         for name in heartbeat.leaving:
             self._parts.view.hear_leaving(name, now)
         newer = heartbeat.revision > self._parts.store.adopter.highest_seen
-        if newer and heartbeat.peer_address not in self._fetching:
-            nursery.start_soon(self._fetch, heartbeat.peer_address)
-
-    async def _fetch(self, address: str) -> None:
-        self._fetching.add(address)
-        try:
-            await self.fetch_documents(address)
-        finally:
-            self._fetching.discard(address)
+        if newer:
+            nursery.start_soon(self.fetch_documents, heartbeat.peer_address)
 
     async def _watch_always(self) -> None:
         """Notice deaths, and cancel what the dead left behind after a grace."""
