--- a/cleatlink/serving/callers.py
+++ b/cleatlink/serving/callers.py
@@ -46,6 +46,15 @@
 _MAX_BODY_BYTES = 64_000_000
 _VISIT = "cleatlink.visit"
 _METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+# Errors that a newer configuration may do away with.
+_BY_CONFIGURATION = frozenset(
+    {
+        ErrorKind.UNKNOWN_MODEL,
+        ErrorKind.UNKNOWN_SERVICE,
+        ErrorKind.UNKNOWN_CLASS,
+        ErrorKind.TOO_LARGE,
+    }
+)
 _DONE_EVENT = b"data: [DONE]\n\n"
 
 
@@ -188,7 +197,7 @@
 def _add_error_handlers(app: CallerApp, parts: CallerParts) -> None:
     @app.errorhandler(RequestError)
     async def request_error(error: RequestError) -> Response:
-        return _refuse(parts, Refusal(error.kind, error.detail))
+        return _refuse(parts, _judge(parts, error))
 
     @app.errorhandler(RequestEntityTooLarge)
     async def too_large(error: RequestEntityTooLarge) -> Response:
@@ -362,6 +371,14 @@
     return configuration
 
 
+def _judge(parts: CallerParts, error: RequestError) -> Refusal:
+    """Give the refusal for an error; none that is final while a newer configuration exists."""
+    if error.kind not in _BY_CONFIGURATION or not parts.peers.knows_newer_configuration:
+        return Refusal(error.kind, error.detail)
+    kind = ErrorKind.KEY_UNAVAILABLE if KEY_HEADER in request.headers else ErrorKind.NOT_READY
+    return Refusal(kind, f"{error.detail}; a newer configuration is on its way")
+
+
 def _admit_call(parts: CallerParts) -> Configuration:
     """Admit a call; one with a key is never refused as ``not run`` before its owner is asked.
 
--- a/cleatlink/serving/peers.py
+++ b/cleatlink/serving/peers.py
@@ -92,6 +92,8 @@
         self._state = State.STARTING
         self._unconfirmed: dict[tuple[str, str], Note] = {}
         self._keepers: dict[str, list[Peer]] = {}
+        # Highest revision of a configuration that peers have in force.
+        self._newest_told = 0
         self._fetching: set[str] = set()
         # Addresses of peers that gave no documents when they were asked last.
         self._not_fetched: set[str] = set()
@@ -109,6 +111,11 @@
         """What this instance says of itself."""
         return self._state
 
+    @property
+    def knows_newer_configuration(self) -> bool:
+        """Whether a peer told of a configuration that this instance has not seen yet."""
+        return self._newest_told > self._parts.store.adopter.highest_seen
+
     def start(self, nursery: trio.Nursery) -> None:
         """Beat and listen in a nursery from now on."""
         self._last_tick = trio.current_time()
@@ -325,8 +332,8 @@
         self._notes.declare_alive(heartbeat.name, heartbeat.incarnation)
         for name in heartbeat.leaving:
             self._parts.view.hear_leaving(name, now)
-        newer = heartbeat.revision > self._parts.store.adopter.highest_seen
-        if newer:
+        self._newest_told = max(self._newest_told, heartbeat.revision)
+        if heartbeat.revision > self._parts.store.adopter.highest_seen:
             nursery.start_soon(self.fetch_documents, heartbeat.peer_address)
 
     async def _watch_always(self) -> None:
