--- a/cleatlink/relay/callers/unusual_requests_test.py
+++ b/cleatlink/relay/callers/unusual_requests_test.py
@@ -125,6 +125,29 @@
     "an upgrade that need not be taken": Sent(
         (line(more=b"Connection: Upgrade\r\nUpgrade: h2c\r\n"),)
     ),
+    "a target with marks of other parts": Sent(
+        (line(target=b"/safe/a:b@c;d=1,2/[e]|^`{f}"),), target="/safe/a:b@c;d=1,2/[e]|^`{f}"
+    ),
+    "a length with zeros before it": Sent(
+        (line(b"POST", more=b"Content-Length: 0005\r\n") + b"hello",), "POST", body=b"hello"
+    ),
+    "one that expects 100 without a body": Sent((line(more=b"Expect: 100-continue\r\n"),)),
+    "another expectation": Sent((line(more=b"Expect: something-else\r\n"),)),
+    "headers of one connection": Sent(
+        (line(more=b"Connection: keep-alive, X-Hop\r\nKeep-Alive: timeout=5\r\nTE: trailers\r\n"),)
+    ),
+    "a websocket's upgrade": Sent(
+        (line(more=b"Connection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Key: AA==\r\n"),)
+    ),
+    "a header many times": Sent(
+        (line(more=30 * b"X-Same: v\r\n" + b"Cookie: a\r\ncookie: b\r\n"),)
+    ),
+    "a large body in parts": Sent(
+        (line(b"PUT", more=b"Content-Length: 300000\r\n"), *cut(300_000 * b"b", 20_000)),
+        "PUT",
+        body=300_000 * b"b",
+    ),
+    "one that ends its connection": Sent((line(more=b"Connection: close\r\n"),)),
     "HTTP/1.0": Sent((line().replace(b"HTTP/1.1", b"HTTP/1.0"),)),
     "a later minor version": Sent((line().replace(b"HTTP/1.1", b"HTTP/1.2"),)),
 }
@@ -215,6 +238,22 @@
         ]
 
 
+async def test_large_body_sent_ahead_is_read() -> None:
+    """More than is read ahead of an answer waits, and is no part of another request."""
+    body = 200_000 * b"b"
+    large = line(b"POST", more=b"Content-Length: 200000\r\n") + body
+    async with open_fleet() as fleet:
+        worker = Worker("plain")
+        await start(fleet, worker)
+        async with await connect(str(fleet.instances[0]._settings.listen)) as stream:
+            caller = Raw(stream)
+            await caller.send((line() + large + large + line(),))
+            with trio.fail_after(5.0):
+                replies = [await caller.receive() for _ in range(4)]
+        assert [reply.status for reply in replies] == [200] * 4
+        assert [run.call.body for run in worker.runs] == [b"", body, body, b""]
+
+
 async def test_stray_empty_line_after_a_body_is_no_request() -> None:
     """An empty line after a body was answered with 400, on which the next answer would be read."""
     async with open_fleet() as fleet:
