--- a/cleatlink/relay/callers/server.py
+++ b/cleatlink/relay/callers/server.py
@@ -28,6 +28,8 @@
 _CALLER_SILENCE_S = 6.0
 # Heads up to this size are read even if a table allows less, to answer them properly.
 _MIN_HEAD_BYTES = 16_384
+# Bytes of a head that its limit does not count: method, version and blanks.
+_FRAME_BYTES = 1_024
 # What is held for the callers of a listener that has no limit of its own.
 _DEFAULT_HELD_BYTES = 33_554_432
 # A body that finds no memory waits so long for some: answers are read within that, as a rule.
@@ -104,7 +106,7 @@
         Args:
             data: What was received of the request.
         """
-        size = max(self._handler.limits.header_bytes, _MIN_HEAD_BYTES)
+        size = max(self._handler.limits.header_bytes, _MIN_HEAD_BYTES) + _FRAME_BYTES
         http = h11.Connection(h11.SERVER, max_incomplete_event_size=size)
         if data:
             http.receive_data(data)
--- a/cleatlink/relay/callers/unusual_requests_test.py
+++ b/cleatlink/relay/callers/unusual_requests_test.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from cleatlink.core.routes import CallerLimits
 from standins.relay import Worker
 from standins.relay.client import Reply
 from standins.relay.example import start
@@ -38,7 +39,18 @@
 _CHUNKED = line(b"POST", more=b"Transfer-Encoding: chunked\r\n")
 _LONG = b"".join(b"X-Field-%d: %s\r\n" % (n, b"v" * 1000) for n in range(15))
 
+
+def largest() -> bytes:
+    """Give a head whose fields and target have as many bytes as are allowed."""
+    fields = [item.split(b": ") for item in _HEAD.split(b"\r\n") if item]
+    size = sum(len(name) + len(value) + 4 for name, value in fields)
+    pad = CallerLimits().header_bytes - size - len(b"/safe/x") - len(b"X-Pad") - 4
+    return line(more=b"X-Pad: " + pad * b"p" + b"\r\n")
+
+
 CASES = {
+    "the largest head": Sent((largest(),)),
+    "the largest head in parts": Sent((largest()[:-1], largest()[-1:])),
     "a target with percent signs": Sent(
         (line(target=b"/safe/%41%2Fb%25"),), target="/safe/%41%2Fb%25"
     ),
