--- a/cleatlink/serving/peer_link.py
+++ b/cleatlink/serving/peer_link.py
@@ -20,7 +20,8 @@
 
 __all__ = ["HttpPeerLink", "Message", "PeerLink", "decode_message", "encode_message"]
 
-_MAX_BYTES = 8_192
+# No datagram is larger.
+_MAX_BYTES = 65_536
 _TIMEOUT_S = 5.0
 _KINDS: dict[str, type] = {"beat": Heartbeat, "note": Note, "ack": str, "drop": str}
 
