--- a/cleatlink/relay/callers/server.py
+++ b/cleatlink/relay/callers/server.py
@@ -162,7 +162,7 @@
         body = b""
         if keeps or not self._http.they_are_waiting_for_100_continue:
             body = await self._read_body(keeps)
-        return RawRequest(head.method, head.target, headers, body)
+        return RawRequest(head.method, head.target, headers, body, is_whole=keeps)
 
     @staticmethod
     def _has_body(head: h11.Request) -> bool:
--- a/cleatlink/relay/callers/service.py
+++ b/cleatlink/relay/callers/service.py
@@ -36,6 +36,8 @@
 _DEFAULT_LIMITS = CallerLimits()
 # A new table is usually in force by then.
 _NO_SERVICE_RETRY_S = 1.0
+# The route is in force already; only the body has to be sent again.
+_BODY_RETRY_S = 0.1
 _MS = 1000.0
 
 
@@ -146,6 +148,12 @@
             refusal = Refusal(ErrorKind.UNKNOWN_KEY, "no organisation holds the request's key")
             await self._refuse_unrouted(exchange, inbound, refusal)
             return
+        if not raw.is_whole:
+            detail = "its route or key was not known yet when its head came"
+            await self._refuse_unrouted(
+                exchange, inbound, Refusal(ErrorKind.NOT_READY, detail, _BODY_RETRY_S)
+            )
+            return
         inbound = inbound._replace(organisation=holder.name)
         call = Call(inbound, found.route, found.service, found.revision, parts, holder=holder)
         parts.metrics.count_request(found.route.kind.value)
@@ -196,7 +204,7 @@
     async def _refuse_unrouted(
         self, exchange: Exchange, inbound: Inbound, refusal: Refusal
     ) -> None:
-        """Refuse a request that has no route, or no caller who may use it."""
+        """Refuse a request before it becomes a call."""
         eliot.log_message(
             message_type="relay: refuses",
             request=inbound.request_id,
--- a/cleatlink/relay/exchange.py
+++ b/cleatlink/relay/exchange.py
@@ -11,12 +11,21 @@
 
 
 class RawRequest(NamedTuple):
-    """A request as read."""
+    """A request as read.
+
+    Attributes:
+        method: As sent.
+        target: Path and query as sent.
+        headers: As sent.
+        body: The body; empty if it was not kept.
+        is_whole: Whether ``body`` is all that the caller sent.
+    """
 
     method: bytes
     target: bytes
     headers: Headers
     body: bytes
+    is_whole: bool = True
 
 
 class AnswerStream(ABC):
