--- a/cleatlink/relay/callers/service.py
+++ b/cleatlink/relay/callers/service.py
@@ -1,6 +1,7 @@
 """The relay's front: from a request to its route, its driver and its one answer."""
 
 import math
+from functools import partial
 from traceback import format_exc
 from typing import NamedTuple
 
@@ -12,6 +13,7 @@
 from cleatlink.core.errors import ANSWERS, ErrorKind
 from cleatlink.core.routes import CallerLimits, Headers, Inbound, Route, RoutedService, RouteTable
 from cleatlink.organisations import Admission, Holder
+from cleatlink.relay.callers.later_tables import LaterTables
 from cleatlink.relay.callers.server import Handler
 from cleatlink.relay.calls.call import Call
 from cleatlink.relay.calls.parts import RelayParts
@@ -21,7 +23,7 @@
 from cleatlink.relay.calls.room import DecodeRoom
 from cleatlink.relay.calls.stream import StreamCall
 from cleatlink.relay.endpoints.pool import Reply
-from cleatlink.relay.exchange import Exchange
+from cleatlink.relay.exchange import Exchange, RawRequest
 from cleatlink.routing.route_index import RouteIndex, choose_service
 
 __all__ = ["RelayService"]
@@ -33,6 +35,8 @@
     431: ErrorKind.BAD_REQUEST,
     503: ErrorKind.BUSY,
 }
+# Statuses that depend on the limits of the table in force.
+_LIMIT_STATUSES = frozenset({413, 431})
 _DEFAULT_LIMITS = CallerLimits()
 # A new table is usually in force by then.
 _NO_SERVICE_RETRY_S = 1.0
@@ -42,11 +46,12 @@
 
 
 class _Found(NamedTuple):
-    """A request's route and service, as of a revision of the table."""
+    """A request's route, service and sender, as of a revision of the table."""
 
     revision: int
     route: Route
     service: RoutedService
+    holder: Holder
 
 
 class RelayService(Handler):
@@ -55,6 +60,7 @@
     def __init__(self, parts: RelayParts) -> None:
         self._parts = parts
         self._index: RouteIndex | None = None
+        self._later_tables = LaterTables(parts.tables, parts.stop)
         self._room = DecodeRoom(parts)
         self._plain_gate = PlainGate(parts)
         self._in_flight = 0
@@ -87,6 +93,7 @@
         for route in table.routes:
             for share in route.shares:
                 self._expect_pace(route, table.services.get(share.service))
+        self._later_tables.wake()
 
     def _expect_pace(self, route: Route, service: RoutedService | None) -> None:
         """Take what a route promises as the first guess at its engines' pace."""
@@ -101,6 +108,7 @@
         Without it, a plain call that an endpoint still works on, and a stream that has not begun,
         would end with the process and no answer at all.
         """
+        self._later_tables.wake()
         for scope in self._scopes:
             scope.deadline = min(scope.deadline, self._parts.stop.answers_by)
 
@@ -116,46 +124,51 @@
 
     async def refuse(self, exchange: Exchange, status: int) -> None:
         """Answer what could not be read as a request."""
+        eliot.log_message(
+            message_type="relay: can't read a request",
+            status=status,
+            revision=self._parts.tables.in_force,
+            newest=self._parts.tables.newest,
+        )
+        if status in _LIMIT_STATUSES and not self._later_tables.may_deny:
+            detail = "above a limit of a route table that may be out of date"
+            await self._send_refusal(exchange, Refusal(ErrorKind.NOT_READY, detail))
+            return
         kind = _STATUS_KINDS.get(status, ErrorKind.BAD_REQUEST)
-        eliot.log_message(message_type="relay: can't read a request", status=status)
         await self._send_refusal(exchange, Refusal(kind, "not a request", None), status)
 
     def keeps_body(self, target: bytes, headers: Headers) -> bool:
-        """Tell by its head whether a request has a route and a caller who may use it."""
+        """Tell by its head whether a request may be served, now or by a table yet to come."""
         if self._index is None:
             return False
         path = target.partition(b"?")[0].decode("latin-1")
         route = self._index.find(self._parts.protocol.read_host(headers), path)
-        return route is not None and self._identify(headers, route) is not None
+        if route is not None and self._identify(headers, route) is not None:
+            return True
+        return not self._later_tables.may_deny
 
     async def _serve(self, exchange: Exchange) -> None:
         raw, parts = exchange.request, self._parts
-        now = trio.current_time()
-        inbound = parts.protocol.read_inbound(
-            raw.method,
-            raw.target,
-            raw.headers,
-            raw.body,
-            now,
-            withholds_key=parts.gate.judges_keys,
-        )
-        found = self._find_route(inbound.host, inbound.path)
+        arrived_at = now = trio.current_time()
+        inbound = self._read_inbound(raw, arrived_at)
+        found = self._judge(inbound, raw.headers)
         if isinstance(found, Refusal):
-            await self._refuse_unrouted(exchange, inbound, found)
-            return
-        holder = self._identify(raw.headers, found.route)
-        if holder is None:
-            refusal = Refusal(ErrorKind.UNKNOWN_KEY, "no organisation holds the request's key")
-            await self._refuse_unrouted(exchange, inbound, refusal)
-            return
+            judge = partial(self._judge, inbound, raw.headers)
+            found = await self._later_tables.review(inbound, found, judge)
+            if isinstance(found, Refusal):
+                await self._refuse_unrouted(exchange, inbound, found)
+                return
+            now = trio.current_time()
+            # Whether its key may be passed on depends on the table, too.
+            inbound = self._read_inbound(raw, arrived_at)
         if not raw.is_whole:
             detail = "its route or key was not known yet when its head came"
             await self._refuse_unrouted(
                 exchange, inbound, Refusal(ErrorKind.NOT_READY, detail, _BODY_RETRY_S)
             )
             return
-        inbound = inbound._replace(organisation=holder.name)
-        call = Call(inbound, found.route, found.service, found.revision, parts, holder=holder)
+        inbound = inbound._replace(organisation=found.holder.name)
+        call = Call(inbound, found.route, found.service, found.revision, parts, holder=found.holder)
         parts.metrics.count_request(found.route.kind.value)
         barred = call.bar()
         if barred is not None:
@@ -169,6 +182,16 @@
         parts.budget(found.service.name).count_request(now)
         await self._run(call, exchange)
 
+    def _read_inbound(self, raw: RawRequest, arrived_at: float) -> Inbound:
+        return self._parts.protocol.read_inbound(
+            raw.method,
+            raw.target,
+            raw.headers,
+            raw.body,
+            arrived_at,
+            withholds_key=self._parts.gate.judges_keys,
+        )
+
     def _identify(self, headers: Headers, route: Route) -> Holder | None:
         """Give who sent a request; None if nobody who may call its route."""
         credentials = self._parts.protocol.read_credentials(headers)
@@ -215,17 +238,21 @@
         )
         await self._send_refusal(exchange, refusal, request_id=inbound.request_id)
 
-    def _find_route(self, host: str, path: str) -> _Found | Refusal:
+    def _judge(self, inbound: Inbound, headers: Headers) -> _Found | Refusal:
+        """Judge a request by the table in force."""
         index = self._index
         if index is None:
             return Refusal(ErrorKind.NOT_READY, "no route table is known yet")
-        route = index.find(host, path)
+        route = index.find(inbound.host, inbound.path)
         if route is None:
             return Refusal(ErrorKind.NOT_FOUND, "no route serves this host and path")
         service = choose_service(route, self._parts.rng.random())
         if service is None or service not in index.table.services:
             return Refusal(ErrorKind.NO_ENDPOINT, "no service", _NO_SERVICE_RETRY_S)
-        return _Found(index.table.revision, route, index.table.services[service])
+        holder = self._identify(headers, route)
+        if holder is None:
+            return Refusal(ErrorKind.UNKNOWN_KEY, "no organisation holds the request's key")
+        return _Found(index.table.revision, route, index.table.services[service], holder)
 
     async def _run(self, call: Call, exchange: Exchange) -> None:
         """Run a call to its one answer, within its time."""
@@ -322,6 +349,7 @@
         await self._deliver(exchange, status, headers, answer.body)
 
     async def _refuse_call(self, call: Call, exchange: Exchange, refusal: Refusal) -> None:
+        refusal = self._later_tables.soften(refusal)
         call.log_outcome(
             "is refused", kind=refusal.kind.value, detail=refusal.detail, sends=call.sends
         )
--- a/cleatlink/routing/table_knowledge.py
+++ b/cleatlink/routing/table_knowledge.py
@@ -1,6 +1,15 @@
 """Which route table is in force at an instance, beside the newest that it knows to exist."""
 
-__all__ = ["TableKnowledge"]
+from enum import StrEnum
+
+__all__ = ["TableKnowledge", "TableStanding"]
+
+
+class TableStanding(StrEnum):
+    """What the route table in force is worth as the last word on a request."""
+
+    CURRENT = "current"
+    BEHIND = "behind"
 
 
 class TableKnowledge:
@@ -26,6 +35,11 @@
         """Whether a newer table than the one in force exists."""
         return self._newest > self._in_force
 
+    @property
+    def standing(self) -> TableStanding:
+        """Whether a request may be denied finally: only by a table that is current."""
+        return TableStanding.BEHIND if self.is_behind else TableStanding.CURRENT
+
     def behind_s(self, now: float) -> float:
         """Give for how many seconds a newer table has been known to exist; 0 if none is."""
         return now - self._behind_since if self.is_behind else 0.0
--- a/cleatlink/routing/table_knowledge_test.py
+++ b/cleatlink/routing/table_knowledge_test.py
@@ -1,6 +1,6 @@
 """What an instance knows of the route tables that exist."""
 
-from cleatlink.routing.table_knowledge import TableKnowledge
+from cleatlink.routing.table_knowledge import TableKnowledge, TableStanding
 
 
 def test_instance_is_behind_until_the_newest_table_is_in_force() -> None:
@@ -32,3 +32,15 @@
     tables.use(2, 11.0)
     tables.hear(3, 20.0)
     assert tables.behind_s(20.5) == 0.5
+
+
+def test_only_a_current_table_may_deny() -> None:
+    tables = TableKnowledge()
+    tables.use(3, 0.0)
+    assert tables.standing is TableStanding.CURRENT
+    tables.hear(5, 1.0)
+    assert tables.standing is TableStanding.BEHIND
+    tables.use(4, 2.0)
+    assert tables.standing is TableStanding.BEHIND
+    tables.use(5, 3.0)
+    assert tables.standing is TableStanding.CURRENT
