--- a/cleatlink/relay/callers/later_tables.py
+++ b/cleatlink/relay/callers/later_tables.py
@@ -23,6 +23,10 @@
 _WAIT_SHARE = 0.25
 # Refusals that callers take as final and that depend on the route table.
 _FINAL_KINDS = frozenset({ErrorKind.NOT_FOUND, ErrorKind.UNKNOWN_KEY})
+_DETAILS = {
+    TableStanding.BEHIND: "a newer route table is not here yet",
+    TableStanding.UNCONFIRMED: "the configuration service can't be asked for newer route tables",
+}
 
 _FoundT = TypeVar("_FoundT")
 
@@ -51,7 +55,11 @@
     @property
     def may_deny(self) -> bool:
         """Whether the table in force is the last word on a request."""
-        return self._tables.standing is TableStanding.CURRENT
+        return self._standing is TableStanding.CURRENT
+
+    @property
+    def _standing(self) -> TableStanding:
+        return self._tables.standing(trio.current_time())
 
     def wake(self) -> None:
         """Have all waiting requests judged anew: a table is in force, or a stop has begun."""
@@ -60,9 +68,9 @@
 
     def soften(self, refusal: Refusal) -> Refusal:
         """Give what to answer now: no final refusal while the table may be out of date."""
-        if self.may_deny or refusal.kind not in _FINAL_KINDS:
+        if refusal.kind not in _FINAL_KINDS or self.may_deny:
             return refusal
-        return Refusal(ErrorKind.NOT_READY, "a newer route table is not here yet")
+        return Refusal(ErrorKind.NOT_READY, _DETAILS[self._standing])
 
     async def review(
         self,
@@ -77,8 +85,8 @@
             refusal: What the table in force says.
             judge: Judges it anew by the table that is in force then.
         """
-        if self.may_deny or refusal.kind not in _FINAL_KINDS:
-            return refusal
+        if refusal.kind not in _FINAL_KINDS or self._standing is not TableStanding.BEHIND:
+            return self.soften(refusal)
         now = trio.current_time()
         behind_s = self._tables.behind_s(now)
         outcome: str = _Outcome.CALLER_LEFT
@@ -103,13 +111,18 @@
         now = trio.current_time()
         until = now + min(_MOST_WAIT_S, _WAIT_SHARE * (deadline - now))
         result: _FoundT | Refusal = refusal
-        while isinstance(result, Refusal) and self.soften(result) is not result:
+        while self._is_open(result):
             if self._stop.has_begun:
                 return Refusal(ErrorKind.STOPPING, "this instance is stopping")
             if not await self._is_woken(until):
-                return self.soften(result)
+                break
             result = judge()
-        return result
+        return self.soften(result) if isinstance(result, Refusal) else result
+
+    def _is_open(self, result: object) -> bool:
+        """Tell whether a newer table that is known to exist may judge otherwise."""
+        is_final = isinstance(result, Refusal) and result.kind in _FINAL_KINDS
+        return is_final and self._standing is TableStanding.BEHIND
 
     async def _is_woken(self, until: float) -> bool:
         """Wait until something has changed; False if nothing has by then."""
--- a/cleatlink/relay/callers/service.py
+++ b/cleatlink/relay/callers/service.py
@@ -228,13 +228,15 @@
         self, exchange: Exchange, inbound: Inbound, refusal: Refusal
     ) -> None:
         """Refuse a request before it becomes a call."""
+        now = trio.current_time()
         eliot.log_message(
             message_type="relay: refuses",
             request=inbound.request_id,
             kind=refusal.kind.value,
             revision=self._parts.tables.in_force,
             newest=self._parts.tables.newest,
-            behind_ms=int(_MS * self._parts.tables.behind_s(trio.current_time())),
+            behind_ms=int(_MS * self._parts.tables.behind_s(now)),
+            standing=self._parts.tables.standing(now).value,
         )
         await self._send_refusal(exchange, refusal, request_id=inbound.request_id)
 
--- a/cleatlink/relay/final_answers_test.py
+++ b/cleatlink/relay/final_answers_test.py
@@ -13,6 +13,7 @@
 from standins.relay.client import Caller
 from standins.relay.example import STREAM, start
 from standins.relay.fleet import Fleet, open_fleet
+from standins.relay.store import StoreMode
 
 pytestmark = pytest.mark.virtual_time
 
@@ -284,3 +285,56 @@
         fleet.configure({"slots": 1})
         with trio.fail_after(1.5):
             assert (await waiting.receive()).status == 503
+
+
+@pytest.mark.parametrize("mode", [StoreMode.BUSY, StoreMode.SILENT, StoreMode.RESET])
+async def test_nothing_is_denied_finally_while_nobody_hears_the_service(mode: StoreMode) -> None:
+    """Routes and keys that came while the service was out of reach were denied."""
+    async with open_fleet() as fleet:
+        fleet.organisations = organisations("k-old")
+        await start(fleet, Worker("plain"))
+        fleet.start_instance()
+        await fleet.ready()
+        fleet.store.mode = mode
+        await trio.sleep(8.0)
+        for number in (0, 1):
+            with trio.fail_after(0.1):
+                unrouted = await fleet.caller(number).ask("/new/x")
+                unknown = await fleet.caller(number).ask("/safe/x", headers=KEY)
+            assert [reply.status for reply in (unrouted, unknown)] == [503, 503]
+            assert float(unrouted.headers["retry-after"]) > 0.0
+        served = await fleet.caller().ask("/safe/x", headers={"Authorization": "Bearer k-old"})
+        assert served.status == 200
+        fleet.store.mode = StoreMode.UP
+        await trio.sleep(4.0)
+        assert (await fleet.caller(1).ask("/new/x")).status == 404
+
+
+async def test_instance_that_has_its_table_from_a_peer_alone_denies_nothing_finally() -> None:
+    async with open_fleet() as fleet:
+        await start(fleet, Worker("plain"))
+        fleet.store.mode = StoreMode.RESET
+        await trio.sleep(2.0)
+        fleet.start_instance()
+        await fleet.until(lambda: fleet.instances[1].ready)
+        assert (await fleet.caller(1).ask("/safe/x")).status == 200
+        assert (await fleet.caller(1).ask("/new/x")).status == 503
+
+
+async def test_peer_that_the_service_answers_is_enough_to_deny() -> None:
+    async with open_fleet() as fleet:
+        await start(fleet, Worker("plain"))
+        fleet.start_instance()
+        await fleet.ready()
+        fleet.turn_away(1)
+        await trio.sleep(8.0)
+        assert (await fleet.caller(1).ask("/new/x")).status == 404
+
+
+async def test_usual_waits_for_changes_leave_no_gap() -> None:
+    async with open_fleet() as fleet:
+        await start(fleet, Worker("plain"))
+        caller = fleet.caller()
+        for _ in range(60):
+            await trio.sleep(0.5)
+            assert (await caller.ask("/new/x")).status == 404
--- a/cleatlink/relay/following/follower.py
+++ b/cleatlink/relay/following/follower.py
@@ -275,6 +275,7 @@
 
     def _note_source_found(self, change: SourceChange) -> None:
         self._metrics.count_read("answered")
+        self._tables.confirm(trio.current_time())
         if not self._connected:
             self._connected = True
             self._found_at = trio.current_time()
@@ -359,9 +360,12 @@
         if snapshot.table is not None:
             self.take_table(snapshot.table, "peer")
 
-    def note_table(self, revision: int, peer: str) -> None:
-        """Note that a peer knows of a table."""
-        if self._tables.hear(revision, trio.current_time()) and self._tables.is_behind:
+    def note_table(self, revision: int, peer: str, finds_source: bool = False) -> None:
+        """Note that a peer has a table in force, and whether the service answered it last."""
+        now = trio.current_time()
+        if finds_source and revision >= self._tables.in_force:
+            self._tables.confirm(now)
+        if self._tables.hear(revision, now) and self._tables.is_behind:
             eliot.log_message(
                 message_type="source: a newer route table exists",
                 revision=revision,
--- a/cleatlink/relay/peers/catch_up.py
+++ b/cleatlink/relay/peers/catch_up.py
@@ -65,7 +65,7 @@
         metrics: RelayMetrics,
         rng: random.Random,
         *,
-        on_table: Callable[[int, str], None],
+        on_table: Callable[[int, str, bool], None],
     ) -> None:
         """Prepare.
 
@@ -75,7 +75,8 @@
             on_snapshot: Takes what a peer knows.
             metrics: Counters.
             rng: Spreads the instances that ask one peer.
-            on_table: Told of the revision of a peer's route table, and the peer's name.
+            on_table: Told of the revision of a peer's route table, the peer's name, and whether
+                the configuration service answered it last.
         """
         self._state = state
         self._look_again = look_again
@@ -87,7 +88,7 @@
 
     def note(self, beat: Beat, spawn: Callable[..., None]) -> None:
         """Begin to catch up if a peer's heartbeat tells of something newer."""
-        self._on_table(beat.table, beat.name)
+        self._on_table(beat.table, beat.name, beat.finds_source)
         if self._state().is_behind(beat) and not self._busy:
             self._busy = True
             spawn(self._run, beat)
--- a/cleatlink/relay/peers/hooks.py
+++ b/cleatlink/relay/peers/hooks.py
@@ -22,7 +22,8 @@
         on_placed: Told of each piece of work that a peer placed.
         on_leaving: Told of a life of which a peer tells that it leaves.
         on_source_news: Takes what a peer read from the configuration service.
-        on_table: Told of the revision of a peer's route table, and the peer's name.
+        on_table: Told of the revision of a peer's route table, the peer's name, and whether the
+            configuration service answered it last.
     """
 
     state: Callable[[], KnownState]
@@ -32,4 +33,4 @@
     on_placed: Callable[[Reservation], None]
     on_leaving: Callable[[str], None]
     on_source_news: Callable[[SourceNews], None]
-    on_table: Callable[[int, str], None] = lambda *_: None
+    on_table: Callable[[int, str, bool], None] = lambda *_: None
--- a/cleatlink/routing/table_knowledge.py
+++ b/cleatlink/routing/table_knowledge.py
@@ -1,15 +1,28 @@
 """Which route table is in force at an instance, beside the newest that it knows to exist."""
 
+import math
 from enum import StrEnum
 
 __all__ = ["TableKnowledge", "TableStanding"]
 
 
+# A table counts as current for so long after the last word from the configuration service: longer
+# than two lost heartbeats take, and than the usual wait for changes of a small fleet.
+_CONFIRMED_S = 4.0
+
+
 class TableStanding(StrEnum):
-    """What the route table in force is worth as the last word on a request."""
+    """What the route table in force is worth as the last word on a request.
+
+    Attributes:
+        CURRENT: No newer table exists, as far as the configuration service told lately.
+        BEHIND: A newer table exists.
+        UNCONFIRMED: Nobody knows: neither this instance nor a peer heard the service lately.
+    """
 
     CURRENT = "current"
     BEHIND = "behind"
+    UNCONFIRMED = "unconfirmed"
 
 
 class TableKnowledge:
@@ -19,6 +32,7 @@
         self._in_force = 0
         self._newest = 0
         self._behind_since = 0.0
+        self._confirmed_at = -math.inf
 
     @property
     def in_force(self) -> int:
@@ -35,10 +49,17 @@
         """Whether a newer table than the one in force exists."""
         return self._newest > self._in_force
 
-    @property
-    def standing(self) -> TableStanding:
-        """Whether a request may be denied finally: only by a table that is current."""
-        return TableStanding.BEHIND if self.is_behind else TableStanding.CURRENT
+    def standing(self, now: float) -> TableStanding:
+        """Tell whether a request may be denied finally: only by a table that is current."""
+        if self.is_behind:
+            return TableStanding.BEHIND
+        if self._in_force == 0 or now - self._confirmed_at > _CONFIRMED_S:
+            return TableStanding.UNCONFIRMED
+        return TableStanding.CURRENT
+
+    def confirm(self, now: float) -> None:
+        """Note that the service was heard, by this instance or by a peer with its table."""
+        self._confirmed_at = now
 
     def behind_s(self, now: float) -> float:
         """Give for how many seconds a newer table has been known to exist; 0 if none is."""
--- a/cleatlink/routing/table_knowledge_test.py
+++ b/cleatlink/routing/table_knowledge_test.py
@@ -36,11 +36,31 @@
 
 def test_only_a_current_table_may_deny() -> None:
     tables = TableKnowledge()
+    tables.confirm(0.0)
     tables.use(3, 0.0)
-    assert tables.standing is TableStanding.CURRENT
+    assert tables.standing(0.0) is TableStanding.CURRENT
     tables.hear(5, 1.0)
-    assert tables.standing is TableStanding.BEHIND
+    assert tables.standing(1.0) is TableStanding.BEHIND
     tables.use(4, 2.0)
-    assert tables.standing is TableStanding.BEHIND
+    assert tables.standing(2.0) is TableStanding.BEHIND
     tables.use(5, 3.0)
-    assert tables.standing is TableStanding.CURRENT
+    assert tables.standing(3.0) is TableStanding.CURRENT
+
+
+def test_table_is_current_for_a_while_after_the_last_confirmation() -> None:
+    tables = TableKnowledge()
+    tables.use(3, 0.0)
+    assert tables.standing(0.0) is TableStanding.UNCONFIRMED, "its service was never heard"
+    tables.confirm(10.0)
+    assert tables.standing(14.0) is TableStanding.CURRENT
+    assert tables.standing(14.1) is TableStanding.UNCONFIRMED
+    tables.confirm(15.0)
+    assert tables.standing(15.0) is TableStanding.CURRENT
+    tables.hear(4, 30.0)
+    assert tables.standing(30.0) is TableStanding.BEHIND, "what is under way goes first"
+
+
+def test_without_a_table_nothing_is_denied() -> None:
+    tables = TableKnowledge()
+    tables.confirm(0.0)
+    assert tables.standing(0.0) is TableStanding.UNCONFIRMED
