--- a/cleatlink/relay/peers/catch_up.py
+++ b/cleatlink/relay/peers/catch_up.py
@@ -66,7 +66,7 @@
 
     def note(self, beat: Beat, spawn: Callable[..., None]) -> None:
         """Begin to catch up if a peer's heartbeat tells of something newer."""
-        self._hooks.on_table(beat.table, beat.name)
+        self._hooks.on_table(beat.table, beat.name, beat.finds_source)
         if self._hooks.state().is_behind(beat) and not self._busy:
             self._busy = True
             spawn(self._run, beat)
