--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -1,5 +1,7 @@
 """Drives one plain call: to an endpoint and back, again where that is allowed."""
 
+import math
+
 import trio
 
 from cleatlink.core.data import Ran, Refusal, Role
@@ -51,6 +53,8 @@
         self._parts = parts
         self._failed: Reply | None = None
         self._next: RoutedEndpoint | None = None
+        # When the endpoint that is asked now sent its last byte.
+        self._heard_at = -math.inf
 
     async def run(self) -> Reply | Refusal:
         """Run the call until there is an answer or no way to get one."""
@@ -129,6 +133,7 @@
             if not await self._wait_for_turn(endpoint, key):
                 return None
             began_at = trio.current_time()
+            self._heard_at = -math.inf
             load.begin(endpoint.name, began_at)
             answer = await run_watched(
                 lambda: self._exchange(endpoint),
@@ -167,7 +172,7 @@
         if not call.repeatable or not impatient:
             return
         while True:
-            await trio.sleep(self._silence_s())
+            await self._wait_for_silence()
             call.excluded.add(endpoint.name)
             other = place_plain(call.service.name, self._parts.capacity, call.seeker())
             if other is None or not call.may_send(other):
@@ -177,6 +182,21 @@
                 leave.cancel()
             return
 
+    async def _wait_for_silence(self) -> None:
+        """Wait until no byte has come for long, from now or from the last byte after that.
+
+        A large answer over a narrow link takes many times what calls usually take.
+        """
+        since = trio.current_time()
+        while True:
+            await trio.sleep_until(since + self._silence_s())
+            if self._heard_at <= since:
+                return
+            since = self._heard_at
+
+    def _note_heard(self) -> None:
+        self._heard_at = trio.current_time()
+
     def _silence_s(self) -> float:
         """Give the seconds after which a silent endpoint is left.
 
@@ -197,7 +217,7 @@
             call.note_sent(endpoint)
             return parts.protocol.forward(call.inbound, endpoint, call.left_s)
 
-        return await parts.pool.call(endpoint, limit_s, make, _MOST_BODY_BYTES)
+        return await parts.pool.call(endpoint, limit_s, make, _MOST_BODY_BYTES, self._note_heard)
 
     def _judge(self, endpoint: RoutedEndpoint, answer: Reply) -> Reply | None:
         call, parts = self._call, self._parts
--- a/cleatlink/relay/calls/plain_test.py
+++ b/cleatlink/relay/calls/plain_test.py
@@ -4,9 +4,9 @@
 import trio
 
 from standins.relay import Fault, Worker
-from standins.relay.client import Reply
+from standins.relay.client import Caller, Reply
 from standins.relay.example import runs, start
-from standins.relay.fleet import open_fleet
+from standins.relay.fleet import Fleet, open_fleet
 
 pytestmark = pytest.mark.virtual_time
 
@@ -255,3 +255,60 @@
             began_at = trio.current_time()
             assert (await caller.ask("/safe/x")).status == 200
             assert trio.current_time() - began_at < 0.35
+
+
+async def start_with_known_pace(fleet: Fleet, *workers: Worker) -> Caller:
+    """Start workers whose calls are known to be quick; gives a caller."""
+    await start(fleet, *workers)
+    caller = fleet.caller()
+    for _ in range(5):
+        assert (await caller.ask("/safe/x")).status == 200
+    for worker in workers:
+        worker.arrivals.clear()
+    return caller
+
+
+async def test_answer_whose_bytes_keep_coming_is_not_asked_for_again() -> None:
+    """A large answer over a narrow link was left halfway, and asked for at another worker."""
+    async with open_fleet() as fleet:
+        first, second = Worker("plain"), Worker("plain")
+        caller = await start_with_known_pace(fleet, first, second)
+        for worker in (first, second):
+            worker.body = b"x" * 10_000
+            worker.answer_parts, worker.part_pause_s = 10, 0.1
+        reply = await caller.ask("/safe/x")
+        assert (reply.status, reply.body) == (200, first.body)
+        assert len(first.arrivals) + len(second.arrivals) == 1
+
+
+async def test_first_answer_of_a_service_whose_bytes_keep_coming_is_not_asked_for_again() -> None:
+    """Where no pace was known yet, it was left at the route's target (0.4 s)."""
+    async with open_fleet() as fleet:
+        first, second = Worker("plain"), Worker("plain")
+        for worker in (first, second):
+            worker.answer_parts, worker.part_pause_s = 10, 0.1
+        await start(fleet, first, second)
+        assert (await fleet.caller().ask("/safe/x")).status == 200
+        assert len(first.arrivals) + len(second.arrivals) == 1
+
+
+async def test_worker_that_goes_silent_within_its_answer_is_left() -> None:
+    async with open_fleet() as fleet:
+        first, second = Worker("plain"), Worker("plain")
+        caller = await start_with_known_pace(fleet, first, second)
+        for worker in (first, second):
+            worker.answer_parts, worker.part_pause_s = 2, 10.0
+        asked_at = trio.current_time()
+        replies: list[Reply] = []
+
+        async def ask() -> None:
+            replies.append(await caller.ask("/safe/x"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await fleet.until(lambda: bool(first.arrivals or second.arrivals))
+            silent, other = (first, second) if first.arrivals else (second, first)
+            other.answer_parts = 1
+        assert [reply.status for reply in replies] == [200]
+        assert trio.current_time() - asked_at < 0.35
+        assert (len(silent.arrivals), len(other.arrivals)) == (1, 1)
--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -47,6 +47,7 @@
         self._sent_whole = True
         self._keep_alive_s: float | None = None
         self._on_head = on_head
+        self._on_bytes: Callable[[], None] | None = None
         self._status = 0
         self.idle_since = opened_at
 
@@ -105,12 +106,19 @@
             limit_s = min(limit_s, self._keep_alive_s - 1.0)
         return now - self.idle_since < limit_s
 
-    async def exchange(self, request: OutgoingRequest) -> ReplyHead:
+    async def exchange(
+        self, request: OutgoingRequest, on_bytes: Callable[[], None] | None = None
+    ) -> ReplyHead:
         """Send a request and read the head of its answer.
 
+        Args:
+            request: The request.
+            on_bytes: Told each time that bytes of the answer came, also of its body.
+
         Raises:
             OutcomeUnknownError: No answer came, or bytes that are none.
         """
+        self._on_bytes = on_bytes
         if self._on_send is not None:
             self._on_send()
         try:
@@ -220,7 +228,10 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._http.receive_data(await self._stream.receive_some(_READ_BYTES))
+            data = await self._stream.receive_some(_READ_BYTES)
+            if data and self._on_bytes is not None:
+                self._on_bytes()
+            self._http.receive_data(data)
 
     def finish(self, now: float) -> bool:
         """End an exchange; tells whether the connection can be used again."""
--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -99,6 +99,7 @@
         idle_limit_s: float,
         make: Callable[[], OutgoingRequest],
         most_bytes: int,
+        on_bytes: Callable[[], None] | None = None,
     ) -> Reply:
         """Make one whole exchange.
 
@@ -107,6 +108,7 @@
             idle_limit_s: Longest idle time of a connection that may be used.
             make: Gives the request once the connection is there.
             most_bytes: Longest body that is read.
+            on_bytes: Told each time that bytes of the answer came.
 
         Raises:
             EndpointUnreachableError: No connection came up; nothing left.
@@ -115,7 +117,7 @@
         """
         connection = await self.take(endpoint, idle_limit_s)
         try:
-            head = await connection.exchange(make())
+            head = await connection.exchange(make(), on_bytes)
             body = await connection.read_body(most_bytes)
         except BaseException:
             connection.close()
