--- a/cleatlink/platform/store.py
+++ b/cleatlink/platform/store.py
@@ -19,7 +19,7 @@
 from cleatlink.platform.tables import read_table
 from cleatlink.relay.following.source import ConfigurationSource, SourceChange, SourceTable
 from cleatlink.relay.following.store_client import StoreAnswer, StoreClient
-from cleatlink.routing.fleet_records import EndpointRecord
+from cleatlink.relay.whole_read import ListPage, WholeRead
 
 __all__ = ["PlatformStore"]
 
@@ -50,6 +50,7 @@
         self._client = StoreClient(address, _ERA_HEADER)
         # A connection carries one call at a time, and a watch may wait for long.
         self._table_client = StoreClient(address, _ERA_HEADER)
+        self._whole_read = WholeRead(self._read_page, self._read_table_of)
 
     @property
     def is_answering(self) -> bool:
@@ -57,41 +58,28 @@
         return self._client.is_answering
 
     async def read(self) -> SourceChange:
-        """Read everything, all of it of one era."""
-        records, revision = await self._read_list()
-        answer = await self._client.get(_CONFIG_PATH, _ANSWER_S)
-        answer.require_era(revision.era)
-        found = _read_answer(answer)
-        return SourceChange(found.table, records, revision, whole=True, table_fault=found.fault)
+        """Read everything, all of it of one era; after a failure only what is missing."""
+        return await self._whole_read.run()
 
     async def read_table(self) -> SourceTable:
         """Read the configuration alone."""
         return _read_answer(await self._table_client.get(_CONFIG_PATH, _ANSWER_S))
 
-    async def _read_list(self) -> tuple[list[EndpointRecord], StoreRevision]:
-        """Read the workers' entries, page by page.
-
-        Returns:
-            The entries, and the revision at the first page: a watch from there tells what
-            changed after it.
-        """
-        records: list[EndpointRecord] = []
-        revision: StoreRevision | None = None
-        after = ""
-        while True:
-            answer = await self._client.get(_list_path(after), _ANSWER_S)
-            if not answer.is_found:
-                raise PlatformError("the list of workers is missing")
-            page = decode_json(answer.body, _Page)
-            revision = revision or StoreRevision(answer.era, page.at)
-            answer.require_era(revision.era)
-            items = [item for item in map(read_item, page.items) if item is not None]
-            records += [read_record(item, answer.era) for item in items if item.private_key > after]
-            if not page.more:
-                return records, revision
-            if not items or items[-1].private_key <= after:
-                raise PlatformError("the list of workers does not go on")
-            after = items[-1].private_key
+    async def _read_page(self, after: str) -> ListPage:
+        """Read the page of the workers' entries that begins after a key."""
+        answer = await self._client.get(_list_path(after), _ANSWER_S)
+        if not answer.is_found:
+            raise PlatformError("the list of workers is missing")
+        page = decode_json(answer.body, _Page)
+        items = [item for item in map(read_item, page.items) if item is not None]
+        records = {item.private_key: read_record(item, answer.era) for item in items}
+        return ListPage(records, StoreRevision(answer.era, page.at), page.more)
+
+    async def _read_table_of(self, era: int) -> SourceTable:
+        """Read the configuration, which has to be of an era."""
+        answer = await self._client.get(_CONFIG_PATH, _ANSWER_S)
+        answer.require_era(era)
+        return _read_answer(answer)
 
     async def watch(self, after: StoreRevision, wait_s: float) -> SourceChange:
         """Wait for changes after a revision.
