--- a/bench/main.py
+++ b/bench/main.py
@@ -10,6 +10,7 @@
 from bench.limits import PATTERNS, WAYS, measure_limit
 from bench.organisations import measure_organisations
 from bench.path import measure_path
+from bench.peers import measure_peers, profile_peers
 from bench.policy import FAULTS, POLICIES, WORKLOADS, Cell, measure_policy
 from bench.relay import measure_relay
 from bench.report import print_report
@@ -108,5 +109,18 @@
     print_report(seed, rows, as_json)
 
 
+@main.command()
+@click.option("--instances", default="8,30,60,90", help="Fleet sizes, joined by commas.")
+@click.option("--profile", is_flag=True, help="Show the steps instead, under a profiler.")
+@click.option("--seed", default=1, help="Seed of the load.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def peers(instances: str, profile: bool, seed: int, as_json: bool) -> None:
+    """Measure what its peers cost an instance at a request a second, in virtual time."""
+    rows = []
+    for count in map(int, instances.split(",")):
+        rows += profile_peers(count, seed) if profile else [measure_peers(count, seed)]
+    print_report(seed, rows, as_json)
+
+
 if __name__ == "__main__":
     main()
