--- a/cleatlink/members/duplicates.py
+++ b/cleatlink/members/duplicates.py
@@ -1,16 +1,16 @@
 """Tells what was heard already, where messages come on several ways and out of order."""
 
 from collections.abc import Set
-from typing import NamedTuple
 
 __all__ = ["Duplicates"]
 
 # Messages of one sender that may overtake each other: several seconds of them.
 _WINDOW = 256
+_WINDOW_BITS = (1 << _WINDOW) - 1
 
 
-class _Heard(NamedTuple):
-    """What was heard of a sender.
+class _Heard:
+    """What was heard of a sender; changed in place, since hundreds of messages come a second.
 
     Attributes:
         incarnation: Grows with each start of the sender.
@@ -18,9 +18,12 @@
         earlier: Bits of the numbers below, the lowest bit that of the newest.
     """
 
-    incarnation: int
-    newest: int
-    earlier: int
+    __slots__ = ("earlier", "incarnation", "newest")
+
+    def __init__(self, incarnation: int, newest: int) -> None:
+        self.incarnation = incarnation
+        self.newest = newest
+        self.earlier = 1
 
 
 class Duplicates:
@@ -42,19 +45,19 @@
         """
         heard = self._heard.get(sender)
         if heard is None or incarnation > heard.incarnation:
-            self._heard[sender] = _Heard(incarnation, number, 1)
+            self._heard[sender] = _Heard(incarnation, number)
             return True
         if incarnation < heard.incarnation:
             return False
         ahead = number - heard.newest
         if ahead > 0:
-            bits = 1 if ahead >= _WINDOW else (heard.earlier << ahead | 1) & ((1 << _WINDOW) - 1)
-            self._heard[sender] = _Heard(incarnation, number, bits)
+            heard.newest = number
+            heard.earlier = 1 if ahead >= _WINDOW else (heard.earlier << ahead | 1) & _WINDOW_BITS
             return True
         bit = 1 << -ahead
         if -ahead >= _WINDOW or heard.earlier & bit:
             return False
-        self._heard[sender] = heard._replace(earlier=heard.earlier | bit)
+        heard.earlier |= bit
         return True
 
     def keep(self, senders: Set[str]) -> None:
