--- a/cleatlink/relay/peers/messages.py
+++ b/cleatlink/relay/peers/messages.py
@@ -42,6 +42,7 @@
     "encode",
 ]
 
+_ROLES = {role.value: role for role in Role}
 # Longer than anything waits.
 _MOST_SPARE_S = 3600.0
 
@@ -87,13 +88,9 @@
 
     def reservation(self, now: float) -> Reservation:
         """Give it as a reservation; a role that is not known counts as plain."""
-        try:
-            role = Role(self.role)
-        except ValueError:
-            role = Role.PLAIN
         return Reservation(
             self.endpoint,
-            role,
+            _ROLES.get(self.role, Role.PLAIN),
             self.tokens,
             now + self.left_s,
             self.duration_s,
--- a/cleatlink/routing/workload.py
+++ b/cleatlink/routing/workload.py
@@ -68,9 +68,11 @@
 
     def peer_replace(self, peer: str, reservations: dict[str, Reservation]) -> None:
         """Take a peer's whole list of work in place of what was known."""
-        for key in self._peers.get(peer, {}).keys() - reservations.keys():
-            self.peer_release(peer, key)
         known = self._peers.get(peer, {})
+        if not known and not reservations:
+            return
+        for key in known.keys() - reservations.keys():
+            self.peer_release(peer, key)
         for key, reservation in reservations.items():
             if key not in known or not _is_same(known[key], reservation):
                 self.peer_reserve(peer, key, reservation)
@@ -155,5 +157,12 @@
 
 def _is_same(known: Reservation, told: Reservation) -> bool:
     """Tell whether a peer repeats work as it is known; its end comes with some delay."""
-    is_near = abs(known.ends_at - told.ends_at) < _SAME_END_S
-    return is_near and told._replace(ends_at=known.ends_at) == known
+    return (
+        abs(known.ends_at - told.ends_at) < _SAME_END_S
+        and known.endpoint == told.endpoint
+        and known.role is told.role
+        and known.tokens == told.tokens
+        and known.duration_s == told.duration_s
+        and known.grows == told.grows
+        and known.suspicion == told.suspicion
+    )
