--- a/cleatlink/relay/peers/endpoint_pace_news.py
+++ b/cleatlink/relay/peers/endpoint_pace_news.py
@@ -1,6 +1,6 @@
 """Tells peers what this instance measured of endpoints' speeds, and takes what they measured."""
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 
 import eliot
 import trio
@@ -99,7 +99,7 @@
         self._newest[news.name] = sent
         now = trio.current_time()
         for life, items in news.lives.items():
-            self._paces.take(news.name, life, list(_samples(items, now)))
+            self._paces.take(news.name, life, _samples(items, now))
 
     def _show(self) -> None:
         """Show the speeds, and log those that changed."""
@@ -129,9 +129,10 @@
     return PaceItem(sample.kind.value, round(sample.log / _LOG_STEP), age)
 
 
-def _samples(items: Sequence[PaceItem], now: float) -> Iterator[PaceSample]:
+def _samples(items: Sequence[PaceItem], now: float) -> list[PaceSample]:
     """Give what a peer measured; kinds that are not known are left."""
-    for item in items:
-        kind = _KINDS.get(item.kind)
-        if kind is not None:
-            yield PaceSample(now - max(0, item.age) * _AGE_STEP_S, kind, item.log * _LOG_STEP)
+    return [
+        PaceSample(now - max(0, item.age) * _AGE_STEP_S, _KINDS[item.kind], item.log * _LOG_STEP)
+        for item in items
+        if item.kind in _KINDS
+    ]
--- a/cleatlink/routing/endpoint_pace.py
+++ b/cleatlink/routing/endpoint_pace.py
@@ -139,24 +139,24 @@
         sample = PaceSample(now, kind, _bounded(math.log(ratio)))
         own = self._own.setdefault(life, deque(maxlen=_OWN_SAMPLES))
         own.append(sample)
-        self._pool(life, "", [sample], replace=False)
+        pool = self._pools.setdefault(life, [])
+        pool.append(_Pooled(now, sample.log, ""))
+        self._keep_newest(life, pool)
         self._changed[life] = None
         self._on_changed()
 
     def take(self, sender: str, life: str, samples: Sequence[PaceSample]) -> None:
         """Take all that a peer measured of an endpoint lately, in place of what it told before."""
-        usable = [item for item in samples[:_OWN_SAMPLES] if _is_finite(item)]
-        self._pool(life, sender, usable, replace=True)
-
-    def _pool(
-        self, life: str, sender: str, samples: Sequence[PaceSample], *, replace: bool
-    ) -> None:
-        known = self._pools.get(life, [])
-        if replace:
-            known = [item for item in known if item.sender != sender]
-        known = known + [_Pooled(item.at, _bounded(item.log), sender) for item in samples]
-        known.sort()
-        self._pools[life] = known[-_POOL:]
+        pool = [item for item in self._pools.get(life, ()) if item.sender != sender]
+        for at, _, log in samples[:_OWN_SAMPLES]:
+            if math.isfinite(log) and math.isfinite(at):
+                pool.append(_Pooled(at, _bounded(log), sender))
+        self._keep_newest(life, pool)
+
+    def _keep_newest(self, life: str, pool: list[_Pooled]) -> None:
+        pool.sort()
+        del pool[:-_POOL]
+        self._pools[life] = pool
 
     def own(self, life: str, now: float) -> list[PaceSample]:
         """Give what this instance measured of an endpoint lately."""
@@ -223,11 +223,9 @@
 
 
 def _bounded(log: float) -> float:
-    return min(_MOST_LOG, max(-_MOST_LOG, log))
-
-
-def _is_finite(sample: PaceSample) -> bool:
-    return math.isfinite(sample.log) and math.isfinite(sample.at)
+    if -_MOST_LOG <= log <= _MOST_LOG:
+        return log
+    return math.copysign(_MOST_LOG, log)
 
 
 def _ignore() -> None:
