--- a/cleatlink/relay/calls/succession.py
+++ b/cleatlink/relay/calls/succession.py
@@ -42,7 +42,9 @@
     def note_heard(self) -> None:
         """Note that the endpoint spoke: it is not left now."""
         self._waits_since = None
-        self._search.cancel()
+        if not self._search.cancel_called:
+            # Trio writes a reason at each cancellation, and this is called for each event.
+            self._search.cancel()
 
     async def run(self, place: DecodePlace, leave: trio.CancelScope) -> None:
         """Look for a successor whenever the endpoint is silent.
