--- a/cleatlink/routing/plain_load.py
+++ b/cleatlink/routing/plain_load.py
@@ -293,5 +293,7 @@
         for name in silent:
             del self._peers[name]
         for peer in self._peers.values():
-            for life in [life for life in peer.endpoints if life not in lives]:
-                del peer.endpoints[life]
+            if not peer.endpoints.keys() <= lives:
+                peer.endpoints = {
+                    life: totals for life, totals in peer.endpoints.items() if life in lives
+                }
