--- a/cleatlink/routing/windows.py
+++ b/cleatlink/routing/windows.py
@@ -39,8 +39,10 @@
 
     def add(self, key: Key, amount: float, now: float) -> None:
         """Count an amount."""
-        number = self._expire(now)
+        number = self._number(now)
         if not self._parts or self._parts[-1].number < number:
+            # What is too old was forgotten when the part that runs began.
+            self._expire(now)
             self._parts.append(_Part(number))
         sums = self._parts[-1].sums
         sums[key] = sums.get(key, 0.0) + amount
