--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -12,7 +12,7 @@
 import random
 from collections.abc import Callable, Set
 from functools import partial
-from typing import Any
+from typing import Any, NamedTuple
 
 import eliot
 import msgspec
@@ -100,9 +100,14 @@
 _LOOK_S = 0.2
 
 
-# Orders what a peer tells of its work: its incarnation and its number.
-_WorkNumber = tuple[int, int]
-_NO_NUMBER: _WorkNumber = (0, 0)
+class _WorkNumber(NamedTuple):
+    """Orders what a peer tells of its work."""
+
+    incarnation: int
+    number: int
+
+
+_NO_NUMBER = _WorkNumber(0, 0)
 
 
 class PeerGroup:
@@ -572,7 +577,7 @@
         if self._peers.incarnation(told.name) != told.incarnation:
             return False
         if told.number:
-            number = (told.incarnation, told.number)
+            number = _WorkNumber(told.incarnation, told.number)
             if number <= self._heard_work.get(told.name, _NO_NUMBER):
                 return False
             self._heard_work[told.name] = number
