--- a/cleatlink/relay/peers/large_fleet_test.py
+++ b/cleatlink/relay/peers/large_fleet_test.py
@@ -13,6 +13,7 @@
 
 import pytest
 import trio
+from trio.testing import MockClock
 
 from cleatlink.core.address import Address
 from cleatlink.core.data import Role
@@ -221,6 +222,8 @@
 
 @asynccontextmanager
 async def open_fleet(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Fleet]:
+    # pytest-trio takes a clock from the arguments of a test alone, not from usefixtures.
+    assert isinstance(trio.lowlevel.current_clock(), MockClock)
     network = Network()
     monkeypatch.setattr(
         group_module, "DatagramSocket", lambda address, metrics: FakeSocket(network, address)
@@ -230,11 +233,12 @@
         nursery.cancel_scope.cancel()
 
 
-@pytest.mark.usefixtures("autojump_clock")
 class TestLargeFleet:
     """Thirty instances in three data centres, in time that jumps."""
 
-    async def test_all_hear_all_with_few_datagrams(self, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test_all_hear_all_with_few_datagrams(
+        self, monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock
+    ) -> None:
         async with open_fleet(monkeypatch) as fleet:
             await fleet.start(MANY)
             fleet.network.received.clear()
@@ -246,7 +250,7 @@
             assert sum(received) / 10.0 / MANY < 29
 
     async def test_lost_datagrams_make_fewer_silent_than_heartbeats_to_all(
-        self, monkeypatch: pytest.MonkeyPatch
+        self, monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock
     ) -> None:
         shares = {}
         for without in (frozenset[Mechanism](), frozenset({Mechanism.REFLECTORS})):
@@ -259,7 +263,7 @@
         assert by_reflectors < by_all / 5
 
     async def test_reflector_that_dies_is_replaced_in_time(
-        self, monkeypatch: pytest.MonkeyPatch
+        self, monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock
     ) -> None:
         async with open_fleet(monkeypatch) as fleet:
             await fleet.start(MANY)
@@ -269,7 +273,7 @@
             assert dead.name not in fleet.instances[-1].group.heard_within(SILENCE_S)
 
     async def test_both_reflectors_of_a_data_centre_die(
-        self, monkeypatch: pytest.MonkeyPatch
+        self, monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock
     ) -> None:
         async with open_fleet(monkeypatch) as fleet:
             await fleet.start(MANY)
@@ -281,7 +285,7 @@
             await fleet.check_heard(fleet.rest(*dead), 10.0)
 
     async def test_reflector_that_is_heard_and_hears_nothing_keeps_nothing_from_others(
-        self, monkeypatch: pytest.MonkeyPatch
+        self, monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock
     ) -> None:
         async with open_fleet(monkeypatch) as fleet:
             await fleet.start(MANY)
@@ -290,7 +294,7 @@
             await fleet.check_heard(fleet.rest(deaf), 20.0)
 
     async def test_cut_data_centre_hears_itself_and_all_again_after_it(
-        self, monkeypatch: pytest.MonkeyPatch
+        self, monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock
     ) -> None:
         async with open_fleet(monkeypatch) as fleet:
             await fleet.start(MANY)
@@ -309,7 +313,7 @@
             assert fleet.all_heard(fleet.instances)
 
     async def test_late_joiner_hears_all_within_two_seconds(
-        self, monkeypatch: pytest.MonkeyPatch
+        self, monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock
     ) -> None:
         async with open_fleet(monkeypatch) as fleet:
             await fleet.start(MANY)
@@ -318,7 +322,7 @@
             assert fleet.all_heard(fleet.instances)
 
     async def test_instances_without_reflectors_are_served_as_before(
-        self, monkeypatch: pytest.MonkeyPatch
+        self, monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock
     ) -> None:
         """So are those of earlier builds: they take no bundles and need all work in heartbeats."""
         async with open_fleet(monkeypatch) as fleet:
@@ -331,7 +335,7 @@
             await fleet.check_heard(fleet.instances, 10.0)
 
     async def test_work_is_known_where_it_is_needed_at_once_and_elsewhere_soon(
-        self, monkeypatch: pytest.MonkeyPatch
+        self, monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock
     ) -> None:
         async with open_fleet(monkeypatch) as fleet:
             await fleet.start(MANY)
@@ -350,7 +354,9 @@
                 assert known_at(fleet, teller, "k") <= {"a"}
             assert known_at(fleet, teller, "k") == set()
 
-    async def test_lost_change_of_work_heals(self, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test_lost_change_of_work_heals(
+        self, monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock
+    ) -> None:
         async with open_fleet(monkeypatch) as fleet:
             await fleet.start(MANY)
             teller = fleet.instances[1]
@@ -363,7 +369,7 @@
             assert known_at(fleet, teller, "k") == {"a", "b", "c"}
 
     async def test_change_that_was_overtaken_is_not_taken(
-        self, monkeypatch: pytest.MonkeyPatch
+        self, monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock
     ) -> None:
         async with open_fleet(monkeypatch) as fleet:
             await fleet.start(MANY)
@@ -375,7 +381,7 @@
             assert not hearer.capacity.knows(teller.name, "k")
 
     async def test_instance_that_starts_anew_is_believed_at_once(
-        self, monkeypatch: pytest.MonkeyPatch
+        self, monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock
     ) -> None:
         """Its messages count from one again, and what it worked on before is over.
 
@@ -396,7 +402,9 @@
             assert not hearer.capacity.knows(teller.name, "before")
             assert hearer.capacity.knows(teller.name, "after")
 
-    async def test_hint_of_a_data_centre_stays_there(self, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test_hint_of_a_data_centre_stays_there(
+        self, monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock
+    ) -> None:
         async with open_fleet(monkeypatch) as fleet:
             await fleet.start(MANY)
             heard: list[str] = []
@@ -418,7 +426,9 @@
             await trio.sleep(0.3)
             assert heard == ["b"] * (MANY // len(PLACES))
 
-    async def test_bundle_in_a_bundle_is_not_taken(self, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test_bundle_in_a_bundle_is_not_taken(
+        self, monkeypatch: pytest.MonkeyPatch, autojump_clock: MockClock
+    ) -> None:
         async with open_fleet(monkeypatch) as fleet:
             await fleet.start(MANY)
             hearer = fleet.instances[4]
@@ -447,9 +457,9 @@
     return known
 
 
-@pytest.mark.usefixtures("autojump_clock")
 async def test_heartbeat_that_says_the_same_again_is_not_decoded(
     monkeypatch: pytest.MonkeyPatch,
+    autojump_clock: MockClock,
 ) -> None:
     """Most of what an instance heard were 89 heartbeats a second that said nothing new."""
     async with open_fleet(monkeypatch) as fleet:
