--- a/cleatlink/relay/following/store_client.py
+++ b/cleatlink/relay/following/store_client.py
@@ -1,5 +1,6 @@
 """Reads a store over HTTP, and keeps the order of its eras."""
 
+import math
 from typing import NamedTuple
 
 import trio
@@ -65,14 +66,15 @@
         self._address = address
         self._era_header = era_header
         self._connection: EndpointConnection | None = None
-        self._is_answering = False
+        # When bytes of an answer came last.
+        self._heard_at = -math.inf
         # The latest era that was told, by any answer or by peers.
         self._era = 0
 
     @property
     def is_answering(self) -> bool:
-        """Whether the head of an answer was read, and its body is on its way."""
-        return self._is_answering
+        """Whether bytes of an answer came just now: the rest is on its way."""
+        return trio.current_time() - self._heard_at < _BODY_SILENCE_S
 
     def close(self) -> None:
         """Close the connection."""
@@ -89,7 +91,8 @@
 
         Args:
             path: Path and query.
-            timeout_s: Seconds until the head of the answer is there; its body may take longer.
+            timeout_s: Seconds until the head of the answer is there, and without any byte of its
+                body: a wait may end with either. A long body may take longer.
 
         Raises:
             HistoryGoneError: What is asked for is not kept.
@@ -109,13 +112,11 @@
             connection = await self._connect()
             headers = ((b"Host", str(self._address).encode()),)
             request = OutgoingRequest(b"GET", path.encode(), headers, b"")
-            head = await connection.exchange(request)
-        self._is_answering = True
-        try:
-            with trio.fail_after(_BODY_S):
-                body = await connection.read_body(_MOST_BYTES, silence_s=_BODY_SILENCE_S)
-        finally:
-            self._is_answering = False
+            head = await connection.exchange(request, self._note_bytes)
+        with trio.fail_after(timeout_s + _BODY_S):
+            silence_s = max(timeout_s, _BODY_SILENCE_S)
+            body = await connection.read_body(_MOST_BYTES, silence_s=silence_s)
+        self._heard_at = -math.inf
         if not connection.finish(trio.current_time()):
             self.close()
         era = self._read_era(head)
@@ -125,6 +126,9 @@
             raise PlatformError(f"status {head.status}")
         return StoreAnswer(head.status == _FOUND, era, body)
 
+    def _note_bytes(self) -> None:
+        self._heard_at = trio.current_time()
+
     async def _connect(self) -> EndpointConnection:
         """Give a connection that can be used; opens one if there is none."""
         if self._connection is None or not self._connection.usable:
