--- a/cleatlink/relay/peers/heard.py
+++ b/cleatlink/relay/peers/heard.py
@@ -60,6 +60,11 @@
         """Names of the peers that are heard."""
         return set(self._peers)
 
+    @property
+    def beats(self) -> list[Beat]:
+        """The last heartbeats of the peers that are heard."""
+        return [peer.beat for peer in self._peers.values()]
+
     @property
     def most_members(self) -> int:
         """Most instances that were heard at a time, this one included."""
@@ -104,22 +109,6 @@
             if beat.size and (data_centre is None or beat.data_centre == data_centre)
         ]
 
-    def table_holders(self, revision: int, data_centre: str | None = None) -> list[Beat]:
-        """Give the heartbeats of peers that have a route table or a newer one.
-
-        Args:
-            revision: The table.
-            data_centre: Where the peers are; None for anywhere.
-        """
-        beats = (peer.beat for peer in self._peers.values())
-        return [
-            beat
-            for beat in beats
-            if beat.table >= revision
-            and not beat.leaving
-            and (data_centre is None or beat.data_centre == data_centre)
-        ]
-
     def address(self, name: str) -> str | None:
         """Give the address of a peer; None for one that is not heard."""
         peer = self._peers.get(name)
--- a/cleatlink/relay/peers/known_state.py
+++ b/cleatlink/relay/peers/known_state.py
@@ -1,9 +1,8 @@
-"""What an instance tells its peers of what it knows, and how far it is behind them."""
+"""What an instance tells its peers of what it knows."""
 
 from typing import NamedTuple
 
 from cleatlink.core.revisions import StoreRevision
-from cleatlink.relay.peers.messages import Beat
 
 __all__ = ["KnownState"]
 
@@ -22,11 +21,3 @@
     table: int
     newest: StoreRevision
     finds_source: bool = False
-
-    def lacks_table(self, beat: Beat) -> bool:
-        """Tell whether a peer has a newer route table."""
-        return beat.table > self.table
-
-    def is_behind(self, beat: Beat) -> bool:
-        """Tell whether a peer knows something newer."""
-        return self.lacks_table(beat) or beat.newest_revision > self.newest
