--- a/cleatlink/relay/callers/later_tables.py
+++ b/cleatlink/relay/callers/later_tables.py
@@ -57,6 +57,11 @@
         """Whether the table in force is the last word on a request."""
         return self._standing is TableStanding.CURRENT
 
+    @property
+    def awaits_newer(self) -> bool:
+        """Whether a newer table is on its way, by which requests will be judged anew."""
+        return self._standing is TableStanding.BEHIND
+
     @property
     def _standing(self) -> TableStanding:
         return self._tables.standing(trio.current_time())
--- a/cleatlink/relay/callers/service.py
+++ b/cleatlink/relay/callers/service.py
@@ -145,7 +145,7 @@
         route = self._index.find(self._parts.protocol.read_host(headers), path)
         if route is not None and self._identify(headers, route) is not None:
             return True
-        return not self._later_tables.may_deny
+        return self._later_tables.awaits_newer
 
     async def _serve(self, exchange: Exchange) -> None:
         raw, parts = exchange.request, self._parts
