--- a/cleatlink/relay/following/follower.py
+++ b/cleatlink/relay/following/follower.py
@@ -376,8 +376,11 @@
             eliot.log_message(message_type="source: can't read the table", error=repr(error))
             return
         self._metrics.count_read("table")
-        self._tables.confirm(trio.current_time())
         self._note_table_fault(found.fault)
+        if found.fault is not None:
+            return
+        revision = found.table.revision if found.table is not None else 0
+        self._tables.note_service(revision, trio.current_time())
         if found.table is not None:
             self.take_table(found.table, "source")
 
--- a/cleatlink/routing/table_knowledge.py
+++ b/cleatlink/routing/table_knowledge.py
@@ -33,6 +33,8 @@
         self._newest = 0
         self._behind_since = 0.0
         self._confirmed_at = -math.inf
+        # Highest revision of which the service said that it does not exist there.
+        self._refuted = 0
 
     @property
     def in_force(self) -> int:
@@ -61,13 +63,26 @@
         """Note that the service was heard, by this instance or by a peer with its table."""
         self._confirmed_at = now
 
+    def note_service(self, revision: int, now: float) -> None:
+        """Note which table the service holds: its word goes before that of peers.
+
+        Args:
+            revision: Revision of its table; 0 if it has none.
+            now: The time.
+        """
+        self.confirm(now)
+        if self._newest > max(revision, self._in_force):
+            self._refuted = self._newest
+            self._newest = self._in_force
+        self.hear(revision, now)
+
     def behind_s(self, now: float) -> float:
         """Give for how many seconds a newer table has been known to exist; 0 if none is."""
         return now - self._behind_since if self.is_behind else 0.0
 
     def hear(self, revision: int, now: float) -> bool:
         """Note that a table exists; tells whether that is news."""
-        if revision <= self._newest:
+        if revision <= max(self._newest, self._refuted):
             return False
         if not self.is_behind:
             self._behind_since = now
