--- a/cleatlink/relay/following/follower.py
+++ b/cleatlink/relay/following/follower.py
@@ -126,6 +126,7 @@
         # Times that everything had to be read anew since changes were last told.
         self._rereads = 0
         self._connected = False
+        self._watches = True
         self._found_at = -math.inf
         # Whether the service is to be asked at once, by whoever does not watch it, too.
         self._asks_now = False
@@ -249,12 +250,23 @@
         while True:
             if not self._connected or self._hooks.must_watch():
                 self._asks_now = False
-                return self._watch_s()
+                return self._first_watch_s()
             if self._asks_now:
                 self._asks_now = False
                 return _PROBE_S
+            self._watches = False
             await trio.sleep(_TURN_S)
 
+    def _first_watch_s(self) -> float:
+        """Give how long to wait for a change; who begins to watch looks first.
+
+        That the service answered it last may be long ago.
+        """
+        if self._watches:
+            return self._watch_s()
+        self._watches = True
+        return _PROBE_S
+
     def _watch_s(self) -> float:
         """Give how long to wait for a change.
 
