--- a/cleatlink/routing/table_knowledge.py
+++ b/cleatlink/routing/table_knowledge.py
@@ -6,8 +6,8 @@
 __all__ = ["TableKnowledge", "TableStanding"]
 
 
-# A table counts as current for so long after the last word from the configuration service: longer
-# than two lost heartbeats take, and than the usual wait for changes of a small fleet.
+# A table counts as current for so long after the last word from the configuration service. Two
+# heartbeats may be lost meanwhile, and a small fleet waits no longer for changes.
 _CONFIRMED_S = 4.0
 
 
