--- a/cleatlink/relay/peers/peer_copier.py
+++ b/cleatlink/relay/peers/peer_copier.py
@@ -16,6 +16,7 @@
 
 __all__ = ["PeerCopier"]
 
+# Milliseconds a second.
 _MS = 1000.0
 
 
