--- a/cleatlink/relay/callers/later_tables.py
+++ b/cleatlink/relay/callers/later_tables.py
@@ -71,13 +71,13 @@
         self._woken.set()
         self._woken = trio.Event()
 
-    def soften(self, refusal: Refusal) -> Refusal:
+    def as_retriable(self, refusal: Refusal) -> Refusal:
         """Give what to answer now: no final refusal while the table may be out of date."""
         if refusal.kind not in _FINAL_KINDS or self.may_deny:
             return refusal
         return Refusal(ErrorKind.NOT_READY, _DETAILS[self._standing])
 
-    async def review(
+    async def judge_by_newer(
         self,
         inbound: Inbound,
         refusal: Refusal,
@@ -91,7 +91,7 @@
             judge: Judges it anew by the table that is in force then.
         """
         if refusal.kind not in _FINAL_KINDS or self._standing is not TableStanding.BEHIND:
-            return self.soften(refusal)
+            return self.as_retriable(refusal)
         now = trio.current_time()
         behind_s = self._tables.behind_s(now)
         outcome: str = _Outcome.CALLER_LEFT
@@ -122,7 +122,7 @@
             if not await self._is_woken(until):
                 break
             result = judge()
-        return self.soften(result) if isinstance(result, Refusal) else result
+        return self.as_retriable(result) if isinstance(result, Refusal) else result
 
     def _is_open(self, result: object) -> bool:
         """Tell whether a newer table that is known to exist may judge otherwise."""
--- a/cleatlink/relay/callers/service.py
+++ b/cleatlink/relay/callers/service.py
@@ -154,7 +154,7 @@
         found = self._judge(inbound, raw.headers)
         if isinstance(found, Refusal):
             judge = partial(self._judge, inbound, raw.headers)
-            found = await self._later_tables.review(inbound, found, judge)
+            found = await self._later_tables.judge_by_newer(inbound, found, judge)
             if isinstance(found, Refusal):
                 await self._refuse_unrouted(exchange, inbound, found)
                 return
@@ -351,7 +351,7 @@
         await self._deliver(exchange, status, headers, answer.body)
 
     async def _refuse_call(self, call: Call, exchange: Exchange, refusal: Refusal) -> None:
-        refusal = self._later_tables.soften(refusal)
+        refusal = self._later_tables.as_retriable(refusal)
         call.log_outcome(
             "is refused", kind=refusal.kind.value, detail=refusal.detail, sends=call.sends
         )
