--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -18,8 +18,10 @@
     StreamBrokenError,
 )
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
+from cleatlink.relay.endpoints.unacknowledged import count_unacknowledged
 from cleatlink.relay.sockets import connect
 from cleatlink.relay.tasks import run_watched
+from cleatlink.routing.uploads import TakenBytes, Upload
 
 __all__ = ["EndpointConnection"]
 
@@ -29,6 +31,11 @@
 _MAX_HEAD_BYTES = 65_536
 # A body up to this size fits the socket's buffer, so that sending it cannot block for long.
 _SMALL_BODY_BYTES = 16_384
+# A long body is handed to the kernel in parts of this size.
+_PART_BYTES = 16_384
+# How soon it is looked at whether a long body has been taken, doubled each time up to the longest.
+_FIRST_LOOK_S = 0.001
+_LONGEST_LOOK_S = 0.02
 
 
 class EndpointConnection:
@@ -45,6 +52,8 @@
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._sent_whole = True
+        # Bytes of the request that the kernel has accepted.
+        self._accepted = 0
         self._keep_alive_s: float | None = None
         self._on_head = on_head
         self._on_bytes: Callable[[], None] | None = None
@@ -107,13 +116,17 @@
         return now - self.idle_since < limit_s
 
     async def exchange(
-        self, request: OutgoingRequest, on_bytes: Callable[[], None] | None = None
+        self,
+        request: OutgoingRequest,
+        on_bytes: Callable[[], None] | None = None,
+        upload: Upload | None = None,
     ) -> ReplyHead:
         """Send a request and read the head of its answer.
 
         Args:
             request: The request.
             on_bytes: Told each time that bytes of the answer came, also of its body.
+            upload: Told how far a long body has come.
 
         Raises:
             OutcomeUnknownError: No answer came, or bytes that are none.
@@ -135,24 +148,51 @@
             if len(request.body) <= _SMALL_BODY_BYTES:
                 await self._stream.send_all(data)
                 return await self._read_head()
-            return await self._send_and_read(data)
+            return await self._send_and_read(data, upload)
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError) as error:
             raise OutcomeUnknownError(repr(error)) from error
 
-    async def _send_and_read(self, data: bytes) -> ReplyHead:
+    async def _send_and_read(self, data: bytes, upload: Upload | None) -> ReplyHead:
         """Send a long request while reading: the answer may come before its end."""
-        self._sent_whole = False
-        head = await run_watched(self._read_head, lambda _: self._send_long(data))
+        self._sent_whole, self._accepted = False, 0
+        if upload is not None:
+            upload.begin(len(data), trio.current_time())
+        head = await run_watched(self._read_head, lambda _: self._send_long(data, upload))
         assert head is not None, "sending does not end the reading"
         return head
 
-    async def _send_long(self, data: bytes) -> None:
-        try:
-            await self._stream.send_all(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            # The answer, if there is one, can still be read.
-            return
-        self._sent_whole = True
+    async def _send_long(self, data: bytes, upload: Upload | None) -> None:
+        """Send a long request, and follow it until the other side has all of it."""
+        async with trio.open_nursery() as nursery:
+            if upload is not None:
+                nursery.start_soon(self._follow, upload)
+            try:
+                for begin in range(0, len(data), _PART_BYTES):
+                    part = data[begin : begin + _PART_BYTES]
+                    await self._stream.send_all(part)
+                    self._accepted += len(part)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                # The answer, if there is one, can still be read.
+                nursery.cancel_scope.cancel()
+                return
+            self._sent_whole = True
+
+    async def _follow(self, upload: Upload) -> None:
+        """Have an upload know how far it has come, until the other side has all of it."""
+        pause_s = _FIRST_LOOK_S
+        while not upload.is_whole:
+            await trio.sleep(pause_s)
+            upload.note_taken(self._count_taken(), trio.current_time())
+            pause_s = min(_LONGEST_LOOK_S, 2 * pause_s)
+
+    def _count_taken(self) -> TakenBytes:
+        """Give what the other side has of the request."""
+        file_number = self._stream.socket.fileno()
+        waiting = count_unacknowledged(file_number) if file_number >= 0 else None
+        if waiting is None:
+            return TakenBytes(self._accepted, False)
+        # The kernel may hold a part of what it has not accepted in full yet.
+        return TakenBytes(max(0, self._accepted - waiting), True)
 
     async def _read_head(self) -> ReplyHead:
         while True:
--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -11,6 +11,7 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
+from cleatlink.routing.uploads import Upload
 
 __all__ = ["FRESH_LIMIT_S", "IDLE_LIMIT_S", "ConnectionPool", "Reply"]
 
@@ -100,6 +101,8 @@
         make: Callable[[], OutgoingRequest],
         most_bytes: int,
         on_bytes: Callable[[], None] | None = None,
+        *,
+        upload: Upload | None = None,
     ) -> Reply:
         """Make one whole exchange.
 
@@ -109,6 +112,7 @@
             make: Gives the request once the connection is there.
             most_bytes: Longest body that is read.
             on_bytes: Told each time that bytes of the answer came.
+            upload: Told how far a long body has come.
 
         Raises:
             EndpointUnreachableError: No connection came up; nothing left.
@@ -117,7 +121,7 @@
         """
         connection = await self.take(endpoint, idle_limit_s)
         try:
-            head = await connection.exchange(make(), on_bytes)
+            head = await connection.exchange(make(), on_bytes, upload)
             body = await connection.read_body(most_bytes)
         except BaseException:
             connection.close()
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -23,6 +23,7 @@
 from cleatlink.routing.shared_waiting import SharedWaiting
 from cleatlink.routing.shed_limits import ShedLimits
 from cleatlink.routing.spill_over import SpillOver
+from cleatlink.routing.uploads import UploadPaces
 from cleatlink.routing.workload import Workload
 
 __all__ = ["Capacity"]
@@ -43,6 +44,7 @@
         self.endpoint_paces = EndpointPaces()
         self.plain = PlainLoad(now)
         self.plain_returns = PlainReturns()
+        self.upload_paces = UploadPaces()
         super().__init__(self.notices.begin_work, self.notices.end_work)
         self.switches = switches or Switches()
         self.spill_over = SpillOver(is_on=self.switches.uses(Mechanism.SPILL_OVER))
@@ -213,6 +215,7 @@
         self._endpoints.pop(name, None)
         self._outcomes.forget(name)
         self.endpoint_paces.forget(name)
+        self.upload_paces.forget(name)
         self._shed_limits.forget(name)
         self._refuted.pop(name, None)
         self._switching.pop(name, None)
