--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -18,9 +18,11 @@
 from cleatlink.relay.calls.turns import own_turn
 from cleatlink.relay.endpoints.pool import IDLE_LIMIT_S
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
+from cleatlink.relay.tasks import run_watched
 from cleatlink.routing.endpoint_pace import PaceKind
 from cleatlink.routing.relay_place import place_prefill
 from cleatlink.routing.reservation import Reservation
+from cleatlink.routing.uploads import Upload
 
 __all__ = ["Handle", "Prefill"]
 
@@ -155,15 +157,20 @@
         work = Reservation(endpoint.name, Role.PREFILL, tokens, now + expected_s, expected_s)
         parts.capacity.reserve(key, work)
         parts.on_work(key)
+        upload = call.upload_to(endpoint)
         try:
             due_at = parts.capacity.limits.book(key, endpoint.name, now)
-            with trio.fail_after(max(0.0, min(call.left_s, expected_s + _PREFILL_SLACK_S))):
-                if due_at > now:
-                    call.log_turn(endpoint, due_at - now)
-                    await trio.sleep_until(due_at)
-                self.handle = await self._ask_prefill(endpoint)
+            handle = await run_watched(
+                lambda: self._ask_in_turn(endpoint, due_at, upload),
+                lambda leave: self._leave_when_late(upload, expected_s + _PREFILL_SLACK_S, leave),
+            )
+            if handle is None:
+                call.note_silent(endpoint, upload, expected_s + _PREFILL_SLACK_S)
+                raise trio.TooSlowError
+            self.handle = handle
             self.was_computed = True
             taken_s = trio.current_time() - now
+            call.note_read(endpoint, upload, taken_s)
             call.log(
                 "is prefilled",
                 endpoint=endpoint.name,
@@ -172,10 +179,9 @@
                 queue_ms=int(1000 * queue_s),
             )
             parts.metrics.observe_prefill(taken_s)
-            # An endpoint that turned sick is told of, also where its speed is known.
-            if taken_s > _SLOW_FACTOR * (queue_s + usual_s) + _SLOW_BASE_S:
-                call.note_slow(endpoint, taken_s)
-            self._note_pace(endpoint, queue_s, max(0.0, taken_s - _PREFILL_BASE_S))
+            served_s = upload.served_s(now, trio.current_time())
+            if served_s is not None:
+                self._note_served(endpoint, queue_s, served_s)
             parts.capacity.note_success(endpoint.name, trio.current_time())
             parts.capacity.note_room(endpoint.name)
         finally:
@@ -183,18 +189,46 @@
             parts.capacity.limits.give_up(key, trio.current_time())
             parts.on_work(key)
 
-    def _note_pace(self, endpoint: RoutedEndpoint, queue_s: float, seconds: float) -> None:
-        """Learn how fast the endpoint, and its service, compute prompts."""
+    async def _ask_in_turn(self, endpoint: RoutedEndpoint, due_at: float, upload: Upload) -> Handle:
+        """Wait until the endpoint's limit allows it, and have the prompt computed."""
+        wait_s = due_at - trio.current_time()
+        if wait_s > 0:
+            self._call.log_turn(endpoint, wait_s)
+            await trio.sleep_until(due_at)
+        return await self._ask_prefill(endpoint, upload)
+
+    async def _leave_when_late(
+        self, upload: Upload, patience_s: float, leave: trio.CancelScope
+    ) -> None:
+        """Have an endpoint left that has had the prompt for too long, or the call's time is over.
+
+        Without the prompt's own time on a narrow link, two prefills were left while it was on its
+        way to them, and the caller got 504.
+        """
+        began_at = trio.current_time()
+        while True:
+            due_at = min(self._call.deadline, max(began_at, upload.read_by) + patience_s)
+            if due_at <= trio.current_time():
+                leave.cancel()
+                return
+            await trio.sleep_until(due_at)
+
+    def _note_served(self, endpoint: RoutedEndpoint, queue_s: float, served_s: float) -> None:
+        """Learn how fast the endpoint, and its service, compute a prompt that they have."""
         capacity = self._parts.capacity
         pace = capacity.pace(self._call.service.name)
         tokens = self._call.inbound.prompt_tokens
         usual_s = pace.prompt_s(tokens)
+        seconds = max(0.0, served_s - _PREFILL_BASE_S)
+        # An endpoint that turned sick is told of, also where its speed is known.
+        if served_s > _SLOW_FACTOR * (queue_s + usual_s) + _SLOW_BASE_S:
+            self._call.note_slow(endpoint, served_s)
         if pace.is_known and queue_s < _SHORT_QUEUE_SHARE * usual_s:
             now = trio.current_time()
             capacity.note_duration(endpoint.name, PaceKind.PROMPT, seconds - queue_s, usual_s, now)
         pace.note_prompt(tokens, queue_s, seconds)
 
-    async def _ask_prefill(self, endpoint: RoutedEndpoint) -> Handle:
+    async def _ask_prefill(self, endpoint: RoutedEndpoint, upload: Upload) -> Handle:
         call, parts = self._call, self._parts
         call.note_begun()
 
@@ -203,7 +237,9 @@
                 call.inbound, endpoint, call.left_s, prefill=True, priority=call.told_priority
             )
 
-        reply = await parts.pool.call(endpoint, IDLE_LIMIT_S, make, _MOST_REPLY_BYTES)
+        reply = await parts.pool.call(
+            endpoint, IDLE_LIMIT_S, make, _MOST_REPLY_BYTES, upload=upload
+        )
         return self._read_handle(endpoint, reply.head, reply.body)
 
     def _read_handle(self, endpoint: RoutedEndpoint, head: ReplyHead, body: bytes) -> Handle:
--- a/cleatlink/relay/calls/slow_uploads_test.py
+++ b/cleatlink/relay/calls/slow_uploads_test.py
@@ -1,7 +1,9 @@
 """Requests whose bodies take long on their way to an endpoint that reads without a pause."""
 
 import math
+from typing import Any
 
+import eliot
 import pytest
 import trio
 
@@ -161,6 +163,33 @@
         assert [capacity.speed(worker.name, now) for worker in workers] == [1.0, 1.0]
 
 
+async def test_slow_prompts_do_not_make_prefills_look_slow() -> None:
+    """Prompts on their way were taken for work, and their prefills told to peers as slow."""
+    lines: list[dict[str, Any]] = []
+    eliot.add_destinations(lines.append)
+    try:
+        await prefill_over_a_narrow_link()
+    finally:
+        eliot.remove_destination(lines.append)
+    outcomes = {line["message_type"] for line in lines}
+    assert "relay: is prefilled" in outcomes
+    assert "relay: found an endpoint slow" not in outcomes
+
+
+async def prefill_over_a_narrow_link() -> None:
+    """Have a prefill compute long prompts behind a narrow link, after short ones."""
+    async with open_fleet() as fleet:
+        prefill, decode = Worker("model", "prefill"), Worker("model", "decode")
+        await start(fleet, prefill, decode)
+        caller = fleet.caller()
+        for _ in range(6):
+            assert (await caller.ask("/stream/x", "POST", body=b"p", headers=STREAM)).status == 200
+        narrow(prefill)
+        for _ in range(4):
+            reply = await caller.ask("/stream/x", "POST", body=300_000 * b"p", headers=STREAM)
+            assert reply.status == 200
+
+
 async def test_answer_before_a_slow_body_is_in_is_the_callers() -> None:
     """What follows on the connection is the rest of that body, or nothing."""
     async with open_fleet() as fleet:
