--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -157,6 +157,7 @@
         """Send the request on a connection and pass the answer on."""
         call, parts, prefill = self._call, self._parts, self._place.prefill
         handed_over, sent_at = prefill.source is not None, trio.current_time()
+        upload = call.upload_to(endpoint)
         request = parts.protocol.forward(
             call.inbound,
             endpoint,
@@ -166,8 +167,10 @@
             last_event=self._cutter.last,
             priority=call.told_priority,
         )
+        self._succession.follow(upload)
         self._succession.listen(_FIRST_EVENT_S)
-        head = await connection.exchange(request)
+        head = await connection.exchange(request, upload=upload)
+        call.note_read(endpoint, upload, trio.current_time() - sent_at)
         self._note_heard()
         if parts.protocol.not_run(head):
             connection.close()
@@ -181,7 +184,14 @@
             return await self._pass_failure(head, connection)
         if not parts.protocol.signed(head):
             raise OutcomeUnknownError("the answer has no signature")
-        watch = StreamWatch(call, parts.capacity, endpoint.name, sent_at, handed_over)
+        watch = StreamWatch(
+            call,
+            parts.capacity,
+            endpoint.name,
+            sent_at,
+            handed_over=handed_over,
+            upload=upload,
+        )
         await self._relay(head, connection, watch)
         watch.note_end(self._place.room)
         call.note_served()
--- a/cleatlink/relay/calls/succession.py
+++ b/cleatlink/relay/calls/succession.py
@@ -11,6 +11,7 @@
 from cleatlink.relay.calls.decode_place import DecodePlace
 from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.relay.calls.room import DecodeRoom
+from cleatlink.routing.uploads import UNKNOWN_PACE, Upload
 
 __all__ = ["Succession"]
 
@@ -28,6 +29,7 @@
         self._parts = parts
         self._waits_since: float | None = None
         self._silence_s = 0.0
+        self._upload = Upload(UNKNOWN_PACE)
         self._search = trio.CancelScope()
 
     def listen(self, silence_s: float) -> None:
@@ -39,6 +41,10 @@
         self._waits_since = trio.current_time()
         self._silence_s = silence_s
 
+    def follow(self, upload: Upload) -> None:
+        """Follow a request that is sent now: until it has been read, nothing can be heard."""
+        self._upload = upload
+
     def note_heard(self) -> None:
         """Note that the endpoint spoke: it is not left now."""
         self._waits_since = None
@@ -57,11 +63,13 @@
             await trio.sleep(_LOOK_S)
             waits_since = self._waits_since
             now = trio.current_time()
-            if waits_since is None or now - waits_since < self._silence_s:
+            if waits_since is None:
+                continue
+            silent_s = now - max(waits_since, self._upload.read_by)
+            if silent_s < self._silence_s:
                 continue
-            name, silent_ms = place.endpoint.name, int(1000 * (now - waits_since))
-            self._call.log("hears nothing", endpoint=name, silent_ms=silent_ms)
-            self._call.excluded.add(name)
+            self._call.note_silent(place.endpoint, self._upload, silent_s)
+            self._call.excluded.add(place.endpoint.name)
             self.successor = await self._find(place.prefill.was_computed)
             if self.successor is None and self._waits_since == waits_since:
                 # It is asked for again after as long a silence.
--- a/cleatlink/relay/calls/watch.py
+++ b/cleatlink/relay/calls/watch.py
@@ -5,6 +5,7 @@
 from cleatlink.relay.calls.call import Call
 from cleatlink.relay.calls.room import Room
 from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.uploads import Upload
 
 __all__ = ["StreamWatch"]
 
@@ -16,7 +17,14 @@
     """Tells what a stream shows of the paces of its service and its endpoint."""
 
     def __init__(
-        self, call: Call, capacity: Capacity, endpoint: str, sent_at: float, handed_over: bool
+        self,
+        call: Call,
+        capacity: Capacity,
+        endpoint: str,
+        sent_at: float,
+        *,
+        handed_over: bool,
+        upload: Upload,
     ) -> None:
         """Begin to watch.
 
@@ -26,6 +34,7 @@
             endpoint: Name of the endpoint that runs it.
             sent_at: When the request was sent to the decode.
             handed_over: Whether its prompt had been computed elsewhere.
+            upload: The request's body on its way there.
         """
         traits = call.service.engine
         self._call = call
@@ -34,6 +43,7 @@
         self._endpoint = endpoint
         self._sent_at = sent_at
         self._handed_over = handed_over
+        self._upload = upload
         self._event_tokens = traits.event_tokens if traits is not None else 1
         self._events = 0
         self._stretch = 0
@@ -42,8 +52,9 @@
     def note_events(self, count: int, now: float) -> None:
         """Note events that came."""
         if not self._events:
-            if self._handed_over:
-                self._pace.note_start(now - self._sent_at)
+            start_s = self._upload.served_s(self._sent_at, now)
+            if self._handed_over and start_s is not None:
+                self._pace.note_start(start_s)
             self._events, self._stretch_from = count, now
             return
         self._events += count
