--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -54,7 +54,7 @@
         self._parts = parts
         self._failed: Reply | None = None
         self._next: RoutedEndpoint | None = None
-        # When the endpoint that is asked now sent its last byte.
+        # When the endpoint that is asked now sent its last byte, or else was asked.
         self._heard_at = -math.inf
         # The body on its way to it.
         self._upload = Upload(UNKNOWN_PACE)
@@ -136,7 +136,7 @@
             if not await self._wait_for_turn(endpoint, key):
                 return None
             began_at = trio.current_time()
-            self._heard_at = -math.inf
+            self._heard_at = began_at
             self._upload = call.upload_to(endpoint)
             load.begin(endpoint.name, began_at)
             answer = await run_watched(
@@ -197,7 +197,7 @@
 
     @property
     def _silent_since(self) -> float:
-        """When the endpoint sent its last byte, or should have read the last one that it has."""
+        """When the endpoint was asked, sent its last byte or should have read what it has."""
         return max(self._heard_at, self._upload.read_by)
 
     async def _wait_for_silence(self) -> None:
--- a/cleatlink/relay/calls/plain_test.py
+++ b/cleatlink/relay/calls/plain_test.py
@@ -1,5 +1,8 @@
 """Plain calls through whole instances of the relay, over real connections."""
 
+from typing import Any
+
+import eliot
 import pytest
 import trio
 
@@ -257,6 +260,23 @@
             assert trio.current_time() - began_at < 0.35
 
 
+async def test_silence_is_logged_from_when_the_worker_was_asked() -> None:
+    """The line `hears nothing` told a silence of hours for a call without a body."""
+    lines: list[dict[str, Any]] = []
+    eliot.add_destinations(lines.append)
+    try:
+        async with open_fleet() as fleet:
+            first, second = Worker("plain"), Worker("plain")
+            caller = await start_with_known_pace(fleet, first, second)
+            first.faults = [Fault.MUTE]
+            while first.faults:
+                assert (await caller.ask("/safe/x")).status == 200
+    finally:
+        eliot.remove_destination(lines.append)
+    silent = [line for line in lines if line["message_type"] == "relay: hears nothing"]
+    assert [100 <= line["silent_ms"] <= 400 for line in silent] == [True]
+
+
 async def start_with_known_pace(fleet: Fleet, *workers: Worker) -> Caller:
     """Start workers whose calls are known to be quick; gives a caller."""
     await start(fleet, *workers)
