--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -169,7 +169,7 @@
         pace = capacity.pace(self._call.service.name)
         now = trio.current_time()
         seconds = self._upload.served_s(began_at, now)
-        if seconds is None:
+        if seconds is None or capacity.own_pauses.any_since(began_at, now):
             return
         capacity.note_duration(endpoint.name, PaceKind.PLAIN, seconds, pace.plain_s, now)
         pace.note_plain(seconds)
--- a/cleatlink/relay/calls/watch.py
+++ b/cleatlink/relay/calls/watch.py
@@ -53,7 +53,8 @@
         """Note events that came."""
         if not self._events:
             start_s = self._upload.served_s(self._sent_at, now)
-            if self._handed_over and start_s is not None:
+            paused = self._capacity.own_pauses.any_since(self._sent_at, now)
+            if self._handed_over and start_s is not None and not paused:
                 self._pace.note_start(start_s)
             self._events, self._stretch_from = count, now
             return
@@ -64,7 +65,9 @@
             self._stretch, self._stretch_from = 0, now
 
     def _note_stretch(self, now: float) -> None:
-        """Learn from a stretch that ends now."""
+        """Learn from a stretch that ends now, if this instance ran all the time."""
+        if self._capacity.own_pauses.any_since(self._stretch_from, now):
+            return
         tokens, seconds = self._stretch * self._event_tokens, now - self._stretch_from
         self._pace.note_tokens(tokens, seconds)
         self._capacity.note_tokens(self._endpoint, tokens, seconds, now)
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -413,11 +413,20 @@
         self._metrics.set_held(self._held)
         return self._metrics.render()
 
+    async def _sleep_watching(self, seconds: float) -> None:
+        """Sleep, and note if this instance did not run as it should have woken."""
+        pauses = self._capacity.own_pauses
+        pauses.expect_look(trio.current_time() + seconds)
+        await trio.sleep(seconds)
+        paused_s = pauses.look(trio.current_time())
+        if paused_s:
+            eliot.log_message(message_type="instance: did not run", paused_ms=int(1000 * paused_s))
+
     async def _keep_house(self) -> None:
         rng = random.Random(self._incarnation)
         while True:
             # Instances that start together do not look at the same moments.
-            await trio.sleep(_HOUSEKEEPING_S * (0.5 + rng.random()))
+            await self._sleep_watching(_HOUSEKEEPING_S * (0.5 + rng.random()))
             self._pool.prune()
             self._service.room.keep_house()
             self._quarantine.keep_house()
--- /dev/null
+++ b/cleatlink/relay/own_pauses_test.py
@@ -0,0 +1,73 @@
+"""What an instance learns of endpoints while it does not run itself."""
+
+import pytest
+import trio
+
+from standins.relay import Worker
+from standins.relay.client import Caller
+from standins.relay.example import STREAM, start
+from standins.relay.fleet import open_fleet
+
+pytestmark = pytest.mark.virtual_time
+
+PAUSE_S = 0.5
+
+
+async def ask_across_a_pause(
+    caller: Caller, path: str, headers: dict[str, str], after_s: float = 0.005
+) -> None:
+    """Make a call, and have all of the machine stand still while it is on its way."""
+
+    async def pause() -> None:
+        await trio.sleep(after_s)
+        clock = trio.lowlevel.current_clock()
+        assert isinstance(clock, trio.testing.MockClock)
+        clock.jump(PAUSE_S)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(pause)
+        assert (await caller.ask(path, "POST", body=b"b", headers=headers)).status == 200
+
+
+async def test_pauses_do_not_make_plain_calls_look_slow() -> None:
+    """Later silences of endpoints were borne for longer, and calls were refused as too late."""
+    async with open_fleet() as fleet:
+        await start(fleet, Worker("plain"))
+        caller = fleet.caller()
+        for _ in range(5):
+            assert (await caller.ask("/safe/x")).status == 200
+        usual_s = fleet.instances[0].capacity.pace("plain").plain_s
+        for _ in range(3):
+            await ask_across_a_pause(caller, "/safe/x", {})
+        assert fleet.instances[0].capacity.pace("plain").plain_s < 1.5 * usual_s
+
+
+async def test_pauses_do_not_make_engines_look_slow() -> None:
+    """After a pause, short streams were left to others by a planned stop that had time for them."""
+    async with open_fleet() as fleet:
+        decode = Worker("model", "decode")
+        decode.events = 20
+        await start(fleet, decode)
+        caller = fleet.caller()
+        for _ in range(20):
+            assert (await caller.ask("/stream/x", "POST", body=b"p", headers=STREAM)).status == 200
+        pace = fleet.instances[0].capacity.pace("model")
+        slow_s = pace.slow_token_s
+        for _ in range(10):
+            await ask_across_a_pause(caller, "/stream/x", STREAM, after_s=0.06)
+        assert pace.slow_token_s < 2 * slow_s
+
+
+async def test_pauses_do_not_make_prompts_look_slow() -> None:
+    """A caller was refused for its prompt's sake after a pause of 0.4 s, beside quick prompts."""
+    async with open_fleet() as fleet:
+        prefill, decode = Worker("model", "prefill"), Worker("model", "decode")
+        await start(fleet, prefill, decode)
+        caller = fleet.caller()
+        for _ in range(8):
+            assert (await caller.ask("/stream/x", "POST", body=b"p", headers=STREAM)).status == 200
+        pace = fleet.instances[0].capacity.pace("model")
+        usual_s = pace.prompt_s(100)
+        for _ in range(12):
+            await ask_across_a_pause(caller, "/stream/x", STREAM)
+        assert pace.prompt_s(100) < 1.2 * usual_s
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -16,6 +16,7 @@
 from cleatlink.routing.mechanisms import Mechanism, Switches
 from cleatlink.routing.notices import EndpointNotices
 from cleatlink.routing.outcomes import EndpointOutcomes
+from cleatlink.routing.own_pauses import OwnPauses
 from cleatlink.routing.pace import PaceSummary, ServicePace
 from cleatlink.routing.plain_load import PlainLoad
 from cleatlink.routing.plain_returns import PlainReturns
@@ -45,6 +46,7 @@
         self.plain = PlainLoad(now)
         self.plain_returns = PlainReturns()
         self.upload_paces = UploadPaces()
+        self.own_pauses = OwnPauses()
         super().__init__(self.notices.begin_work, self.notices.end_work)
         self.switches = switches or Switches()
         self.spill_over = SpillOver(is_on=self.switches.uses(Mechanism.SPILL_OVER))
