--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -18,7 +18,7 @@
 from cleatlink.relay.calls.plain_gate import PlainGate
 from cleatlink.relay.endpoints.pool import FRESH_LIMIT_S, IDLE_LIMIT_S, Reply
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
-from cleatlink.relay.tasks import run_watched
+from cleatlink.relay.tasks import run_watched, sleep_and_read
 from cleatlink.routing.endpoint_pace import PaceKind
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.plain_load import CallEnd
@@ -208,10 +208,11 @@
         """
         since = trio.current_time()
         while True:
-            await trio.sleep_until(since + self._silence_s())
-            if self._silent_since <= since:
+            await sleep_and_read(since + self._silence_s())
+            silent_since = self._silent_since
+            if silent_since <= since:
                 return
-            since = self._silent_since
+            since = silent_since
 
     def _note_heard(self) -> None:
         self._heard_at = trio.current_time()
--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -18,7 +18,7 @@
 from cleatlink.relay.calls.turns import own_turn
 from cleatlink.relay.endpoints.pool import IDLE_LIMIT_S
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReplyHead
-from cleatlink.relay.tasks import run_watched
+from cleatlink.relay.tasks import run_watched, sleep_and_read
 from cleatlink.routing.endpoint_pace import PaceKind
 from cleatlink.routing.relay_place import place_prefill
 from cleatlink.routing.reservation import Reservation
@@ -212,7 +212,7 @@
             if due_at <= trio.current_time():
                 leave.cancel()
                 return
-            await trio.sleep_until(due_at)
+            await sleep_and_read(due_at)
 
     def _note_served(self, endpoint: RoutedEndpoint, queue_s: float, served_s: float) -> None:
         """Learn how fast the endpoint, and its service, compute a prompt that they have."""
--- a/cleatlink/relay/calls/succession.py
+++ b/cleatlink/relay/calls/succession.py
@@ -11,6 +11,7 @@
 from cleatlink.relay.calls.decode_place import DecodePlace
 from cleatlink.relay.calls.parts import RelayParts
 from cleatlink.relay.calls.room import DecodeRoom
+from cleatlink.relay.tasks import sleep_and_read
 from cleatlink.routing.uploads import UNKNOWN_PACE, Upload
 
 __all__ = ["Succession"]
@@ -60,7 +61,7 @@
             leave: Cancelled once there is a successor.
         """
         while self.successor is None:
-            await trio.sleep(_LOOK_S)
+            await sleep_and_read(trio.current_time() + _LOOK_S)
             waits_since = self._waits_since
             now = trio.current_time()
             if waits_since is None:
--- a/cleatlink/relay/own_pauses_test.py
+++ b/cleatlink/relay/own_pauses_test.py
@@ -14,7 +14,12 @@
 
 
 async def ask_across_a_pause(
-    caller: Caller, path: str, headers: dict[str, str], after_s: float = 0.005
+    caller: Caller,
+    path: str,
+    headers: dict[str, str],
+    *,
+    after_s: float = 0.005,
+    pause_s: float = PAUSE_S,
 ) -> None:
     """Make a call, and have all of the machine stand still while it is on its way."""
 
@@ -22,7 +27,7 @@
         await trio.sleep(after_s)
         clock = trio.lowlevel.current_clock()
         assert isinstance(clock, trio.testing.MockClock)
-        clock.jump(PAUSE_S)
+        clock.jump(pause_s)
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(pause)
@@ -71,3 +76,35 @@
         for _ in range(12):
             await ask_across_a_pause(caller, "/stream/x", STREAM)
         assert pace.prompt_s(100) < 1.2 * usual_s
+
+
+async def test_endpoint_is_not_silent_while_the_instance_does_not_run() -> None:
+    """An answer lay unread, its endpoint was left and avoided, and 59 callers were refused."""
+    async with open_fleet() as fleet:
+        workers = Worker("plain"), Worker("plain")
+        await start(fleet, *workers)
+        caller = fleet.caller()
+        for _ in range(5):
+            assert (await caller.ask("/safe/x")).status == 200
+        for worker in workers:
+            worker.arrivals.clear()
+        for _ in range(10):
+            await ask_across_a_pause(caller, "/safe/x", {})
+        assert sum(len(worker.arrivals) for worker in workers) == 10
+
+
+async def test_decode_is_not_silent_while_the_instance_does_not_run() -> None:
+    """A second decode was looked for, and the first one left, for a pause of the instance."""
+    async with open_fleet() as fleet:
+        decodes = Worker("model", "decode"), Worker("model", "decode")
+        for decode in decodes:
+            decode.events = 20
+        await start(fleet, *decodes)
+        caller = fleet.caller()
+        for _ in range(4):
+            assert (await caller.ask("/resume/x", "POST", body=b"p", headers=STREAM)).status == 200
+        for decode in decodes:
+            decode.arrivals.clear()
+        for _ in range(10):
+            await ask_across_a_pause(caller, "/resume/x", STREAM, after_s=0.06, pause_s=1.6)
+        assert sum(len(decode.arrivals) for decode in decodes) == 10
--- a/cleatlink/relay/tasks.py
+++ b/cleatlink/relay/tasks.py
@@ -7,13 +7,17 @@
 import eliot
 import trio
 
-__all__ = ["Task", "run_once", "run_watched", "supervise"]
+__all__ = ["Task", "run_once", "run_watched", "sleep_and_read", "supervise"]
 
 Task = Callable[..., Awaitable[None]]
 _Result = TypeVar("_Result")
 
 # Pause before a task that failed is started again.
 _RESTART_S = 0.5
+# Timers are usually late by less than this.
+_LATE_WAKE_S = 0.02
+# Within this, tasks read what lies in their sockets.
+_READ_S = 0.02
 
 
 async def run_once(task: Task, *args: object) -> None:
@@ -61,6 +65,17 @@
     return result
 
 
+async def sleep_and_read(until: float) -> None:
+    """Sleep until a time, and after a late wake until others have read what came meanwhile.
+
+    When the instance has not run for a while, timers and answers are due at once: whoever judges
+    a silence would not know of an answer that lies unread.
+    """
+    await trio.sleep_until(until)
+    if trio.current_time() - until > _LATE_WAKE_S:
+        await trio.sleep(_READ_S)
+
+
 async def supervise(task: Task) -> None:
     """Run a task for ever, again after a fault."""
     while True:
