--- a/standins/virtual_time_test.py
+++ b/standins/virtual_time_test.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from standins.virtual_time import run_in_virtual_time
+from standins.virtual_time import run_in_virtual_time, run_with_pauses
 
 pytestmark = pytest.mark.virtual_time
 
@@ -44,3 +44,18 @@
         return answers
 
     assert run_in_virtual_time(ask) == 100
+
+
+def test_pauses_of_a_seed_come_at_the_same_moments() -> None:
+    async def look() -> list[float]:
+        began_at, late = trio.current_time(), []
+        while trio.current_time() < began_at + 10.0:
+            due_at = trio.current_time() + 0.01
+            await trio.sleep_until(due_at)
+            if trio.current_time() > due_at + 0.05:
+                late.append(round(due_at - began_at, 2))
+        return late
+
+    first, again, other = (run_with_pauses(seed, look) for seed in (1, 1, 2))
+    assert len(first) >= 3
+    assert first == again != other
