--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -281,6 +281,22 @@
         """Learn how fast an endpoint read the call's body, which it answered after some seconds."""
         self._parts.capacity.upload_paces.note_answered(endpoint.name, upload, seconds)
 
+    def served_s(self, upload: Upload, began_at: float) -> float | None:
+        """Give for how long an endpoint has had the call by now.
+
+        Args:
+            upload: The call's body on its way there.
+            began_at: When sending began.
+
+        Returns:
+            Seconds; None if that is not known: the body may have been on its way for most of the
+            time, or this instance has not run all the time.
+        """
+        now = trio.current_time()
+        if self._parts.capacity.own_pauses.any_since(began_at, now):
+            return None
+        return upload.served_s(began_at, now)
+
     def note_silent(self, endpoint: RoutedEndpoint, upload: Upload, silent_s: float) -> None:
         """Note that another endpoint is asked, or looked for, since one is silent."""
         if not upload.is_whole:
--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -167,10 +167,10 @@
         """
         capacity = self._parts.capacity
         pace = capacity.pace(self._call.service.name)
-        now = trio.current_time()
-        seconds = self._upload.served_s(began_at, now)
-        if seconds is None or capacity.own_pauses.any_since(began_at, now):
+        seconds = self._call.served_s(self._upload, began_at)
+        if seconds is None:
             return
+        now = trio.current_time()
         capacity.note_duration(endpoint.name, PaceKind.PLAIN, seconds, pace.plain_s, now)
         pace.note_plain(seconds)
 
--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -179,9 +179,8 @@
                 queue_ms=int(1000 * queue_s),
             )
             parts.metrics.observe_prefill(taken_s)
-            served_s = upload.served_s(now, trio.current_time())
-            paused = parts.capacity.own_pauses.any_since(now, trio.current_time())
-            if served_s is not None and not paused:
+            served_s = call.served_s(upload, now)
+            if served_s is not None:
                 self._note_served(endpoint, queue_s, served_s)
             parts.capacity.note_success(endpoint.name, trio.current_time())
             parts.capacity.note_room(endpoint.name)
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -170,7 +170,6 @@
         self._succession.follow(upload)
         self._succession.listen(_FIRST_EVENT_S)
         head = await connection.exchange(request, upload=upload)
-        call.note_read(endpoint, upload, trio.current_time() - sent_at)
         self._note_heard()
         if parts.protocol.not_run(head):
             connection.close()
@@ -178,6 +177,7 @@
         if not parts.protocol.belongs(head, call.inbound):
             raise OutcomeUnknownError("the answer is another request's")
         call.ran = Ran.YES
+        call.note_read(endpoint, upload, trio.current_time() - sent_at)
         parts.capacity.note_room(endpoint.name)
         prefill.drop("taken")
         if head.status != 200:
--- a/cleatlink/relay/calls/watch.py
+++ b/cleatlink/relay/calls/watch.py
@@ -52,9 +52,8 @@
     def note_events(self, count: int, now: float) -> None:
         """Note events that came."""
         if not self._events:
-            start_s = self._upload.served_s(self._sent_at, now)
-            paused = self._capacity.own_pauses.any_since(self._sent_at, now)
-            if self._handed_over and start_s is not None and not paused:
+            start_s = self._call.served_s(self._upload, self._sent_at)
+            if self._handed_over and start_s is not None:
                 self._pace.note_start(start_s)
             self._events, self._stretch_from = count, now
             return
