--- a/cleatlink/relay/calls/plain_test.py
+++ b/cleatlink/relay/calls/plain_test.py
@@ -7,9 +7,9 @@
 import trio
 
 from standins.relay import Fault, Worker
-from standins.relay.client import Caller, Reply
-from standins.relay.example import runs, start
-from standins.relay.fleet import Fleet, open_fleet
+from standins.relay.client import Reply
+from standins.relay.example import runs, start, start_with_known_pace
+from standins.relay.fleet import open_fleet
 
 pytestmark = pytest.mark.virtual_time
 
@@ -277,17 +277,6 @@
     assert [100 <= line["silent_ms"] <= 400 for line in silent] == [True]
 
 
-async def start_with_known_pace(fleet: Fleet, *workers: Worker) -> Caller:
-    """Start workers whose calls are known to be quick; gives a caller."""
-    await start(fleet, *workers)
-    caller = fleet.caller()
-    for _ in range(5):
-        assert (await caller.ask("/safe/x")).status == 200
-    for worker in workers:
-        worker.arrivals.clear()
-    return caller
-
-
 async def test_answer_whose_bytes_keep_coming_is_not_asked_for_again() -> None:
     """A large answer over a narrow link was left halfway, and asked for at another worker."""
     async with open_fleet() as fleet:
--- a/cleatlink/relay/own_pauses_test.py
+++ b/cleatlink/relay/own_pauses_test.py
@@ -5,7 +5,7 @@
 
 from standins.relay import Worker
 from standins.relay.client import Caller
-from standins.relay.example import STREAM, start
+from standins.relay.example import STREAM, start, start_with_known_pace
 from standins.relay.fleet import open_fleet
 
 pytestmark = pytest.mark.virtual_time
@@ -82,12 +82,7 @@
     """An answer lay unread, its endpoint was left and avoided, and 59 callers were refused."""
     async with open_fleet() as fleet:
         workers = Worker("plain"), Worker("plain")
-        await start(fleet, *workers)
-        caller = fleet.caller()
-        for _ in range(5):
-            assert (await caller.ask("/safe/x")).status == 200
-        for worker in workers:
-            worker.arrivals.clear()
+        caller = await start_with_known_pace(fleet, *workers)
         for _ in range(10):
             await ask_across_a_pause(caller, "/safe/x", {})
         assert sum(len(worker.arrivals) for worker in workers) == 10
