--- a/cleatlink/relay/calls/slow_uploads_test.py
+++ b/cleatlink/relay/calls/slow_uploads_test.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from cleatlink.relay.endpoints import connection
+from cleatlink.relay.endpoints import streams
 from standins.relay import Fault, Worker
 from standins.relay.example_fleet import STREAM, start
 from standins.relay.fleet import Fleet, open_fleet
@@ -88,7 +88,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Without acknowledgements from the kernel, the body size determines the upload time."""
-    monkeypatch.setattr(connection, "count_unacknowledged", lambda _: None)
+    monkeypatch.setattr(streams, "count_unacknowledged", lambda _: None)
     async with open_fleet() as fleet:
         workers = limit_link_rate(Worker("plain"), Worker("plain"))
         caller = await start_long_route(fleet, *workers)
--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -13,20 +13,16 @@
 
 from cleatlink.core.errors import (
     EndpointTimeoutError,
-    EndpointUnreachableError,
     OutcomeUnknownError,
     StreamBrokenError,
 )
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ResponseHead
-from cleatlink.relay.endpoints.unacknowledged_bytes import count_unacknowledged
-from cleatlink.relay.sockets import connect
+from cleatlink.relay.endpoints.streams import EndpointStream, TcpConnector, connect_within
 from cleatlink.relay.tasks import run_watched
 from cleatlink.routing.uploads import AcceptedBytes, Upload
 
 __all__ = ["EndpointConnection"]
 
-# Bytes to read at a time: the usual size of a socket's buffer.
-_READ_BYTES = 65_536
 # Far above the longest response head that an endpoint sends.
 _MAX_HEAD_BYTES = 65_536
 # A body up to this size fits into the socket's buffer, so sending it cannot block for long.
@@ -44,11 +40,19 @@
 
     def __init__(
         self,
-        stream: trio.SocketStream,
+        stream: EndpointStream,
         opened_at: float,
         on_head: Callable[[ResponseHead], None] | None = None,
         on_send: Callable[[], None] | None = None,
     ) -> None:
+        """Create a connection over an open stream.
+
+        Args:
+            stream: The stream to the endpoint.
+            opened_at: Time at which it was opened.
+            on_head: Called with the head of each response, and with trailers after a body.
+            on_send: Called before each request is sent.
+        """
         self._on_send = on_send
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
@@ -63,33 +67,21 @@
 
     @classmethod
     async def open(
-        cls,
-        address: str,
-        ack_timeout_s: float,
-        timeout_s: float,
-        on_head: Callable[[ResponseHead], None] | None = None,
-        on_send: Callable[[], None] | None = None,
+        cls, address: str, ack_timeout_s: float, timeout_s: float
     ) -> "EndpointConnection":
-        """Open a connection.
+        """Open a TCP connection.
 
         Args:
             address: IP address and port.
             ack_timeout_s: Seconds that sent data may stay unacknowledged before the connection
                 fails.
             timeout_s: Seconds within which the connection must be established.
-            on_head: Called with the head of each response, and with trailers after a body.
-            on_send: Called before each request is sent.
 
         Raises:
             EndpointUnreachableError: The connection was not established.
         """
-        host, _, port = address.rpartition(":")
-        try:
-            with trio.fail_after(timeout_s):
-                stream = await connect(host, int(port), ack_timeout_s)
-        except (OSError, trio.TooSlowError) as error:
-            raise EndpointUnreachableError(f"{address}: {error!r}") from error
-        return cls(stream, trio.current_time(), on_head, on_send)
+        stream = await connect_within(TcpConnector(), address, ack_timeout_s, timeout_s)
+        return cls(stream, trio.current_time())
 
     @property
     def is_reusable(self) -> bool:
@@ -99,17 +91,11 @@
     @property
     def is_open_without_input(self) -> bool:
         """Whether the connection is open, with neither data nor its end waiting to be read."""
-        try:
-            return not self._stream.socket.is_readable()
-        except (OSError, ValueError):
-            return False
+        return self._stream.is_open_without_input
 
     async def wait_readable(self) -> None:
         """Wait until data or the end can be read, or until this side closes the connection."""
-        try:
-            await trio.lowlevel.wait_readable(self._stream.socket.fileno())
-        except (OSError, ValueError, trio.ClosedResourceError):
-            return
+        await self._stream.wait_readable()
 
     def is_within_idle_limit(self, now: float, limit_s: float) -> bool:
         """Check whether the endpoint is expected to still keep the idle connection open."""
@@ -189,8 +175,7 @@
 
     def _count_accepted(self) -> AcceptedBytes:
         """Return how many bytes of the request the endpoint has accepted."""
-        file_descriptor = self._stream.socket.fileno()
-        unacknowledged = count_unacknowledged(file_descriptor) if file_descriptor >= 0 else None
+        unacknowledged = self._stream.count_unacknowledged()
         if unacknowledged is None:
             return AcceptedBytes(self._accepted_bytes, False)
         # The kernel may already buffer some of a part that is not counted as accepted yet.
@@ -275,7 +260,7 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = await self._stream.receive_some(_READ_BYTES)
+            data = await self._stream.receive_some()
             if data and self._on_bytes is not None:
                 self._on_bytes()
             self._http.receive_data(data)
@@ -296,4 +281,4 @@
 
     def close(self) -> None:
         """Close the connection immediately, without waiting."""
-        self._stream.socket.close()
+        self._stream.close()
--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -10,7 +10,9 @@
 
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.endpoints.connection import EndpointConnection
+from cleatlink.relay.endpoints.dialer import Dialer, DirectDialer
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ResponseHead
+from cleatlink.relay.endpoints.streams import TcpConnector
 from cleatlink.routing.uploads import Upload
 
 __all__ = ["UNREPEATABLE_IDLE_LIMIT_S", "IDLE_LIMIT_S", "ConnectionPool", "Response"]
@@ -51,6 +53,7 @@
         on_head: Callable[[RoutedEndpoint, ResponseHead], None] | None = None,
         is_leaving: Callable[[str], bool] = lambda _: False,
         on_send: Callable[[RoutedEndpoint], None] | None = None,
+        dialer: Dialer | None = None,
     ) -> None:
         """Create an empty pool.
 
@@ -61,7 +64,9 @@
             is_leaving: Returns whether an incarnation is shutting down; no idle connections are
                 kept to it.
             on_send: Called before each request is sent to an endpoint.
+            dialer: Opens streams to endpoints; None for TCP connections.
         """
+        self._dialer = dialer or DirectDialer(TcpConnector())
         self._on_send = on_send
         self._is_leaving = is_leaving
         self._on_head = on_head
@@ -95,9 +100,8 @@
         """
         on_head = None if self._on_head is None else partial(self._on_head, endpoint)
         on_send = None if self._on_send is None else partial(self._on_send, endpoint)
-        connection = await EndpointConnection.open(
-            endpoint.address, ack_timeout_s, timeout_s, on_head, on_send
-        )
+        stream = await self._dialer.dial(endpoint, ack_timeout_s, timeout_s)
+        connection = EndpointConnection(stream, trio.current_time(), on_head, on_send)
         self._known_connections.setdefault(endpoint.name, WeakSet()).add(connection)
         return connection
 
--- /dev/null
+++ b/cleatlink/relay/endpoints/streams.py
@@ -0,0 +1,139 @@
+"""Byte streams to endpoints, and the connectors that open them."""
+
+from abc import ABC, abstractmethod
+
+import trio
+
+from cleatlink.core.errors import EndpointUnreachableError
+from cleatlink.relay.endpoints.unacknowledged_bytes import count_unacknowledged
+from cleatlink.relay.sockets import connect
+
+__all__ = ["Connector", "EndpointStream", "SocketStream", "TcpConnector", "connect_within"]
+
+# Bytes to read at a time: the usual size of a socket's buffer.
+_READ_BYTES = 65_536
+
+
+class EndpointStream(ABC):
+    """A byte stream to an endpoint."""
+
+    @property
+    @abstractmethod
+    def is_open_without_input(self) -> bool:
+        """Whether the stream is open, with neither data nor its end waiting to be read."""
+
+    @abstractmethod
+    async def send_all(self, data: bytes) -> None:
+        """Send data.
+
+        Raises:
+            trio.BrokenResourceError: The connection failed.
+            trio.ClosedResourceError: This side has closed the stream.
+        """
+
+    @abstractmethod
+    async def receive_some(self) -> bytes:
+        """Receive data; empty at the end that the endpoint sent.
+
+        Raises:
+            trio.BrokenResourceError: The connection failed.
+            trio.ClosedResourceError: This side has closed the stream.
+        """
+
+    @abstractmethod
+    async def wait_readable(self) -> None:
+        """Wait until data or the end can be read, or until this side closes the stream."""
+
+    @abstractmethod
+    def count_unacknowledged(self) -> int | None:
+        """Return how many sent bytes are not acknowledged yet; None if that is unknown."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the stream immediately, without waiting."""
+
+
+class SocketStream(EndpointStream):
+    """A stream over a TCP connection to the endpoint itself."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+
+    @property
+    def is_open_without_input(self) -> bool:
+        """Whether the connection is open, with neither data nor its end waiting to be read."""
+        try:
+            return not self._stream.socket.is_readable()
+        except (OSError, ValueError):
+            return False
+
+    async def send_all(self, data: bytes) -> None:
+        """Send data."""
+        await self._stream.send_all(data)
+
+    async def receive_some(self) -> bytes:
+        """Receive data; empty at the end of the connection."""
+        return bytes(await self._stream.receive_some(_READ_BYTES))
+
+    async def wait_readable(self) -> None:
+        """Wait until data or the end can be read, or until this side closes the connection."""
+        try:
+            await trio.lowlevel.wait_readable(self._stream.socket.fileno())
+        except (OSError, ValueError, trio.ClosedResourceError):
+            return
+
+    def count_unacknowledged(self) -> int | None:
+        """Return how many sent bytes the other side has not acknowledged; None if unknown."""
+        file_descriptor = self._stream.socket.fileno()
+        return count_unacknowledged(file_descriptor) if file_descriptor >= 0 else None
+
+    def close(self) -> None:
+        """Close the connection immediately, without waiting."""
+        self._stream.socket.close()
+
+
+class Connector(ABC):
+    """Opens connections from this instance to endpoints."""
+
+    @abstractmethod
+    async def connect(self, address: str, ack_timeout_s: float) -> EndpointStream:
+        """Connect to an endpoint.
+
+        Args:
+            address: IP address and port.
+            ack_timeout_s: Seconds that sent data may stay unacknowledged before the connection
+                fails.
+
+        Raises:
+            OSError: The connection could not be opened.
+        """
+
+
+class TcpConnector(Connector):
+    """Opens TCP connections."""
+
+    async def connect(self, address: str, ack_timeout_s: float) -> EndpointStream:
+        """Connect to an endpoint by TCP."""
+        host, _, port = address.rpartition(":")
+        return SocketStream(await connect(host, int(port), ack_timeout_s))
+
+
+async def connect_within(
+    connector: Connector, address: str, ack_timeout_s: float, timeout_s: float
+) -> EndpointStream:
+    """Connect to an endpoint within a time limit.
+
+    Args:
+        connector: Opens the connection.
+        address: IP address and port.
+        ack_timeout_s: Seconds that sent data may stay unacknowledged before the connection fails.
+        timeout_s: Seconds within which the connection must be established.
+
+    Raises:
+        EndpointUnreachableError: The connection was not established.
+    """
+    try:
+        with trio.fail_after(timeout_s):
+            return await connector.connect(address, ack_timeout_s)
+    except (OSError, trio.TooSlowError) as error:
+        raise EndpointUnreachableError(f"{address}: {error!r}") from error
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -17,9 +17,11 @@
 from cleatlink.relay.calls.components import RelayComponents
 from cleatlink.relay.calls.planned_stop import PlannedStop
 from cleatlink.relay.endpoints.crash_detector import CrashDetector
+from cleatlink.relay.endpoints.dialer import DirectDialer
 from cleatlink.relay.endpoints.pool import ConnectionPool
 from cleatlink.relay.endpoints.protocol import Protocol
 from cleatlink.relay.endpoints.response_notices import ResponseNoticeReader
+from cleatlink.relay.endpoints.streams import Connector, TcpConnector
 from cleatlink.relay.following.follower import Follower, FollowerHooks
 from cleatlink.relay.following.source import ConfigurationSource
 from cleatlink.relay.logs import LogWriter
@@ -80,7 +82,19 @@
         source: ConfigurationSource,
         incarnation: int,
         writer: LogWriter | None = None,
+        *,
+        connector: Connector | None = None,
     ) -> None:
+        """Create the components of an instance without starting it.
+
+        Args:
+            settings: Settings of the instance.
+            protocol: Names of headers and paths on the wire.
+            source: Client of the configuration service.
+            incarnation: Number of this start; it grows with each start.
+            writer: Writes the log; None in tests.
+            connector: Opens connections to endpoints; None for TCP connections.
+        """
         self._settings = settings
         self._source = source
         self._incarnation = incarnation
@@ -103,6 +117,7 @@
             self._notice_reader.process_head,
             notices.is_leaving,
             self._count_sent_call,
+            DirectDialer(connector or TcpConnector()),
         )
         self._budgets = ServiceBudgets(settings)
         self._caller_memory = BufferedBytes(_caller_memory_limit_bytes(settings.memory_mb))
--- a/standins/relay/fleet.py
+++ b/standins/relay/fleet.py
@@ -12,6 +12,7 @@
 from cleatlink.relay.settings import RelaySettings
 from cleatlink.routing.mechanisms import Mechanism
 from standins.ports import free_port
+from standins.relay.cut_paths import CuttableConnector
 from standins.relay.raw_client import Caller
 from standins.relay.raw_server import close_connections
 from standins.relay.store import Store
@@ -32,6 +33,8 @@
         self.instances: list[RelayInstance] = []
         self.stop_events: list[trio.Event] = []
         self.end_events: list[trio.Event] = []
+        # Connectors of the instances, which can lose their paths to workers.
+        self.connectors: list[CuttableConnector] = []
         self.callers: list[Caller] = []
         self._settings: list[RelaySettings] = []
         self._platform_stores: list[PlatformStore] = []
@@ -154,7 +157,9 @@
         )
         platform_store = PlatformStore(settings.store)
         self._platform_stores.append(platform_store)
-        instance = RelayInstance(settings, PROTOCOL, platform_store, number)
+        connector = CuttableConnector()
+        self.connectors.append(connector)
+        instance = RelayInstance(settings, PROTOCOL, platform_store, number, connector=connector)
         stop, ended = trio.Event(), trio.Event()
         self.instances.append(instance)
         self.stop_events.append(stop)
