Observability: which endpoints an instance can't connect to, and which of them peers reach

Before, no log line, metric or status told five dead endpoints from a path that this instance alone has lost (docs/incidents/instance-without-path-to-endpoints.md). Now: connections to endpoints are counted by path and outcome, the status lists endpoints to which the last direct connection failed (unreachable), and EndpointPaths says what counts as a lost path: a direct connection that failed while a peer reached the endpoint. Nothing asks peers yet, so lost_paths stays empty; no decision changes.

--- a/cleatlink/relay/endpoints/dialer.py
+++ b/cleatlink/relay/endpoints/dialer.py
@@ -2,7 +2,9 @@
 
 from abc import ABC, abstractmethod
 
+from cleatlink.core.errors import EndpointUnreachableError
 from cleatlink.core.routes import RoutedEndpoint
+from cleatlink.relay.endpoints.path_monitor import PathMonitor
 from cleatlink.relay.endpoints.streams import Connector, EndpointStream, connect_within
 
 __all__ = ["Dialer", "DirectDialer"]
@@ -30,11 +32,28 @@
 class DirectDialer(Dialer):
     """Connects to endpoints from this instance only."""
 
-    def __init__(self, connector: Connector) -> None:
+    def __init__(self, connector: Connector, monitor: PathMonitor | None = None) -> None:
+        """Create a dialer.
+
+        Args:
+            connector: Opens the connections.
+            monitor: Records their outcomes; None to record nothing.
+        """
         self._connector = connector
+        self._monitor = monitor
 
     async def dial(
         self, endpoint: RoutedEndpoint, ack_timeout_s: float, timeout_s: float
     ) -> EndpointStream:
         """Connect to the endpoint."""
-        return await connect_within(self._connector, endpoint.address, ack_timeout_s, timeout_s)
+        try:
+            stream = await connect_within(
+                self._connector, endpoint.address, ack_timeout_s, timeout_s
+            )
+        except EndpointUnreachableError:
+            if self._monitor is not None:
+                self._monitor.note_failed(endpoint)
+            raise
+        if self._monitor is not None:
+            self._monitor.note_connected(endpoint)
+        return stream
--- /dev/null
+++ b/cleatlink/relay/endpoints/path_monitor.py
@@ -0,0 +1,80 @@
+"""Records which endpoints this instance can connect to, in its log and metrics."""
+
+from collections.abc import Callable
+
+import eliot
+import trio
+
+from cleatlink.core.routes import RoutedEndpoint
+from cleatlink.relay.metrics import DialOutcome, DialPath, RelayMetrics
+from cleatlink.routing.endpoint_paths import EndpointPaths
+
+__all__ = ["PathMonitor"]
+
+
+class PathMonitor:
+    """Updates the paths to endpoints, and logs each path that is lost or works again."""
+
+    def __init__(
+        self,
+        paths: EndpointPaths,
+        metrics: RelayMetrics,
+        on_change: Callable[[RoutedEndpoint], None] = lambda _: None,
+    ) -> None:
+        """Create a monitor.
+
+        Args:
+            paths: The paths to update.
+            metrics: Counts connections by path and outcome.
+            on_change: Called with an endpoint whose path was lost or works again.
+        """
+        self.paths = paths
+        self._metrics = metrics
+        self._on_change = on_change
+
+    def note_connected(self, endpoint: RoutedEndpoint) -> None:
+        """Record a direct connection to an endpoint."""
+        self._metrics.count_dial(DialPath.DIRECT, DialOutcome.CONNECTED)
+        lost_s = self.paths.note_connected(endpoint.name, trio.current_time())
+        if lost_s is None:
+            return
+        eliot.log_message(
+            message_type="paths: direct path to an endpoint works again",
+            endpoint=endpoint.name,
+            address=endpoint.address,
+            lost_s=round(lost_s, 3),
+            lost=self.paths.lost_count,
+        )
+        self._update(endpoint)
+
+    def note_failed(self, endpoint: RoutedEndpoint) -> None:
+        """Record that a direct connection to an endpoint failed."""
+        self._metrics.count_dial(DialPath.DIRECT, DialOutcome.FAILED)
+        self.paths.note_failed(endpoint.name, trio.current_time())
+
+    def note_overdue(self, endpoint: RoutedEndpoint) -> None:
+        """Record that a direct connection takes unusually long."""
+        self.paths.note_failed(endpoint.name, trio.current_time())
+
+    def note_reached_by_peer(self, endpoint: RoutedEndpoint, peer: str) -> None:
+        """Record that a peer connected to an endpoint on behalf of this instance."""
+        self._metrics.count_dial(DialPath.TUNNEL, DialOutcome.CONNECTED)
+        if not self.paths.note_reached_by_peer(endpoint.name, trio.current_time()):
+            return
+        eliot.log_message(
+            message_type="paths: lost the direct path to an endpoint",
+            endpoint=endpoint.name,
+            address=endpoint.address,
+            peer=peer,
+            lost=self.paths.lost_count,
+        )
+        self._update(endpoint)
+
+    def note_unreached_by_peer(self, endpoint: RoutedEndpoint) -> None:
+        """Record that a peer could not connect to an endpoint either."""
+        self._metrics.count_dial(DialPath.TUNNEL, DialOutcome.FAILED)
+        self.paths.note_unreached_by_peer(endpoint.name, trio.current_time())
+
+    def _update(self, endpoint: RoutedEndpoint) -> None:
+        self._metrics.set_lost_paths(self.paths.lost_count)
+        self._on_change(endpoint)
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -18,6 +18,7 @@
 from cleatlink.relay.calls.planned_stop import PlannedStop
 from cleatlink.relay.endpoints.crash_detector import CrashDetector
 from cleatlink.relay.endpoints.dialer import DirectDialer
+from cleatlink.relay.endpoints.path_monitor import PathMonitor
 from cleatlink.relay.endpoints.pool import ConnectionPool
 from cleatlink.relay.endpoints.protocol import Protocol
 from cleatlink.relay.endpoints.response_notices import ResponseNoticeReader
@@ -42,6 +43,7 @@
 from cleatlink.relay.tasks import Task, run_and_log_errors, run_with_restarts
 from cleatlink.routing.buffered_bytes import BufferedBytes
 from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.endpoint_paths import EndpointPaths
 from cleatlink.routing.fleet_records import FleetRecords
 from cleatlink.routing.mechanisms import MechanismSwitches
 from cleatlink.routing.reservation import Reservation
@@ -112,12 +114,14 @@
             on_backoff=self._announce_backoff,
             on_limit_changed=self._announce_limit,
         )
+        self._paths = EndpointPaths()
+        self._path_monitor = PathMonitor(self._paths, self._metrics)
         self._pool = ConnectionPool(
             self._connection_limit,
             self._notice_reader.process_head,
             notices.is_leaving,
             self._count_sent_call,
-            DirectDialer(connector or TcpConnector()),
+            DirectDialer(connector or TcpConnector(), self._path_monitor),
         )
         self._budgets = ServiceBudgets(settings)
         self._caller_memory = BufferedBytes(_caller_memory_limit_bytes(settings.memory_mb))
@@ -423,6 +427,8 @@
             quarantine=self._quarantine.quarantined_requests(),
             leaving=self._capacity.notices.leaving_sources(_MAX_REPORTED_ITEMS),
             limits=self._capacity.endpoint_limits.rates_per_s(_MAX_REPORTED_ITEMS),
+            unreachable=sorted(self._paths.unreachable())[:_MAX_REPORTED_ITEMS],
+            lost_paths=sorted(self._paths.lost)[:_MAX_REPORTED_ITEMS],
         )
 
     def render_metrics(self) -> bytes:
@@ -451,6 +457,7 @@
             self._pool.close_expired()
             self._service.decode_admission.run_maintenance()
             self._quarantine.remove_expired()
+            self._paths.retain(self._capacity.endpoints)
             self._capacity.notices.drop_old(trio.current_time())
             self._capacity.endpoint_limits.expire(trio.current_time())
             self._capacity.plain_load.remove_stale(
--- a/cleatlink/relay/metrics.py
+++ b/cleatlink/relay/metrics.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Sequence
+from enum import StrEnum
 from statistics import median
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
@@ -10,7 +11,7 @@
 from cleatlink.core.errors import ErrorKind
 from cleatlink.routing.buffered_bytes import BufferedBytes, BufferKind
 
-__all__ = ["RelayMetrics"]
+__all__ = ["DialOutcome", "DialPath", "RelayMetrics"]
 
 _LATENCY_BUCKETS_S = [0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.7, 0.9, 1.5, 3.0, 6.0, 14.0]
 
@@ -20,6 +21,20 @@
 _OTHER_ORGANISATIONS = "(others)"
 
 
+class DialPath(StrEnum):
+    """How an endpoint is connected to; the value is the label in the metrics."""
+
+    DIRECT = "direct"
+    TUNNEL = "tunnel"
+
+
+class DialOutcome(StrEnum):
+    """Outcome of a connection to an endpoint; the value is the label in the metrics."""
+
+    CONNECTED = "connected"
+    FAILED = "failed"
+
+
 class RelayMetrics:
     """Metrics of a relay instance; docs/operators/metrics.md describes their names and units."""
 
@@ -76,6 +91,16 @@
             "cleatlink_relay_plain_admissions_total",
             "Plain calls that found their service nearly full, by outcome.",
         )
+        self._dials = self._counter(
+            "cleatlink_relay_endpoint_connections_total",
+            "Connections to endpoints, by path (direct, or through a peer) and outcome.",
+        )
+        self._lost_paths = Gauge(
+            "cleatlink_relay_lost_paths",
+            "Endpoints that peers reach and this instance does not.",
+            registry=self._registry,
+        )
+        self._lost_paths.set({}, 0)
         self._labelled_organisations: set[str] = set()
         self._held_bytes = Gauge(
             "cleatlink_relay_held_bytes",
@@ -170,6 +195,14 @@
         """Count an endpoint that crashed with requests in progress."""
         self._crashes.inc({"service": service})
 
+    def count_dial(self, path: DialPath, outcome: DialOutcome) -> None:
+        """Count a connection to an endpoint."""
+        self._dials.inc({"path": path.value, "outcome": outcome.value})
+
+    def set_lost_paths(self, count: int) -> None:
+        """Set the number of endpoints that peers reach and this instance does not."""
+        self._lost_paths.set({}, count)
+
     def count_endpoint_notice(self, kind: str) -> None:
         """Count an answer in which an endpoint reported something about itself."""
         self._notices.inc({"kind": kind})
--- a/cleatlink/relay/status.py
+++ b/cleatlink/relay/status.py
@@ -40,6 +40,8 @@
         leaving: Incarnations of endpoints that accept no new work, with the first source of that
             notice.
         limits: Calls per second that endpoints accept from all instances, by incarnation.
+        unreachable: Incarnations of endpoints to which the last direct connection failed.
+        lost_paths: Incarnations of endpoints that peers reach and this instance does not.
     """
 
     name: str
@@ -53,6 +55,8 @@
     quarantine: list[QuarantinedRequest]
     leaving: dict[str, str]
     limits: dict[str, float]
+    unreachable: list[str]
+    lost_paths: list[str]
 
 
 class InstanceState(Protocol):
