An instance that lost its path to an endpoint connects through a peer

Cause: the only way from an instance to an endpoint was its own connection, and a failed one was always blamed on the endpoint. Ruled out: endpoints set aside on reports of cut instances (the others served 119 of 122).

Change: a connection that fails, or is not open after 50 ms, is also opened through a peer (a tunnel: one HTTP exchange per connection, both bodies chunked, so that an endpoint's regular end differs from a peer's failure). A peer that reaches the endpoint proves the path lost: tunnels then come first, failures so far are forgotten, idle direct connections are closed, and the direct path is probed four times a second. A peer that does not reach it either proves the endpoint dead: nothing is asked for half a second. Peers of this data centre that have all their paths come first. Routing, limits, budgets, retries, deadlines and notices stay where they were, since only the connection leads elsewhere. Role orders are never sent through a peer.

--- a/cleatlink/platform/settings.py
+++ b/cleatlink/platform/settings.py
@@ -45,7 +45,7 @@
     """
     reader = TableReader(tables)
     ports = reader.list("internal_ports")
-    if not ports or not isinstance(ports[0], int):
+    if not ports or not all(isinstance(port, int) for port in ports):
         reader.faults.append("internal_ports has no port")
         ports = [0]
     settings = RelaySettings(
@@ -59,6 +59,7 @@
         ),
         store=reader.address("platform.address"),
         metrics_listen=metrics_listen,
+        tunnel_listen=Address(reader.text("ip"), ports[-1]) if len(set(ports)) > 1 else None,
         drain_s=reader.number("bounds.grace_s"),
         retry_ratio=reader.number("bounds.retry_budget_ratio"),
         retry_allowance=reader.number("bounds.retry_allowance"),
--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -83,6 +83,11 @@
         stream = await connect_within(TcpConnector(), address, ack_timeout_s, timeout_s)
         return cls(stream, trio.current_time())
 
+    @property
+    def is_direct(self) -> bool:
+        """Whether the connection to the endpoint is this instance's own."""
+        return self._stream.is_direct
+
     @property
     def is_reusable(self) -> bool:
         """Whether the connection is open and idle, with nothing received on it."""
--- a/cleatlink/relay/endpoints/dialer.py
+++ b/cleatlink/relay/endpoints/dialer.py
@@ -28,6 +28,21 @@
             EndpointUnreachableError: No stream could be opened; nothing was sent.
         """
 
+    @abstractmethod
+    async def dial_directly(
+        self, endpoint: RoutedEndpoint, ack_timeout_s: float, timeout_s: float
+    ) -> EndpointStream:
+        """Open a stream whose connection to the endpoint is this instance's own.
+
+        Args:
+            endpoint: The endpoint.
+            ack_timeout_s: Seconds that sent data may stay unacknowledged before the stream fails.
+            timeout_s: Seconds within which the stream must be open.
+
+        Raises:
+            EndpointUnreachableError: No stream could be opened; nothing was sent.
+        """
+
 
 class DirectDialer(Dialer):
     """Connects to endpoints from this instance only."""
@@ -44,6 +59,12 @@
 
     async def dial(
         self, endpoint: RoutedEndpoint, ack_timeout_s: float, timeout_s: float
+    ) -> EndpointStream:
+        """Connect to the endpoint."""
+        return await self.dial_directly(endpoint, ack_timeout_s, timeout_s)
+
+    async def dial_directly(
+        self, endpoint: RoutedEndpoint, ack_timeout_s: float, timeout_s: float
     ) -> EndpointStream:
         """Connect to the endpoint."""
         try:
--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -75,9 +75,16 @@
         # All connections that still exist, idle or in use, by incarnation.
         self._known_connections: dict[str, WeakSet[EndpointConnection]] = {}
 
-    async def acquire(self, endpoint: RoutedEndpoint, idle_limit_s: float) -> EndpointConnection:
+    async def acquire(
+        self, endpoint: RoutedEndpoint, idle_limit_s: float, *, must_be_direct: bool = False
+    ) -> EndpointConnection:
         """Return an idle connection, or open one.
 
+        Args:
+            endpoint: The endpoint.
+            idle_limit_s: Longest idle time of a connection that may be used.
+            must_be_direct: Whether no peer may hold the connection on behalf of this instance.
+
         Raises:
             EndpointUnreachableError: No connection could be established.
         """
@@ -85,13 +92,25 @@
         now = trio.current_time()
         while idle:
             connection = idle.pop()
-            if connection.is_within_idle_limit(now, idle_limit_s) and connection.is_reusable:
+            is_usable = connection.is_direct or not must_be_direct
+            if (
+                is_usable
+                and connection.is_within_idle_limit(now, idle_limit_s)
+                and connection.is_reusable
+            ):
                 return connection
             connection.close()
-        return await self.open(endpoint, _ACK_TIMEOUT_S, _CONNECT_TIMEOUT_S)
+        return await self.open(
+            endpoint, _ACK_TIMEOUT_S, _CONNECT_TIMEOUT_S, must_be_direct=must_be_direct
+        )
 
     async def open(
-        self, endpoint: RoutedEndpoint, ack_timeout_s: float, timeout_s: float
+        self,
+        endpoint: RoutedEndpoint,
+        ack_timeout_s: float,
+        timeout_s: float,
+        *,
+        must_be_direct: bool = False,
     ) -> EndpointConnection:
         """Open a connection to an endpoint.
 
@@ -100,7 +119,8 @@
         """
         on_head = None if self._on_head is None else partial(self._on_head, endpoint)
         on_send = None if self._on_send is None else partial(self._on_send, endpoint)
-        stream = await self._dialer.dial(endpoint, ack_timeout_s, timeout_s)
+        dial = self._dialer.dial_directly if must_be_direct else self._dialer.dial
+        stream = await dial(endpoint, ack_timeout_s, timeout_s)
         connection = EndpointConnection(stream, trio.current_time(), on_head, on_send)
         self._known_connections.setdefault(endpoint.name, WeakSet()).add(connection)
         return connection
@@ -114,6 +134,7 @@
         on_bytes: Callable[[], None] | None = None,
         *,
         upload: Upload | None = None,
+        must_be_direct: bool = False,
     ) -> Response:
         """Send one request and read the complete response.
 
@@ -124,13 +145,14 @@
             max_bytes: Longest response body that is accepted.
             on_bytes: Called each time that bytes of the response arrive.
             upload: Receives the progress of a long body.
+            must_be_direct: Whether no peer may hold the connection on behalf of this instance.
 
         Raises:
             EndpointUnreachableError: No connection could be established; nothing was sent.
             OutcomeUnknownError: No response arrived.
             StreamBrokenError: The response ended early.
         """
-        connection = await self.acquire(endpoint, idle_limit_s)
+        connection = await self.acquire(endpoint, idle_limit_s, must_be_direct=must_be_direct)
         try:
             head = await connection.exchange(make_request(), on_bytes, upload)
             body = await connection.read_body(max_bytes)
--- a/cleatlink/relay/endpoints/streams.py
+++ b/cleatlink/relay/endpoints/streams.py
@@ -17,6 +17,11 @@
 class EndpointStream(ABC):
     """A byte stream to an endpoint."""
 
+    @property
+    @abstractmethod
+    def is_direct(self) -> bool:
+        """Whether the connection to the endpoint is this instance's own."""
+
     @property
     @abstractmethod
     def is_open_without_input(self) -> bool:
@@ -59,6 +64,11 @@
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
 
+    @property
+    def is_direct(self) -> bool:
+        """Always: there is no peer between this instance and the endpoint."""
+        return True
+
     @property
     def is_open_without_input(self) -> bool:
         """Whether the connection is open, with neither data nor its end waiting to be read."""
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -8,6 +8,7 @@
 
 from cleatlink import __version__
 from cleatlink.core.address import Address
+from cleatlink.core.data import Role
 from cleatlink.core.errors import ListenError
 from cleatlink.core.routes import RoutedEndpoint, RouteTable
 from cleatlink.organisations import OrganisationAccess, OrganisationLimits
@@ -17,7 +18,7 @@
 from cleatlink.relay.calls.components import RelayComponents
 from cleatlink.relay.calls.planned_stop import PlannedStop
 from cleatlink.relay.endpoints.crash_detector import CrashDetector
-from cleatlink.relay.endpoints.dialer import DirectDialer
+from cleatlink.relay.endpoints.dialer import Dialer, DirectDialer
 from cleatlink.relay.endpoints.path_monitor import PathMonitor
 from cleatlink.relay.endpoints.pool import ConnectionPool
 from cleatlink.relay.endpoints.protocol import Protocol
@@ -41,11 +42,15 @@
 from cleatlink.relay.sockets import listen
 from cleatlink.relay.status import InstanceStatus
 from cleatlink.relay.tasks import Task, run_and_log_errors, run_with_restarts
+from cleatlink.relay.tunnels.client import TunnelClient
+from cleatlink.relay.tunnels.dialer import TunnelDialer
+from cleatlink.relay.tunnels.prober import PathProber
+from cleatlink.relay.tunnels.server import TunnelServer
 from cleatlink.routing.buffered_bytes import BufferedBytes
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.endpoint_paths import EndpointPaths
 from cleatlink.routing.fleet_records import FleetRecords
-from cleatlink.routing.mechanisms import MechanismSwitches
+from cleatlink.routing.mechanisms import Mechanism, MechanismSwitches
 from cleatlink.routing.reservation import Reservation
 from cleatlink.routing.table_tracker import TableTracker
 
@@ -115,13 +120,16 @@
             on_limit_changed=self._announce_limit,
         )
         self._paths = EndpointPaths()
-        self._path_monitor = PathMonitor(self._paths, self._metrics)
+        self._path_monitor = PathMonitor(self._paths, self._metrics, self._handle_path_change)
+        self._connector = connector or TcpConnector()
+        self._direct_dialer = DirectDialer(self._connector, self._path_monitor)
+        rng = random.Random(incarnation)
         self._pool = ConnectionPool(
             self._connection_limit,
             self._notice_reader.process_head,
             notices.is_leaving,
             self._count_sent_call,
-            DirectDialer(connector or TcpConnector(), self._path_monitor),
+            self._create_dialer(rng),
         )
         self._budgets = ServiceBudgets(settings)
         self._caller_memory = BufferedBytes(_caller_memory_limit_bytes(settings.memory_mb))
@@ -129,7 +137,6 @@
         limits = OrganisationLimits(settings.limit_tolerance, trio.current_time())
         self._organisation_access = OrganisationAccess(limits)
         self._table_tracker = TableTracker()
-        rng = random.Random(incarnation)
         self._quarantine = SharedQuarantine(settings.name, rng)
         self._notice_channel = EndpointNoticeChannel(settings.name, notices, rng)
         self._crash_detector = CrashDetector(
@@ -207,8 +214,37 @@
             get_table=lambda: self._follower.records.table,
             is_stopping=lambda: self._planned_stop.has_begun,
         )
+        self._tunnel_server = TunnelServer(
+            self._connector,
+            self._path_monitor,
+            self._metrics,
+            cores=settings.size,
+            find_endpoint=self._capacity.endpoints.get,
+            is_peer=self._peers.is_peer,
+            is_stopping=lambda: self._planned_stop.has_begun,
+        )
+        self._path_prober = PathProber(
+            self._direct_dialer, self._paths, self._capacity.endpoints.get
+        )
+        # Whether any path was lost, and whether this instance was cut off, at the last change.
+        self._announced_path_state = (False, False)
         self._nursery: trio.Nursery | None = None
 
+    def _create_dialer(self, rng: random.Random) -> Dialer:
+        """Create the dialer of connections to endpoints; it uses tunnels if peers do."""
+        settings = self._settings
+        has_tunnels = self._capacity.switches.is_enabled(Mechanism.TUNNELS)
+        if settings.tunnel_listen is None or not has_tunnels:
+            return self._direct_dialer
+        client = TunnelClient(
+            settings.name,
+            settings.data_centre,
+            local_host=settings.peer_listen.host,
+            list_peers=lambda: self._peers.tunnel_peers(),  # noqa: PLW0108
+            rng=rng,
+        )
+        return TunnelDialer(self._direct_dialer, client, self._path_monitor)
+
     @property
     def ready(self) -> bool:
         """Whether this instance accepts new connections."""
@@ -242,7 +278,7 @@
         """
         try:
             listeners = self._listen()
-            await self._run(listeners, stop)
+            await self._run(listeners, self._listen_for_tunnels(listeners), stop)
         finally:
             self._peers.close()
             self._pool.close()
@@ -274,16 +310,44 @@
             raise
         return listeners
 
+    def _listen_for_tunnels(
+        self, others: list[tuple[trio.SocketListener, Handler]]
+    ) -> trio.SocketListener | None:
+        """Listen for tunnels of peers; return None if the settings disable them.
+
+        Raises:
+            ListenError: The address can't be bound. The other listeners are closed.
+        """
+        address = self._settings.tunnel_listen
+        if address is None or not self._capacity.switches.is_enabled(Mechanism.TUNNELS):
+            return None
+        try:
+            return listen(address.host, address.port)
+        except ListenError:
+            for listener, _ in others:
+                listener.socket.close()
+            raise
+
     async def _run(
-        self, listeners: list[tuple[trio.SocketListener, Handler]], stop: trio.Event
+        self,
+        listeners: list[tuple[trio.SocketListener, Handler]],
+        tunnel_listener: trio.SocketListener | None,
+        stop: trio.Event,
     ) -> None:
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             for listener, handler in listeners:
                 memory = self._caller_memory if handler is self._service else None
                 nursery.start_soon(serve_connections, listener, handler, memory)
+            if tunnel_listener is not None:
+                nursery.start_soon(self._tunnel_server.serve, tunnel_listener)
             self._peers.start(self._start_supervised, self._spawn)
-            for task in (self._follower.run, self._run_housekeeping, self._role_controller.run):
+            for task in (
+                self._follower.run,
+                self._run_housekeeping,
+                self._role_controller.run,
+                self._path_prober.run,
+            ):
                 self._start_supervised(task)
             eliot.log_message(
                 message_type="instance: starts",
@@ -318,7 +382,8 @@
         self._service.begin_stop()
         self._peers.send_heartbeat()
         while (now := trio.current_time()) < stop.ends_at:
-            if stop.age_s(now) >= _MIN_STOP_S and self._service.in_flight == 0:
+            in_progress = self._service.in_flight + self._tunnel_server.open_count
+            if stop.age_s(now) >= _MIN_STOP_S and in_progress == 0:
                 break
             await trio.sleep(_STOP_POLL_S)
         stop.end()
@@ -398,8 +463,36 @@
             records.table_revision,
             records.newest_record_revision,
             self._follower.is_connected,
+            self._tunnel_port,
+            self._paths.lost_count,
+            self._is_cut_off(),
         )
 
+    @property
+    def _tunnel_port(self) -> int:
+        """Port at which peers can ask for tunnels; 0 if tunnels are disabled."""
+        address = self._settings.tunnel_listen
+        is_enabled = self._capacity.switches.is_enabled(Mechanism.TUNNELS)
+        return address.port if address is not None and is_enabled else 0
+
+    def _is_cut_off(self) -> bool:
+        """Check whether this instance has no path to many of the engines of a service."""
+        engines: dict[str, list[str]] = {}
+        for endpoint in self._capacity.endpoints.values() if self._paths.lost_count else ():
+            if endpoint.role is not Role.PLAIN:
+                engines.setdefault(endpoint.service, []).append(endpoint.name)
+        return any(self._paths.is_cut_off_from(names) for names in engines.values())
+
+    def _handle_path_change(self, endpoint: RoutedEndpoint) -> None:
+        """Stop using idle connections over the other path, and tell the peers."""
+        self._pool.close_idle(endpoint.name)
+        if self._paths.is_lost(endpoint.name):
+            self._capacity.clear_failures(endpoint.name)
+        path_state = (self._paths.lost_count > 0, self._is_cut_off())
+        if path_state != self._announced_path_state:
+            self._announced_path_state = path_state
+            self._peers.send_heartbeat()
+
     def _record_peer_demand(self, work: Reservation) -> None:
         """Count work that a peer assigned to an endpoint as demand."""
         self._capacity.count_demand(work, trio.current_time())
--- a/cleatlink/relay/metrics.py
+++ b/cleatlink/relay/metrics.py
@@ -101,6 +101,15 @@
             registry=self._registry,
         )
         self._lost_paths.set({}, 0)
+        self._tunnel_requests = self._counter(
+            "cleatlink_relay_tunnel_requests_total",
+            "Tunnels to endpoints that peers asked for, by outcome.",
+        )
+        self._carried_tunnels = Gauge(
+            "cleatlink_relay_carried_tunnels",
+            "Tunnels that are carried for peers now.",
+            registry=self._registry,
+        )
         self._labelled_organisations: set[str] = set()
         self._held_bytes = Gauge(
             "cleatlink_relay_held_bytes",
@@ -203,6 +212,14 @@
         """Set the number of endpoints that peers reach and this instance does not."""
         self._lost_paths.set({}, count)
 
+    def count_tunnel_request(self, outcome: str) -> None:
+        """Count a peer's request for a tunnel."""
+        self._tunnel_requests.inc({"outcome": outcome})
+
+    def set_carried_tunnels(self, count: int) -> None:
+        """Set the number of tunnels that are carried for peers."""
+        self._carried_tunnels.set({}, count)
+
     def count_endpoint_notice(self, kind: str) -> None:
         """Count an answer in which an endpoint reported something about itself."""
         self._notices.inc({"kind": kind})
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -18,7 +18,7 @@
 import msgspec
 import trio
 
-from cleatlink.core.address import Address
+from cleatlink.core.address import Address, parse_address
 from cleatlink.core.revisions import StoreRevision
 from cleatlink.members.leadership import PeerReports
 from cleatlink.members.watchers import is_watcher
@@ -70,6 +70,7 @@
 from cleatlink.routing.fleet_sizes import MAX_DIRECT_PEERS
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.reservation import Reservation
+from cleatlink.routing.tunnel_peers import TunnelPeer
 
 __all__ = ["PEER_SILENCE_TIMEOUT_S", "PeerGroup"]
 
@@ -211,6 +212,15 @@
         """Return the names of the peers whose last heartbeat is at most this many seconds old."""
         return self._peers.seen_within(seconds, trio.current_time())
 
+    def tunnel_peers(self) -> list[TunnelPeer]:
+        """Return the peers that connect to endpoints on behalf of this instance."""
+        return self._peers.tunnel_peers(PEER_SILENCE_TIMEOUT_S, trio.current_time())
+
+    def is_peer(self, name: str, host: str) -> bool:
+        """Check whether a live peer has this name and sends from this IP address."""
+        address = self._peers.address(name)
+        return address is not None and parse_address(address).host == host
+
     @property
     def live_instances(self) -> int:
         """The number of live instances, including this one."""
@@ -373,6 +383,9 @@
             self._delivery.announced_size,
             self._heartbeat_number,
             True,
+            state.tunnel_port,
+            state.lost_paths,
+            state.is_cut_off,
         )
         if heartbeat != self._last_heartbeat:
             self._heartbeat_number = self._delivery.next_message_number()
--- a/cleatlink/relay/peers/live_peers.py
+++ b/cleatlink/relay/peers/live_peers.py
@@ -4,9 +4,11 @@
 from collections.abc import Iterable, Set
 from typing import NamedTuple
 
+from cleatlink.core.address import Address, parse_address
 from cleatlink.members.leadership import PeerReports
 from cleatlink.members.reflectors import ReflectorCandidate
 from cleatlink.relay.peers.messages import HeartbeatMessage, Member, Roster
+from cleatlink.routing.tunnel_peers import TunnelPeer
 
 __all__ = ["LivePeers", "RemovedPeer"]
 
@@ -159,6 +161,19 @@
             and now - peer.last_heartbeat_at <= silence_s
         ]
 
+    def tunnel_peers(self, silence_s: float, now: float) -> list[TunnelPeer]:
+        """Return the recently seen peers that carry tunnels and are not leaving."""
+        peers = []
+        for name, peer in self._peers.items():
+            heartbeat = peer.heartbeat
+            if not heartbeat.tunnel_port or heartbeat.leaving:
+                continue
+            if now - peer.last_heartbeat_at <= silence_s:
+                host = parse_address(heartbeat.address).host
+                address = str(Address(host, heartbeat.tunnel_port))
+                peers.append(TunnelPeer(name, address, heartbeat.data_centre, heartbeat.lost_paths))
+        return peers
+
     def leader_election_input(self, silence_s: float, now: float) -> PeerReports:
         """Return what recently seen peers reported for leader election."""
         heartbeats = {
--- a/cleatlink/relay/peers/messages.py
+++ b/cleatlink/relay/peers/messages.py
@@ -81,6 +81,11 @@
         size: CPU capacity of the sender, in cores; 0 if the sender does not accept bundles.
         number: Sequence number of the message; 0 if the sender does not number its messages.
         work_apart: Whether the sender's work is sent in separate messages and ``work`` is empty.
+        tunnel_port: Port at which the sender connects to endpoints on behalf of its peers; 0 if it
+            does not.
+        lost_paths: Number of endpoints that peers reach and the sender does not.
+        is_cut_off: Whether the sender has no path to a large share of the engines of a service, so
+            that it can't send role orders.
     """
 
     name: str
@@ -104,6 +109,9 @@
     size: float = 0.0
     number: int = 0
     work_apart: bool = False
+    tunnel_port: int = 0
+    lost_paths: int = 0
+    is_cut_off: bool = False
 
     @property
     def newest_registration_revision(self) -> StoreRevision:
--- a/cleatlink/relay/role_controller.py
+++ b/cleatlink/relay/role_controller.py
@@ -222,7 +222,11 @@
         try:
             with trio.fail_after(_ORDER_TIMEOUT_S):
                 reply = await self._pool.call(
-                    endpoint, UNREPEATABLE_IDLE_LIMIT_S, lambda: request, _MAX_REPLY_BYTES
+                    endpoint,
+                    UNREPEATABLE_IDLE_LIMIT_S,
+                    lambda: request,
+                    _MAX_REPLY_BYTES,
+                    must_be_direct=True,
                 )
             status = reply.head.status
         except (EndpointError, trio.TooSlowError) as error:
--- a/cleatlink/relay/settings.py
+++ b/cleatlink/relay/settings.py
@@ -22,6 +22,8 @@
         peers: Instances to contact first; they may no longer exist.
         store: Address of the configuration service.
         metrics_listen: Address on which it serves metrics; None disables them.
+        tunnel_listen: Address on which it connects to endpoints on behalf of other instances; None
+            disables that, and peers are not asked either.
         drain_s: Longest time from a planned stop to the end of the process, in seconds.
         retry_ratio: Extra sends allowed as a share of requests, over all instances.
         retry_allowance: Extra sends allowed in addition to that share, over all instances.
@@ -47,6 +49,7 @@
     peers: tuple[Address, ...]
     store: Address
     metrics_listen: Address | None = None
+    tunnel_listen: Address | None = None
     drain_s: float = 8.0
     retry_ratio: float = 0.1
     retry_allowance: float = 20.0
--- a/cleatlink/relay/sockets.py
+++ b/cleatlink/relay/sockets.py
@@ -33,15 +33,25 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
 
 
-async def connect(host: str, port: int, ack_timeout_s: float) -> trio.SocketStream:
+async def connect(
+    host: str, port: int, ack_timeout_s: float, *, local_host: str | None = None
+) -> trio.SocketStream:
     """Connect to an IP address.
 
+    Args:
+        host: IP address to connect to.
+        port: Port to connect to.
+        ack_timeout_s: Seconds that sent data may stay unacknowledged before the connection fails.
+        local_host: IP address of this machine to connect from; None for any.
+
     Raises:
         OSError: The connection could not be opened.
     """
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         set_connection_options(sock, ack_timeout_s)
+        if local_host is not None:
+            await sock.bind((local_host, 0))
         await sock.connect((host, port))
     except BaseException:
         sock.close()
--- /dev/null
+++ b/cleatlink/relay/tunnels/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to endpoints through a peer, for an instance that lost its own path to them."""
--- /dev/null
+++ b/cleatlink/relay/tunnels/dialer.py
@@ -0,0 +1,168 @@
+"""Opens streams to endpoints, through a peer where this instance lost its own path."""
+
+import math
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from cleatlink.core.errors import EndpointUnreachableError
+from cleatlink.core.routes import RoutedEndpoint
+from cleatlink.relay.endpoints.dialer import Dialer, DirectDialer
+from cleatlink.relay.endpoints.path_monitor import PathMonitor
+from cleatlink.relay.endpoints.streams import EndpointStream
+from cleatlink.relay.tasks import run_watched
+from cleatlink.relay.tunnels.client import PeerFailure, TunnelClient, TunnelFailedError
+
+__all__ = ["TunnelDialer"]
+
+# Longest time for a tunnel, in seconds: it takes a connection of the peer besides the own one.
+_TUNNEL_TIMEOUT_S = 0.25
+
+
+_Work = Callable[[], Awaitable[EndpointStream | None]]
+_Watch = Callable[[trio.CancelScope], Awaitable[None]]
+
+
+class TunnelDialer(Dialer):
+    """Connects directly, and asks peers when that fails or takes unusually long."""
+
+    def __init__(self, direct: DirectDialer, client: TunnelClient, monitor: PathMonitor) -> None:
+        self._direct = direct
+        self._client = client
+        self._monitor = monitor
+
+    async def dial(
+        self, endpoint: RoutedEndpoint, ack_timeout_s: float, timeout_s: float
+    ) -> EndpointStream:
+        """Open the first stream of a direct connection and a tunnel."""
+        now = trio.current_time()
+        delay_s = self._monitor.paths.tunnel_delay_s(endpoint.name, now)
+        if delay_s == math.inf or not self._client.has_peers:
+            return await self.dial_directly(endpoint, ack_timeout_s, timeout_s)
+        race = _DialRace(self, endpoint, ack_timeout_s, timeout_s)
+        if self._monitor.paths.is_lost(endpoint.name):
+            return await race.run_without_direct_connection()
+        return await race.run(delay_s)
+
+    async def dial_directly(
+        self, endpoint: RoutedEndpoint, ack_timeout_s: float, timeout_s: float
+    ) -> EndpointStream:
+        """Connect to the endpoint."""
+        return await self._direct.dial_directly(endpoint, ack_timeout_s, timeout_s)
+
+    async def open_tunnel(self, endpoint: RoutedEndpoint, ack_timeout_s: float) -> EndpointStream:
+        """Open a tunnel, and record what it shows about the path to the endpoint.
+
+        Raises:
+            TunnelFailedError: No peer reached the endpoint.
+        """
+        try:
+            stream = await self._client.open(endpoint, ack_timeout_s, _TUNNEL_TIMEOUT_S)
+        except TunnelFailedError as error:
+            if error.reason is not PeerFailure.NO_PEER:
+                self._monitor.note_unreached_by_peer(endpoint)
+            raise
+        self._monitor.note_reached_by_peer(endpoint, stream.peer)
+        return stream
+
+    def note_overdue(self, endpoint: RoutedEndpoint) -> None:
+        """Record that a direct connection takes unusually long."""
+        self._monitor.note_overdue(endpoint)
+
+
+class _DialRace:
+    """A direct connection and a tunnel to one endpoint, of which the first is used."""
+
+    def __init__(
+        self,
+        dialer: TunnelDialer,
+        endpoint: RoutedEndpoint,
+        ack_timeout_s: float,
+        timeout_s: float,
+    ) -> None:
+        self._dialer = dialer
+        self._endpoint = endpoint
+        self._ack_timeout_s = ack_timeout_s
+        self._timeout_s = timeout_s
+        self._tunnel: EndpointStream | None = None
+        self._tunnel_failure: PeerFailure | None = None
+        self._direct_error: EndpointUnreachableError | None = None
+        self._direct_failed = trio.Event()
+        self._tunnel_failed = trio.Event()
+
+    async def run(self, tunnel_delay_s: float) -> EndpointStream:
+        """Connect directly, and open a tunnel after a delay or once that has failed.
+
+        Raises:
+            EndpointUnreachableError: Neither reached the endpoint.
+        """
+
+        async def open_tunnel_later(scope: trio.CancelScope) -> None:
+            with trio.move_on_after(tunnel_delay_s):
+                await self._direct_failed.wait()
+            if not self._direct_failed.is_set():
+                self._dialer.note_overdue(self._endpoint)
+            await self._open_tunnel(scope)
+
+        return await self._run(self._connect, open_tunnel_later)
+
+    async def run_without_direct_connection(self) -> EndpointStream:
+        """Open a tunnel.
+
+        Raises:
+            EndpointUnreachableError: No peer reached the endpoint.
+        """
+        return await self._run(self._tunnel_failed.wait, self._open_tunnel)
+
+    async def _run(self, work: _Work, watch: _Watch) -> EndpointStream:
+        direct: EndpointStream | None = None
+        try:
+            direct = await run_watched(work, watch)
+        except BaseException:
+            self._close_tunnel()
+            raise
+        if direct is not None:
+            self._close_tunnel()
+            return direct
+        if self._tunnel is not None:
+            return self._tunnel
+        raise self._error()
+
+    async def _connect(self) -> EndpointStream | None:
+        """Connect directly; if that fails, wait for the end of the tunnel's attempt."""
+        try:
+            return await self._dialer.dial_directly(
+                self._endpoint, self._ack_timeout_s, self._timeout_s
+            )
+        except EndpointUnreachableError as error:
+            self._direct_error = error
+            self._direct_failed.set()
+            await self._tunnel_failed.wait()
+            return None
+
+    async def _open_tunnel(self, scope: trio.CancelScope) -> None:
+        try:
+            self._tunnel = await self._dialer.open_tunnel(self._endpoint, self._ack_timeout_s)
+            scope.cancel()
+        except TunnelFailedError as error:
+            self._tunnel_failure = error.reason
+            self._tunnel_failed.set()
+
+    def _close_tunnel(self) -> None:
+        if self._tunnel is not None:
+            self._tunnel.close()
+
+    def _error(self) -> EndpointUnreachableError:
+        """Return the failure, whose cause says whether the endpoint refused connections.
+
+        A refused direct connection proves nothing about an endpoint that no peer could try.
+        """
+        reason = self._tunnel_failure or PeerFailure.NO_PEER
+        error = EndpointUnreachableError(
+            f"{self._endpoint.address}: {self._direct_error!r}, through peers: {reason.value}"
+        )
+        if reason is PeerFailure.REFUSED:
+            error.__cause__ = ConnectionRefusedError("refused a peer")
+        elif reason is PeerFailure.NO_RESPONSE:
+            error.__cause__ = trio.TooSlowError("did not respond to a peer")
+        return error
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -279,6 +279,10 @@
         """Record that an endpoint failed; it is avoided for a while."""
         self._outcomes.note_failure(name, now)
 
+    def clear_failures(self, name: str) -> None:
+        """Forget the failures of an endpoint, which were those of the path to it."""
+        self._outcomes.clear_failures(name)
+
     def note_reported_slow(self, name: str, now: float) -> None:
         """Record that several instances reported an endpoint as slow."""
         if self.switches.is_enabled(Mechanism.PEER_REPORTS):
--- a/cleatlink/routing/mechanisms.py
+++ b/cleatlink/routing/mechanisms.py
@@ -54,6 +54,8 @@
     SPILL_OVER = "spill-over"
     # Spread and admit plain calls by the totals of all instances. Off: use only the own calls.
     PLAIN_ADMISSION = "plain-admission"
+    # Connect to endpoints through a peer where this instance lost its own path to them.
+    TUNNELS = "tunnels"
 
 
 class MechanismSwitches:
--- a/cleatlink/routing/outcomes.py
+++ b/cleatlink/routing/outcomes.py
@@ -74,6 +74,13 @@
         outcomes.failures += 1
         outcomes.avoid_until = now + avoid_s
 
+    def clear_failures(self, name: str) -> None:
+        """Forget the failures of an endpoint, which were those of the path to it."""
+        outcomes = self._outcomes.get(name)
+        if outcomes is not None:
+            outcomes.failures = 0
+            outcomes.avoid_until = 0.0
+
     def note_slow(self, name: str, now: float) -> None:
         """Record that several instances found an endpoint slow."""
         self._of(name).slow_until = now + _SLOW_AVOID_S
--- a/standins/relay/cut_paths.py
+++ b/standins/relay/cut_paths.py
@@ -79,6 +79,11 @@
         self.ack_timeout_s = 0.0
         self._receive_scope = trio.CancelScope()
 
+    @property
+    def is_direct(self) -> bool:
+        """Always: the cut only affects this instance's own connections."""
+        return True
+
     @property
     def is_open_without_input(self) -> bool:
         """Whether the stream is open, with neither data nor its end waiting to be read."""
--- a/standins/relay/fleet.py
+++ b/standins/relay/fleet.py
@@ -149,6 +149,7 @@
             peer_listen=free_address(),
             peers=tuple(item.peer_listen for item in self._settings),
             store=Address("127.0.0.1", int(self.store.address.rpartition(":")[2])),
+            tunnel_listen=free_address(),
             drain_s=self.drain_s,
             retry_ratio=0.2,
             retry_allowance=50.0,
--- a/standins/relay/settings_file.py
+++ b/standins/relay/settings_file.py
@@ -11,7 +11,7 @@
 node = "{name}"
 zone = "{zone}"
 ip = "{ip}"
-internal_ports = [{peers}]
+internal_ports = [{peers}, {tunnels}]
 seeds = [{seeds}]
 [listen]
 front = "{ip}:{front}"
@@ -39,6 +39,7 @@
     ready: int
     peers: int
     metrics: int
+    tunnels: int
 
 
 def write_settings(file: Path, fleet: Fleet) -> Ports:
