A leader that lost its path to the engines hands over

Cause: the leader of role changes was elected by heartbeats alone.

Change: heartbeats say whether the sender lost its path to at least half of the engines of a service. Such an instance gets no votes while others have theirs, and does not vote for itself. Once two paths are lost, the paths to all other endpoints are checked, so that the instance knows without a request to each. Safety is unchanged: a vote still goes to one instance, and the new leader waits as before.

Evidence: test_leader_without_path_to_engines_stays_leader fails without the change of the election (the cut instance leads for as long as the test waits).

--- a/cleatlink/members/leadership.py
+++ b/cleatlink/members/leadership.py
@@ -1,10 +1,11 @@
 """Leader election: at most one instance orders role changes at a time, without a shared store.
 
 Each instance votes in its heartbeats for the lowest name among the live instances,
-including itself. An instance is elected if more than half of all known instances vote for it,
-including itself. It sends its first order only after it has been elected without
-interruption for longer than an earlier leader can still rely on the votes it received, plus
-the lease. By then, every instance that voted for both has withdrawn its first vote.
+including itself, that have a path to the endpoints. An instance is elected if more than
+half of all known instances vote for it, including itself. It sends its first order only
+after it has been elected without interruption for longer than an earlier leader can still
+rely on the votes it received, plus the lease. By then, every instance that voted for both
+has withdrawn its first vote.
 """
 
 from collections.abc import Mapping, Set
@@ -27,12 +28,14 @@
         known_names: Instances known to peers at any time.
         known_count: Highest number of instances known to any live peer.
         departed: Instances that reported that they stop or restart.
+        cut_off: Live peers that reported that they have no path to many of the endpoints.
     """
 
     votes: Mapping[str, str]
     known_names: Set[str] = frozenset()
     known_count: int = 0
     departed: Set[str] = frozenset()
+    cut_off: Set[str] = frozenset()
 
 
 class LeaderElection:
@@ -69,13 +72,20 @@
         """All instances known at any time, except those that left."""
         return self._known
 
-    def update(self, reports: PeerReports, now: float) -> bool:
-        """Update the election; return whether this instance may send orders now."""
+    def update(self, reports: PeerReports, now: float, *, is_cut_off: bool = False) -> bool:
+        """Update the election; return whether this instance may send orders now.
+
+        Args:
+            reports: What the peers reported.
+            now: The current time.
+            is_cut_off: Whether this instance has no path to many of the endpoints.
+        """
         departed = reports.departed - {self._name}
         live = (reports.votes.keys() - departed) | {self._name}
         self._known = (self._known | live | reports.known_names) - departed
         may_be_disconnected = len(self._known) == 1 and not self._alone
-        self._vote = "" if may_be_disconnected else min(live)
+        cut_off = reports.cut_off | ({self._name} if is_cut_off else frozenset())
+        self._vote = "" if may_be_disconnected else min(live - cut_off or live)
         was_paused = now - self._updated_at > _MAX_UPDATE_INTERVAL_S
         self._updated_at = now
         if was_paused or not self._is_elected(reports, live):
--- a/cleatlink/members/leadership_test.py
+++ b/cleatlink/members/leadership_test.py
@@ -146,3 +146,21 @@
             if views[name].update(reports, now):
                 assert last_order is None or last_order[0] == name or now - last_order[1] >= LEASE_S
                 last_order = (name, now)
+
+
+def test_instance_without_path_to_endpoints_neither_leads_nor_gets_votes() -> None:
+    lowest, other = (LeaderElection(name, LEASE_S, SILENCE_S, 0.0) for name in ("a", "b"))
+    for step in range(100):
+        assert not lowest.update(
+            PeerReports(make_votes("b", "b", "c")), step * STEP_S, is_cut_off=True
+        )
+        assert lowest.vote == "b"
+        reports = PeerReports({"a": "b", "c": "b"}, cut_off={"a"})
+        leads = other.update(reports, step * STEP_S)
+    assert leads
+
+
+def test_lowest_name_leads_where_all_instances_are_cut_off() -> None:
+    lowest = LeaderElection("a", LEASE_S, SILENCE_S, 0.0)
+    reports = PeerReports({"b": "a", "c": "a"}, cut_off={"b", "c"})
+    assert any(lowest.update(reports, step * STEP_S, is_cut_off=True) for step in range(100))
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -124,12 +124,13 @@
         self._connector = connector or TcpConnector()
         self._direct_dialer = DirectDialer(self._connector, self._path_monitor)
         rng = random.Random(incarnation)
+        self._dialer = self._create_dialer(rng)
         self._pool = ConnectionPool(
             self._connection_limit,
             self._notice_reader.process_head,
             notices.is_leaving,
             self._count_sent_call,
-            self._create_dialer(rng),
+            self._dialer,
         )
         self._budgets = ServiceBudgets(settings)
         self._caller_memory = BufferedBytes(_caller_memory_limit_bytes(settings.memory_mb))
@@ -213,6 +214,7 @@
             metrics=self._metrics,
             get_table=lambda: self._follower.records.table,
             is_stopping=lambda: self._planned_stop.has_begun,
+            is_cut_off=self._is_cut_off,
         )
         self._tunnel_server = TunnelServer(
             self._connector,
@@ -223,9 +225,7 @@
             is_peer=self._peers.is_peer,
             is_stopping=lambda: self._planned_stop.has_begun,
         )
-        self._path_prober = PathProber(
-            self._direct_dialer, self._paths, self._capacity.endpoints.get
-        )
+        self._path_prober = PathProber(self._dialer, self._paths, self._capacity.endpoints.get)
         # Whether any path was lost, and whether this instance was cut off, at the last change.
         self._announced_path_state = (False, False)
         self._nursery: trio.Nursery | None = None
@@ -341,13 +341,9 @@
                 nursery.start_soon(serve_connections, listener, handler, memory)
             if tunnel_listener is not None:
                 nursery.start_soon(self._tunnel_server.serve, tunnel_listener)
+                self._start_supervised(self._path_prober.run)
             self._peers.start(self._start_supervised, self._spawn)
-            for task in (
-                self._follower.run,
-                self._run_housekeeping,
-                self._role_controller.run,
-                self._path_prober.run,
-            ):
+            for task in (self._follower.run, self._run_housekeeping, self._role_controller.run):
                 self._start_supervised(task)
             eliot.log_message(
                 message_type="instance: starts",
@@ -550,7 +546,7 @@
             self._pool.close_expired()
             self._service.decode_admission.run_maintenance()
             self._quarantine.remove_expired()
-            self._paths.retain(self._capacity.endpoints)
+            self._paths.track(self._capacity.endpoints)
             self._capacity.notices.drop_old(trio.current_time())
             self._capacity.endpoint_limits.expire(trio.current_time())
             self._capacity.plain_load.remove_stale(
--- a/cleatlink/relay/lost_paths_test.py
+++ b/cleatlink/relay/lost_paths_test.py
@@ -16,6 +16,8 @@
 # Time from the start of a cut to the requests that have to be served, in seconds; longer than the
 # instances keep idle connections.
 CUT_AGE_S = 5.0
+# Longest time from a change to the next leader, in seconds.
+ELECTION_S = 12.0
 
 
 async def start_fleet_with_peers(fleet: Fleet) -> list[Worker]:
@@ -63,3 +65,16 @@
         await trio.sleep(CUT_AGE_S)
         for _ in range(3):
             await ask_all_kinds(fleet)
+
+
+async def test_leader_without_path_to_engines_stays_leader() -> None:
+    async with open_fleet() as fleet:
+        await start_fleet_with_peers(fleet)
+        await fleet.wait_until(lambda: fleet.instances[0].is_leader, ELECTION_S)
+        fleet.connectors[0].cut(PathCut.HANG)
+        await fleet.caller().ask("/stream/x", "POST", body=b"prompt", headers=STREAM)
+        await fleet.wait_until(lambda: not fleet.instances[0].is_leader, 1.0)
+        await fleet.wait_until(lambda: fleet.instances[1].is_leader, ELECTION_S)
+        fleet.connectors[0].restore()
+        await fleet.wait_until(lambda: fleet.instances[0].is_leader, ELECTION_S)
+        assert not fleet.instances[1].is_leader
--- a/cleatlink/relay/peers/live_peers.py
+++ b/cleatlink/relay/peers/live_peers.py
@@ -184,6 +184,7 @@
             set(self._reported_names),
             max((heartbeat.member_count for heartbeat in heartbeats.values()), default=0),
             set(self._left_at),
+            {name for name, heartbeat in heartbeats.items() if heartbeat.is_cut_off},
         )
 
     def is_outdated(self, heartbeat: HeartbeatMessage) -> bool:
--- a/cleatlink/relay/role_controller.py
+++ b/cleatlink/relay/role_controller.py
@@ -63,6 +63,7 @@
         metrics: RelayMetrics,
         get_table: Callable[[], RouteTable | None],
         is_stopping: Callable[[], bool],
+        is_cut_off: Callable[[], bool],
     ) -> None:
         self._settings = settings
         self._protocol = protocol
@@ -72,6 +73,7 @@
         self._metrics = metrics
         self._get_table = get_table
         self._is_stopping = is_stopping
+        self._is_cut_off = is_cut_off
         self._is_leader = False
         self._next_plan_at: dict[str, float] = {}
         self._target_roles: dict[str, Role] = {}
@@ -93,7 +95,10 @@
         while True:
             await trio.sleep(_ELECTION_INTERVAL_S)
             peer_reports = self._peers.leader_election_input()
-            leads = leadership.update(peer_reports, trio.current_time()) and not self._is_stopping()
+            is_elected = leadership.update(
+                peer_reports, trio.current_time(), is_cut_off=self._is_cut_off()
+            )
+            leads = is_elected and not self._is_stopping()
             self._peers.members, self._peers.vote = leadership.known, leadership.vote
             if leads is not self._is_leader:
                 self._is_leader = leads
--- a/cleatlink/relay/tunnels/prober.py
+++ b/cleatlink/relay/tunnels/prober.py
@@ -1,12 +1,13 @@
-"""Probes lost paths, so that endpoints are connected directly soon after a path works again."""
+"""Probes paths to endpoints that are or may be lost, without waiting for a request."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 
 from cleatlink.core.errors import EndpointUnreachableError
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.endpoints.dialer import DirectDialer
+from cleatlink.relay.endpoints.dialer import Dialer
+from cleatlink.relay.endpoints.streams import EndpointStream
 from cleatlink.routing.endpoint_paths import EndpointPaths
 
 __all__ = ["PathProber"]
@@ -19,28 +20,35 @@
 _PROBE_TIMEOUT_S = 0.15
 
 
+_Dial = Callable[[RoutedEndpoint, float, float], Awaitable[EndpointStream]]
+
+
 class PathProber:
-    """Connects to endpoints whose path is lost, and closes the connections that open."""
+    """Connects to endpoints, and closes the connections that open.
+
+    Lost paths are probed directly, so that they are used again soon after they work. Paths that may
+    be lost are probed like those of requests, so that the next request knows.
+    """
 
     def __init__(
         self,
-        direct: DirectDialer,
+        dialer: Dialer,
         paths: EndpointPaths,
         find_endpoint: Callable[[str], RoutedEndpoint | None],
     ) -> None:
         """Create a prober.
 
         Args:
-            direct: Connects to endpoints, and records the outcomes.
+            dialer: Connects to endpoints, and records the outcomes.
             paths: The paths to endpoints.
             find_endpoint: Returns a registered endpoint by its incarnation.
         """
-        self._direct = direct
+        self._dialer = dialer
         self._paths = paths
         self._find_endpoint = find_endpoint
 
     async def run(self) -> None:
-        """Probe lost paths until cancelled."""
+        """Probe paths until cancelled."""
         while True:
             await trio.sleep(_CHECK_INTERVAL_S)
             while await self._probe_due():
@@ -48,19 +56,26 @@
                 pass
 
     async def _probe_due(self) -> bool:
-        """Probe the paths that are due; return whether one of them works again."""
-        names = self._paths.take_due_probes(trio.current_time(), _MAX_PROBES)
-        endpoints = [self._find_endpoint(name) for name in names]
+        """Probe the paths that are due; return whether a lost one works again."""
+        now = trio.current_time()
+        lost = self._paths.take_due_probes(now, _MAX_PROBES)
+        possibly_lost = self._paths.take_due_checks(now, _MAX_PROBES)
         async with trio.open_nursery() as nursery:
-            for endpoint in endpoints:
-                if endpoint is not None:
-                    nursery.start_soon(self._probe, endpoint)
-        return any(not self._paths.is_lost(name) for name in names)
+            for names, dial in (
+                (lost, self._dialer.dial_directly),
+                (possibly_lost, self._dialer.dial),
+            ):
+                for name in names:
+                    nursery.start_soon(self._probe, name, dial)
+        return any(not self._paths.is_lost(name) for name in lost)
 
-    async def _probe(self, endpoint: RoutedEndpoint) -> None:
+    async def _probe(self, name: str, dial: _Dial) -> None:
+        endpoint = self._find_endpoint(name)
+        if endpoint is None:
+            return
         try:
-            stream = await self._direct.dial_directly(endpoint, _PROBE_TIMEOUT_S, _PROBE_TIMEOUT_S)
+            stream = await dial(endpoint, _PROBE_TIMEOUT_S, _PROBE_TIMEOUT_S)
         except EndpointUnreachableError:
-            # The monitor has counted the failure.
-            return
-        stream.close()
+            self._paths.note_checked(name, trio.current_time())
+        else:
+            stream.close()
--- a/cleatlink/routing/endpoint_paths.py
+++ b/cleatlink/routing/endpoint_paths.py
@@ -22,6 +22,8 @@
 _UNREACHED_RETENTION_S = 0.5
 # Interval between direct probes of an endpoint whose path is lost, in seconds.
 _PROBE_INTERVAL_S = 0.25
+# Number of lost paths from which on the paths to all other endpoints are checked.
+_SUSPICIOUS_LOSSES = 2
 # Share of a service's endpoints from which on an instance without paths to them is cut off.
 _CUT_OFF_SHARE = 0.5
 
@@ -46,6 +48,7 @@
     def __init__(self) -> None:
         self._paths: dict[str, _Path] = {}
         self._last_loss_at = -math.inf
+        self._last_failure_at = -math.inf
         # Number of lost paths, so that the common case needs no scan.
         self._lost_count = 0
 
@@ -94,7 +97,7 @@
 
     def note_failed(self, name: str, now: float) -> None:
         """Record that a direct connection failed, or takes unusually long."""
-        self._of(name).failed_at = now
+        self._of(name).failed_at = self._last_failure_at = now
 
     def note_reached_by_peer(self, name: str, now: float) -> bool:
         """Record that a peer reached an endpoint; return whether that shows a lost path."""
@@ -136,14 +139,45 @@
             self._paths[name].probed_at = now
         return due[:max_count]
 
-    def retain(self, names: Iterable[str]) -> None:
-        """Forget all endpoints but these."""
-        kept = {name: self._paths[name] for name in names if name in self._paths}
-        self._paths = kept
-        self._lost_count = sum(path.lost_since is not None for path in kept.values())
+    def take_due_checks(self, now: float, max_count: int) -> list[str]:
+        """Return the endpoints whose path may be lost, although no request has shown it.
+
+        These are endpoints to which a direct connection failed while no peer was asked, and, once
+        several paths are lost, all endpoints that were not connected since.
+        """
+        if not self._lost_count and now - self._last_failure_at > _FAILURE_RELEVANCE_S:
+            return []
+        due = [
+            name
+            for name, path in self._paths.items()
+            if path.lost_since is None and (_is_unexplained(path, now) or self._is_suspect(path))
+        ][:max_count]
+        for name in due:
+            self._paths[name].probed_at = now
+        return due
+
+    def note_checked(self, name: str, now: float) -> None:
+        """Record that a check of an endpoint ended, so that its failure is not checked again."""
+        self._of(name).probed_at = now
+
+    def _is_suspect(self, path: _Path) -> bool:
+        """Check whether a path may be lost because several others are."""
+        last_known_at = max(path.connected_at, path.failed_at, path.probed_at)
+        return self._lost_count >= _SUSPICIOUS_LOSSES and last_known_at < self._last_loss_at
+
+    def track(self, names: Iterable[str]) -> None:
+        """Track the paths to these endpoints, and forget all others."""
+        self._paths = {name: self._paths.get(name) or _Path() for name in names}
+        self._lost_count = sum(path.lost_since is not None for path in self._paths.values())
 
     def _of(self, name: str) -> _Path:
         path = self._paths.get(name)
         if path is None:
             path = self._paths[name] = _Path()
         return path
+
+
+def _is_unexplained(path: _Path, now: float) -> bool:
+    """Check whether a direct connection failed just now, and peers were not asked why."""
+    is_recent = now - path.failed_at <= _FAILURE_RELEVANCE_S
+    return is_recent and path.failed_at > max(path.connected_at, path.unreached_at, path.probed_at)
--- a/cleatlink/routing/endpoint_paths_test.py
+++ b/cleatlink/routing/endpoint_paths_test.py
@@ -68,6 +68,29 @@
     assert not paths.is_cut_off_from(["a", "b", "c"])
     lose(paths, "b", 1.0)
     assert paths.is_cut_off_from(["a", "b", "c"])
-    paths.retain(["a", "c"])
+    paths.track(["a", "c"])
     assert paths.lost == ["a"]
     assert not paths.is_cut_off_from([])
+
+
+def test_endpoints_that_no_request_tried_are_checked_once_several_paths_are_lost() -> None:
+    paths = EndpointPaths()
+    paths.track("abcd")
+    paths.note_connected("d", 0.5)
+    lose(paths, "a", 1.0)
+    assert paths.take_due_checks(1.05, 9) == []
+    lose(paths, "b", 1.1)
+    assert paths.take_due_checks(1.15, 9) == ["c", "d"]
+    assert paths.take_due_checks(1.2, 9) == []
+
+
+def test_failed_connection_is_checked_once_unless_peers_were_asked() -> None:
+    paths = EndpointPaths()
+    paths.note_failed("e", 1.0)
+    assert paths.take_due_checks(1.05, 9) == ["e"]
+    paths.note_failed("e", 1.1)
+    paths.note_checked("e", 1.1)
+    assert paths.take_due_checks(1.15, 9) == []
+    paths.note_failed("e", 2.0)
+    paths.note_unreached_by_peer("e", 2.1)
+    assert paths.take_due_checks(2.15, 9) == []
