Tunnels: peers without a path to the service are asked last

Change: heartbeats name the services to which the sender lost its paths, and a peer without a path says so (421), which is remembered for half a second.

--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -226,8 +226,8 @@
             is_stopping=lambda: self._planned_stop.has_begun,
         )
         self._path_prober = PathProber(self._dialer, self._paths, self._capacity.endpoints.get)
-        # Whether any path was lost, and whether this instance was cut off, at the last change.
-        self._announced_path_state = (False, False)
+        # Lost services that were announced to peers without waiting for the next heartbeat.
+        self._announced_lost_services: tuple[str, ...] = ()
         self._nursery: trio.Nursery | None = None
 
     def _create_dialer(self, rng: random.Random) -> Dialer:
@@ -460,7 +460,7 @@
             records.newest_record_revision,
             self._follower.is_connected,
             self._tunnel_port,
-            self._paths.lost_count,
+            self._lost_services,
             self._is_cut_off(),
         )
 
@@ -471,22 +471,34 @@
         is_enabled = self._capacity.switches.is_enabled(Mechanism.TUNNELS)
         return address.port if address is not None and is_enabled else 0
 
+    @property
+    def _lost_services(self) -> tuple[str, ...]:
+        """Services to a large share of whose endpoints this instance has no path, sorted."""
+        endpoints: dict[str, list[str]] = {}
+        for endpoint in self._capacity.endpoints.values() if self._paths.lost_count else ():
+            endpoints.setdefault(endpoint.service, []).append(endpoint.name)
+        return tuple(
+            service
+            for service, names in sorted(endpoints.items())
+            if self._paths.is_cut_off_from(names)
+        )
+
     def _is_cut_off(self) -> bool:
         """Check whether this instance has no path to many of the engines of a service."""
-        engines: dict[str, list[str]] = {}
-        for endpoint in self._capacity.endpoints.values() if self._paths.lost_count else ():
-            if endpoint.role is not Role.PLAIN:
-                engines.setdefault(endpoint.service, []).append(endpoint.name)
-        return any(self._paths.is_cut_off_from(names) for names in engines.values())
+        return any(
+            self._capacity.in_role(service, role)
+            for service in self._lost_services
+            for role in (Role.PREFILL, Role.DECODE)
+        )
 
     def _handle_path_change(self, endpoint: RoutedEndpoint) -> None:
         """Stop using idle connections over the other path, and tell the peers."""
         self._pool.close_idle(endpoint.name)
         if self._paths.is_lost(endpoint.name):
             self._capacity.clear_failures(endpoint.name)
-        path_state = (self._paths.lost_count > 0, self._is_cut_off())
-        if path_state != self._announced_path_state:
-            self._announced_path_state = path_state
+        lost_services = self._lost_services
+        if lost_services != self._announced_lost_services:
+            self._announced_lost_services = lost_services
             self._peers.send_heartbeat()
 
     def _record_peer_demand(self, work: Reservation) -> None:
--- a/cleatlink/relay/peers/advertised_state.py
+++ b/cleatlink/relay/peers/advertised_state.py
@@ -16,8 +16,8 @@
         newest_revision: Revision of the newest registration that it knows.
         is_service_reachable: Whether its last request to the configuration service was answered.
         tunnel_port: Port at which it connects to endpoints for peers; 0 if it does not.
-        lost_paths: Number of endpoints that peers reach and it does not.
-        is_cut_off: Whether it has no path to a large share of the engines of a service.
+        lost_services: Services to a large share of whose endpoints it has no path.
+        is_cut_off: Whether one of these services has engines.
     """
 
     leaving: bool
@@ -25,5 +25,5 @@
     newest_revision: StoreRevision
     is_service_reachable: bool = False
     tunnel_port: int = 0
-    lost_paths: int = 0
+    lost_services: tuple[str, ...] = ()
     is_cut_off: bool = False
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -18,7 +18,7 @@
 import msgspec
 import trio
 
-from cleatlink.core.address import Address, parse_address
+from cleatlink.core.address import Address
 from cleatlink.core.revisions import StoreRevision
 from cleatlink.members.leadership import PeerReports
 from cleatlink.members.watchers import is_watcher
@@ -219,7 +219,7 @@
     def is_peer(self, name: str, host: str) -> bool:
         """Check whether a live peer has this name and sends from this IP address."""
         address = self._peers.address(name)
-        return address is not None and parse_address(address).host == host
+        return address is not None and address.rpartition(":")[0] == host
 
     @property
     def live_instances(self) -> int:
@@ -384,7 +384,7 @@
             self._heartbeat_number,
             True,
             state.tunnel_port,
-            state.lost_paths,
+            list(state.lost_services),
             state.is_cut_off,
         )
         if heartbeat != self._last_heartbeat:
--- a/cleatlink/relay/peers/live_peers.py
+++ b/cleatlink/relay/peers/live_peers.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable, Set
 from typing import NamedTuple
 
-from cleatlink.core.address import Address, parse_address
 from cleatlink.members.leadership import PeerReports
 from cleatlink.members.reflectors import ReflectorCandidate
 from cleatlink.relay.peers.messages import HeartbeatMessage, Member, Roster
@@ -169,9 +168,10 @@
             if not heartbeat.tunnel_port or heartbeat.leaving:
                 continue
             if now - peer.last_heartbeat_at <= silence_s:
-                host = parse_address(heartbeat.address).host
-                address = str(Address(host, heartbeat.tunnel_port))
-                peers.append(TunnelPeer(name, address, heartbeat.data_centre, heartbeat.lost_paths))
+                host = heartbeat.address.rpartition(":")[0]
+                address = f"{host}:{heartbeat.tunnel_port}"
+                lost_services = frozenset(heartbeat.lost_services)
+                peers.append(TunnelPeer(name, address, heartbeat.data_centre, lost_services))
         return peers
 
     def leader_election_input(self, silence_s: float, now: float) -> PeerReports:
--- a/cleatlink/relay/peers/messages.py
+++ b/cleatlink/relay/peers/messages.py
@@ -83,9 +83,9 @@
         work_apart: Whether the sender's work is sent in separate messages and ``work`` is empty.
         tunnel_port: Port at which the sender connects to endpoints on behalf of its peers; 0 if it
             does not.
-        lost_paths: Number of endpoints that peers reach and the sender does not.
-        is_cut_off: Whether the sender has no path to a large share of the engines of a service, so
-            that it can't send role orders.
+        lost_services: Services to a large share of whose endpoints the sender has no path.
+        is_cut_off: Whether one of these services has engines, so that the sender can't send role
+            orders to many of them.
     """
 
     name: str
@@ -110,7 +110,7 @@
     number: int = 0
     work_apart: bool = False
     tunnel_port: int = 0
-    lost_paths: int = 0
+    lost_services: list[str] = []
     is_cut_off: bool = False
 
     @property
--- a/cleatlink/relay/tunnels/client.py
+++ b/cleatlink/relay/tunnels/client.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from collections.abc import Callable
 from enum import Enum
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import eliot
 import h11
@@ -24,12 +24,14 @@
 __all__ = ["PeerFailure", "TunnelClient", "TunnelFailedError", "TunnelStream"]
 
 # Most peers that are asked to connect to one endpoint.
-_MAX_PEERS = 3
+_MAX_PEERS = 4
 # Time after which the next peer is asked as well, in seconds: a peer that reaches the endpoint
 # answers after two round trips.
 _NEXT_PEER_DELAY_S = 0.04
 # Time for which a peer that did not answer is asked last, in seconds.
 _UNRESPONSIVE_S = 1.0
+# The same for a peer that has no path to the endpoint either.
+_WITHOUT_PATH_S = 0.5
 
 
 class PeerFailure(Enum):
@@ -57,6 +59,9 @@
 }
 
 
+_Key = TypeVar("_Key")
+
+
 class _Attempt(NamedTuple):
     """What all requests for one tunnel have in common."""
 
@@ -65,6 +70,13 @@
     ends_at: float
 
 
+class _PeerPath(NamedTuple):
+    """The path from a peer to an endpoint."""
+
+    peer: str
+    endpoint: str
+
+
 class TunnelStream(EndpointStream):
     """A stream to an endpoint through a peer."""
 
@@ -138,6 +150,8 @@
         self._open_tunnels: Counter[str] = Counter()
         # Peers that did not answer in time, and until when they are asked last.
         self._unresponsive_until: dict[str, float] = {}
+        # The same for peers without a path to an endpoint.
+        self._without_path_until: dict[_PeerPath, float] = {}
 
     @property
     def has_peers(self) -> bool:
@@ -167,11 +181,14 @@
 
     def _order_peers(self, endpoint: RoutedEndpoint) -> list[TunnelPeer]:
         now = trio.current_time()
-        unresponsive = frozenset(
-            name for name, until in self._unresponsive_until.items() if now < until
-        )
+        self._unresponsive_until = _remove_past(self._unresponsive_until, now)
+        self._without_path_until = _remove_past(self._without_path_until, now)
         choice = TunnelPeerChoice(
-            self._data_centre, endpoint.data_centre, self._open_tunnels, unresponsive
+            self._data_centre,
+            endpoint,
+            self._open_tunnels,
+            set(self._unresponsive_until),
+            {path.peer for path in self._without_path_until if path.endpoint == endpoint.name},
         )
         return order_tunnel_peers(self._list_peers(), choice, self._rng)
 
@@ -210,6 +227,9 @@
             channel.close()
             raise
         self._unresponsive_until.pop(peer.name, None)
+        if status == TunnelStatus.NO_PATH:
+            path = _PeerPath(peer.name, endpoint.name)
+            self._without_path_until[path] = trio.current_time() + _WITHOUT_PATH_S
         if status != TunnelStatus.OPEN:
             channel.close()
             return _to_status(status)
@@ -217,6 +237,11 @@
         return TunnelStream(channel, peer.name, self)
 
 
+def _remove_past(times: dict[_Key, float], now: float) -> dict[_Key, float]:
+    """Return the items whose time is not over."""
+    return {key: until for key, until in times.items() if now < until}
+
+
 def _to_status(status: int) -> TunnelStatus:
     """Return a peer's status; a later build may know others."""
     return TunnelStatus(status) if status in set(TunnelStatus) else TunnelStatus.UNAVAILABLE
--- a/cleatlink/relay/tunnels/dialer.py
+++ b/cleatlink/relay/tunnels/dialer.py
@@ -37,10 +37,10 @@
         """Open the first stream of a direct connection and a tunnel."""
         now = trio.current_time()
         delay_s = self._monitor.paths.tunnel_delay_s(endpoint.name, now)
-        if delay_s == math.inf or not self._client.has_peers:
+        if delay_s == math.inf:
             return await self.dial_directly(endpoint, ack_timeout_s, timeout_s)
         race = _DialRace(self, endpoint, ack_timeout_s, timeout_s)
-        if self._monitor.paths.is_lost(endpoint.name):
+        if self._monitor.paths.is_lost(endpoint.name) and self._client.has_peers:
             return await race.run_without_direct_connection()
         return await race.run(delay_s)
 
--- a/cleatlink/relay/tunnels/messages.py
+++ b/cleatlink/relay/tunnels/messages.py
@@ -32,9 +32,11 @@
     FORBIDDEN = 403
     # The endpoint is not registered at this address.
     UNKNOWN_ENDPOINT = 404
+    # The peer has no path to the endpoint itself.
+    NO_PATH = 421
     # The endpoint refused the peer's connection.
     REFUSED = 502
-    # The peer carries no more tunnels, is stopping, or has no path to the endpoint itself.
+    # The peer carries no more tunnels, or is stopping.
     UNAVAILABLE = 503
     # The endpoint did not respond to the peer.
     NO_RESPONSE = 504
--- a/cleatlink/relay/tunnels/server.py
+++ b/cleatlink/relay/tunnels/server.py
@@ -135,7 +135,7 @@
         if self._is_stopping() or self._open_count >= self._max_tunnels:
             return TunnelStatus.UNAVAILABLE
         if self._monitor.paths.is_lost(endpoint.name):
-            return TunnelStatus.UNAVAILABLE
+            return TunnelStatus.NO_PATH
         return TunnelStatus.OPEN
 
     async def _refuse(
--- a/cleatlink/routing/tunnel_peers.py
+++ b/cleatlink/routing/tunnel_peers.py
@@ -1,9 +1,11 @@
 """Chooses the peers that are asked to connect to an endpoint on behalf of this instance."""
 
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 from typing import NamedTuple
 
+from cleatlink.core.routes import RoutedEndpoint
+
 __all__ = ["TunnelPeer", "TunnelPeerChoice", "order_tunnel_peers"]
 
 
@@ -14,13 +16,13 @@
         name: Name of the peer.
         address: IP address and port at which it accepts tunnels.
         data_centre: Its data centre.
-        lost_paths: Number of endpoints that it can't connect to itself.
+        lost_services: Services to a large share of whose endpoints it has no path itself.
     """
 
     name: str
     address: str
     data_centre: str
-    lost_paths: int
+    lost_services: frozenset[str]
 
 
 class TunnelPeerChoice(NamedTuple):
@@ -28,15 +30,17 @@
 
     Attributes:
         data_centre: Data centre of this instance.
-        endpoint_data_centre: Data centre of the endpoint.
+        endpoint: The endpoint to connect to.
         open_tunnels: Number of this instance's tunnels by peer.
         unresponsive: Peers that did not answer in time just now.
+        without_path: Peers that said just now that they have no path to the endpoint.
     """
 
     data_centre: str
-    endpoint_data_centre: str
+    endpoint: RoutedEndpoint
     open_tunnels: Mapping[str, int]
-    unresponsive: frozenset[str]
+    unresponsive: Set[str]
+    without_path: Set[str]
 
 
 def order_tunnel_peers(
@@ -44,16 +48,17 @@
 ) -> list[TunnelPeer]:
     """Order peers by preference.
 
-    Peers that respond and have all their paths come first, then those of this data centre, those
-    of the endpoint's data centre, and those that carry the fewest tunnels of this instance.
+    Peers that respond and have a path to the endpoint come first, then those of this data centre,
+    those of the endpoint's data centre, and those that carry the fewest tunnels of this instance.
     """
+    endpoint = choice.endpoint
 
     def preference(peer: TunnelPeer) -> tuple[bool, bool, bool, bool, int, float]:
         return (
+            peer.name in choice.without_path or endpoint.service in peer.lost_services,
             peer.name in choice.unresponsive,
-            peer.lost_paths > 0,
             peer.data_centre != choice.data_centre,
-            peer.data_centre != choice.endpoint_data_centre,
+            peer.data_centre != endpoint.data_centre,
             choice.open_tunnels.get(peer.name, 0),
             rng.random(),
         )
