Failures and delays on a lost path are not the endpoint's

What callers saw: right after a cut, other calls of the same instance found all endpoints set aside, although peers reached them. Cause: requests that hung on the lost path failed up to 1.5 s after it was known to be lost, and each set its endpoint aside; their durations entered the speeds that are told to all instances. Change: while the path is lost, only what peers confirm counts as a failure of the endpoint; durations are not measured, and slowness is not reported. Evidence: test_endpoints_are_avoided_for_requests_that_a_lost_path_broke fails before (one of three endpoints usable) and passes now.

--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -280,11 +280,16 @@
             self._is_trial_run = False
             seconds = trio.current_time() - self._last_started_at
             self._components.crash_detector.report_broken_request(endpoint, identity, seconds)
-        if not isinstance(error, EndpointRefusedError):
+        if not isinstance(error, EndpointRefusedError) and not self._is_of_path(endpoint, error):
             self._components.capacity.note_failure(endpoint.name, trio.current_time())
         if isinstance(error, EndpointUnreachableError):
             self._components.on_endpoint_problem(endpoint.name, HintKind.UNREACHABLE)
 
+    def _is_of_path(self, endpoint: RoutedEndpoint, error: Exception) -> bool:
+        """Check whether a failure is that of a lost path; peers confirm unreachable endpoints."""
+        is_confirmed = isinstance(error, EndpointUnreachableError)
+        return self._components.paths.is_lost(endpoint.name) and not is_confirmed
+
     def start_upload(self, endpoint: RoutedEndpoint) -> Upload:
         """Start to track the upload of the call's body to an endpoint.
 
@@ -299,18 +304,21 @@
         """Update the read rate of an endpoint that answered the call after the given seconds."""
         self._components.capacity.read_rates.note_answered(endpoint.name, upload, seconds)
 
-    def processing_s(self, upload: Upload, began_at: float) -> float | None:
+    def processing_s(self, endpoint: str, upload: Upload, began_at: float) -> float | None:
         """Return the time for which an endpoint has been processing the call.
 
         Args:
+            endpoint: Incarnation of the endpoint.
             upload: The upload of the call's body.
             began_at: Time at which sending began.
 
         Returns:
-            Seconds; None if unknown, because the upload may have taken most of the time or this
-            process was paused meanwhile.
+            Seconds; None if unknown, because the upload may have taken most of the time, this
+            process was paused meanwhile, or it has no path to the endpoint.
         """
         now = trio.current_time()
+        if self._components.paths.is_lost(endpoint):
+            return None
         if self._components.capacity.process_pauses.has_paused_since(began_at, now):
             return None
         return upload.processing_s(began_at, now)
@@ -330,7 +338,12 @@
         )
 
     def report_slow(self, endpoint: RoutedEndpoint, seconds: float) -> None:
-        """Report to peers that an endpoint took much longer than expected."""
+        """Report to peers that an endpoint took much longer than expected.
+
+        Peers that have a path to the endpoint are not told of delays on a lost one.
+        """
+        if self._components.paths.is_lost(endpoint.name):
+            return
         self.log(
             "endpoint is slow, reporting it to peers",
             endpoint=endpoint.name,
--- a/cleatlink/relay/calls/components.py
+++ b/cleatlink/relay/calls/components.py
@@ -14,6 +14,7 @@
 from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
 from cleatlink.request.shared_retry_budget import SharedRetryBudget
 from cleatlink.routing.capacity import Capacity
+from cleatlink.routing.endpoint_paths import EndpointPaths
 from cleatlink.routing.table_tracker import TableTracker
 
 __all__ = ["RelayComponents"]
@@ -41,6 +42,7 @@
             stream needed.
         crash_detector: Finds out whether an endpoint that interrupted a request has crashed.
         quarantine: Requests that are suspected of crashing endpoints.
+        paths: Paths from this instance to endpoints.
         spawn: Starts a task that outlives the call that starts it.
     """
 
@@ -61,4 +63,5 @@
     on_rejection: Callable[[str, int], None]
     crash_detector: CrashDetector
     quarantine: SharedQuarantine
+    paths: EndpointPaths
     spawn: Callable[..., None]
--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -180,7 +180,7 @@
         """
         capacity = self._components.capacity
         service_times = capacity.service_times(self._call.service.name)
-        duration_s = self._call.processing_s(self._upload, started_at)
+        duration_s = self._call.processing_s(endpoint.name, self._upload, started_at)
         if duration_s is None:
             return
         now = trio.current_time()
--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -205,7 +205,7 @@
                 queue_ms=int(1000 * queue_s),
             )
             components.metrics.observe_prefill(elapsed_s)
-            processing_s = call.processing_s(upload, now)
+            processing_s = call.processing_s(endpoint.name, upload, now)
             if processing_s is not None:
                 self._record_speed(endpoint, queue_s, processing_s)
             components.capacity.note_success(endpoint.name, trio.current_time())
--- a/cleatlink/relay/calls/stream_meter.py
+++ b/cleatlink/relay/calls/stream_meter.py
@@ -52,7 +52,7 @@
     def note_events(self, count: int, now: float) -> None:
         """Count received events, and record each complete measurement."""
         if not self._event_count:
-            start_s = self._call.processing_s(self._upload, self._sent_at)
+            start_s = self._call.processing_s(self._endpoint, self._upload, self._sent_at)
             if self._is_prefilled and start_s is not None:
                 self._service_times.note_first_event(start_s)
             self._event_count, self._segment_began_at = count, now
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -161,6 +161,7 @@
             self._announce_rejected_tokens,
             self._crash_detector,
             self._quarantine,
+            self._paths,
             self._spawn,
         )
         self._service = RelayService(self._components)
--- a/cleatlink/relay/lost_paths_test.py
+++ b/cleatlink/relay/lost_paths_test.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from cleatlink.core.data import Role
 from cleatlink.routing.mechanisms import Mechanism
 from standins.relay import Run, Worker
 from standins.relay.cut_paths import PathCut
@@ -19,6 +20,8 @@
 CUT_AGE_S = 5.0
 # Time from the start of a cut after which requests are served, in seconds.
 DETECTION_S = 0.5
+# Time after which connections that hang have failed, in seconds.
+ACK_TIMEOUT_S = 1.6
 # Time from the end of a cut after which direct connections are used, in seconds.
 RETURN_S = 1.0
 LONG_STREAM = {**STREAM, "Deadline-Milliseconds": "9000"}
@@ -213,6 +216,24 @@
             assert fleet.instances[index].status()["quarantine"] == []
 
 
+async def test_endpoints_are_avoided_for_requests_that_a_lost_path_broke() -> None:
+    async with open_fleet() as fleet:
+        workers = await start_fleet_with_peers(fleet)
+        for worker in workers:
+            worker.run_duration_s = 4.0
+        requests = [await fleet.caller().send("/unsafe/x", "POST") for _ in range(2)]
+        await fleet.wait_until(lambda: all(find_runs(fleet, request) for request in requests))
+        for worker in workers:
+            worker.run_duration_s = 0.01
+        fleet.connectors[0].cut(PathCut.HANG)
+        for _ in range(3):
+            await ask_all_kinds(fleet)
+        await trio.sleep(ACK_TIMEOUT_S)
+        capacity = fleet.instances[0].capacity
+        usable = capacity.candidates("plain", Role.PLAIN, trio.current_time())
+        assert {endpoint.name for endpoint in usable} == {worker.name for worker in workers[:3]}
+
+
 async def test_all_instances_of_a_data_centre_are_cut_off() -> None:
     async with open_fleet() as fleet:
         workers = [*(Worker("plain") for _ in range(3)), *engines()]
