Soak: instances lose their paths to workers that others still reach

The soak cut nothing between one instance and the workers, so it could not show RECOVER. The new check compares what instances without paths served with what the others served in the same periods.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from soak.notice_checks import check_announced_limits, check_backoffs, check_leaving_notices
-from soak.records import Arrival, History, Request, RequestKind, RouteMove
+from soak.records import Arrival, History, LostPaths, Request, RequestKind, RouteMove
 from soak.violations import DRAIN_S, SLACK_S, Violation
 
 __all__ = ["CHECKS", "Violation", "check_history"]
@@ -35,6 +35,12 @@
 # Largest number of workers that a request may crash after its third crash, once all instances have
 # had time to learn of that crash.
 MAX_LATE_CRASHES = 3
+# Instances that lost their paths serve at least this share of what the others serve, apart from a
+# few failures; the loss has to be noticed within `_LOSS_DETECTION_S` seconds.
+_LOST_PATHS_RATIO = 2 / 3
+_TOLERATED_FAILURES = 10
+_TOLERATED_FAILURE_SHARE = 1 / 50
+_LOSS_DETECTION_S = 1.0
 _NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 _UNREPEATABLE_KINDS = frozenset({RequestKind.UNSAFE, RequestKind.STREAM})
 _STREAM_KINDS = frozenset({RequestKind.STREAM, RequestKind.RESUMABLE})
@@ -435,6 +441,50 @@
             )
 
 
+class _ServedShare(NamedTuple):
+    """How many of some requests were served."""
+
+    served: int
+    sent: int
+
+    @property
+    def share(self) -> float:
+        """Share of the requests that were served."""
+        return self.served / self.sent
+
+
+def _check_lost_paths(history: History) -> Iterator[Violation]:
+    """Check that an instance without paths to workers serves nearly as well as the others."""
+    cut: list[Request] = []
+    others: list[Request] = []
+    for request in history.requests:
+        periods = [item for item in history.lost_paths if _is_during(request, item)]
+        if request.caller_left or not periods:
+            continue
+        is_cut = any(item.instance == request.instance for item in periods)
+        (cut if is_cut else others).append(request)
+    if not cut or not others:
+        return
+    cut_share, other_share = _served_share(cut), _served_share(others)
+    failed = cut_share.sent - cut_share.served
+    tolerated = _TOLERATED_FAILURES + _TOLERATED_FAILURE_SHARE * cut_share.sent
+    if cut_share.share < _LOST_PATHS_RATIO * other_share.share and failed > tolerated:
+        detail = (
+            f"instances without paths served {cut_share.served} of {cut_share.sent} requests, "
+            f"the others {other_share.served} of {other_share.sent}"
+        )
+        yield Violation("", detail, tuple(item.request_id for item in cut if item.status != 200))
+
+
+def _is_during(request: Request, lost: LostPaths) -> bool:
+    """Check whether a request was sent when the loss of paths should have been noticed."""
+    return lost.began_at + _LOSS_DETECTION_S <= request.sent_at <= lost.ended_at
+
+
+def _served_share(requests: list[Request]) -> _ServedShare:
+    return _ServedShare(sum(item.status == 200 for item in requests), len(requests))
+
+
 def _check_liveness(history: History) -> Iterator[Violation]:
     """Check that no process exits by itself, and that all serve requests after the faults."""
     for text in history.process_failures:
@@ -465,6 +515,7 @@
     "keys in force": _check_keys,
     "limits hold over all": _check_organisation_limits,
     "requests that crash workers stop": _check_crashing_requests,
+    "a lost path costs no answers": _check_lost_paths,
     "it goes on": _check_liveness,
 }
 
--- a/soak/checks_test.py
+++ b/soak/checks_test.py
@@ -14,6 +14,7 @@
     History,
     KeyChange,
     LimitChange,
+    LostPaths,
     Order,
     Request,
     RequestedBackoff,
@@ -48,6 +49,13 @@
 ROUTE_MOVES = [RouteMove("s0", 10.0), RouteMove("s1", 40.0)]
 
 VIOLATING_HISTORIES = {
+    "a lost path costs no answers": EMPTY_HISTORY._replace(
+        requests=[
+            *(SUCCESS._replace(status=503, retry_after="1") for _ in range(11)),
+            *(SUCCESS._replace(instance=2) for _ in range(20)),
+        ],
+        lost_paths=(LostPaths(1, 45.0, 55.0),),
+    ),
     "requests that crash workers stop": EMPTY_HISTORY._replace(
         crashes=tuple(CrashingRun("crash-1", f"i-{at}", 10.0 + at) for at in (0, 1, 2, 6, 7, 8, 9))
     ),
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -12,6 +12,7 @@
 from soak.processes import InstanceProcess
 from soak.records import (
     AnnouncedWorkerLimit,
+    LostPaths,
     RequestedBackoff,
     Stop,
     Withdrawal,
@@ -20,6 +21,7 @@
 from soak.traffic import STREAM_HEADERS
 from soak.workers import CRASHING_BODY_PREFIX, SoakWorker
 from standins.relay import Fault, StoreMode
+from standins.relay.cut_paths import PathCut
 from standins.relay.raw_client import Caller
 
 __all__ = ["FaultInjector"]
@@ -66,6 +68,8 @@
 _EXTRA_SUSPENSION_RANGE_S = (0.5, 30.0)
 _CLOCK_STEP_RANGE_S = (1.0, 4000.0)
 _BUSY_POLL_S = 0.05
+# Seconds by which lost paths last longer than other faults, so that requests are sent meanwhile.
+_EXTRA_CUT_S = 2.0
 # A crashing request is repeated for longer than it takes to be quarantined.
 _CRASHING_REQUEST_COUNT = 20
 _CRASHING_REQUEST_INTERVAL_S = 0.4
@@ -370,6 +374,17 @@
         await trio.sleep(fault.duration_s)
         instance.shift_clocks(0.0, -step_s)
 
+    async def _cut_paths(self, fault: PlannedFault) -> None:
+        """Cut an instance's paths to all workers, for longer than other faults last."""
+        instance = self._pick_instance(fault)
+        began_at = trio.current_time()
+        instance.cut_paths(self._rng.choice(list(PathCut)))
+        try:
+            await trio.sleep(_EXTRA_CUT_S + fault.duration_s)
+        finally:
+            instance.cut_paths(None)
+            self._fleet.lost_paths.append(LostPaths(instance.number, began_at, trio.current_time()))
+
     async def _reload_instance(self, fault: PlannedFault) -> None:
         """Change the settings, sometimes after a moment of invalid ones, and send SIGHUP."""
         instance = self._pick_instance(fault)
@@ -482,6 +497,7 @@
     FaultKind.INSTANCE_SUSPEND: lambda injector: injector._suspend_instance,
     FaultKind.INSTANCE_CLOCK: lambda injector: injector._step_clock,
     FaultKind.INSTANCE_SIGNALS: lambda injector: injector._stop_with_signals,
+    FaultKind.PATHS_CUT: lambda injector: injector._cut_paths,
 }
 _WORKER_ACTIONS: dict[FaultKind, Callable[[FaultInjector], _FaultAction]] = {
     FaultKind.WORKER_FAULTS: lambda injector: injector._inject_worker_faults,
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -11,6 +11,7 @@
     "MOVING_CLOCK_KINDS",
     "NOTICE_KINDS",
     "ORGANISATION_KINDS",
+    "PATH_KINDS",
     "RESTORE_KINDS",
     "STOP_KINDS",
     "WORKER_LIMIT_KINDS",
@@ -65,6 +66,7 @@
     STORE_RESTORE = "the store is unavailable and is then restored from a copy that is seconds old"
     UPGRADE = "all instances are replaced in turn by instances of the other build version"
     CRASHING_REQUEST = "a request that crashes every worker that runs it is sent repeatedly"
+    PATHS_CUT = "an instance loses its paths to all workers, which the others still reach"
 
 
 # Planned operations only; none of them may interrupt a request.
@@ -150,6 +152,20 @@
     FaultKind.INSTANCE_STOP,
     FaultKind.STORE_LINK_SILENCE,
 )
+# Lost paths of instances, combined with instances that are stopped, killed and paused, and with
+# workers that crash and leave.
+PATH_KINDS = (
+    FaultKind.PATHS_CUT,
+    FaultKind.INSTANCE_STOP,
+    FaultKind.INSTANCE_KILL,
+    FaultKind.INSTANCE_PAUSE,
+    FaultKind.INSTANCE_RELOAD,
+    FaultKind.WORKER_CRASH,
+    FaultKind.WORKER_DRAIN,
+    FaultKind.WORKER_FAULTS,
+    FaultKind.CONFIGURATION,
+    FaultKind.STORE_LINK_SILENCE,
+)
 # Kinds that a run has to name. Adding one to the default kinds would change the schedules of the
 # recorded seeds.
 _OPT_IN_KINDS = (
@@ -160,6 +176,7 @@
     FaultKind.STORE_RESTORE,
     FaultKind.UPGRADE,
     FaultKind.CRASHING_REQUEST,
+    FaultKind.PATHS_CUT,
 )
 _DEFAULT_KINDS = tuple(kind for kind in FaultKind if kind not in _OPT_IN_KINDS)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -10,6 +10,7 @@
 from soak.records import (
     AnnouncedWorkerLimit,
     Disturbance,
+    LostPaths,
     RequestedBackoff,
     RouteMove,
     Stop,
@@ -41,6 +42,7 @@
         organisations: SoakOrganisations | None = None,
         earlier_build_folder: Path | None = None,
         shifts_clocks: bool = False,
+        cuts_paths: bool = False,
     ) -> None:
         """Create a fleet without starting it.
 
@@ -54,6 +56,7 @@
             earlier_build_folder: Sources of the build that the instances run first; None for
                 this build.
             shifts_clocks: Whether faults can shift the clocks of the instances.
+            cuts_paths: Whether faults can cut the paths of instances to workers.
         """
         self.platform = Fleet(nursery)
         self.organisations = organisations
@@ -69,6 +72,7 @@
         self.leaving_notices: list[WorkerLeavingNotice] = []
         self.backoffs: list[RequestedBackoff] = []
         self.announced_limits: list[AnnouncedWorkerLimit] = []
+        self.lost_paths: list[LostPaths] = []
         self.earlier_build_folder = earlier_build_folder
         # Workers with an entry in the store, and the state in the entry, by worker name.
         self._registered: dict[str, tuple[SoakWorker, str]] = {}
@@ -78,7 +82,15 @@
             instance_ip(number + 1) for number in range(min(_MAX_SEED_PEERS, instance_count))
         )
         self.instances = [
-            InstanceProcess(number + 1, ports, seeds, folder, ablation, shifts_clocks=shifts_clocks)
+            InstanceProcess(
+                number + 1,
+                ports,
+                seeds,
+                folder,
+                ablation,
+                shifts_clocks=shifts_clocks,
+                cuts_paths=cuts_paths,
+            )
             for number in range(instance_count)
         ]
         for instance in self.instances:
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -8,8 +8,10 @@
 
 import trio
 
+from soak.cut_paths import write_cut
 from soak.shifted_clocks import ClockOffsets, write_offsets
 from standins.ports import free_port
+from standins.relay.cut_paths import PathCut
 from standins.relay.raw_client import Caller
 from standins.relay.settings_file import Ports, write_instance_settings
 
@@ -54,6 +56,7 @@
         ablation: str,
         *,
         shifts_clocks: bool = False,
+        cuts_paths: bool = False,
     ) -> None:
         """Create an instance without starting it.
 
@@ -64,6 +67,7 @@
             folder: Folder for its settings and log.
             ablation: Mechanism that is disabled in it; empty for none.
             shifts_clocks: Whether faults can shift its clocks.
+            cuts_paths: Whether faults can cut its paths to workers; not together with clocks.
         """
         self.number = number
         self.incarnation = 0
@@ -79,11 +83,15 @@
         self._offsets = ClockOffsets()
         self._offsets_path = folder / f"n{number}.clocks"
         write_offsets(self._offsets_path, self._offsets)
+        self._cut_path = folder / f"n{number}.cut"
+        write_cut(self._cut_path, None)
         module_arguments = ["cleatlink.scripts.main"]
         if ablation:
             module_arguments = ["soak.ablations", ablation]
         elif shifts_clocks:
             module_arguments = ["soak.shifted_clocks", str(self._offsets_path)]
+        elif cuts_paths:
+            module_arguments = ["soak.cut_paths", str(self._cut_path)]
         self._command = [sys.executable, "-m", *module_arguments, "entry"]
         self._command += ["--settings-file", str(self._settings_path)]
         self._command += ["--metrics-listen", f"{self.ip}:{ports.metrics}"]
@@ -144,6 +152,10 @@
         self._offsets = ClockOffsets(before.monotonic_s + suspended_s, before.wall_s + step_s)
         write_offsets(self._offsets_path, self._offsets)
 
+    def cut_paths(self, cut: PathCut | None) -> None:
+        """Cut the paths of the instance to all workers, or restore them."""
+        write_cut(self._cut_path, cut)
+
     def exit_code(self) -> int | None:
         """Return the exit code; None while the process runs."""
         return self._process.poll() if self._process is not None else None
--- a/soak/records.py
+++ b/soak/records.py
@@ -13,6 +13,7 @@
     "KeyChange",
     "WorkerLeavingNotice",
     "LimitChange",
+    "LostPaths",
     "AnnouncedWorkerLimit",
     "Order",
     "Request",
@@ -251,6 +252,20 @@
     is_earlier_build: bool = False
 
 
+class LostPaths(NamedTuple):
+    """A period in which an instance had no path to any worker, while others had theirs.
+
+    Attributes:
+        instance: Number of the instance.
+        began_at: When the paths were cut.
+        ended_at: When they were restored.
+    """
+
+    instance: int
+    began_at: float
+    ended_at: float
+
+
 class Disturbance(NamedTuple):
     """A period in which a component was disturbed by a fault.
 
@@ -290,6 +305,7 @@
         leaving_notices: Workers that announced in answers that they were leaving.
         backoffs: Periods in which workers requested backoffs.
         announced_limits: Periods in which workers announced rate limits over all instances.
+        lost_paths: Periods in which instances had no path to any worker.
         store_calls: Number of calls to the store, from all instances.
         instance_count: Number of instances.
         traffic_s: Duration of the traffic with faults, in seconds.
@@ -313,6 +329,7 @@
     leaving_notices: tuple[WorkerLeavingNotice, ...] = ()
     backoffs: tuple[RequestedBackoff, ...] = ()
     announced_limits: tuple[AnnouncedWorkerLimit, ...] = ()
+    lost_paths: tuple[LostPaths, ...] = ()
     store_calls: int = 0
     instance_count: int = 1
     traffic_s: float = 30.0
--- a/soak/run.py
+++ b/soak/run.py
@@ -90,6 +90,7 @@
                 organisations=organisations,
                 earlier_build_folder=earlier_build_folder,
                 shifts_clocks=bool(set(settings.kinds) & set(CLOCK_KINDS)),
+                cuts_paths=FaultKind.PATHS_CUT in settings.kinds,
             )
             try:
                 await fleet.start(settings.prefill_count)
@@ -159,6 +160,7 @@
         leaving_notices=tuple(fleet.leaving_notices),
         backoffs=tuple(fleet.backoffs),
         announced_limits=tuple(fleet.announced_limits),
+        lost_paths=tuple(fleet.lost_paths),
         store_calls=fleet.platform.store.calls,
         instance_count=len(fleet.instances),
         traffic_s=settings.seconds,
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -14,6 +14,7 @@
     MOVING_CLOCK_KINDS,
     NOTICE_KINDS,
     ORGANISATION_KINDS,
+    PATH_KINDS,
     RESTORE_KINDS,
     WORKER_LIMIT_KINDS,
     FaultKind,
@@ -42,6 +43,7 @@
         FaultKind.STORE_RESTORE,
         FaultKind.UPGRADE,
         FaultKind.CRASHING_REQUEST,
+        FaultKind.PATHS_CUT,
     }
     assert default_kinds == set(FaultKind) - opt_in_kinds
     kinds = tuple(FaultKind)
@@ -218,3 +220,21 @@
             nursery.start_soon(run_until_reported, name)
     for name in names:
         assert ABLATIONS[name].expected_check in reported[name]
+
+
+@pytest.mark.alone
+async def test_instances_without_paths_to_workers_refuse_callers() -> None:
+    settings = RunSettings(
+        CI_SEED, seconds=14.0, instances=4, callers=12, rate=2.5, kinds=(FaultKind.PATHS_CUT,)
+    )
+    result = await run_soak(settings)
+    assert result.violations == []
+    assert len(result.faults) > 3
+
+
+@pytest.mark.alone
+async def test_lost_paths_beside_other_faults_break_promises() -> None:
+    settings = RunSettings(CI_SEED, seconds=14.0, instances=4, rate=2.0, kinds=PATH_KINDS)
+    result = await run_soak(settings)
+    assert result.violations == []
+    assert any(fault.kind is FaultKind.PATHS_CUT for fault in result.faults)
