Tunnels that are no longer needed are closed, and pauses are not taken for slow paths

- Idle tunnels through a peer that leaves kept its planned stop waiting until they expired; idle ones of a path that works again were used once more.
They are closed within a housekeeping interval.
- After a pause of the process a direct connection could look overdue although it was open; received data is looked at first, as elsewhere.

--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -242,6 +242,7 @@
             settings.data_centre,
             local_host=settings.peer_listen.host,
             list_peers=lambda: self._peers.tunnel_peers(),  # noqa: PLW0108
+            is_path_lost=self._paths.is_lost,
             rng=rng,
         )
         return TunnelDialer(self._direct_dialer, client, self._path_monitor)
--- a/cleatlink/relay/lost_paths_test.py
+++ b/cleatlink/relay/lost_paths_test.py
@@ -103,6 +103,21 @@
         assert sum(len(connector.attempts) for connector in fleet.connectors[1:]) == others
 
 
+async def test_instance_cut_off_from_endpoints_and_store_refuses_callers() -> None:
+    async with open_fleet() as fleet:
+        await start_fleet_with_peers(fleet)
+        fleet.refuse_store_access(0)
+        fleet.connectors[0].cut(PathCut.HANG)
+        await trio.sleep(CUT_AGE_S)
+        replacement = await fleet.add_worker(Worker("plain"))
+        for worker in fleet.workers[:3]:
+            fleet.unregister(worker)
+        endpoints = fleet.instances[0].capacity.endpoints
+        await fleet.wait_until(lambda: replacement.name in endpoints)
+        for _ in range(3):
+            await ask_all_kinds(fleet)
+
+
 async def test_dead_endpoint_is_taken_for_a_lost_path() -> None:
     async with open_fleet() as fleet:
         workers = await start_fleet_with_peers(fleet)
--- a/cleatlink/relay/tunnels/channel.py
+++ b/cleatlink/relay/tunnels/channel.py
@@ -8,8 +8,8 @@
 
 __all__ = ["TunnelChannel"]
 
-# Bytes to read at a time: the usual size of a socket's buffer.
-_READ_BYTES = 65_536
+# Bytes to read at a time; a peer holds at most this much for each direction of a tunnel.
+_READ_BYTES = 16_384
 # Far above the head of a tunnel request or response.
 _MAX_HEAD_BYTES = 8_192
 
--- a/cleatlink/relay/tunnels/client.py
+++ b/cleatlink/relay/tunnels/client.py
@@ -37,8 +37,10 @@
 class PeerFailure(Enum):
     """Why no peer opened a tunnel."""
 
-    # There was no peer to ask, or none could tell anything about the endpoint.
+    # There was no peer to ask.
     NO_PEER = "no peer"
+    # No peer answered, or none had a path to the endpoint.
+    NO_EVIDENCE = "no evidence"
     # A peer that has all its paths was refused by the endpoint.
     REFUSED = "refused"
     # A peer that has all its paths got no response from the endpoint.
@@ -80,8 +82,11 @@
 class TunnelStream(EndpointStream):
     """A stream to an endpoint through a peer."""
 
-    def __init__(self, channel: TunnelChannel, peer: str, client: "TunnelClient") -> None:
+    def __init__(
+        self, channel: TunnelChannel, endpoint: str, peer: str, client: "TunnelClient"
+    ) -> None:
         self._channel = channel
+        self._endpoint = endpoint
         self._client = client
         self._is_closed = False
         self.peer = peer
@@ -93,8 +98,9 @@
 
     @property
     def is_open_without_input(self) -> bool:
-        """Whether the tunnel is open, with neither data nor its end waiting to be read."""
-        return self._client.accepts_tunnels(self.peer) and self._channel.is_open_without_input
+        """Whether the tunnel is open and still needed, with nothing waiting to be read."""
+        is_needed = self._client.needs_tunnel(self._endpoint, self.peer)
+        return is_needed and self._channel.is_open_without_input
 
     async def send_all(self, data: bytes) -> None:
         """Send data through the tunnel."""
@@ -131,6 +137,7 @@
         *,
         local_host: str,
         list_peers: Callable[[], list[TunnelPeer]],
+        is_path_lost: Callable[[str], bool],
         rng: random.Random,
     ) -> None:
         """Create a client without tunnels.
@@ -140,12 +147,14 @@
             data_centre: Data centre of this instance.
             local_host: IP address from which peers expect this instance.
             list_peers: Returns the live peers that carry tunnels and are not leaving.
+            is_path_lost: Returns whether this instance has no path to an endpoint's incarnation.
             rng: Spreads tunnels over equally good peers.
         """
         self._name = name
         self._data_centre = data_centre
         self._local_host = local_host
         self._list_peers = list_peers
+        self._is_path_lost = is_path_lost
         self._rng = rng
         self._open_tunnels: Counter[str] = Counter()
         # Peers that did not answer in time, and until when they are asked last.
@@ -158,9 +167,11 @@
         """Whether there is any peer to ask."""
         return bool(self._list_peers())
 
-    def accepts_tunnels(self, peer: str) -> bool:
-        """Check whether a peer is live, not leaving and carries tunnels."""
-        return any(item.name == peer for item in self._list_peers())
+    def needs_tunnel(self, endpoint: str, peer: str) -> bool:
+        """Check whether a tunnel is to be used again: its path is lost and its peer not leaving."""
+        return self._is_path_lost(endpoint) and any(
+            item.name == peer for item in self._list_peers()
+        )
 
     def note_closed(self, peer: str) -> None:
         """Record that a tunnel through a peer was closed."""
@@ -234,7 +245,7 @@
             channel.close()
             return _to_status(status)
         self._open_tunnels[peer.name] += 1
-        return TunnelStream(channel, peer.name, self)
+        return TunnelStream(channel, endpoint.name, peer.name, self)
 
 
 def _remove_past(times: dict[_Key, float], now: float) -> dict[_Key, float]:
@@ -279,7 +290,7 @@
         for reason in (PeerFailure.REFUSED, PeerFailure.NO_RESPONSE):
             if reason in self._failures:
                 return reason
-        return PeerFailure.NO_PEER
+        return PeerFailure.NO_EVIDENCE if self._peers else PeerFailure.NO_PEER
 
     async def _ask_all(self) -> None:
         async with trio.open_nursery() as nursery:
--- a/cleatlink/relay/tunnels/dialer.py
+++ b/cleatlink/relay/tunnels/dialer.py
@@ -10,7 +10,7 @@
 from cleatlink.relay.endpoints.dialer import Dialer, DirectDialer
 from cleatlink.relay.endpoints.path_monitor import PathMonitor
 from cleatlink.relay.endpoints.streams import EndpointStream
-from cleatlink.relay.tasks import run_watched
+from cleatlink.relay.tasks import run_watched, sleep_until_sockets_read
 from cleatlink.relay.tunnels.client import PeerFailure, TunnelClient, TunnelFailedError
 
 __all__ = ["TunnelDialer"]
@@ -59,7 +59,7 @@
         try:
             stream = await self._client.open(endpoint, ack_timeout_s, _TUNNEL_TIMEOUT_S)
         except TunnelFailedError as error:
-            if error.reason is not PeerFailure.NO_PEER:
+            if error.reason in (PeerFailure.REFUSED, PeerFailure.NO_RESPONSE):
                 self._monitor.note_unreached_by_peer(endpoint)
             raise
         self._monitor.note_reached_by_peer(endpoint, stream.peer)
@@ -98,9 +98,11 @@
         """
 
         async def open_tunnel_later(scope: trio.CancelScope) -> None:
-            with trio.move_on_after(tunnel_delay_s):
+            due_at = trio.current_time() + tunnel_delay_s
+            with trio.move_on_at(due_at):
                 await self._direct_failed.wait()
             if not self._direct_failed.is_set():
+                await sleep_until_sockets_read(due_at)
                 self._dialer.note_overdue(self._endpoint)
             await self._open_tunnel(scope)
 
@@ -155,7 +157,7 @@
     def _error(self) -> EndpointUnreachableError:
         """Return the failure, whose cause says whether the endpoint refused connections.
 
-        A refused direct connection proves nothing about an endpoint that no peer could try.
+        While the path may be lost, a refused direct connection is no evidence of that.
         """
         reason = self._tunnel_failure or PeerFailure.NO_PEER
         error = EndpointUnreachableError(
@@ -165,4 +167,6 @@
             error.__cause__ = ConnectionRefusedError("refused a peer")
         elif reason is PeerFailure.NO_RESPONSE:
             error.__cause__ = trio.TooSlowError("did not respond to a peer")
+        elif reason is PeerFailure.NO_PEER and self._direct_error is not None:
+            error.__cause__ = self._direct_error.__cause__
         return error
