--- a/cleatlink/relay/callers/server.py
+++ b/cleatlink/relay/callers/server.py
@@ -15,7 +15,7 @@
 from cleatlink.relay.callers.answer_buffer import AnswerBuffer
 from cleatlink.relay.callers.targets import to_origin_form
 from cleatlink.relay.exchange import AnswerStream, Exchange, RawRequest
-from cleatlink.relay.sockets import set_connection_options
+from cleatlink.relay.sockets import accept_connections, set_connection_options
 from cleatlink.routing.buffered_bytes import BufferedBytes, BufferKind
 
 __all__ = ["Handler", "serve_connections"]
@@ -39,8 +39,6 @@
 _LINE_ENDS = b"\r\n"
 # Status of a request that was not read because memory was short.
 _STATUS_BUSY = 503
-# Pause after a failed accept, for example when file descriptors are exhausted.
-_ACCEPT_PAUSE_S = 0.05
 
 
 class _BadRequestError(Exception):
@@ -315,18 +313,7 @@
         memory: Counts the bytes held for their callers; by default the listener has its own count.
     """
     memory = BufferedBytes(_DEFAULT_MEMORY_LIMIT_BYTES) if memory is None else memory
-    try:
-        async with trio.open_nursery() as nursery:
-            while True:
-                try:
-                    stream = await listener.accept()
-                except OSError:
-                    # No file descriptors are left, or the caller has already disconnected.
-                    await trio.sleep(_ACCEPT_PAUSE_S)
-                    continue
-                nursery.start_soon(_serve_connection, stream, handler, memory)
-    finally:
-        listener.socket.close()
+    await accept_connections(listener, lambda stream: _serve_connection(stream, handler, memory))
 
 
 async def _serve_connection(
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -8,7 +8,6 @@
 
 from cleatlink import __version__
 from cleatlink.core.address import Address
-from cleatlink.core.data import Role
 from cleatlink.core.errors import ListenError
 from cleatlink.core.routes import RoutedEndpoint, RouteTable
 from cleatlink.organisations import OrganisationAccess, OrganisationLimits
@@ -18,8 +17,6 @@
 from cleatlink.relay.calls.components import RelayComponents
 from cleatlink.relay.calls.planned_stop import PlannedStop
 from cleatlink.relay.endpoints.crash_detector import CrashDetector
-from cleatlink.relay.endpoints.dialer import Dialer, DirectDialer
-from cleatlink.relay.endpoints.path_monitor import PathMonitor
 from cleatlink.relay.endpoints.pool import ConnectionPool
 from cleatlink.relay.endpoints.protocol import Protocol
 from cleatlink.relay.endpoints.response_notices import ResponseNoticeReader
@@ -42,15 +39,11 @@
 from cleatlink.relay.sockets import listen
 from cleatlink.relay.status import InstanceStatus
 from cleatlink.relay.tasks import Task, run_and_log_errors, run_with_restarts
-from cleatlink.relay.tunnels.client import TunnelClient
-from cleatlink.relay.tunnels.dialer import TunnelDialer
-from cleatlink.relay.tunnels.prober import PathProber
-from cleatlink.relay.tunnels.server import TunnelServer
+from cleatlink.relay.tunnels.service import TunnelHooks, TunnelService
 from cleatlink.routing.buffered_bytes import BufferedBytes
 from cleatlink.routing.capacity import Capacity
-from cleatlink.routing.endpoint_paths import EndpointPaths
 from cleatlink.routing.fleet_records import FleetRecords
-from cleatlink.routing.mechanisms import Mechanism, MechanismSwitches
+from cleatlink.routing.mechanisms import MechanismSwitches
 from cleatlink.routing.reservation import Reservation
 from cleatlink.routing.table_tracker import TableTracker
 
@@ -119,18 +112,27 @@
             on_backoff=self._announce_backoff,
             on_limit_changed=self._announce_limit,
         )
-        self._paths = EndpointPaths()
-        self._path_monitor = PathMonitor(self._paths, self._metrics, self._handle_path_change)
-        self._connector = connector or TcpConnector()
-        self._direct_dialer = DirectDialer(self._connector, self._path_monitor)
         rng = random.Random(incarnation)
-        self._dialer = self._create_dialer(rng)
+        self._tunnels = TunnelService(
+            settings,
+            self._capacity,
+            self._metrics,
+            connector=connector or TcpConnector(),
+            rng=rng,
+            hooks=TunnelHooks(
+                lambda: self._peers.tunnel_peers(),  # noqa: PLW0108
+                lambda *sender: self._peers.is_peer(*sender),  # noqa: PLW0108
+                lambda: self._planned_stop.has_begun,
+                self._handle_path_change,
+                lambda: self._peers.send_heartbeat(),  # noqa: PLW0108
+            ),
+        )
         self._pool = ConnectionPool(
             self._connection_limit,
             self._notice_reader.process_head,
             notices.is_leaving,
             self._count_sent_call,
-            self._dialer,
+            self._tunnels.dialer,
         )
         self._budgets = ServiceBudgets(settings)
         self._caller_memory = BufferedBytes(_caller_memory_limit_bytes(settings.memory_mb))
@@ -161,7 +163,7 @@
             self._announce_rejected_tokens,
             self._crash_detector,
             self._quarantine,
-            self._paths,
+            self._tunnels.paths,
             self._spawn,
         )
         self._service = RelayService(self._components)
@@ -215,38 +217,10 @@
             metrics=self._metrics,
             get_table=lambda: self._follower.records.table,
             is_stopping=lambda: self._planned_stop.has_begun,
-            is_cut_off=self._is_cut_off,
-        )
-        self._tunnel_server = TunnelServer(
-            self._connector,
-            self._path_monitor,
-            self._metrics,
-            cores=settings.size,
-            find_endpoint=self._capacity.endpoints.get,
-            is_peer=self._peers.is_peer,
-            is_stopping=lambda: self._planned_stop.has_begun,
+            is_cut_off=self._tunnels.is_cut_off,
         )
-        self._path_prober = PathProber(self._dialer, self._paths, self._capacity.endpoints.get)
-        # Lost services that were announced to peers without waiting for the next heartbeat.
-        self._announced_lost_services: tuple[str, ...] = ()
         self._nursery: trio.Nursery | None = None
 
-    def _create_dialer(self, rng: random.Random) -> Dialer:
-        """Create the dialer of connections to endpoints; it uses tunnels if peers do."""
-        settings = self._settings
-        has_tunnels = self._capacity.switches.is_enabled(Mechanism.TUNNELS)
-        if settings.tunnel_listen is None or not has_tunnels:
-            return self._direct_dialer
-        client = TunnelClient(
-            settings.name,
-            settings.data_centre,
-            local_host=settings.peer_listen.host,
-            list_peers=lambda: self._peers.tunnel_peers(),  # noqa: PLW0108
-            is_path_lost=self._paths.is_lost,
-            rng=rng,
-        )
-        return TunnelDialer(self._direct_dialer, client, self._path_monitor)
-
     @property
     def ready(self) -> bool:
         """Whether this instance accepts new connections."""
@@ -279,9 +253,9 @@
             ListenError: An address of the settings can't be bound.
         """
         try:
-            listeners = self._listen()
-            await self._run(listeners, self._listen_for_tunnels(listeners), stop)
+            await self._run(self._listen(), stop)
         finally:
+            self._tunnels.close()
             self._peers.close()
             self._pool.close()
             self._source.close()
@@ -306,44 +280,22 @@
             for address, handler in addresses:
                 if address is not None:
                     listeners.append((listen(address.host, address.port), handler))
+            self._tunnels.listen()
         except ListenError:
             for listener, _ in listeners:
                 listener.socket.close()
             raise
         return listeners
 
-    def _listen_for_tunnels(
-        self, others: list[tuple[trio.SocketListener, Handler]]
-    ) -> trio.SocketListener | None:
-        """Listen for tunnels of peers; return None if the settings disable them.
-
-        Raises:
-            ListenError: The address can't be bound. The other listeners are closed.
-        """
-        address = self._settings.tunnel_listen
-        if address is None or not self._capacity.switches.is_enabled(Mechanism.TUNNELS):
-            return None
-        try:
-            return listen(address.host, address.port)
-        except ListenError:
-            for listener, _ in others:
-                listener.socket.close()
-            raise
-
     async def _run(
-        self,
-        listeners: list[tuple[trio.SocketListener, Handler]],
-        tunnel_listener: trio.SocketListener | None,
-        stop: trio.Event,
+        self, listeners: list[tuple[trio.SocketListener, Handler]], stop: trio.Event
     ) -> None:
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             for listener, handler in listeners:
                 memory = self._caller_memory if handler is self._service else None
                 nursery.start_soon(serve_connections, listener, handler, memory)
-            if tunnel_listener is not None:
-                nursery.start_soon(self._tunnel_server.serve, tunnel_listener)
-                self._start_supervised(self._path_prober.run)
+            self._tunnels.start(nursery, self._start_supervised)
             self._peers.start(self._start_supervised, self._spawn)
             for task in (self._follower.run, self._run_housekeeping, self._role_controller.run):
                 self._start_supervised(task)
@@ -380,7 +332,7 @@
         self._service.begin_stop()
         self._peers.send_heartbeat()
         while (now := trio.current_time()) < stop.ends_at:
-            in_progress = self._service.in_flight + self._tunnel_server.open_count
+            in_progress = self._service.in_flight + self._tunnels.carried_count
             if stop.age_s(now) >= _MIN_STOP_S and in_progress == 0:
                 break
             await trio.sleep(_STOP_POLL_S)
@@ -461,47 +413,14 @@
             records.table_revision,
             records.newest_record_revision,
             self._follower.is_connected,
-            self._tunnel_port,
-            self._lost_services,
-            self._is_cut_off(),
-        )
-
-    @property
-    def _tunnel_port(self) -> int:
-        """Port at which peers can ask for tunnels; 0 if tunnels are disabled."""
-        address = self._settings.tunnel_listen
-        is_enabled = self._capacity.switches.is_enabled(Mechanism.TUNNELS)
-        return address.port if address is not None and is_enabled else 0
-
-    @property
-    def _lost_services(self) -> tuple[str, ...]:
-        """Services to a large share of whose endpoints this instance has no path, sorted."""
-        endpoints: dict[str, list[str]] = {}
-        for endpoint in self._capacity.endpoints.values() if self._paths.lost_count else ():
-            endpoints.setdefault(endpoint.service, []).append(endpoint.name)
-        return tuple(
-            service
-            for service, names in sorted(endpoints.items())
-            if self._paths.is_cut_off_from(names)
-        )
-
-    def _is_cut_off(self) -> bool:
-        """Check whether this instance has no path to many of the engines of a service."""
-        return any(
-            self._capacity.in_role(service, role)
-            for service in self._lost_services
-            for role in (Role.PREFILL, Role.DECODE)
+            self._tunnels.port,
+            self._tunnels.lost_services,
+            self._tunnels.is_cut_off(),
         )
 
     def _handle_path_change(self, endpoint: RoutedEndpoint) -> None:
-        """Stop using idle connections over the other path, and tell the peers."""
+        """Stop using idle connections over the other path."""
         self._pool.close_idle(endpoint.name)
-        if self._paths.is_lost(endpoint.name):
-            self._capacity.clear_failures(endpoint.name)
-        lost_services = self._lost_services
-        if lost_services != self._announced_lost_services:
-            self._announced_lost_services = lost_services
-            self._peers.send_heartbeat()
 
     def _record_peer_demand(self, work: Reservation) -> None:
         """Count work that a peer assigned to an endpoint as demand."""
@@ -530,8 +449,8 @@
             quarantine=self._quarantine.quarantined_requests(),
             leaving=self._capacity.notices.leaving_sources(_MAX_REPORTED_ITEMS),
             limits=self._capacity.endpoint_limits.rates_per_s(_MAX_REPORTED_ITEMS),
-            unreachable=sorted(self._paths.unreachable())[:_MAX_REPORTED_ITEMS],
-            lost_paths=sorted(self._paths.lost)[:_MAX_REPORTED_ITEMS],
+            unreachable=sorted(self._tunnels.paths.unreachable())[:_MAX_REPORTED_ITEMS],
+            lost_paths=sorted(self._tunnels.paths.lost)[:_MAX_REPORTED_ITEMS],
         )
 
     def render_metrics(self) -> bytes:
@@ -560,7 +479,7 @@
             self._pool.close_expired()
             self._service.decode_admission.run_maintenance()
             self._quarantine.remove_expired()
-            self._paths.track(self._capacity.endpoints)
+            self._tunnels.track_endpoints()
             self._capacity.notices.drop_old(trio.current_time())
             self._capacity.endpoint_limits.expire(trio.current_time())
             self._capacity.plain_load.remove_stale(
--- a/cleatlink/relay/sockets.py
+++ b/cleatlink/relay/sockets.py
@@ -1,16 +1,19 @@
 """TCP sockets with options that detect unresponsive peers."""
 
 import socket
+from collections.abc import Awaitable, Callable
 
 import trio
 
 from cleatlink.core.errors import ListenError
 
-__all__ = ["bind", "connect", "listen", "set_connection_options"]
+__all__ = ["accept_connections", "bind", "connect", "listen", "set_connection_options"]
 
 # Detect an unresponsive peer within three seconds.
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_PROBES = 2
+# Pause after a failed accept, for example when file descriptors are exhausted.
+_ACCEPT_PAUSE_S = 0.05
 # Room for all clients that reconnect at once after a restart.
 _BACKLOG = 512
 
@@ -84,3 +87,26 @@
     except OSError as error:
         sock.close()
         raise ListenError(f"can't listen on {host}:{port}: {error.strerror}") from error
+
+
+async def accept_connections(
+    listener: trio.SocketListener, serve: Callable[[trio.SocketStream], Awaitable[None]]
+) -> None:
+    """Accept connections until cancelled, and close the listener then.
+
+    Args:
+        listener: Accepts the connections.
+        serve: Serves one connection.
+    """
+    try:
+        async with trio.open_nursery() as nursery:
+            while True:
+                try:
+                    stream = await listener.accept()
+                except OSError:
+                    # No file descriptors are left, or the other side has already disconnected.
+                    await trio.sleep(_ACCEPT_PAUSE_S)
+                    continue
+                nursery.start_soon(serve, stream)
+    finally:
+        listener.socket.close()
--- a/cleatlink/relay/tunnels/server.py
+++ b/cleatlink/relay/tunnels/server.py
@@ -12,7 +12,7 @@
 from cleatlink.relay.endpoints.path_monitor import PathMonitor
 from cleatlink.relay.endpoints.streams import Connector, EndpointStream, connect_within
 from cleatlink.relay.metrics import RelayMetrics
-from cleatlink.relay.sockets import set_connection_options
+from cleatlink.relay.sockets import accept_connections, set_connection_options
 from cleatlink.relay.tunnels.channel import TunnelChannel
 from cleatlink.relay.tunnels.messages import (
     TUNNEL_METHOD,
@@ -34,8 +34,6 @@
 # Tunnels that one core carries for peers at the same time, beside the callers of its own instance.
 _MAX_TUNNELS_PER_CORE = 128
 _MIN_TUNNELS = 16
-# Pause after a failed accept, for example when file descriptors are exhausted.
-_ACCEPT_PAUSE_S = 0.05
 
 
 class TunnelServer:
@@ -80,18 +78,7 @@
 
     async def serve(self, listener: trio.SocketListener) -> None:
         """Accept and carry tunnels until cancelled."""
-        try:
-            async with trio.open_nursery() as nursery:
-                while True:
-                    try:
-                        stream = await listener.accept()
-                    except OSError:
-                        # No file descriptors are left, or the peer has already disconnected.
-                        await trio.sleep(_ACCEPT_PAUSE_S)
-                        continue
-                    nursery.start_soon(self._serve_peer, stream)
-        finally:
-            listener.socket.close()
+        await accept_connections(listener, self._serve_peer)
 
     async def _serve_peer(self, stream: trio.SocketStream) -> None:
         channel = TunnelChannel(stream, h11.SERVER)
