--- a/cleatlink/platform/settings_test.py
+++ b/cleatlink/platform/settings_test.py
@@ -43,10 +43,16 @@
     assert settings.name == "front-a-1"
     assert settings.listen == Address("10.1.0.35", 8144)
     assert settings.peer_listen == Address("10.1.0.35", 7660)
+    assert settings.tunnel_listen == Address("10.1.0.35", 7675)
     assert settings.peers == (Address("10.1.0.35", 7660), Address("10.2.0.28", 7660))
     assert (settings.lease_s, settings.drain_s) == (3.0, 8.0)
 
 
+def test_single_internal_port_leaves_none_for_tunnels(tmp_path: Path) -> None:
+    text = VALID_SETTINGS.replace("[7660, 7675]", "[7660]")
+    assert load_settings(write_settings(tmp_path, text)).tunnel_listen is None
+
+
 @pytest.mark.parametrize(
     ("old", "new", "fault"),
     [
@@ -55,6 +61,7 @@
         ("grace_s = 8", "grace_s = -1", "bounds.grace_s is negative"),
         ("grace_s = 8", 'grace_s = "8"', "bounds.grace_s has the wrong type, str"),
         ("internal_ports = [7660, 7675]", "internal_ports = []", "internal_ports has no port"),
+        ("[7660, 7675]", '[7660, "7675"]', "internal_ports has no port"),
         ("10.1.0.35:8144", "here:8144", "listen.front: 'here:8144' is not an IP number"),
         ("[bounds]", "[bounds", "can't be read"),
     ],
