Tunnels: two peers that can't connect to an endpoint are evidence enough

Up to four peers were asked for a dead endpoint, each of which connected to it. Two agreeing ones suffice; a single one may be cut off without knowing it.

--- a/cleatlink/relay/lost_paths_test.py
+++ b/cleatlink/relay/lost_paths_test.py
@@ -95,8 +95,10 @@
         fleet.connectors[0].cut(PathCut.HANG)
         await ask_all_kinds(fleet)
         assert fleet.instances[0].status()["lost_paths"]
+        assert b"cleatlink_relay_lost_paths 0" not in fleet.instances[0].render_metrics()
         fleet.connectors[0].restore()
         await trio.sleep(RETURN_S)
+        assert b"cleatlink_relay_lost_paths 0" in fleet.instances[0].render_metrics()
         assert fleet.instances[0].status()["lost_paths"] == []
         others = sum(len(connector.attempts) for connector in fleet.connectors[1:])
         await ask_all_kinds(fleet)
--- a/cleatlink/relay/tunnels/client.py
+++ b/cleatlink/relay/tunnels/client.py
@@ -25,6 +25,9 @@
 
 # Most peers that are asked to connect to one endpoint.
 _MAX_PEERS = 4
+# Number of peers that could not connect to an endpoint after which no further one is asked: a
+# single one may be cut off without knowing it.
+_MAX_EVIDENCE = 2
 # Time after which the next peer is asked as well, in seconds: a peer that reaches the endpoint
 # answers after two round trips.
 _NEXT_PEER_DELAY_S = 0.04
@@ -41,9 +44,9 @@
     NO_PEER = "no peer"
     # No peer answered, or none had a path to the endpoint.
     NO_EVIDENCE = "no evidence"
-    # A peer that has all its paths was refused by the endpoint.
+    # The endpoint refused the connections of peers.
     REFUSED = "refused"
-    # A peer that has all its paths got no response from the endpoint.
+    # The endpoint did not respond to peers.
     NO_RESPONSE = "no response"
 
 
@@ -55,12 +58,11 @@
         self.reason = reason
 
 
+# Statuses that say something about the endpoint, and not only about the peer.
 _FAILURES = {
     TunnelStatus.REFUSED: PeerFailure.REFUSED,
     TunnelStatus.NO_RESPONSE: PeerFailure.NO_RESPONSE,
 }
-
-
 _Key = TypeVar("_Key")
 
 
@@ -267,7 +269,7 @@
         self._peers = peers
         self._winner: TunnelStream | None = None
         self._won = trio.Event()
-        self._failures: set[PeerFailure] = set()
+        self._failures: list[PeerFailure] = []
 
     async def run(self) -> TunnelStream:
         """Return the first tunnel.
@@ -295,6 +297,8 @@
     async def _ask_all(self) -> None:
         async with trio.open_nursery() as nursery:
             for peer in self._peers:
+                if len(self._failures) >= _MAX_EVIDENCE:
+                    break
                 answered = trio.Event()
                 nursery.start_soon(self._ask, peer, answered)
                 with trio.move_on_after(_NEXT_PEER_DELAY_S):
@@ -312,7 +316,7 @@
         if not isinstance(result, TunnelStream):
             failure = _FAILURES.get(result)
             if failure is not None:
-                self._failures.add(failure)
+                self._failures.append(failure)
         elif self._winner is None:
             self._winner = result
             self._won.set()
--- a/cleatlink/relay/tunnels/client_test.py
+++ b/cleatlink/relay/tunnels/client_test.py
@@ -120,8 +120,11 @@
         with pytest.raises(TunnelFailedError) as failure:
             await peers.open()
         assert failure.value.reason is PeerFailure.NO_PEER
-        peers.add("near")
+        for name in ("first", "second", "third"):
+            peers.add(name)
         with pytest.raises(TunnelFailedError) as failure:
             await peers.open()
         assert failure.value.reason is PeerFailure.REFUSED
+        tried = [name for name, paths in peers.paths.items() if paths.unreachable()]
+        assert len(tried) == 2
         nursery.cancel_scope.cancel()
