A silent endpoint costs a call no longer than a direct connection attempt

What callers saw: a call that tried an endpoint which responds to nobody lost 0.28 s with it, 0.15 s before tunnels. Cause: the tunnel, started 50 ms after the direct connection, had 0.25 s of its own. It has to be open within the time of the direct connection now, except where the path is known to be lost and no direct connection is tried. Evidence: test_silent_endpoint_takes_longer_than_one_connection_attempt fails before (0.284 s) and passes now.

--- a/cleatlink/relay/lost_paths_test.py
+++ b/cleatlink/relay/lost_paths_test.py
@@ -4,6 +4,8 @@
 import trio
 
 from cleatlink.core.data import Role
+from cleatlink.core.errors import EndpointUnreachableError
+from cleatlink.relay.endpoints.pool import UNREPEATABLE_IDLE_LIMIT_S
 from cleatlink.routing.mechanisms import Mechanism
 from standins.relay import Run, Worker
 from standins.relay.cut_paths import PathCut
@@ -20,6 +22,8 @@
 CUT_AGE_S = 5.0
 # Time from the start of a cut after which requests are served, in seconds.
 DETECTION_S = 0.5
+# Time within which a connection to an endpoint fails, in seconds.
+CONNECT_TIMEOUT_S = 0.17
 # Time after which connections that hang have failed, in seconds.
 ACK_TIMEOUT_S = 1.6
 # Time from the end of a cut after which direct connections are used, in seconds.
@@ -130,6 +134,18 @@
         assert fleet.instances[0].status()["lost_paths"] == []
 
 
+async def test_silent_endpoint_takes_longer_than_one_connection_attempt() -> None:
+    async with open_fleet() as fleet:
+        workers = await start_fleet_with_peers(fleet)
+        for connector in fleet.connectors:
+            connector.cut(PathCut.HANG, frozenset({workers[0].address}))
+        endpoint = fleet.instances[0].capacity.endpoints[workers[0].name]
+        began_at = trio.current_time()
+        with pytest.raises(EndpointUnreachableError):
+            await fleet.instances[0]._pool.acquire(endpoint, UNREPEATABLE_IDLE_LIMIT_S)
+        assert trio.current_time() - began_at < CONNECT_TIMEOUT_S
+
+
 async def test_instance_cut_off_from_one_endpoint_uses_peers_for_the_others() -> None:
     async with open_fleet() as fleet:
         workers = await start_fleet_with_peers(fleet)
--- a/cleatlink/relay/tunnels/dialer.py
+++ b/cleatlink/relay/tunnels/dialer.py
@@ -15,7 +15,8 @@
 
 __all__ = ["TunnelDialer"]
 
-# Longest time for a tunnel, in seconds: it takes a connection of the peer besides the own one.
+# Longest time for a tunnel where the path is known to be lost, in seconds: it takes a connection of
+# the peer besides the own one.
 _TUNNEL_TIMEOUT_S = 0.25
 
 
@@ -50,14 +51,16 @@
         """Connect to the endpoint."""
         return await self._direct.dial_directly(endpoint, ack_timeout_s, timeout_s)
 
-    async def open_tunnel(self, endpoint: RoutedEndpoint, ack_timeout_s: float) -> EndpointStream:
+    async def open_tunnel(
+        self, endpoint: RoutedEndpoint, ack_timeout_s: float, timeout_s: float
+    ) -> EndpointStream:
         """Open a tunnel, and record what it shows about the path to the endpoint.
 
         Raises:
             TunnelFailedError: No peer reached the endpoint.
         """
         try:
-            stream = await self._client.open(endpoint, ack_timeout_s, _TUNNEL_TIMEOUT_S)
+            stream = await self._client.open(endpoint, ack_timeout_s, timeout_s)
         except TunnelFailedError as error:
             if error.reason in (PeerFailure.REFUSED, PeerFailure.NO_RESPONSE):
                 self._monitor.note_unreached_by_peer(endpoint)
@@ -84,6 +87,7 @@
         self._endpoint = endpoint
         self._ack_timeout_s = ack_timeout_s
         self._timeout_s = timeout_s
+        self._tunnel_ends_at = trio.current_time() + timeout_s
         self._tunnel: EndpointStream | None = None
         self._tunnel_failure: PeerFailure | None = None
         self._direct_error: EndpointUnreachableError | None = None
@@ -114,6 +118,7 @@
         Raises:
             EndpointUnreachableError: No peer reached the endpoint.
         """
+        self._tunnel_ends_at = trio.current_time() + _TUNNEL_TIMEOUT_S
         return await self._run(self._tunnel_failed.wait, self._open_tunnel)
 
     async def _run(self, work: _Work, watch: _Watch) -> EndpointStream:
@@ -143,8 +148,11 @@
             return None
 
     async def _open_tunnel(self, scope: trio.CancelScope) -> None:
+        timeout_s = max(0.0, self._tunnel_ends_at - trio.current_time())
         try:
-            self._tunnel = await self._dialer.open_tunnel(self._endpoint, self._ack_timeout_s)
+            self._tunnel = await self._dialer.open_tunnel(
+                self._endpoint, self._ack_timeout_s, timeout_s
+            )
             scope.cancel()
         except TunnelFailedError as error:
             self._tunnel_failure = error.reason
