Tunnels: unusual bytes at the tunnel port end only their own connection

A timeout of one superscript digit or of 400 digits raised in the task that accepts tunnels, which would have ended the instance; a registration name with a line end or outside Latin-1 raised in the call that asked for the tunnel. Numbers are checked by a pattern, names are sent as UTF-8, and an unexpected exception is logged and ends its own tunnel. Found by reading the diff; the new tests of tunnels/server_test.py cover each case.

--- a/cleatlink/relay/tunnels/channel.py
+++ b/cleatlink/relay/tunnels/channel.py
@@ -45,8 +45,15 @@
             return False
 
     async def send_request(self, headers: Headers) -> None:
-        """Send the head of the request that opens the tunnel."""
-        request = h11.Request(method=TUNNEL_METHOD, target=TUNNEL_PATH, headers=list(headers))
+        """Send the head of the request that opens the tunnel.
+
+        Raises:
+            trio.BrokenResourceError: The connection failed, or a name can't be sent in a header.
+        """
+        try:
+            request = h11.Request(method=TUNNEL_METHOD, target=TUNNEL_PATH, headers=list(headers))
+        except h11.LocalProtocolError as error:
+            raise trio.BrokenResourceError(repr(error)) from error
         await self._send(request)
 
     async def send_status(self, status: int) -> None:
--- a/cleatlink/relay/tunnels/messages.py
+++ b/cleatlink/relay/tunnels/messages.py
@@ -5,6 +5,7 @@
 the endpoint's connection differs from the failure of the peer.
 """
 
+import re
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -20,6 +21,8 @@
 _TIMEOUT_MS = b"timeout-milliseconds"
 # Milliseconds per second.
 _MS_PER_S = 1000.0
+# A number of milliseconds.
+_NUMBER = re.compile("[0-9]{1,9}")
 
 
 class TunnelStatus(IntEnum):
@@ -60,10 +63,10 @@
     def headers(self) -> Headers:
         """Return the headers of the request."""
         return (
-            (b"Host", self.address.encode("latin-1")),
-            (_ENDPOINT, self.endpoint.encode("latin-1")),
-            (_ADDRESS, self.address.encode("latin-1")),
-            (_SENDER, self.sender.encode("latin-1")),
+            (b"Host", self.address.encode()),
+            (_ENDPOINT, self.endpoint.encode()),
+            (_ADDRESS, self.address.encode()),
+            (_SENDER, self.sender.encode()),
             (_TIMEOUT_MS, b"%d" % int(_MS_PER_S * self.timeout_s)),
             (b"Transfer-Encoding", b"chunked"),
         )
@@ -71,10 +74,10 @@
     @classmethod
     def from_headers(cls, headers: Headers) -> "TunnelRequest | None":
         """Read the headers of a request; return None if they are not those of a tunnel."""
-        values = {name.lower(): value.decode("latin-1") for name, value in headers}
+        values = {name.lower(): value.decode(errors="replace") for name, value in headers}
         timeout_ms = values.get(_TIMEOUT_MS, "")
         names = (_ENDPOINT, _ADDRESS, _SENDER)
-        if not timeout_ms.isdigit() or not all(values.get(name) for name in names):
+        if not _NUMBER.fullmatch(timeout_ms) or not all(values.get(name) for name in names):
             return None
         endpoint, address, sender = (values[name] for name in names)
         return cls(endpoint, address, sender, int(timeout_ms) / _MS_PER_S)
--- a/cleatlink/relay/tunnels/server.py
+++ b/cleatlink/relay/tunnels/server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
 
 import eliot
 import h11
@@ -13,6 +14,7 @@
 from cleatlink.relay.endpoints.streams import Connector, EndpointStream, connect_within
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.sockets import accept_connections, set_connection_options
+from cleatlink.relay.tasks import run_and_log_errors
 from cleatlink.relay.tunnels.channel import TunnelChannel
 from cleatlink.relay.tunnels.messages import (
     TUNNEL_METHOD,
@@ -78,7 +80,7 @@
 
     async def serve(self, listener: trio.SocketListener) -> None:
         """Accept and carry tunnels until cancelled."""
-        await accept_connections(listener, self._serve_peer)
+        await accept_connections(listener, partial(run_and_log_errors, self._serve_peer))
 
     async def _serve_peer(self, stream: trio.SocketStream) -> None:
         channel = TunnelChannel(stream, h11.SERVER)
--- a/cleatlink/relay/tunnels/server_test.py
+++ b/cleatlink/relay/tunnels/server_test.py
@@ -49,8 +49,12 @@
         """Ask for a tunnel; return the status and the tunnel."""
         stream = await trio.open_tcp_stream(self.address.host, self.address.port)
         channel = TunnelChannel(stream, h11.CLIENT)
-        await channel.send_request(request.headers())
-        return await channel.receive_status(), channel
+        try:
+            await channel.send_request(request.headers())
+            return await channel.receive_status(), channel
+        except trio.BrokenResourceError:
+            channel.close()
+            raise
 
 
 @asynccontextmanager
@@ -156,3 +160,35 @@
         await channel.receive_some()
     channel.close()
     listener.socket.close()
+
+
+@pytest.mark.parametrize("timeout", [b"\xb2", b"\xc2\xb2", b"9" * 400, b"-1", b"", b"1.5"])
+def test_timeout_that_is_no_number_fails_to_be_rejected(timeout: bytes) -> None:
+    headers = TunnelRequest("e", "127.0.0.1:1", PEER, 0.2).headers()
+    changed = tuple(
+        (name, timeout if name == b"timeout-milliseconds" else value) for name, value in headers
+    )
+    assert TunnelRequest.from_headers(headers) is not None
+    assert TunnelRequest.from_headers(changed) is None
+
+
+async def test_bytes_that_are_no_request_end_the_server() -> None:
+    async with open_door() as (door, _):
+        for data in (b"\x00\x01\r\n\r\n", b"GET /tunnel HTTP/1.1\r\nHost: a\r\n\r\n", b"x" * 9000):
+            stream = await trio.open_tcp_stream(door.address.host, door.address.port)
+            await stream.send_all(data)
+            with trio.move_on_after(0.2):
+                await stream.receive_some()
+            stream.socket.close()
+        status, channel = await door.ask(door.request())
+        assert status == TunnelStatus.OPEN
+        channel.close()
+
+
+async def test_name_that_no_header_can_carry_fails_only_its_tunnel() -> None:
+    async with open_door() as (door, _):
+        with pytest.raises(trio.BrokenResourceError):
+            await door.ask(door.request()._replace(endpoint="a\r\nb"))
+        status, channel = await door.ask(door.request()._replace(endpoint="ž"))
+        assert status == TunnelStatus.UNKNOWN_ENDPOINT
+        channel.close()
--- a/standins/relay/cut_paths.py
+++ b/standins/relay/cut_paths.py
@@ -59,8 +59,8 @@
             if how not in _HANGING_CUTS:
                 raise ConnectionRefusedError("the path is cut")
             await trio.sleep(_POLL_INTERVAL_S)
-        stream = CuttableStream(await self._tcp.connect(address, ack_timeout_s), address, self)
-        stream.ack_timeout_s = ack_timeout_s
+        tcp_stream = await self._tcp.connect(address, ack_timeout_s)
+        stream = CuttableStream(tcp_stream, address, ack_timeout_s, self)
         self._streams.add(stream)
         return stream
 
@@ -72,11 +72,17 @@
 class CuttableStream(EndpointStream):
     """A stream to a worker whose path can be cut."""
 
-    def __init__(self, stream: EndpointStream, address: str, connector: CuttableConnector) -> None:
+    def __init__(
+        self,
+        stream: EndpointStream,
+        address: str,
+        ack_timeout_s: float,
+        connector: CuttableConnector,
+    ) -> None:
         self._stream = stream
         self._connector = connector
         self.address = address
-        self.ack_timeout_s = 0.0
+        self._ack_timeout_s = ack_timeout_s
         self._receive_scope = trio.CancelScope()
 
     @property
@@ -106,7 +112,7 @@
         self._receive_scope.cancel()
 
     async def _wait_while_cut(self, *cuts: PathCut) -> None:
-        give_up_at = trio.current_time() + self.ack_timeout_s
+        give_up_at = trio.current_time() + self._ack_timeout_s
         while self._connector.cut_of(self.address) in cuts:
             if trio.current_time() >= give_up_at:
                 self.close()
