A peer that reaches no endpoint is no evidence that one is dead

Cause: instances of a data centre that lose their paths together asked each other first. Two refusals counted as proof that the endpoint is dead, after which nobody was asked for half a second, again and again.

Change: a peer whose connection fails connects to another endpoint as a control; if that fails too it says that it has no path (421). The second peer that is asked is of another data centre.

--- a/cleatlink/relay/tunnels/server.py
+++ b/cleatlink/relay/tunnels/server.py
@@ -8,10 +8,10 @@
 import h11
 import trio
 
-from cleatlink.core.errors import EndpointUnreachableError
 from cleatlink.core.routes import RoutedEndpoint
+from cleatlink.relay.endpoints.dialer import DirectDialer
 from cleatlink.relay.endpoints.path_monitor import PathMonitor
-from cleatlink.relay.endpoints.streams import Connector, EndpointStream, connect_within
+from cleatlink.relay.endpoints.streams import EndpointStream
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.sockets import accept_connections, set_connection_options
 from cleatlink.relay.tasks import run_and_log_errors
@@ -22,6 +22,7 @@
     TunnelRequest,
     TunnelStatus,
 )
+from cleatlink.relay.tunnels.peer_dial import PeerDial
 
 __all__ = ["TunnelServer"]
 
@@ -43,7 +44,7 @@
 
     def __init__(
         self,
-        connector: Connector,
+        direct: DirectDialer,
         monitor: PathMonitor,
         metrics: RelayMetrics,
         *,
@@ -55,16 +56,16 @@
         """Create a server without tunnels.
 
         Args:
-            connector: Connects to endpoints. Tunnels are never used, so no tunnel leads through
-                two peers.
-            monitor: Records the outcomes of the connections.
+            direct: Connects to endpoints. Tunnels are never used, so no tunnel leads through two
+                peers.
+            monitor: The paths to endpoints.
             metrics: Counts requests and open tunnels.
             cores: Processor share of this instance, in cores.
             find_endpoint: Returns a registered endpoint by its incarnation.
             is_peer: Checks the name and the IP address of a sender.
             is_stopping: Returns whether a planned stop of this instance has begun.
         """
-        self._connector = connector
+        self._direct = direct
         self._monitor = monitor
         self._metrics = metrics
         self._max_tunnels = max(_MIN_TUNNELS, int(_MAX_TUNNELS_PER_CORE * cores))
@@ -150,17 +151,11 @@
         self, channel: TunnelChannel, endpoint: RoutedEndpoint, request: TunnelRequest
     ) -> None:
         timeout_s = min(_MAX_CONNECT_TIMEOUT_S, max(0.0, request.timeout_s - _ANSWER_TIME_S))
-        try:
-            stream = await connect_within(
-                self._connector, endpoint.address, _ACK_TIMEOUT_S, timeout_s
-            )
-        except EndpointUnreachableError as error:
-            self._monitor.note_failed(endpoint)
-            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
-            status = TunnelStatus.REFUSED if is_refused else TunnelStatus.NO_RESPONSE
-            await self._refuse(channel, status, request.sender, request)
+        dial = PeerDial(endpoint, self._direct, self._monitor, self._find_endpoint)
+        stream = await dial.run(timeout_s)
+        if isinstance(stream, TunnelStatus):
+            await self._refuse(channel, stream, request.sender, request)
             return
-        self._monitor.note_connected(endpoint)
         self._metrics.count_tunnel_request(TunnelStatus.OPEN.name.lower())
         try:
             await channel.send_status(TunnelStatus.OPEN)
--- a/cleatlink/relay/tunnels/service.py
+++ b/cleatlink/relay/tunnels/service.py
@@ -89,7 +89,7 @@
         if self._listen_address is not None:
             self._dialer = TunnelDialer(direct, client, monitor)
         self._server = TunnelServer(
-            connector,
+            direct,
             monitor,
             metrics,
             cores=settings.size,
--- a/cleatlink/routing/endpoint_paths.py
+++ b/cleatlink/routing/endpoint_paths.py
@@ -116,6 +116,14 @@
         """Record that a peer could not connect to an endpoint either."""
         self._of(name).unreached_at = now
 
+    def find_control(self, name: str) -> str | None:
+        """Return another endpoint to which a direct connection should succeed; None if unknown.
+
+        It is the one that was connected last.
+        """
+        others = [other for other in self._paths if other != name and not self.is_lost(other)]
+        return max(others, key=lambda other: self._paths[other].connected_at, default=None)
+
     def tunnel_delay_s(self, name: str, now: float) -> float:
         """Return how long after a direct connection a tunnel to an endpoint is started.
 
--- a/cleatlink/routing/endpoint_paths_test.py
+++ b/cleatlink/routing/endpoint_paths_test.py
@@ -61,6 +61,16 @@
     assert paths.take_due_probes(1.4, 2) == []
 
 
+def test_endpoint_that_was_connected_last_is_the_control_of_others() -> None:
+    paths = EndpointPaths()
+    assert paths.find_control("a") is None
+    for number, name in enumerate("abc"):
+        paths.note_connected(name, 1.0 + number)
+    assert (paths.find_control("a"), paths.find_control("c")) == ("c", "b")
+    lose(paths, "c", 5.0)
+    assert paths.find_control("a") == "b"
+
+
 def test_instance_without_paths_to_most_endpoints_is_cut_off() -> None:
     paths = EndpointPaths()
     assert not paths.is_cut_off_from(["a", "b", "c"])
--- a/cleatlink/routing/tunnel_peers.py
+++ b/cleatlink/routing/tunnel_peers.py
@@ -50,6 +50,8 @@
 
     Peers that respond and have a path to the endpoint come first, then those of this data centre,
     those of the endpoint's data centre, and those that carry the fewest tunnels of this instance.
+    The second peer is the best one of another data centre than the first: instances of one data
+    centre often lose their paths together.
     """
     endpoint = choice.endpoint
 
@@ -63,4 +65,9 @@
             rng.random(),
         )
 
-    return sorted(peers, key=preference)
+    ordered = sorted(peers, key=preference)
+    second = next((peer for peer in ordered if peer.data_centre != ordered[0].data_centre), None)
+    if second is not None:
+        ordered.remove(second)
+        ordered.insert(1, second)
+    return ordered
--- a/cleatlink/routing/tunnel_peers_test.py
+++ b/cleatlink/routing/tunnel_peers_test.py
@@ -26,6 +26,7 @@
 def test_peer_with_a_path_comes_before_nearer_ones_without() -> None:
     peers = [make_peer("lost", "a", "s"), make_peer("told"), make_peer("far", "b")]
     assert order(peers, CHOICE._replace(without_path={"told"}))[0] == "far"
+    assert order([make_peer("near"), make_peer("next"), make_peer("far", "b")])[1] == "far"
     assert order([make_peer("other", "a", "t"), make_peer("far", "b")])[0] == "other"
 
 
