--- a/soak/ablations.py
+++ b/soak/ablations.py
@@ -49,7 +49,7 @@
     return lambda: setattr(owner, name, value)
 
 
-def _return_true(*_: object) -> bool:
+def _return_true(*_: object, **__: object) -> bool:
     return True
 
 
@@ -85,7 +85,7 @@
 
     An instance that knows that a role change was ordered gives no second order.
     """
-    LeaderElection.update = _return_true  # type: ignore[method-assign, assignment]
+    LeaderElection.update = _return_true  # type: ignore[method-assign]
     Capacity.role_changes_left_s = _report_no_role_changes  # type: ignore[method-assign]
 
 
