Tunnels use what the instance had: SocketStream, one timeout, gauges at rendering

Found by reading the whole change once more; no behaviour changes. - TunnelChannel repeated SocketStream's check for input, wait and close, and TunnelStream its count of unacknowledged bytes; the channel holds a SocketStream now, whose size of a read is an argument. - The timeout of 1.5 s for acknowledgements stood three times; it is the pool's. - The gauge of lost paths was set at each change and four times a second; it is set when metrics are rendered, like the others.

--- a/cleatlink/relay/endpoints/path_monitor.py
+++ b/cleatlink/relay/endpoints/path_monitor.py
@@ -45,7 +45,7 @@
             lost_s=round(lost_s, 3),
             lost=self.paths.lost_count,
         )
-        self._update(endpoint)
+        self._on_change(endpoint)
 
     def note_failed(self, endpoint: RoutedEndpoint) -> None:
         """Record that a direct connection to an endpoint failed."""
@@ -68,13 +68,9 @@
             peer=peer,
             lost=self.paths.lost_count,
         )
-        self._update(endpoint)
+        self._on_change(endpoint)
 
     def note_unreached_by_peer(self, endpoint: RoutedEndpoint) -> None:
         """Record that a peer could not connect to an endpoint either."""
         self._metrics.count_dial(DialPath.TUNNEL, DialOutcome.FAILED)
         self.paths.note_unreached_by_peer(endpoint.name, trio.current_time())
-
-    def _update(self, endpoint: RoutedEndpoint) -> None:
-        self._metrics.set_lost_paths(self.paths.lost_count)
-        self._on_change(endpoint)
--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -15,10 +15,16 @@
 from cleatlink.relay.endpoints.streams import TcpConnector
 from cleatlink.routing.uploads import Upload
 
-__all__ = ["UNREPEATABLE_IDLE_LIMIT_S", "IDLE_LIMIT_S", "ConnectionPool", "Response"]
+__all__ = [
+    "ACK_TIMEOUT_S",
+    "UNREPEATABLE_IDLE_LIMIT_S",
+    "IDLE_LIMIT_S",
+    "ConnectionPool",
+    "Response",
+]
 
 # The kernel closes a connection whose sent data stays unacknowledged for longer than this.
-_ACK_TIMEOUT_S = 1.5
+ACK_TIMEOUT_S = 1.5
 # Several times the latency between data centres. After the loss of the first packet a connection
 # takes a second in any case.
 _CONNECT_TIMEOUT_S = 0.15
@@ -101,7 +107,7 @@
                 return connection
             connection.close()
         return await self.open(
-            endpoint, _ACK_TIMEOUT_S, _CONNECT_TIMEOUT_S, must_be_direct=must_be_direct
+            endpoint, ACK_TIMEOUT_S, _CONNECT_TIMEOUT_S, must_be_direct=must_be_direct
         )
 
     async def open(
--- a/cleatlink/relay/endpoints/streams.py
+++ b/cleatlink/relay/endpoints/streams.py
@@ -61,8 +61,15 @@
 class SocketStream(EndpointStream):
     """A stream over a TCP connection to the endpoint itself."""
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(self, stream: trio.SocketStream, read_bytes: int = _READ_BYTES) -> None:
+        """Create a stream over an open connection.
+
+        Args:
+            stream: The connection.
+            read_bytes: Most bytes to read at a time.
+        """
         self._stream = stream
+        self._read_bytes = read_bytes
 
     @property
     def is_direct(self) -> bool:
@@ -83,7 +90,7 @@
 
     async def receive_some(self) -> bytes:
         """Receive data; empty at the end of the connection."""
-        return bytes(await self._stream.receive_some(_READ_BYTES))
+        return bytes(await self._stream.receive_some(self._read_bytes))
 
     async def wait_readable(self) -> None:
         """Wait until data or the end can be read, or until this side closes the connection."""
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -458,6 +458,7 @@
         if self._writer is not None:
             self._metrics.set_dropped_log_lines(self._writer.dropped_lines)
         self._metrics.set_held_bytes(self._caller_memory)
+        self._metrics.set_lost_paths(self._tunnels.paths.lost_count)
         return self._metrics.render()
 
     async def _sleep_and_detect_pause(self, seconds: float) -> None:
--- a/cleatlink/relay/tunnels/channel.py
+++ b/cleatlink/relay/tunnels/channel.py
@@ -4,6 +4,7 @@
 import trio
 
 from cleatlink.core.routes import Headers
+from cleatlink.relay.endpoints.streams import SocketStream
 from cleatlink.relay.tunnels.messages import TUNNEL_METHOD, TUNNEL_PATH
 
 __all__ = ["TunnelChannel"]
@@ -24,25 +25,17 @@
             stream: The connection between the instances.
             role: ``h11.CLIENT`` at the instance that asks, ``h11.SERVER`` at its peer.
         """
-        self._stream = stream
+        self._stream = SocketStream(stream, _READ_BYTES)
         self._http = h11.Connection(role, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._received = b""
         self._has_ended = False
 
-    @property
-    def socket(self) -> trio.socket.SocketType:
-        """The socket of the connection between the instances."""
-        return self._stream.socket
-
     @property
     def is_open_without_input(self) -> bool:
         """Whether the tunnel is open, with neither data nor its end waiting to be read."""
         if self._received or self._has_ended or self._http.trailing_data[0]:
             return False
-        try:
-            return not self._stream.socket.is_readable()
-        except (OSError, ValueError):
-            return False
+        return self._stream.is_open_without_input
 
     async def send_request(self, headers: Headers) -> None:
         """Send the head of the request that opens the tunnel.
@@ -112,14 +105,15 @@
         """Wait until data or the end can be read, or until this side closes the tunnel."""
         if self._received or self._has_ended:
             return
-        try:
-            await trio.lowlevel.wait_readable(self._stream.socket.fileno())
-        except (OSError, ValueError, trio.ClosedResourceError):
-            return
+        await self._stream.wait_readable()
+
+    def count_unacknowledged(self) -> int | None:
+        """Return how many sent bytes the other instance has not acknowledged; None if unknown."""
+        return self._stream.count_unacknowledged()
 
     def close(self) -> None:
         """Close the connection between the instances immediately."""
-        self._stream.socket.close()
+        self._stream.close()
 
     async def _send(self, event: h11.Event) -> None:
         try:
@@ -135,7 +129,7 @@
         return event
 
     async def _receive_more(self) -> None:
-        data = await self._stream.receive_some(_READ_BYTES)
+        data = await self._stream.receive_some()
         if not data:
             raise trio.BrokenResourceError("the peer closed the tunnel")
         self._http.receive_data(data)
--- a/cleatlink/relay/tunnels/client.py
+++ b/cleatlink/relay/tunnels/client.py
@@ -14,7 +14,6 @@
 from cleatlink.core.errors import CleatlinkError
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.endpoints.streams import EndpointStream
-from cleatlink.relay.endpoints.unacknowledged_bytes import count_unacknowledged
 from cleatlink.relay.sockets import connect
 from cleatlink.relay.tasks import run_watched
 from cleatlink.relay.tunnels.channel import TunnelChannel
@@ -118,8 +117,7 @@
 
     def count_unacknowledged(self) -> int | None:
         """Return how many sent bytes the peer has not acknowledged; None if unknown."""
-        file_descriptor = self._channel.socket.fileno()
-        return count_unacknowledged(file_descriptor) if file_descriptor >= 0 else None
+        return self._channel.count_unacknowledged()
 
     def close(self) -> None:
         """Close the tunnel; the peer then closes its connection to the endpoint."""
--- a/cleatlink/relay/tunnels/peer_dial.py
+++ b/cleatlink/relay/tunnels/peer_dial.py
@@ -8,14 +8,13 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.endpoints.dialer import DirectDialer
 from cleatlink.relay.endpoints.path_monitor import PathMonitor
+from cleatlink.relay.endpoints.pool import ACK_TIMEOUT_S
 from cleatlink.relay.endpoints.streams import EndpointStream
 from cleatlink.relay.tasks import run_watched
 from cleatlink.relay.tunnels.messages import TunnelStatus
 
 __all__ = ["PeerDial"]
 
-# The kernel closes a connection whose sent data stays unacknowledged for longer than this.
-_ACK_TIMEOUT_S = 1.5
 # Time after which a connection is unusually slow, and longest time for the control connection, in
 # seconds. Connections within a region open much faster.
 _CONTROL_DELAY_S = 0.01
@@ -60,7 +59,7 @@
 
     async def _connect(self, timeout_s: float) -> EndpointStream | TunnelStatus:
         try:
-            return await self._direct.dial_directly(self._endpoint, _ACK_TIMEOUT_S, timeout_s)
+            return await self._direct.dial_directly(self._endpoint, ACK_TIMEOUT_S, timeout_s)
         except EndpointUnreachableError as error:
             self._failed.set()
             await self._control_done.wait()
--- a/cleatlink/relay/tunnels/server.py
+++ b/cleatlink/relay/tunnels/server.py
@@ -11,6 +11,7 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.endpoints.dialer import DirectDialer
 from cleatlink.relay.endpoints.path_monitor import PathMonitor
+from cleatlink.relay.endpoints.pool import ACK_TIMEOUT_S
 from cleatlink.relay.endpoints.streams import EndpointStream
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.sockets import accept_connections, set_connection_options
@@ -26,8 +27,6 @@
 
 __all__ = ["TunnelServer"]
 
-# The kernel closes a connection whose sent data stays unacknowledged for longer than this.
-_ACK_TIMEOUT_S = 1.5
 # Time in which a peer has to send its request.
 _REQUEST_TIMEOUT_S = 1.0
 # Longest time in which an endpoint has to be connected, whatever the peer asks for.
@@ -86,7 +85,7 @@
     async def _serve_peer(self, stream: trio.SocketStream) -> None:
         channel = TunnelChannel(stream, h11.SERVER)
         try:
-            set_connection_options(stream.socket, _ACK_TIMEOUT_S)
+            set_connection_options(stream.socket, ACK_TIMEOUT_S)
             with trio.fail_after(_REQUEST_TIMEOUT_S):
                 head = await channel.receive_request()
             await self._serve_request(channel, head, stream.socket.getpeername()[0])
--- a/cleatlink/relay/tunnels/service.py
+++ b/cleatlink/relay/tunnels/service.py
@@ -71,7 +71,6 @@
         is_enabled = capacity.switches.is_enabled(Mechanism.TUNNELS)
         self._listen_address = settings.tunnel_listen if is_enabled else None
         self._capacity = capacity
-        self._metrics = metrics
         self._hooks = hooks
         self._paths = EndpointPaths()
         self._announced_lost_services: tuple[str, ...] = ()
@@ -169,7 +168,6 @@
     def track_endpoints(self) -> None:
         """Track the paths to all registered endpoints, and to no others."""
         self._paths.track(self._capacity.endpoints)
-        self._metrics.set_lost_paths(self._paths.lost_count)
 
     def _find_endpoint(self, incarnation: str) -> RoutedEndpoint | None:
         return self._capacity.endpoints.get(incarnation)
