--- a/cleatlink/relay/endpoints/crash_detector_test.py
+++ b/cleatlink/relay/endpoints/crash_detector_test.py
@@ -124,3 +124,25 @@
     assert reported == []
     for sock in (*backlog, listener):
         sock.close()
+
+
+async def test_crash_is_missed_while_the_only_peer_does_not_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with open_fleet() as fleet:
+        await start(fleet, Worker("plain"), Worker("plain"))
+        peer = fleet.start_instance()
+        await fleet.wait_ready()
+        await fleet.wait_until(
+            lambda: all(item.status()["instances"] == 2 for item in fleet.instances)
+        )
+        for worker in fleet.workers:
+            worker.crash_marker = b"crash"
+        reported = record_crashes(fleet, monkeypatch)
+        monkeypatch.setattr(peer._tunnels._server, "_serve_request", _never_answer)
+        assert (await fleet.caller().ask("/unsafe/x", "POST", body=b"crash")).status == 502
+        await fleet.wait_until(lambda: reported, 1.5)
+
+
+async def _never_answer(*_: object) -> None:
+    await trio.sleep_forever()
