Observability: what a retry budget granted and what it divided the allowance by

'relay: retries' and 'no retry: the retry budget is empty' now name the service, the sends of the request before, the retries this process spent in the window, what is left to it and the number of instances that it assumes. Before, a fresh share after a restart, an allowance divided by too few instances and a send that nobody paid for could not be told apart in the logs of an incident.

--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -212,11 +212,19 @@
     def take_retry(self, reason: str) -> bool:
         """Take one retry from the shared budget; return False if the budget is empty."""
         now = trio.current_time()
-        is_granted = self._components.get_retry_budget(self.service.name).try_spend(
-            self._components.count_members(), now
-        )
+        budget = self._components.get_retry_budget(self.service.name)
+        instance_count = self._components.count_members()
+        is_granted = budget.try_spend(instance_count, now)
         self._components.metrics.count_retry(reason if is_granted else "budget_empty")
-        self.log("retries" if is_granted else "no retry: the retry budget is empty", reason=reason)
+        self.log(
+            "retries" if is_granted else "no retry: the retry budget is empty",
+            reason=reason,
+            service=self.service.name,
+            sends=self.send_count,
+            spent=budget.spent,
+            left=round(budget.available(instance_count, now), 2),
+            instances=instance_count,
+        )
         return is_granted
 
     def note_sent(self, endpoint: RoutedEndpoint) -> None:
--- a/cleatlink/request/shared_retry_budget.py
+++ b/cleatlink/request/shared_retry_budget.py
@@ -24,6 +24,11 @@
         self._requests: deque[float] = deque()
         self._extra_sends: deque[float] = deque()
 
+    @property
+    def spent(self) -> int:
+        """Number of extra sends in the last window, as of the last call."""
+        return len(self._extra_sends)
+
     def set_limits(self, ratio: float, allowance: float, window_s: float) -> None:
         """Change the limits; requests and extra sends counted so far still count."""
         self._ratio = ratio
