--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,6 +7,7 @@
 from soak.notice_checks import check_announced_limits, check_backoffs, check_leaving_notices
 from soak.records import Arrival, History, LostPaths, Request, RequestKind, RouteMove
 from soak.violations import DRAIN_S, SLACK_S, Violation
+from standins.relay.extra_arrivals import BudgetLimits, SentRequest, find_fullest_window
 
 __all__ = ["CHECKS", "Violation", "check_history"]
 
@@ -332,23 +333,26 @@
 
 def _check_retry_budget(history: History) -> Iterator[Violation]:
     """Check that extra sends stay within the retry budget that all instances share."""
-    services: dict[str, list[Arrival]] = defaultdict(list)
-    for arrival in sorted(history.arrivals, key=lambda item: item.at):
-        services[arrival.service].append(arrival)
-    for service, arrivals in services.items():
-        seen: set[tuple[str, bool]] = set()
-        extra_times = []
-        for arrival in arrivals:
-            key = (arrival.request_id, arrival.is_prefill)
-            if key in seen:
-                extra_times.append(arrival.at)
-            seen.add(key)
-        for at in extra_times:
-            count = sum(at - RETRY_WINDOW_S < other <= at for other in extra_times)
-            total = sum(at - 2 * RETRY_WINDOW_S < item.at <= at for item in arrivals)
-            if count > RETRY_RATIO * total + history.extra_send_allowance:
-                yield Violation("", f"{count} extra sends to {service} for {total} arrivals")
-                break
+    limits = BudgetLimits(RETRY_RATIO, history.extra_send_allowance, RETRY_WINDOW_S)
+    sent = [SentRequest(service, request.sent_at) for service, request in _find_services(history)]
+    for service in sorted({item.service for item in history.arrival_records}):
+        use = find_fullest_window(service, history.arrival_records, sent, limits)
+        if use is not None and use.excess > 0:
+            yield Violation(
+                "",
+                f"{use.extra_arrivals} extra sends to {service} for {use.requests} requests, "
+                f"{use.allowed:.1f} allowed",
+            )
+
+
+def _find_services(history: History) -> Iterator[tuple[str, Request]]:
+    """Yield each request with the service that its route leads to."""
+    arrived_at = {arrival.request_id: arrival.service for arrival in history.arrivals}
+    for request in history.requests:
+        by_route = "model" if request.kind in _STREAM_KINDS else "plain"
+        is_moving = request.kind is RequestKind.SWITCH
+        service = arrived_at.get(request.request_id, "" if is_moving else by_route)
+        yield service, request
 
 
 def _check_organisation_headers(history: History) -> Iterator[Violation]:
--- a/soak/checks_test.py
+++ b/soak/checks_test.py
@@ -25,6 +25,7 @@
     WorkerLeavingNotice,
     WorkerRun,
 )
+from standins.relay.extra_arrivals import WorkerArrival
 
 EMPTY_HISTORY = History([], [], [], [], [], [], [], [], [], [], 5.0, 100.0)
 SUCCESS = Request("r1", RequestKind.SAFE, 1, 1, 50.0, 50.1, 200, "r1", True, True, b"served")
@@ -134,7 +135,9 @@
         orders=[Order("i-1", "n1", 5, 50.0), Order("i-2", "n2", 6, 52.0)]
     ),
     "retries within the budget": EMPTY_HISTORY._replace(
-        arrivals=[arrival("r1", 50.0 + 0.01 * number) for number in range(20)]
+        arrival_records=tuple(
+            WorkerArrival("r1", "plain", 50.0 + 0.01 * number) for number in range(7)
+        )
     ),
     "workers are told whose a request is": EMPTY_HISTORY._replace(
         requests=[SUCCESS._replace(caller=CallerIdentity("first", "k1"))],
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -79,6 +79,13 @@
     ("/stream/x", STREAM_HEADERS),
     ("/resume/x", STREAM_HEADERS),
 )
+# Share of the instances that are killed at the same moment.
+_HERD_SHARE = 0.7
+# Seconds by which the failure of all workers lasts longer than other faults, and the number of
+# requests that each of them fails at most.
+_EXTRA_FAILURE_S = 3.0
+_FAILURE_COUNT = 500
+_SERVICE_FAULTS = (Fault.FULL, Fault.ERROR, Fault.RESET_BEFORE)
 _STORE_MODES = {
     FaultKind.STORE_BUSY: StoreMode.BUSY,
     FaultKind.STORE_SILENT: StoreMode.SILENT,
@@ -152,6 +159,10 @@
             await self._reload_instance(fault)
         elif kind is FaultKind.INSTANCE_ROLL:
             await self._roll_instances(fault)
+        elif kind is FaultKind.INSTANCE_HERD:
+            await self._kill_herd(fault)
+        elif kind is FaultKind.WORKERS_FAIL:
+            await self._inject_exclusively("workers", fault, self._fail_workers)
         elif kind is FaultKind.UPGRADE:
             await self._upgrade_instances(fault)
         elif kind is FaultKind.CRASHING_REQUEST:
@@ -338,6 +349,17 @@
         await instance.wait_for_exit(_EXIT_TIMEOUT_S)
         await self._restart(instance)
 
+    async def _kill_herd(self, fault: PlannedFault) -> None:
+        """Kill most instances at the same moment."""
+        instance_count = len(self._fleet.instances)
+        async with trio.open_nursery() as nursery:
+            for number in range(max(1, round(_HERD_SHARE * instance_count))):
+                instance_fault = fault._replace(target=fault.target + number)
+                instance = self._pick_instance(instance_fault)
+                nursery.start_soon(
+                    self._inject_exclusively, instance.name, instance_fault, self._kill_instance
+                )
+
     async def _restart(self, instance: InstanceProcess) -> None:
         await trio.sleep(_RESTART_DELAY_S)
         instance.kill()
@@ -421,6 +443,18 @@
         await trio.sleep(fault.duration_s)
         worker.faults.clear()
 
+    async def _fail_workers(self, fault: PlannedFault) -> None:
+        """Make all workers of a service fail most requests."""
+        service = self._pick_worker(fault).service
+        workers = [worker for worker in self._fleet.active_workers if worker.service == service]
+        for worker in workers:
+            worker_faults = _STREAM_FAULTS[:2] if worker.stage else _SERVICE_FAULTS
+            worker.faults += self._rng.choices(worker_faults, k=_FAILURE_COUNT)
+        await trio.sleep(fault.duration_s + _EXTRA_FAILURE_S)
+        for worker in workers:
+            worker.faults.clear()
+            self._fleet.note_disturbance(worker.name, trio.current_time() - fault.duration_s)
+
     async def _crash_worker(self, fault: PlannedFault) -> None:
         """Crash a worker; another worker of its service starts at its address later."""
         fleet, worker = self._fleet, self._pick_worker(fault)
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "BUDGET_KINDS",
     "CLOCK_KINDS",
     "CRASH_KINDS",
     "MIXED_BUILD_KINDS",
@@ -66,6 +67,8 @@
     STORE_RESTORE = "the store is unavailable and is then restored from a copy that is seconds old"
     UPGRADE = "all instances are replaced in turn by instances of the other build version"
     CRASHING_REQUEST = "a request that crashes every worker that runs it is sent repeatedly"
+    INSTANCE_HERD = "most instances are killed at the same moment and restarted"
+    WORKERS_FAIL = "all workers of a service reject, reset or fail most requests"
     PATHS_CUT = "an instance loses its paths to all workers, which the others still reach"
 
 
@@ -166,6 +169,18 @@
     FaultKind.CONFIGURATION,
     FaultKind.STORE_LINK_SILENCE,
 )
+# Failures that instances retry, combined with instances that forget what they have sent.
+BUDGET_KINDS = (
+    FaultKind.WORKERS_FAIL,
+    FaultKind.WORKERS_FAIL,
+    FaultKind.INSTANCE_HERD,
+    FaultKind.INSTANCE_KILL,
+    FaultKind.INSTANCE_PAUSE,
+    FaultKind.INSTANCE_STOP,
+    FaultKind.WORKER_LINK_RESET,
+    FaultKind.WORKER_FAULTS,
+    FaultKind.WORKER_DRAIN,
+)
 # Kinds that a run has to name. Adding one to the default kinds would change the schedules of the
 # recorded seeds.
 _OPT_IN_KINDS = (
@@ -177,6 +192,8 @@
     FaultKind.UPGRADE,
     FaultKind.CRASHING_REQUEST,
     FaultKind.PATHS_CUT,
+    FaultKind.INSTANCE_HERD,
+    FaultKind.WORKERS_FAIL,
 )
 _DEFAULT_KINDS = tuple(kind for kind in FaultKind if kind not in _OPT_IN_KINDS)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -43,6 +43,7 @@
         earlier_build_folder: Path | None = None,
         shifts_clocks: bool = False,
         cuts_paths: bool = False,
+        retry_allowance: int = 50,
     ) -> None:
         """Create a fleet without starting it.
 
@@ -57,6 +58,7 @@
                 this build.
             shifts_clocks: Whether faults can shift the clocks of the instances.
             cuts_paths: Whether faults can cut the paths of instances to workers.
+            retry_allowance: Retry allowance in the settings of the instances.
         """
         self.platform = Fleet(nursery)
         self.organisations = organisations
@@ -77,6 +79,7 @@
         # Workers with an entry in the store, and the state in the entry, by worker name.
         self._registered: dict[str, tuple[SoakWorker, str]] = {}
         self._nursery = nursery
+        self._retry_allowance = retry_allowance
         ports = find_free_ports(instance_count)
         seeds = tuple(
             instance_ip(number + 1) for number in range(min(_MAX_SEED_PEERS, instance_count))
@@ -124,7 +127,7 @@
             link = Link(self.platform.store.address)
             await link.start(self._nursery)
             self.store_links.append(link)
-            instance.write_settings(link.address)
+            instance.write_settings(link.address, self._retry_allowance)
             instance.start()
         for instance in self.instances:
             if not await instance.wait_ready():
--- a/soak/records.py
+++ b/soak/records.py
@@ -5,6 +5,8 @@
 
 from typing import NamedTuple
 
+from standins.relay.extra_arrivals import WorkerArrival
+
 __all__ = [
     "Arrival",
     "CallerIdentity",
@@ -306,6 +308,7 @@
         backoffs: Periods in which workers requested backoffs.
         announced_limits: Periods in which workers announced rate limits over all instances.
         lost_paths: Periods in which instances had no path to any worker.
+        arrival_records: Arrivals at workers, to count them against the retry budgets.
         store_calls: Number of calls to the store, from all instances.
         instance_count: Number of instances.
         traffic_s: Duration of the traffic with faults, in seconds.
@@ -330,6 +333,7 @@
     backoffs: tuple[RequestedBackoff, ...] = ()
     announced_limits: tuple[AnnouncedWorkerLimit, ...] = ()
     lost_paths: tuple[LostPaths, ...] = ()
+    arrival_records: tuple[WorkerArrival, ...] = ()
     store_calls: int = 0
     instance_count: int = 1
     traffic_s: float = 30.0
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,7 +20,6 @@
 
 __all__ = ["RunResult", "RunSettings", "run_soak"]
 
-_MAX_RETRY_ALLOWANCE = 50.0
 _RECOVERY_S = 4.0
 _MAX_SERVE_ATTEMPTS = 20
 _LAST_LOG_LINES = 12
@@ -42,6 +41,8 @@
         organisations: Whether callers use keys of organisations, one of them over its limit.
         older: Commit of an earlier build. The instances start with it, are upgraded to this build
             in turn, and are downgraded again. Empty to run only this build.
+        retry_allowance: Largest retry allowance in the settings of the instances; reloads set lower
+            ones.
     """
 
     seed: int
@@ -54,6 +55,7 @@
     prefill_count: int = 2
     organisations: bool = False
     older: str = ""
+    retry_allowance: int = 50
 
 
 class RunResult(NamedTuple):
@@ -91,6 +93,7 @@
                 earlier_build_folder=earlier_build_folder,
                 shifts_clocks=bool(set(settings.kinds) & set(CLOCK_KINDS)),
                 cuts_paths=FaultKind.PATHS_CUT in settings.kinds,
+                retry_allowance=settings.retry_allowance,
             )
             try:
                 await fleet.start(settings.prefill_count)
@@ -141,6 +144,7 @@
         requests=traffic.requests,
         arrivals=[arrival for worker in workers for arrival in worker.recorded_arrivals],
         runs=[run for worker in workers for run in worker.worker_runs()],
+        arrival_records=tuple(record for worker in workers for record in worker.arrival_records),
         orders=[order for worker in workers for order in worker.recorded_orders],
         withdrawals=fleet.withdrawals,
         route_moves=fleet.route_moves,
@@ -148,7 +152,7 @@
         disturbances=fleet.disturbances,
         process_failures=process_failures,
         unserving_instances=unserving_instances,
-        extra_send_allowance=_MAX_RETRY_ALLOWANCE,
+        extra_send_allowance=float(settings.retry_allowance),
         ended_at=trio.current_time(),
         key_changes=tuple(fleet.organisations.key_changes)
         if fleet.organisations is not None
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -44,6 +44,8 @@
         FaultKind.UPGRADE,
         FaultKind.CRASHING_REQUEST,
         FaultKind.PATHS_CUT,
+        FaultKind.INSTANCE_HERD,
+        FaultKind.WORKERS_FAIL,
     }
     assert default_kinds == set(FaultKind) - opt_in_kinds
     kinds = tuple(FaultKind)
--- a/standins/relay/fleet.py
+++ b/standins/relay/fleet.py
@@ -13,6 +13,7 @@
 from cleatlink.routing.mechanisms import Mechanism
 from standins.ports import free_port
 from standins.relay.cut_paths import CuttableConnector
+from standins.relay.extra_arrivals import WorkerArrival
 from standins.relay.raw_client import Caller
 from standins.relay.raw_server import close_connections
 from standins.relay.store import Store
@@ -38,6 +39,8 @@
         self.callers: list[Caller] = []
         self._settings: list[RelaySettings] = []
         self._platform_stores: list[PlatformStore] = []
+        self._scopes: list[trio.CancelScope] = []
+        self._incarnations = 0
         self._nursery = nursery
         self._version = 3
         self.routes: list[dict[str, Any]] = []
@@ -45,6 +48,9 @@
         self.published: list[dict[str, Any]] = []
         # Longest duration of a planned stop, for instances that are started from now on.
         self.drain_s = 3.0
+        # Limits of the retry budgets, for instances that are started from now on.
+        self.retry_ratio = 0.2
+        self.retry_allowance = 50.0
         # Organisations of the next configuration; None leaves them out of it.
         self.organisations: list[dict[str, Any]] | None = None
         self.limits: dict[str, int] = {"idle_timeout_ms": 2000, "header_timeout_ms": 500}
@@ -151,28 +157,56 @@
             store=Address("127.0.0.1", int(self.store.address.rpartition(":")[2])),
             tunnel_listen=free_address(),
             drain_s=self.drain_s,
-            retry_ratio=0.2,
-            retry_allowance=50.0,
+            retry_ratio=self.retry_ratio,
+            retry_allowance=self.retry_allowance,
             lease_s=0.2,
             without=frozenset(without),
         )
-        platform_store = PlatformStore(settings.store)
-        self._platform_stores.append(platform_store)
-        connector = CuttableConnector()
-        self.connectors.append(connector)
-        instance = RelayInstance(settings, PROTOCOL, platform_store, number, connector=connector)
-        stop, ended = trio.Event(), trio.Event()
-        self.instances.append(instance)
-        self.stop_events.append(stop)
-        self.end_events.append(ended)
         self._settings.append(settings)
+        self.connectors.append(CuttableConnector())
+        self._run_instance(number - 1)
+        return self.instances[-1]
+
+    def _run_instance(self, index: int) -> None:
+        """Run a process of an instance, the first one or one that replaces the last."""
+        settings = self._settings[index]
+        platform_store = PlatformStore(settings.store)
+        self._incarnations += 1
+        instance = RelayInstance(
+            settings,
+            PROTOCOL,
+            platform_store,
+            self._incarnations,
+            connector=self.connectors[index],
+        )
+        stop, ended, scope = trio.Event(), trio.Event(), trio.CancelScope()
+        # Replaces the items of an earlier process, or appends them.
+        here = slice(index, index + 1)
+        self._platform_stores[here] = [platform_store]
+        self.instances[here] = [instance]
+        self.stop_events[here] = [stop]
+        self.end_events[here] = [ended]
+        self._scopes[here] = [scope]
 
         async def run() -> None:
-            await instance.run(stop)
+            with scope:
+                await instance.run(stop)
             ended.set()
 
         self._nursery.start_soon(run)
-        return instance
+
+    def kill_instance(self, index: int) -> None:
+        """End an instance at once, without a planned stop."""
+        self._scopes[index].cancel()
+
+    async def restart_instance(self, index: int) -> None:
+        """Start a new process of an instance that was killed or stopped."""
+        await self.end_events[index].wait()
+        self._run_instance(index)
+
+    def arrival_records(self) -> list[WorkerArrival]:
+        """Return the arrivals of requests at all workers."""
+        return [record for worker in self.workers for record in worker.arrival_records]
 
     def refuse_store_access(self, instance_index: int) -> None:
         """Make an instance's connections to the store fail from now on."""
--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from standins.relay.extra_arrivals import WorkerArrival
 from standins.relay.raw_server import LAST_CHUNK, RawCall, RawServer, answer, chunk
 
 __all__ = ["Fault", "Run", "Worker"]
@@ -66,6 +67,8 @@
         self.faults: list[Fault] = []
         self.runs: list[Run] = []
         self.arrivals: list[RawCall] = []
+        # The same arrivals with their times, to count them against the retry budget.
+        self.arrival_records: list[WorkerArrival] = []
         self.handles: dict[str, float] = {}
         # Handles that the relay deleted.
         self.deleted_handles: list[str] = []
@@ -178,7 +181,10 @@
             await stream.send_all(answer(400, {"Not-Executed": "1", **self._notice_headers()}))
             return True
         self.arrivals.append(call)
-        self.arrival_times.append(trio.current_time())
+        now = trio.current_time()
+        self.arrival_times.append(now)
+        number = len(self.arrival_records)
+        self.arrival_records.append(WorkerArrival(call.headers["attempt-id"], self.service, now))
         expected = call.headers.get("expected-instance", self.name)
         if expected != self.name:
             await stream.send_all(answer(421, {"Instance-Id": self.name}))
@@ -191,7 +197,7 @@
         if fault is Fault.RESET_BEFORE:
             return False
         if call.headers.get("stage") == "prefill":
-            return await self._serve_prefill(call, stream)
+            return await self._serve_prefill(call, stream, number)
         if self.crash_marker is not None and self.crash_marker in call.body + call.target.encode():
             return await self._crash(call)
         if self.stage == "decode":
@@ -259,10 +265,14 @@
         }
         return {**signature_headers, **self._notice_headers()}
 
-    async def _serve_prefill(self, call: RawCall, stream: trio.SocketStream) -> bool:
+    async def _serve_prefill(
+        self, call: RawCall, stream: trio.SocketStream, arrival_number: int
+    ) -> bool:
         if self.stage != "prefill":
             await stream.send_all(answer(421, {"Instance-Id": self.name}))
             return True
+        record = self.arrival_records[arrival_number]
+        self.arrival_records[arrival_number] = record._replace(has_begun_prefill=True)
         await trio.sleep(self.run_duration_s)
         handle = f"h{len(self.handles) + len(self.deleted_handles)}{self.name}"
         self.handles[handle] = trio.current_time()
