Every send that the retry budget counts is paid for, by request

Callers of an overloaded service saw more repeats than the budget allows. One of two causes: retries were taken by what was meant (a second prefill after a failed one, a second decode), not by what arrives. A prefill that its endpoint resets unread arrives and counts; the decode that then computes the prompt was free. A replacement within an answer began its own count of failed prefills, so its first prefill was free again; a handle that expired, likewise.

ArrivalLedger counts per request: each send and each prefill counts when it is sent, the first prefill with a result does not. Ruled out: to pay only after a reset, which can't tell a prefill that was begun from one that was not.

--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -16,6 +16,7 @@
 from cleatlink.relay.calls.components import RelayComponents
 from cleatlink.relay.endpoints.protocol import MISDIRECTED_REQUEST, ResponseHead
 from cleatlink.relay.peers.messages import HintKind
+from cleatlink.request.arrival_ledger import ArrivalLedger
 from cleatlink.routing.mechanisms import Mechanism
 from cleatlink.routing.relay_placement import MIN_CRASHES_TO_ISOLATE, PlacementContext
 from cleatlink.routing.shared_wait_queues import urgency_of
@@ -54,6 +55,7 @@
         self.last_received_at = inbound.arrived_at
         self.admission = Admission(True, 0)
         self._components = components
+        self._ledger = ArrivalLedger()
         self._tried_endpoints: set[str] = set()
         self._last_endpoint = ""
         self._ran_before_send = ExecutionStatus.NO
@@ -209,7 +211,19 @@
         """Check whether the route's maximum of attempts allows one more endpoint."""
         return len(self._tried_endpoints) < self.route.max_attempts
 
-    def take_retry(self, reason: str) -> bool:
+    def take_retry_for_send(self, reason: str) -> bool:
+        """Take the retry that the next send needs; return False if the budget is empty.
+
+        Args:
+            reason: Kind of the send; a label of the metric that counts retries.
+        """
+        return not self._ledger.send_needs_retry or self._take_retry(reason)
+
+    def take_retry_for_prefill(self) -> bool:
+        """Take the retry that the next prefill needs; return False if the budget is empty."""
+        return not self._ledger.prefill_needs_retry or self._take_retry("prefill")
+
+    def _take_retry(self, reason: str) -> bool:
         """Take one retry from the shared budget; return False if the budget is empty."""
         now = trio.current_time()
         budget = self._components.get_retry_budget(self.service.name)
@@ -220,16 +234,27 @@
             "retries" if is_granted else "no retry: the retry budget is empty",
             reason=reason,
             service=self.service.name,
-            sends=self.send_count,
+            sends=self._ledger.counted,
             spent=budget.spent,
             left=round(budget.available(instance_count, now), 2),
             instances=instance_count,
         )
+        if is_granted:
+            self._ledger.note_retry_taken()
         return is_granted
 
+    def note_prefill_sent(self) -> None:
+        """Record that the prompt is sent to a prefill endpoint."""
+        self._ledger.note_sent()
+
+    def note_prefill_completed(self) -> None:
+        """Record that a prefill endpoint computed the prompt."""
+        self._ledger.note_prefill_completed()
+
     def note_sent(self, endpoint: RoutedEndpoint) -> None:
         """Record that the call is sent to an endpoint; until a reply, it may have run there."""
         self.note_started()
+        self._ledger.note_sent()
         self.send_count += 1
         self._tried_endpoints.add(endpoint.name)
         self._last_endpoint = endpoint.name
--- a/cleatlink/relay/calls/decode_target.py
+++ b/cleatlink/relay/calls/decode_target.py
@@ -41,8 +41,6 @@
         call: Call,
         admission: DecodeAdmission,
         components: RelayComponents,
-        *,
-        prompt_was_computed: bool = False,
     ) -> None:
         """Create a target that has no resources yet.
 
@@ -50,9 +48,8 @@
             call: The call.
             admission: Reserves capacity at decode endpoints.
             components: Components that all calls share.
-            prompt_was_computed: Whether the prompt was computed for another target before.
         """
-        self.prefill = Prefill(call, components, prompt_was_computed=prompt_was_computed)
+        self.prefill = Prefill(call, components)
         self.reservation = EndpointReservation(call, components)
         self._call = call
         self._admission = admission
@@ -104,7 +101,7 @@
             return call.refuse_for_stop(self._remaining_s())
         if not call.may_send(self.endpoint):
             return call.make_refusal("no attempt is left", RETRY_AFTER_S)
-        if call.send_count and not call.take_retry("decode"):
+        if not call.take_retry_for_send("decode"):
             return call.make_refusal("the retry budget is empty", RETRY_AFTER_S)
         self._is_authorized = True
         return None
--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -78,7 +78,7 @@
                 endpoint = self._select_endpoint()
                 if endpoint is None or not call.may_send(endpoint):
                     return self._give_up("no endpoint may be tried")
-                if call.send_count and not call.take_retry("plain"):
+                if not call.take_retry_for_send("plain"):
                     return self._give_up("the retry budget is empty")
             try:
                 answer = await self._send(endpoint)
@@ -207,7 +207,7 @@
             )
             if other_endpoint is None or not call.may_send(other_endpoint):
                 continue
-            if self._admission.has_free_capacity(call) and call.take_retry("plain"):
+            if self._admission.has_free_capacity(call) and call.take_retry_for_send("plain"):
                 self._next_endpoint = other_endpoint
                 call.note_silent(endpoint, self._upload, trio.current_time() - self._silent_since)
                 scope.cancel()
--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -70,19 +70,9 @@
 class Prefill:
     """The prefill of one stream, and the handle of its result."""
 
-    def __init__(
-        self, call: Call, components: RelayComponents, *, prompt_was_computed: bool = False
-    ) -> None:
-        """Start without a result.
-
-        Args:
-            call: The call.
-            components: Components that all calls share.
-            prompt_was_computed: Whether the prompt was computed before, for another decode
-                endpoint.
-        """
+    def __init__(self, call: Call, components: RelayComponents) -> None:
+        """Start without a result."""
         self.handle: KvHandle | None = None
-        self.prompt_was_computed = prompt_was_computed
         self._call = call
         self._components = components
         self._failed_attempts = 0
@@ -135,14 +125,9 @@
             if endpoint is None:
                 call.log("found no prefill endpoint; the decode computes the prompt")
                 return None
-            if self._failed_attempts and not self._may_retry():
+            if self._failed_attempts and not call.may_try_another():
                 return call.make_refusal("no prefill came to an end", _RETRY_AFTER_S)
-            # The result of an earlier prefill expired or was lost with its decode endpoint.
-            if (
-                self.prompt_was_computed
-                and not self._failed_attempts
-                and not call.take_retry("prefill")
-            ):
+            if not call.take_retry_for_prefill():
                 return call.make_refusal("the retry budget is empty", _RETRY_AFTER_S)
             try:
                 await self._prefill_at(endpoint)
@@ -162,9 +147,6 @@
                 await call.wait_for_crash_check(endpoint)
         return None
 
-    def _may_retry(self) -> bool:
-        return self._call.may_try_another() and self._call.take_retry("prefill")
-
     async def _prefill_at(self, endpoint: RoutedEndpoint) -> None:
         """Have one endpoint compute the prompt.
 
@@ -194,7 +176,7 @@
                 call.note_silent(endpoint, upload, expected_s + _TIMEOUT_MARGIN_S)
                 raise trio.TooSlowError
             self.handle = handle
-            self.prompt_was_computed = True
+            call.note_prefill_completed()
             elapsed_s = trio.current_time() - now
             call.update_read_rate(endpoint, upload, elapsed_s)
             call.log(
@@ -263,6 +245,7 @@
         call.note_started()
 
         def make_request() -> OutgoingRequest:
+            call.note_prefill_sent()
             return components.protocol.make_forwarded_request(
                 call.inbound,
                 endpoint,
--- a/cleatlink/relay/calls/stream_failover.py
+++ b/cleatlink/relay/calls/stream_failover.py
@@ -71,17 +71,15 @@
                 continue
             self._call.note_silent(target.endpoint, self._upload, silent_s)
             self._call.excluded.add(target.endpoint.name)
-            self.replacement = await self._prepare_replacement(target.prefill.prompt_was_computed)
+            self.replacement = await self._prepare_replacement()
             if self.replacement is None and self._waiting_since == waiting_since:
                 # The next search starts after another silence of the same length.
                 self._waiting_since = trio.current_time()
         stream_scope.cancel()
 
-    async def _prepare_replacement(self, prompt_was_computed: bool) -> DecodeTarget | None:
+    async def _prepare_replacement(self) -> DecodeTarget | None:
         """Prepare another endpoint, unless the silent one sends data meanwhile."""
-        target = DecodeTarget(
-            self._call, self._admission, self._components, prompt_was_computed=prompt_was_computed
-        )
+        target = DecodeTarget(self._call, self._admission, self._components)
         is_ready = False
         try:
             with trio.CancelScope() as self._search:
