A new process does not use again what its predecessor used of a retry budget

Cause: an instance's part of the budget was kept by one process and forgotten when it died; its successor had a whole part again while the window of the rule still held what was spent.

A process starts with what its own requests allow. Peers remember what it used of the allowance (reported at once, before the send) and tell the next process, which adds the rest; what several peers report is not added, the highest counts. If nobody knows (all died, a peer did not hear the last process within 2.5 s, or a peer runs an earlier build), the allowance comes back one window after the start. Only on the very first start of the fleet nothing can have been used.

Heartbeats grow by a byte; a report is sent only while something is used, in large fleets within the data centre.

--- a/cleatlink/core/table_reader.py
+++ b/cleatlink/core/table_reader.py
@@ -54,6 +54,16 @@
             return default
         return self.number(path)
 
+    def optional_flag(self, path: str, default: bool) -> bool:
+        """Return a top-level true or false, or the default if the value is absent."""
+        setting = self._tables.get(path)
+        if setting is None:
+            return default
+        if not isinstance(setting, bool):
+            self.faults.append(f"{path} has the wrong type, {type(setting).__name__}")
+            return default
+        return setting
+
     def address(self, path: str) -> Address:
         """Return an IP address with a port."""
         text = self.text(path)
--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -241,6 +241,7 @@
         )
         if is_granted:
             self._ledger.note_retry_taken()
+            self._components.on_retry_taken()
         return is_granted
 
     def note_prefill_sent(self) -> None:
--- a/cleatlink/relay/calls/components.py
+++ b/cleatlink/relay/calls/components.py
@@ -35,6 +35,7 @@
         rng: The seeded random generator.
         get_retry_budget: Returns the retry budget of a service.
         count_members: Returns the number of instances that may share a retry budget.
+        on_retry_taken: Called when a retry was taken from a budget, before the send.
         on_reservations_changed: Called with the keys of this instance's reservations that changed.
         on_limit_nearly_used: Called when little is left of an organisation's limit.
         on_endpoint_problem: Called with an endpoint that was slow or unreachable.
@@ -57,6 +58,7 @@
     rng: random.Random
     get_retry_budget: Callable[[str], SharedRetryBudget]
     count_members: Callable[[], int]
+    on_retry_taken: Callable[[], None]
     on_reservations_changed: Callable[..., None]
     on_limit_nearly_used: Callable[[], None]
     on_endpoint_problem: Callable[[str, HintKind], None]
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Mapping
 
 import eliot
 import trio
@@ -134,7 +135,11 @@
             self._count_sent_call,
             self._tunnels.dialer,
         )
-        self._budgets = ServiceBudgets(settings)
+        self._budgets = ServiceBudgets(settings, trio.current_time())
+        if settings.is_first_start:
+            self._budgets.inherit({})
+        # Highest number of instances that a peer reported to this process after its start.
+        self._reported_instance_count = 0
         self._caller_memory = BufferedBytes(_caller_memory_limit_bytes(settings.memory_mb))
         self._planned_stop = PlannedStop()
         limits = OrganisationLimits(settings.limit_tolerance, trio.current_time())
@@ -157,6 +162,7 @@
             rng,
             self._budgets.get_budget,
             self._estimate_instance_count,
+            self._announce_retry,
             self._announce_work,
             self._announce_usage,
             self._send_hint,
@@ -197,6 +203,8 @@
             self._follower.apply_peer_update,
             self._follower.note_peer_table,
             self._follower.read_table,
+            self._retry_usage,
+            self._inherit_retry_usage,
         )
         self._peers = PeerGroup(
             settings,
@@ -380,9 +388,31 @@
 
         Until a heartbeat of a peer has arrived, a larger number is assumed.
         """
-        peak = self._peers.peak_live_instances
+        peak = max(self._peers.peak_live_instances, self._reported_instance_count)
         return max(peak + 1, _ASSUMED_INITIAL_INSTANCES if peak == 1 else 0)
 
+    def _retry_usage(self) -> dict[str, float]:
+        return self._budgets.usage(self._estimate_instance_count(), trio.current_time())
+
+    def _inherit_retry_usage(
+        self, used_allowance: Mapping[str, float], instance_count: int
+    ) -> None:
+        """Take over what the process that this one replaced used of the retry allowances."""
+        was_known = self._budgets.knows_usage(trio.current_time())
+        self._reported_instance_count = max(self._reported_instance_count, instance_count)
+        self._budgets.inherit(used_allowance)
+        if not was_known:
+            eliot.log_message(
+                message_type="instance: learned what its last process used of the retry budgets",
+                used=dict(used_allowance),
+                instances=instance_count,
+            )
+            self._announce_retry()
+            self._peers.send_heartbeat()
+
+    def _announce_retry(self) -> None:
+        self._peers.announce_retry()
+
     def _announce_work(self, *keys: str) -> None:
         self._peers.announce_work(*keys)
 
@@ -416,6 +446,7 @@
             self._tunnels.port,
             self._tunnels.lost_services,
             self._tunnels.is_cut_off(),
+            self._budgets.knows_usage(trio.current_time()),
         )
 
     def _handle_path_change(self, endpoint: RoutedEndpoint) -> None:
--- a/cleatlink/relay/peers/advertised_state.py
+++ b/cleatlink/relay/peers/advertised_state.py
@@ -18,6 +18,7 @@
         tunnel_port: Port at which it connects to endpoints for peers; 0 if it does not.
         lost_services: Services to a large share of whose endpoints it has no path.
         is_cut_off: Whether one of these services has engines.
+        knows_retry_usage: Whether it knows what its earlier processes used of the retry budgets.
     """
 
     leaving: bool
@@ -27,3 +28,4 @@
     tunnel_port: int = 0
     lost_services: tuple[str, ...] = ()
     is_cut_off: bool = False
+    knows_retry_usage: bool = False
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -48,7 +48,9 @@
     OrganisationUsage,
     OverloadUpdate,
     PlainCallTotals,
+    PredecessorRetryUsage,
     RegistrationUpdate,
+    RetryUsageUpdate,
     Roster,
     ServiceTimeUpdate,
     WaitQueueUpdate,
@@ -61,11 +63,13 @@
 from cleatlink.relay.peers.overload_channel import OverloadChannel
 from cleatlink.relay.peers.plain_call_channel import PlainCallChannel
 from cleatlink.relay.peers.registration_channel import RegistrationChannel
+from cleatlink.relay.peers.retry_usage_channel import RetryUsageChannel
 from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
 from cleatlink.relay.peers.update_channel import UpdateChannel
 from cleatlink.relay.peers.wait_queue_channel import WaitQueueChannel
 from cleatlink.relay.peers.work_updates import WorkUpdates
 from cleatlink.relay.settings import RelaySettings
+from cleatlink.request.retry_usage import RestartedPeer
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.fleet_sizes import MAX_DIRECT_PEERS
 from cleatlink.routing.mechanisms import Mechanism
@@ -151,6 +155,12 @@
         self._registration_channel = RegistrationChannel(settings.name)
         self._overload_channel = OverloadChannel(settings.name)
         self._plain_call_channel = PlainCallChannel(settings.name, incarnation, capacity)
+        self._retry_usage_channel = RetryUsageChannel(
+            settings.name,
+            incarnation,
+            hooks.retry_usage,
+            lambda: self._delivery.uses_reflectors,
+        )
         self._channels: tuple[UpdateChannel, ...] = (
             self._plain_call_channel,
             self._organisation_usage_channel,
@@ -161,6 +171,7 @@
             self._registration_channel,
             self._overload_channel,
             self._wait_queue_channel,
+            self._retry_usage_channel,
         )
         self._metrics = metrics
         self._hooks = hooks
@@ -292,6 +303,10 @@
         """Announce immediately that a decode endpoint rejected a stream of this many tokens."""
         self._overload_channel.report_rejection(endpoint, tokens)
 
+    def announce_retry(self) -> None:
+        """Announce immediately that this instance took a retry from a budget."""
+        self._retry_usage_channel.report_use()
+
     def announce_limit(self, endpoint_incarnation: str) -> None:
         """Announce immediately that an endpoint changed or removed its limit."""
         self._endpoint_limit_channel.report_limit(endpoint_incarnation)
@@ -386,6 +401,7 @@
             state.tunnel_port,
             list(state.lost_services),
             state.is_cut_off,
+            state.knows_retry_usage,
         )
         if heartbeat != self._last_heartbeat:
             self._heartbeat_number = self._delivery.next_message_number()
@@ -491,6 +507,7 @@
             self._last_work_sequences.pop(removed.name, None)
             self._capacity.shared_wait_queues.remove_report(removed.name)
             self._encoded_heartbeats.pop(removed.name, None)
+            self._retry_usage_channel.remove_peer(removed.name)
             eliot.log_message(
                 message_type="peers: removed a peer that sent no heartbeats",
                 peer=removed.name,
@@ -525,6 +542,8 @@
             OrganisationUsage: self._handle_organisation_usage,
             WorkList: self._handle_work_list,
             WaitQueueUpdate: self._handle_wait_queue_update,
+            RetryUsageUpdate: self._handle_retry_usage,
+            PredecessorRetryUsage: self._handle_predecessor_usage,
         }
 
     def _handle_plain_calls(self, update: PlainCallTotals) -> None:
@@ -574,6 +593,24 @@
         self._metrics.count_peer_message("waiting")
         self._wait_queue_channel.record_queue(update)
 
+    def _handle_retry_usage(self, update: RetryUsageUpdate) -> None:
+        self._metrics.count_peer_message("retry_usage")
+        self._retry_usage_channel.record_update(update, trio.current_time())
+
+    def _handle_predecessor_usage(self, report: PredecessorRetryUsage) -> None:
+        self._metrics.count_peer_message("predecessor_retry_usage")
+        is_for_this_process = report.incarnation == self._incarnation
+        if report.receiver == self._settings.name and is_for_this_process:
+            self._hooks.on_predecessor_usage(report.used_allowance, report.instance_count)
+
+    def _send_predecessor_usage(self, heartbeat: HeartbeatMessage) -> None:
+        """Tell a peer what the process used that it replaced, if that is known."""
+        report = self._retry_usage_channel.predecessor_message(
+            heartbeat.name, heartbeat.incarnation, self.peak_live_instances
+        )
+        if report is not None:
+            self._socket.send(report, [heartbeat.address])
+
     def _handle_organisation_usage(self, update: OrganisationUsage) -> None:
         self._metrics.count_peer_message("spending")
         self._organisation_usage_channel.record_usage(update, trio.current_time())
@@ -637,6 +674,7 @@
             # The peer restarted: its earlier work has ended.
             self._capacity.remove_peer(heartbeat.name)
             self._has_peer_work_changed = True
+            self._note_restart(heartbeat)
         now = trio.current_time()
         if self._peers.record_heartbeat(heartbeat, now - age_s):
             eliot.log_message(
@@ -645,6 +683,8 @@
                 alive=self.live_instances,
             )
             self._send_introduction(heartbeat)
+        if not heartbeat.knows_retry_usage:
+            self._send_predecessor_usage(heartbeat)
         self._organisation_usage_channel.record_heartbeat(heartbeat, now - age_s, now)
         self.fence = max(self.fence, heartbeat.highest_fence)
         for endpoint, left_s in heartbeat.switching_endpoints.items():
@@ -655,6 +695,21 @@
             self._replace_peer_work(heartbeat.name, heartbeat.work, now)
         self._catch_up.handle_heartbeat(heartbeat, self._spawn)
 
+    def _note_restart(self, heartbeat: HeartbeatMessage) -> None:
+        """Keep what is known of a peer's last process, for the one that replaced it."""
+        now = trio.current_time()
+        last = self._peers.last_heartbeat(heartbeat.name)
+        if last is None:
+            return
+        peer = RestartedPeer(
+            heartbeat.name,
+            last.incarnation,
+            heartbeat.incarnation,
+            self._peers.silent_s(heartbeat.name, now),
+            last.knows_retry_usage,
+        )
+        self._retry_usage_channel.note_restart(peer, self._settings.retry_window_s, now)
+
     def _handle_work_list(self, work_list: WorkList) -> None:
         """Process a list of all work of a peer that is sent separately from its heartbeat."""
         self._metrics.count_peer_message("work")
--- a/cleatlink/relay/peers/hooks.py
+++ b/cleatlink/relay/peers/hooks.py
@@ -1,6 +1,6 @@
 """Callbacks from the peer group into its instance."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import NamedTuple
 
 import trio
@@ -28,6 +28,9 @@
         on_table_revision: Process the revision of a peer's route table, the peer's name, and
             whether the peer's last request to the configuration service was answered.
         read_table: Read only the route table from the configuration service.
+        retry_usage: Return what this instance used of the retry allowances, by service.
+        on_predecessor_usage: Process a peer's report of what the process used that this one
+            replaced, by service, and of the number of instances.
     """
 
     state: Callable[[], AdvertisedState]
@@ -39,3 +42,5 @@
     on_registration_update: Callable[[RegistrationUpdate], None]
     on_table_revision: Callable[[int, str, bool], None] = lambda *_: None
     read_table: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
+    retry_usage: Callable[[], Mapping[str, float]] = dict
+    on_predecessor_usage: Callable[[Mapping[str, float], int], None] = lambda *_: None
--- a/cleatlink/relay/peers/live_peers.py
+++ b/cleatlink/relay/peers/live_peers.py
@@ -1,5 +1,6 @@
 """Track peers by their heartbeats, and the instances and addresses that peers report."""
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable, Set
 from typing import NamedTuple
@@ -143,6 +144,16 @@
         peer = self._peers.get(name)
         return None if peer is None else peer.heartbeat.incarnation
 
+    def last_heartbeat(self, name: str) -> HeartbeatMessage | None:
+        """Return the last heartbeat of a peer; None if it is not live."""
+        peer = self._peers.get(name)
+        return None if peer is None else peer.heartbeat
+
+    def silent_s(self, name: str, now: float) -> float:
+        """Return the seconds since the last heartbeat of a peer; infinite if it is not live."""
+        peer = self._peers.get(name)
+        return math.inf if peer is None else now - peer.last_heartbeat_at
+
     def seen_within(self, seconds: float, now: float) -> set[str]:
         """Return the peers whose last heartbeat is at most this many seconds old."""
         return {
--- a/cleatlink/relay/peers/messages.py
+++ b/cleatlink/relay/peers/messages.py
@@ -14,6 +14,7 @@
     OverloadUpdate,
     SpeedMeasurement,
 )
+from cleatlink.relay.peers.retry_messages import PredecessorRetryUsage, RetryUsageUpdate
 from cleatlink.relay.peers.snapshots import RegistrationRecord, Snapshot
 from cleatlink.relay.peers.wait_queue_messages import (
     PlainCallTotals,
@@ -45,6 +46,8 @@
     "OverloadUpdate",
     "RegistrationUpdate",
     "OrganisationUsage",
+    "PredecessorRetryUsage",
+    "RetryUsageUpdate",
     "WaitQueueItem",
     "WaitQueueUpdate",
     "WorkItem",
@@ -86,6 +89,8 @@
         lost_services: Services to a large share of whose endpoints the sender has no path.
         is_cut_off: Whether one of these services has engines, so that the sender can't send role
             orders to many of them.
+        knows_retry_usage: Whether the sender knows what earlier processes of it used of the retry
+            budgets.
     """
 
     name: str
@@ -112,6 +117,7 @@
     tunnel_port: int = 0
     lost_services: list[str] = []
     is_cut_off: bool = False
+    knows_retry_usage: bool = False
 
     @property
     def newest_registration_revision(self) -> StoreRevision:
@@ -247,6 +253,8 @@
     | Bundle
     | WaitQueueUpdate
     | PlainCallTotals
+    | RetryUsageUpdate
+    | PredecessorRetryUsage
 )
 _DECODER = msgspec.msgpack.Decoder(Message)
 
--- a/cleatlink/relay/retry_budget_test.py
+++ b/cleatlink/relay/retry_budget_test.py
@@ -90,6 +90,46 @@
         assert failing.fullest_window().excess <= 0
 
 
+async def test_instances_killed_together_forget_what_they_spent() -> None:
+    async with open_fleet() as fleet:
+        failing = FailingFleet(fleet)
+        await failing.start()
+        for _ in range(3):
+            await failing.send(6)
+            await failing.kill(0, 1, 2, 3)
+        await failing.send(6)
+        assert failing.fullest_window().excess <= 0
+        await trio.sleep(LIMITS.window_s)
+        before = failing.count_extra_arrivals()
+        await failing.send(6)
+        assert failing.count_extra_arrivals() - before >= INSTANCE_COUNT
+
+
+async def test_restarted_instance_has_no_retry_although_none_was_spent() -> None:
+    async with open_fleet() as fleet:
+        failing = FailingFleet(fleet)
+        await failing.start()
+        await failing.kill(1)
+        await trio.sleep(0.1)
+        before = failing.count_extra_arrivals()
+        await failing.send(1)
+        assert failing.count_extra_arrivals() - before == INSTANCE_COUNT
+
+
+async def test_instance_killed_twice_spends_again_what_its_first_process_spent() -> None:
+    async with open_fleet() as fleet:
+        failing = FailingFleet(fleet)
+        await failing.start()
+        await failing.send(6)
+        for _ in range(2):
+            await failing.kill(1)
+            await trio.sleep(0.1)
+        before = failing.count_extra_arrivals()
+        caller = fleet.caller(1)
+        assert (await caller.ask("/safe/x")).status == 500
+        assert len(fleet.arrival_records()) - len(failing.sent) - before == 1
+
+
 async def test_decode_after_an_unread_prefill_costs_no_retry() -> None:
     async with open_fleet() as fleet:
         fleet.retry_ratio = fleet.retry_allowance = 0.0
--- a/cleatlink/relay/settings.py
+++ b/cleatlink/relay/settings.py
@@ -36,6 +36,7 @@
             reach each other.
         memory_mb: Memory of the machine, in megabytes; 0 if it is unknown.
         size: Processor share of this instance, in cores.
+        is_first_start: Whether no process of the fleet has run before.
         crossing_share: Cost of sending a stream to another data centre, as a share of the stream's
             target.
         without: Mechanisms that are disabled for an experiment.
@@ -60,5 +61,6 @@
     limit_tolerance: LimitTolerance = LimitTolerance()
     memory_mb: float = 0.0
     size: float = 1.0
+    is_first_start: bool = True
     crossing_share: float = CROSSING_SHARE
     without: frozenset[Mechanism] = frozenset()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -134,6 +134,7 @@
                 self.process_failures.append(
                     f"{instance.name} was not ready in time after its first start"
                 )
+            self.write_settings(instance, self._retry_allowance)
 
     def write_settings(self, instance: InstanceProcess, retry_allowance: int) -> None:
         """Write an instance's settings file, with a retry allowance."""
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -118,6 +118,7 @@
             ip=self.ip,
             seeds=self._seeds,
             retry_allowance=retry_allowance,
+            is_first_start=not self.incarnation,
         )
 
     def write_invalid_settings(self) -> None:
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -8,6 +8,7 @@
 from soak.ablations import ABLATIONS
 from soak.earlier_builds import RELEASED_COMMITS
 from soak.fault_schedule import (
+    BUDGET_KINDS,
     CLOCK_KINDS,
     CRASH_KINDS,
     MIXED_BUILD_KINDS,
@@ -240,3 +241,14 @@
     result = await run_soak(settings)
     assert result.violations == []
     assert any(fault.kind is FaultKind.PATHS_CUT for fault in result.faults)
+
+
+@pytest.mark.alone
+async def test_killed_instances_stay_within_the_retry_budget() -> None:
+    settings = RunSettings(
+        CI_SEED, seconds=20.0, instances=4, callers=12, rate=1.5, kinds=BUDGET_KINDS
+    )
+    result = await run_soak(settings._replace(retry_allowance=12))
+    assert result.violations == []
+    kinds = {fault.kind for fault in result.faults}
+    assert {FaultKind.INSTANCE_HERD, FaultKind.WORKERS_FAIL} <= kinds
--- a/standins/relay/fleet.py
+++ b/standins/relay/fleet.py
@@ -202,6 +202,7 @@
     async def restart_instance(self, index: int) -> None:
         """Start a new process of an instance that was killed or stopped."""
         await self.end_events[index].wait()
+        self._settings[index] = self._settings[index]._replace(is_first_start=False)
         self._run_instance(index)
 
     def arrival_records(self) -> list[WorkerArrival]:
--- a/standins/relay/settings_file.py
+++ b/standins/relay/settings_file.py
@@ -11,6 +11,7 @@
 node = "{name}"
 zone = "{zone}"
 ip = "{ip}"
+bootstrap = {is_first_start}
 internal_ports = [{peers}, {tunnels}]
 seeds = [{seeds}]
 [listen]
@@ -59,6 +60,7 @@
     ip: str = "127.0.0.1",
     seeds: tuple[str, ...] = (),
     retry_allowance: int = 50,
+    is_first_start: bool = True,
 ) -> None:
     """Write the settings of one of several instances, each of which has its own IP address.
 
@@ -72,8 +74,10 @@
         seeds: IP addresses of the instances that it contacts first.
         retry_allowance: Extra sends allowed in addition to the share of requests, over all
             instances.
+        is_first_start: Whether no process of the fleet has run before.
     """
     quoted = ",".join(f'"{seed}:{ports.peers}"' for seed in seeds)
     fields = {"name": name, "zone": zone, "ip": ip, "seeds": quoted, "store": store}
     fields["retry_allowance"] = str(retry_allowance)
+    fields["is_first_start"] = str(is_first_start).lower()
     file.write_text(_TEMPLATE.format(**ports._asdict(), **fields))
