A peer that restarted is introduced like a new one

A peer sends what it knows (roster, service times, crash reports, limits, notices) to an instance that it hears for the first time. One that was killed and back within 4 s was still live for its peers and got nothing, but for the few updates that each heartbeat repeats to three random peers.

The new test failed before (quarantine unknown 0.05 s after the start), three times of three.

--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -670,7 +670,8 @@
             return
         self._metrics.count_peer_message("beat")
         self._encoded_heartbeats.pop(heartbeat.name, None)
-        if self._peers.incarnation(heartbeat.name) not in (None, heartbeat.incarnation):
+        has_restarted = self._peers.incarnation(heartbeat.name) not in (None, heartbeat.incarnation)
+        if has_restarted:
             # The peer restarted: its earlier work has ended.
             self._capacity.remove_peer(heartbeat.name)
             self._has_peer_work_changed = True
@@ -683,6 +684,9 @@
                 alive=self.live_instances,
             )
             self._send_introduction(heartbeat)
+        elif has_restarted:
+            # Its process knows nothing of what this instance told the last one.
+            self._send_introduction(heartbeat)
         if not heartbeat.knows_retry_usage:
             self._send_predecessor_usage(heartbeat)
         self._organisation_usage_channel.record_heartbeat(heartbeat, now - age_s, now)
--- a/cleatlink/relay/quarantine_test.py
+++ b/cleatlink/relay/quarantine_test.py
@@ -247,6 +247,19 @@
         assert count_crashes(fleet) == _MAX_CRASHES
 
 
+async def test_restarted_instance_learns_of_quarantine_a_second_later() -> None:
+    async with open_fleet() as fleet:
+        await start_crashing_fleet(fleet)
+        await crash_until_quarantined(fleet)
+        await trio.sleep(0.5)
+        fleet.kill_instance(1)
+        await trio.sleep(0.3)
+        await fleet.restart_instance(1)
+        await fleet.wait_until(lambda: fleet.instances[1].ready)
+        await trio.sleep(0.05)
+        assert fleet.instances[1]._quarantine.quarantined_count == 1
+
+
 async def test_instance_that_missed_updates_learns_of_quarantine_later(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
