The retry allowance is divided by instances that are not heard, too

A process that starts within a data centre that is cut off hears two others and takes a third of the allowance; so do those of the other data centres. Now each data centre of the settings without any heartbeat counts like the largest one that was heard. The number told by a peer to a new process is the peer's.

Data centres without instances make the part smaller, which is safe.

--- a/cleatlink/core/table_reader.py
+++ b/cleatlink/core/table_reader.py
@@ -64,6 +64,14 @@
             return default
         return setting
 
+    def optional_table(self, path: str) -> dict[str, Any]:
+        """Return a top-level table, or an empty one if it is absent."""
+        setting = self._tables.get(path, {})
+        if not isinstance(setting, dict):
+            self.faults.append(f"{path} has the wrong type, {type(setting).__name__}")
+            return {}
+        return setting
+
     def address(self, path: str) -> Address:
         """Return an IP address with a port."""
         text = self.text(path)
--- a/cleatlink/platform/settings.py
+++ b/cleatlink/platform/settings.py
@@ -70,6 +70,7 @@
         limit_tolerance=_read_tolerance(reader),
         memory_mb=reader.optional_number("limits.memory_mb", 0.0),
         size=_read_core_count(reader),
+        data_centres=tuple(reader.optional_table("zones")),
         is_first_start=reader.optional_flag("bootstrap", default=False),
         crossing_share=reader.optional_number("routing.crossing_share", CROSSING_SHARE),
     )
--- a/cleatlink/platform/settings_test.py
+++ b/cleatlink/platform/settings_test.py
@@ -46,6 +46,24 @@
     assert settings.tunnel_listen == Address("10.1.0.35", 7675)
     assert settings.peers == (Address("10.1.0.35", 7660), Address("10.2.0.28", 7660))
     assert (settings.lease_s, settings.drain_s) == (3.0, 8.0)
+    assert (settings.is_first_start, settings.data_centres) == (False, ())
+
+
+def test_first_start_and_data_centres_are_read(tmp_path: Path) -> None:
+    text = VALID_SETTINGS.replace(
+        "[listen]", "bootstrap = true\n[zones]\na = 'r'\nb = 'r'\n[listen]"
+    )
+    settings = load_settings(write_settings(tmp_path, text))
+    assert (settings.is_first_start, settings.data_centres) == (True, ("a", "b"))
+
+
+@pytest.mark.parametrize(("key", "value"), [("bootstrap", "1"), ("zones", "'a'")])
+def test_optional_setting_of_the_wrong_type_is_reported(
+    tmp_path: Path, key: str, value: str
+) -> None:
+    text = VALID_SETTINGS.replace("[listen]", f"{key} = {value}\n[listen]")
+    with pytest.raises(SettingsError, match=f"{key} has the wrong type"):
+        load_settings(write_settings(tmp_path, text))
 
 
 def test_single_internal_port_leaves_none_for_tunnels(tmp_path: Path) -> None:
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -384,12 +384,13 @@
         self._capacity.endpoint_limits.count_sent_call(endpoint.name, trio.current_time())
 
     def _estimate_instance_count(self) -> int:
-        """Return the assumed number of instances: one more than the highest number seen live.
+        """Return the assumed number of instances: one more than are expected.
 
         Until a heartbeat of a peer has arrived, a larger number is assumed.
         """
-        peak = max(self._peers.peak_live_instances, self._reported_instance_count)
-        return max(peak + 1, _ASSUMED_INITIAL_INSTANCES if peak == 1 else 0)
+        expected = max(self._peers.expected_instances, self._reported_instance_count)
+        is_alone = self._peers.peak_live_instances == 1
+        return max(expected + 1, _ASSUMED_INITIAL_INSTANCES if is_alone else 0)
 
     def _retry_usage(self) -> dict[str, float]:
         return self._budgets.usage(self._estimate_instance_count(), trio.current_time())
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -242,6 +242,13 @@
         """The highest number of simultaneously live instances, including this one."""
         return self._peers.peak_live_instances
 
+    @property
+    def expected_instances(self) -> int:
+        """The assumed number of instances, including those of data centres not heard so far."""
+        return self._peers.expected_instances(
+            self._settings.data_centre, self._settings.data_centres
+        )
+
     def start(self, supervise: Callable[..., None], spawn: Callable[..., None]) -> None:
         """Start to send and receive.
 
@@ -606,7 +613,7 @@
     def _send_predecessor_usage(self, heartbeat: HeartbeatMessage) -> None:
         """Tell a peer what the process used that it replaced, if that is known."""
         report = self._retry_usage_channel.predecessor_message(
-            heartbeat.name, heartbeat.incarnation, self.peak_live_instances
+            heartbeat.name, heartbeat.incarnation, self.expected_instances
         )
         if report is not None:
             self._socket.send(report, [heartbeat.address])
--- a/cleatlink/relay/peers/live_peers.py
+++ b/cleatlink/relay/peers/live_peers.py
@@ -54,6 +54,8 @@
         # When each address was last in a heartbeat, or else first in the settings or a roster.
         self._addresses = dict.fromkeys(self._configured_addresses, now)
         self._peak_live_instances = 1
+        # The highest number of simultaneously live peers of each data centre.
+        self._peak_by_data_centre: dict[str, int] = {}
         # Instances listed in rosters, and when instances announced that they leave.
         self._reported_names: set[str] = set()
         self._left_at: dict[str, float] = {}
@@ -76,6 +78,22 @@
         """The highest number of simultaneously live instances, including this one."""
         return self._peak_live_instances
 
+    def expected_instances(self, own_data_centre: str, data_centres: Iterable[str]) -> int:
+        """Return the assumed number of instances, including those that were never heard.
+
+        A data centre without any heartbeat so far is assumed to be as large as the largest other
+        one: it may be disconnected from this instance.
+
+        Args:
+            own_data_centre: Data centre of this instance.
+            data_centres: All data centres with instances.
+        """
+        peaks = dict(self._peak_by_data_centre)
+        peaks[own_data_centre] = peaks.get(own_data_centre, 0) + 1
+        largest = max(peaks.values())
+        unheard = set(data_centres) - peaks.keys()
+        return max(self._peak_live_instances, sum(peaks.values()) + len(unheard) * largest)
+
     @property
     def known_addresses(self) -> list[str]:
         """All addresses that heartbeats are sent to, with or without a live peer."""
@@ -243,6 +261,8 @@
         last_heartbeat_at = now if previous is None else max(now, previous.last_heartbeat_at)
         self._peers[heartbeat.name] = _LivePeer(heartbeat, last_heartbeat_at)
         self._peak_live_instances = max(self._peak_live_instances, len(self._peers) + 1)
+        if is_new:
+            self._note_peak(heartbeat.data_centre)
         self._addresses[heartbeat.address] = now
         if heartbeat.leaving:
             self._left_at[heartbeat.name] = now
@@ -251,6 +271,11 @@
             self._left_at.pop(heartbeat.name, None)
         return is_new
 
+    def _note_peak(self, data_centre: str) -> None:
+        live = sum(peer.heartbeat.data_centre == data_centre for peer in self._peers.values())
+        last_peak = self._peak_by_data_centre.get(data_centre, 0)
+        self._peak_by_data_centre[data_centre] = max(last_peak, live)
+
     def record_roster(self, roster: Roster, now: float) -> list[str]:
         """Record the instances that a peer knows and return the addresses that are new."""
         new_addresses = []
--- a/cleatlink/relay/peers/retry_messages.py
+++ b/cleatlink/relay/peers/retry_messages.py
@@ -27,7 +27,7 @@
         receiver: Name of the instance that the message is for.
         incarnation: Start number of the receiver's process.
         used_allowance: Extra sends that used the allowance, by service.
-        instance_count: Highest number of instances that the sender has seen live.
+        instance_count: Number of instances that the sender assumes.
     """
 
     name: str
--- a/cleatlink/relay/peers/retry_usage_channel.py
+++ b/cleatlink/relay/peers/retry_usage_channel.py
@@ -91,7 +91,7 @@
         Args:
             peer: Name of the peer.
             incarnation: Start number of its process.
-            instance_count: Highest number of instances that this instance has seen live.
+            instance_count: Number of instances that this instance assumes.
         """
         usage = self._records.predecessor_usage(peer, incarnation)
         if usage is None:
--- a/cleatlink/relay/settings.py
+++ b/cleatlink/relay/settings.py
@@ -36,6 +36,7 @@
             reach each other.
         memory_mb: Memory of the machine, in megabytes; 0 if it is unknown.
         size: Processor share of this instance, in cores.
+        data_centres: Names of all data centres with instances; empty if they are not known.
         is_first_start: Whether no process of the fleet has run before.
         crossing_share: Cost of sending a stream to another data centre, as a share of the stream's
             target.
@@ -61,6 +62,7 @@
     limit_tolerance: LimitTolerance = LimitTolerance()
     memory_mb: float = 0.0
     size: float = 1.0
+    data_centres: tuple[str, ...] = ()
     is_first_start: bool = True
     crossing_share: float = CROSSING_SHARE
     without: frozenset[Mechanism] = frozenset()
