Observability: at which build a stream begins and goes on, and what it takes up

An endpoint's build comes from its registration, which was decoded and dropped, and goes to peers beside the registrations, whose fields earlier builds decode as a tuple of fixed length. 'relay: answer started' names the build and the attempt that the request takes up; 'relay: stream continues elsewhere' the build of the endpoint at which the relay goes on within one answer. Neither decides anything.

--- a/cleatlink/core/routes.py
+++ b/cleatlink/core/routes.py
@@ -159,6 +159,8 @@
             same for all incarnations; empty if it equals ``name``.
         born: Start of this incarnation, in milliseconds of the endpoint's own clock; 0 if
             the endpoint does not report it.
+        build: Version of the software that the endpoint runs; empty if it is not known. What two
+            builds of a service write can't be combined.
     """
 
     name: str
@@ -170,6 +172,7 @@
     leaving: bool = False
     registration: str = ""
     born: int = 0
+    build: str = ""
 
     @property
     def registered_name(self) -> str:
@@ -201,6 +204,8 @@
         estimated_output_tokens: The caller's estimate of the number of output tokens; 0 for none.
         last_event: Number of the last stream event that the caller received; None for none.
         organisation: Name of the calling organisation; empty for none.
+        resumes: Identifier of the attempt that brought the first event of the stream that the
+            request takes up; empty for none.
     """
 
     request_id: str
@@ -216,6 +221,7 @@
     estimated_output_tokens: int = 0
     last_event: int | None = None
     organisation: str = ""
+    resumes: str = ""
 
     @property
     def path(self) -> str:
--- a/cleatlink/platform/entries.py
+++ b/cleatlink/platform/entries.py
@@ -119,4 +119,5 @@
         leaving=entry.state == "draining",
         registration=name,
         born=entry.born,
+        build=entry.version,
     )
--- a/cleatlink/platform/wire_names.py
+++ b/cleatlink/platform/wire_names.py
@@ -16,6 +16,7 @@
     token_counts=b"token-counts",
     output_hint=b"length-hint",
     last_event_id=b"last-event-id",
+    resumes=b"resumes",
     signature=b"server-stamp",
     expected_endpoint=b"expected-instance",
     not_executed=b"not-executed",
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -134,6 +134,8 @@
         if connection is None:
             return None
         call.note_sent(endpoint)
+        if self._exchange.started:
+            call.log("stream continues elsewhere", endpoint=endpoint.name, build=endpoint.build)
         try:
             return await self._send_with_failover(endpoint, connection)
         except (EndpointError, trio.TooSlowError, ValueError) as error:
@@ -294,7 +296,13 @@
     async def _start(self, head: ResponseHead) -> None:
         call, components = self._call, self._components
         components.metrics.count_answer(call.route.kind.value, head.status, call.age_s)
-        call.log("answer started", status=head.status, in_time=call.is_in_time)
+        call.log(
+            "answer started",
+            status=head.status,
+            in_time=call.is_in_time,
+            build=self._target.endpoint.build,
+            resumes=call.inbound.resumes,
+        )
         self._admission.note_prompt_computed(self._target.placement.key)
         await self._exchange.start(head.status, components.protocol.filter_response_headers(head))
 
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -62,6 +62,7 @@
     token_counts: bytes = b"x-tokens"
     output_hint: bytes = b"x-output-hint"
     last_event_id: bytes = b"last-event-id"
+    resumes: bytes = b"x-resumes"
     signature: bytes = b"x-endpoint-signature"
     expected_endpoint: bytes = b"x-expected-endpoint"
     not_executed: bytes = b"x-not-run"
@@ -216,6 +217,7 @@
             max_output_tokens=int(_parse_number(max_output, 0)),
             estimated_output_tokens=int(_parse_number(values.get(self.names.output_hint), 0)),
             last_event=None if last_event is None else int(_parse_number(last_event, 0)),
+            resumes=values.get(self.names.resumes, b"").strip().decode("latin-1"),
         )
 
     def _filter_request_headers(self, headers: Headers, removes_api_key: bool) -> Headers:
--- a/cleatlink/relay/peers/messages.py
+++ b/cleatlink/relay/peers/messages.py
@@ -217,6 +217,8 @@
         records: The changed registrations.
         reachable_for_s: Seconds since the configuration service became reachable for the sender
             again.
+        builds: Builds of the endpoints of ``records``, in the same order; empty from earlier builds
+            of this program.
     """
 
     name: str
@@ -225,14 +227,14 @@
     revision: int
     records: list[RegistrationRecord]
     reachable_for_s: float
+    builds: list[str] = []
 
     def endpoint_records(self) -> list[EndpointRecord]:
         """Return the changed registrations as endpoint records."""
+        builds = self.builds or [""] * len(self.records)
         return [
-            EndpointRecord(
-                item.name, StoreRevision(self.era, item.revision), item.endpoint, item.fault
-            )
-            for item in self.records
+            item.to_record(self.era, build)
+            for item, build in zip(self.records, builds, strict=False)
         ]
 
 
--- a/cleatlink/relay/peers/registration_channel.py
+++ b/cleatlink/relay/peers/registration_channel.py
@@ -1,5 +1,6 @@
 """Reports registration changes from the configuration service to peers of the data centre."""
 
+from collections.abc import Iterable
 from itertools import groupby
 from operator import attrgetter
 
@@ -9,8 +10,9 @@
 from cleatlink.core.revisions import StoreRevision
 from cleatlink.relay.following.source import SourceChange
 from cleatlink.relay.peers.messages import RegistrationUpdate
-from cleatlink.relay.peers.snapshots import RegistrationRecord
+from cleatlink.relay.peers.snapshots import RegistrationRecord, endpoint_builds
 from cleatlink.relay.peers.update_channel import UpdateChannel
+from cleatlink.routing.fleet_records import EndpointRecord
 
 __all__ = ["RegistrationChannel"]
 
@@ -51,15 +53,12 @@
         is_next = not change.is_full and revision.era == after.era and revision > after
         if not is_next:
             return
-        records = [
-            RegistrationRecord(item.name, item.revision.number, item.endpoint, item.fault)
-            for item in change.records
-        ]
-        *earlier_parts, last_part = _split(records)
+        *earlier_parts, last_part = _split(change.records)
         known_revision = after.number
         for part in earlier_parts:
-            self._add(after.era, known_revision, part[-1].revision, part, reachable_for_s)
-            known_revision = part[-1].revision
+            last = part[-1].revision.number
+            self._add(after.era, known_revision, last, part, reachable_for_s)
+            known_revision = last
         self._add(after.era, known_revision, revision.number, last_part, reachable_for_s)
         self._has_pending.set()
 
@@ -68,11 +67,17 @@
         era: int,
         after: int,
         revision: int,
-        records: list[RegistrationRecord],
+        records: list[EndpointRecord],
         reachable_for_s: float,
     ) -> None:
         message = RegistrationUpdate(
-            self._name, era, after, revision, records, round(reachable_for_s, 3)
+            self._name,
+            era,
+            after,
+            revision,
+            [RegistrationRecord.from_record(item) for item in records],
+            round(reachable_for_s, 3),
+            endpoint_builds(records),
         )
         self._pending.append(message)
 
@@ -92,14 +97,14 @@
         return []
 
 
-def _split(records: list[RegistrationRecord]) -> list[list[RegistrationRecord]]:
+def _split(records: Iterable[EndpointRecord]) -> list[list[EndpointRecord]]:
     """Split records, in the order of their revisions, into parts that fit a message each.
 
     Records of one revision stay together, because a receiver of a part regards all revisions of
     the part as known.
     """
     by_revision = attrgetter("revision")
-    parts: list[list[RegistrationRecord]] = [[]]
+    parts: list[list[EndpointRecord]] = [[]]
     size = 0
     for _, group in groupby(sorted(records, key=by_revision), by_revision):
         items = list(group)
--- a/cleatlink/relay/peers/snapshots.py
+++ b/cleatlink/relay/peers/snapshots.py
@@ -2,15 +2,24 @@
 
 from collections.abc import Iterable
 from enum import Enum
+from typing import NamedTuple
 
 import msgspec
 
+from cleatlink.core.data import Role
 from cleatlink.core.decoding import ReadFault
 from cleatlink.core.revisions import StoreRevision
 from cleatlink.core.routes import RoutedEndpoint, RouteTable
 from cleatlink.routing.fleet_records import EndpointRecord
 
-__all__ = ["SnapshotPart", "RegistrationRecord", "Snapshot", "decode_snapshot"]
+__all__ = [
+    "RegisteredEndpoint",
+    "RegistrationRecord",
+    "Snapshot",
+    "SnapshotPart",
+    "decode_snapshot",
+    "endpoint_builds",
+]
 
 
 class SnapshotPart(Enum):
@@ -27,6 +36,23 @@
         return next((part for part in cls if part.value == path), cls.WHOLE)
 
 
+class RegisteredEndpoint(NamedTuple):
+    """An endpoint in a registration; see ``RoutedEndpoint``.
+
+    No fields can be added: earlier builds decode it as a tuple of these nine.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    service: str
+    role: Role
+    slots: int
+    leaving: bool = False
+    registration: str = ""
+    born: int = 0
+
+
 class RegistrationRecord(msgspec.Struct, array_like=True, frozen=True):
     """A registration at a revision; the snapshot holds the era of the revision separately.
 
@@ -41,9 +67,31 @@
 
     name: str
     revision: int
-    endpoint: RoutedEndpoint | None
+    endpoint: RegisteredEndpoint | None
     fault: ReadFault | None = None
 
+    @classmethod
+    def from_record(cls, record: EndpointRecord) -> "RegistrationRecord":
+        """Build an item from a registration; its endpoint's build is sent separately."""
+        endpoint = record.endpoint
+        fields = None if endpoint is None else RegisteredEndpoint(*endpoint[:-1])
+        return cls(record.name, record.revision.number, fields, record.fault)
+
+    def to_record(self, era: int, build: str) -> EndpointRecord:
+        """Return the registration.
+
+        Args:
+            era: Era of its revision.
+            build: Build of its endpoint.
+        """
+        endpoint = None if self.endpoint is None else RoutedEndpoint(*self.endpoint, build)
+        return EndpointRecord(self.name, StoreRevision(era, self.revision), endpoint, self.fault)
+
+
+def endpoint_builds(records: Iterable[EndpointRecord]) -> list[str]:
+    """Return the builds of the endpoints of registrations; empty for those without one."""
+    return ["" if item.endpoint is None else item.endpoint.build for item in records]
+
 
 class Snapshot(msgspec.Struct, array_like=True, frozen=True):
     """The routes and endpoints that an instance knows, sent to a peer that lacks some.
@@ -54,6 +102,8 @@
         revision: Number of the revision up to which the registrations are complete.
         era: Era of that revision.
         eras: Eras of the revisions of ``records``, in the same order; empty if all are 0.
+        builds: Builds of the endpoints of ``records``, in the same order; empty from earlier builds
+            of this program.
     """
 
     table: RouteTable | None
@@ -61,6 +111,7 @@
     revision: int
     era: int = 0
     eras: list[int] = []
+    builds: list[str] = []
 
     @classmethod
     def from_records(
@@ -74,19 +125,24 @@
             revision: The revision up to which the registrations are complete.
         """
         record_list = list(records)
-        items = [
-            RegistrationRecord(item.name, item.revision.number, item.endpoint, item.fault)
-            for item in record_list
-        ]
+        items = [RegistrationRecord.from_record(item) for item in record_list]
         eras = [item.revision.era for item in record_list]
-        return cls(table, items, revision.number, revision.era, eras if any(eras) else [])
+        return cls(
+            table,
+            items,
+            revision.number,
+            revision.era,
+            eras if any(eras) else [],
+            endpoint_builds(record_list),
+        )
 
     def endpoint_records(self) -> list[EndpointRecord]:
         """Return the registrations."""
         eras = self.eras or [0] * len(self.records)
+        builds = self.builds or [""] * len(self.records)
         return [
-            EndpointRecord(item.name, StoreRevision(era, item.revision), item.endpoint, item.fault)
-            for item, era in zip(self.records, eras, strict=False)
+            item.to_record(era, build)
+            for item, era, build in zip(self.records, eras, builds, strict=False)
         ]
 
     @property
