--- a/soak/checks.py
+++ b/soak/checks.py
@@ -112,7 +112,7 @@
     request_id = request.request_id.encode()
     events = (
         b"id: %d\ndata: %s %d\n\n" % (number, request_id, number)
-        for number in range(1, 1 + _EVENTS_PER_STREAM)
+        for number in range(request.first_event, 1 + _EVENTS_PER_STREAM)
     )
     return request.body == b"".join(events)
 
@@ -124,13 +124,28 @@
             continue
         events = request.body.split(b"\n\n")[:-1]
         request_id = request.request_id.encode()
-        expected = [b"id: %d\ndata: %s %d" % (n, request_id, n) for n in range(1, 1 + len(events))]
+        numbers = range(request.first_event, request.first_event + len(events))
+        expected = [b"id: %d\ndata: %s %d" % (n, request_id, n) for n in numbers]
         if events != expected:
             yield Violation(
                 "", f"wrong sequence of events, ending with {events[-3:]!r}", (request.request_id,)
             )
 
 
+def _check_builds(history: History) -> Iterator[Violation]:
+    """Check that all events of a stream, over all attempts of its caller, are of one build."""
+    builds: dict[str, set[str]] = defaultdict(set)
+    requests: dict[str, list[str]] = defaultdict(list)
+    for request in history.requests:
+        stream = request.resumes or request.request_id
+        builds[stream] |= set(request.builds)
+        requests[stream].append(request.request_id)
+    for stream, names in builds.items():
+        if len(names) > 1:
+            detail = f"a stream has events of the builds {', '.join(sorted(names))}"
+            yield Violation("", detail, tuple(requests[stream]))
+
+
 class _LateArrival(NamedTuple):
     """A request that reached a worker too late after its registration announced its leaving.
 
@@ -503,6 +518,7 @@
     "refusals say when to come back": _check_retry_after,
     "the whole answer to its own request": _check_answer_contents,
     "events in order": _check_stream_events,
+    "a stream is of one build": _check_builds,
     "a leaving worker gets nothing": _check_leaving_workers,
     "what is known to leave gets nothing": _check_known_leaving_workers,
     "a worker's word is heard": check_leaving_notices,
--- a/soak/checks_test.py
+++ b/soak/checks_test.py
@@ -110,6 +110,19 @@
         runs=[run("q0", 41.0, 41.1)],
         arrivals=[arrival(f"q{n}", 43.0 + 0.3 * n) for n in range(13)],
     ),
+    "a stream is of one build": EMPTY_HISTORY._replace(
+        requests=[
+            INTERRUPTED._replace(kind=RequestKind.RESUMABLE, builds=("v1",)),
+            STREAM._replace(
+                request_id="r2",
+                answer_id="r2",
+                resumes="r1",
+                first_event=2,
+                body=stream("r2", *range(2, 9)),
+                builds=("v2",),
+            ),
+        ]
+    ),
     "calls to the store stay few": EMPTY_HISTORY._replace(store_calls=3_000, instance_count=2),
     "a leaving worker gets nothing": EMPTY_HISTORY._replace(
         requests=[SUCCESS], arrivals=[arrival("r1", 50.0)], withdrawals=[Withdrawal("i-1", 46.0)]
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -19,7 +19,7 @@
     WorkerLeavingNotice,
 )
 from soak.traffic import STREAM_HEADERS
-from soak.workers import CRASHING_BODY_PREFIX, SoakWorker
+from soak.workers import CRASHING_BODY_PREFIX, SoakWorker, other_build
 from standins.relay import Fault, StoreMode
 from standins.relay.cut_paths import PathCut
 from standins.relay.raw_client import Caller
@@ -115,6 +115,7 @@
         FaultKind.INSTANCE_STOP,
         FaultKind.INSTANCE_CLOCK,
         FaultKind.WORKER_DRAIN,
+        FaultKind.WORKER_RELEASE,
         FaultKind.WORKER_WORD,
         FaultKind.WORKER_REST,
         FaultKind.WORKER_LIMIT,
@@ -462,7 +463,8 @@
         worker.close()
         await trio.sleep(fault.duration_s)
         fleet.unregister(worker)
-        await fleet.add_worker(worker.service, worker.stage, fleet.links[worker.name])
+        link = fleet.links[worker.name]
+        await fleet.add_worker(worker.service, worker.stage, link, build=worker.build)
 
     async def _announce_leaving_in_responses(self, fault: PlannedFault) -> None:
         """Replace a worker that announces its shutdown in responses but not in its entry.
@@ -509,12 +511,22 @@
 
         await self._replace_leaving_worker(fault, announce)
 
+    async def _release_worker(self, fault: PlannedFault) -> None:
+        """Replace a worker by one of the other build; it sets its entry to draining."""
+
+        def announce(worker: SoakWorker) -> None:
+            self._fleet.register(worker, "draining")
+            self._fleet.withdrawals.append(Withdrawal(worker.name, trio.current_time()))
+
+        build = other_build(self._pick_worker(fault).build)
+        await self._replace_leaving_worker(fault, announce, build)
+
     async def _replace_leaving_worker(
-        self, fault: PlannedFault, announce: Callable[[SoakWorker], None]
+        self, fault: PlannedFault, announce: Callable[[SoakWorker], None], build: str = ""
     ) -> None:
         """Start a replacement, announce the worker's shutdown, and stop it after a drain."""
         fleet, worker = self._fleet, self._pick_worker(fault)
-        await fleet.add_worker(worker.service, worker.stage)
+        await fleet.add_worker(worker.service, worker.stage, build=build or worker.build)
         fleet.active_workers.remove(worker)
         announce(worker)
         await trio.sleep(_MIN_DRAIN_S + fault.duration_s)
@@ -537,6 +549,7 @@
     FaultKind.WORKER_FAULTS: lambda injector: injector._inject_worker_faults,
     FaultKind.WORKER_CRASH: lambda injector: injector._crash_worker,
     FaultKind.WORKER_DRAIN: lambda injector: injector._drain_worker,
+    FaultKind.WORKER_RELEASE: lambda injector: injector._release_worker,
     FaultKind.WORKER_WORD: lambda injector: injector._announce_leaving_in_responses,
     FaultKind.WORKER_REST: lambda injector: injector._request_backoff,
     FaultKind.WORKER_LIMIT: lambda injector: injector._announce_limit,
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "BUDGET_KINDS",
+    "BUILD_KINDS",
     "CLOCK_KINDS",
     "CRASH_KINDS",
     "MIXED_BUILD_KINDS",
@@ -69,6 +70,7 @@
     CRASHING_REQUEST = "a request that crashes every worker that runs it is sent repeatedly"
     INSTANCE_HERD = "most instances are killed at the same moment and restarted"
     WORKERS_FAIL = "all workers of a service reject, reset or fail most requests"
+    WORKER_RELEASE = "a worker is replaced by one of another build, and drains before it exits"
     PATHS_CUT = "an instance loses its paths to all workers, which the others still reach"
 
 
@@ -181,6 +183,20 @@
     FaultKind.WORKER_FAULTS,
     FaultKind.WORKER_DRAIN,
 )
+# Engines of several builds, combined with engines and instances that interrupt streams.
+BUILD_KINDS = (
+    FaultKind.WORKER_RELEASE,
+    FaultKind.WORKER_RELEASE,
+    FaultKind.WORKER_FAULTS,
+    FaultKind.WORKER_LINK_RESET,
+    FaultKind.WORKER_LINK_SILENCE,
+    FaultKind.WORKER_CRASH,
+    FaultKind.INSTANCE_KILL,
+    FaultKind.INSTANCE_HERD,
+    FaultKind.INSTANCE_STOP,
+    FaultKind.INSTANCE_PAUSE,
+    FaultKind.STORE_SILENT,
+)
 # Kinds that a run has to name. Adding one to the default kinds would change the schedules of the
 # recorded seeds.
 _OPT_IN_KINDS = (
@@ -194,6 +210,7 @@
     FaultKind.PATHS_CUT,
     FaultKind.INSTANCE_HERD,
     FaultKind.WORKERS_FAIL,
+    FaultKind.WORKER_RELEASE,
 )
 _DEFAULT_KINDS = tuple(kind for kind in FaultKind if kind not in _OPT_IN_KINDS)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -17,7 +17,7 @@
     Withdrawal,
     WorkerLeavingNotice,
 )
-from soak.workers import SoakWorker
+from soak.workers import BUILDS, SoakWorker
 from standins.relay.fleet import Fleet
 
 __all__ = ["SoakFleet"]
@@ -44,6 +44,7 @@
         shifts_clocks: bool = False,
         cuts_paths: bool = False,
         retry_allowance: int = 50,
+        mixes_builds: bool = False,
     ) -> None:
         """Create a fleet without starting it.
 
@@ -59,6 +60,7 @@
             shifts_clocks: Whether faults can shift the clocks of the instances.
             cuts_paths: Whether faults can cut the paths of instances to workers.
             retry_allowance: Retry allowance in the settings of the instances.
+            mixes_builds: Whether the workers of a service run two builds.
         """
         self.platform = Fleet(nursery)
         self.organisations = organisations
@@ -80,6 +82,7 @@
         self._registered: dict[str, tuple[SoakWorker, str]] = {}
         self._nursery = nursery
         self._retry_allowance = retry_allowance
+        self.mixes_builds = mixes_builds
         ports = find_free_ports(instance_count)
         seeds = tuple(
             instance_ip(number + 1) for number in range(min(_MAX_SEED_PEERS, instance_count))
@@ -113,8 +116,9 @@
             ("model", "prefill", prefill_count),
             ("model", "decode", _ENGINE_COUNT - prefill_count),
         ):
-            for _ in range(count):
-                await self.add_worker(service, stage)
+            for number in range(count):
+                build = BUILDS[number % len(BUILDS)] if self.mixes_builds else BUILDS[0]
+                await self.add_worker(service, stage, build=build)
         self.platform.add_route("/safe/", "safe", "plain", timeout_ms=3000)
         self.platform.add_route("/unsafe/", "unsafe", "plain", timeout_ms=3000)
         self.platform.add_route("/stream/", "streaming", "model", timeout_ms=8000)
@@ -152,10 +156,15 @@
             link.close()
 
     async def add_worker(
-        self, service: str, stage: str = "", link: Link | None = None
+        self,
+        service: str,
+        stage: str = "",
+        link: Link | None = None,
+        *,
+        build: str = BUILDS[0],
     ) -> SoakWorker:
         """Start a worker behind a new link or the link of an earlier worker, and register it."""
-        worker = SoakWorker(service, stage)
+        worker = SoakWorker(service, stage, build)
         await worker.start(self._nursery)
         if link is None:
             link = Link(worker.address)
@@ -179,7 +188,7 @@
         await trio.sleep(_CRASH_RESTART_DELAY_S)
         self.unregister(worker)
         await link.resume_accepting(self._nursery)
-        await self.add_worker(worker.service, worker.stage, link)
+        await self.add_worker(worker.service, worker.stage, link, build=worker.build)
         self.note_disturbance(worker.name, began_at)
 
     def register(self, worker: SoakWorker, state: str = "ready") -> None:
--- a/soak/records.py
+++ b/soak/records.py
@@ -95,6 +95,9 @@
             after the previous answer.
         retry_after: Value of the answer's Retry-After header; empty if there was none.
         caller: Organisation and key of the caller.
+        resumes: ID of the request that began the stream that this one takes up; empty if none.
+        first_event: Number of the first event that the answer must have, if it is a stream.
+        builds: Build of the worker that made each event of the answer, if it is a stream.
     """
 
     request_id: str
@@ -112,6 +115,9 @@
     extra_bytes: bytes = b""
     retry_after: str = ""
     caller: CallerIdentity = CallerIdentity()
+    resumes: str = ""
+    first_event: int = 1
+    builds: tuple[str, ...] = ()
 
 
 class Arrival(NamedTuple):
--- a/soak/run.py
+++ b/soak/run.py
@@ -94,6 +94,7 @@
                 shifts_clocks=bool(set(settings.kinds) & set(CLOCK_KINDS)),
                 cuts_paths=FaultKind.PATHS_CUT in settings.kinds,
                 retry_allowance=settings.retry_allowance,
+                mixes_builds=FaultKind.WORKER_RELEASE in settings.kinds,
             )
             try:
                 await fleet.start(settings.prefill_count)
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -47,6 +47,7 @@
         FaultKind.PATHS_CUT,
         FaultKind.INSTANCE_HERD,
         FaultKind.WORKERS_FAIL,
+        FaultKind.WORKER_RELEASE,
     }
     assert default_kinds == set(FaultKind) - opt_in_kinds
     kinds = tuple(FaultKind)
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -10,9 +10,10 @@
 from standins.relay import Worker
 from standins.relay.raw_server import RawCall
 
-__all__ = ["CRASHING_BODY_PREFIX", "EVENTS_PER_STREAM", "SoakWorker"]
+__all__ = ["BUILDS", "CRASHING_BODY_PREFIX", "EVENTS_PER_STREAM", "SoakWorker", "other_build"]
 
 EVENTS_PER_STREAM = 8
+BUILDS = ("v1", "v2")
 # A request whose body contains this crashes the worker that runs it.
 CRASHING_BODY_PREFIX = b"crash-"
 _EVENT_S = 0.04
@@ -31,8 +32,9 @@
 class SoakWorker(Worker):
     """A worker that records when requests and orders arrive."""
 
-    def __init__(self, service: str, stage: str = "") -> None:
+    def __init__(self, service: str, stage: str = "", build: str = BUILDS[0]) -> None:
         super().__init__(service, stage)
+        self.build, self.marks_events = build, True
         self.run_duration_s = _PREFILL_S if stage else _SHORT_CALL_S
         self.events = EVENTS_PER_STREAM
         self.event_interval_s = _EVENT_S
@@ -95,5 +97,10 @@
             )
 
 
+def other_build(build: str) -> str:
+    """Return the build that a release replaces a build with."""
+    return BUILDS[1 - BUILDS.index(build)]
+
+
 def _is_long(request: str) -> bool:
     return int(request[1:]) % _LONG_DIVISOR == 0
--- a/standins/relay/raw_client.py
+++ b/standins/relay/raw_client.py
@@ -111,6 +111,17 @@
             self.close()
         return Reply(int(status_line.split(" ")[1]), headers, body, is_complete)
 
+    async def receive_events(self, count: int) -> bytes:
+        """Receive the first events of a stream; nothing else can be received afterwards."""
+        await self._fill_until_delimiter(b"\r\n\r\n")
+        self._buffer = self._buffer.partition(b"\r\n\r\n")[2]
+        body = b""
+        while body.count(b"\n\n") < count and await self._fill_until_delimiter(b"\r\n"):
+            size, _, self._buffer = self._buffer.partition(b"\r\n")
+            data, _ = await self._read_bytes(int(size, 16) + 2)
+            body += data[:-2]
+        return body
+
     async def _read_chunked_body(self) -> tuple[bytes, bool]:
         """Read a chunked body; return what was received and whether it is complete."""
         body = b""
--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -14,6 +14,7 @@
 
 from standins.relay.extra_arrivals import WorkerArrival
 from standins.relay.raw_server import LAST_CHUNK, RawCall, RawServer, answer, chunk
+from standins.relay.stream_builds import mark_event
 
 __all__ = ["Fault", "Run", "Worker"]
 
@@ -56,6 +57,9 @@
         self.name = f"i-{next(_NAME_NUMBERS)}"
         self.service = service
         self.stage = stage
+        # Version of its software, and whether the events of its streams name it.
+        self.build = "v1"
+        self.marks_events = False
         self.slots = slots
         self.zone = zone
         self.run_duration_s = 0.01
@@ -131,6 +135,7 @@
         if self.born:
             replacement.name, replacement.born = self.name, self.born + 1
         replacement.address = self.address
+        replacement.build, replacement.marks_events = self.build, self.marks_events
         replacement.run_duration_s, replacement.events, replacement.event_interval_s = (
             self.run_duration_s,
             self.events,
@@ -146,7 +151,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.build,
             "slots": self.slots,
             "state": state,
             "cold_remaining_ms": 0,
@@ -368,6 +373,8 @@
                 if fault is Fault.TRUNCATED and number == self.events // 2 + 1:
                     await stream.send_all(chunk(event[:7]))
                     return False
+                if self.marks_events:
+                    event = mark_event(event, self.build)
                 await stream.send_all(chunk(event))
             await stream.send_all(LAST_CHUNK)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
