A stream goes on only at the build that began it, also over a caller's attempts

Cause: an endpoint's build was read and dropped, so a replacement within one answer went to any endpoint; and only the instance that passed the first event could know where a stream began, so a stream that its caller took up by Resumes went to any endpoint, too. Class: a fact needed later is known to one process alone, and forgotten when it dies.

A stream is bound to its endpoint's build before its first event is passed on, and three peers are told by then, two of this data centre and one of another, chosen by a hash of the stream. Whoever takes the stream up asks these first, then all. What nobody knows goes on only where the service has had a single build for long enough; else 503, before anything runs: build_unknown, build_restarts or build_gone. A prompt is used only by a decode of its build. An instance that stops hands its records over. A build that an earlier build of a peer leaves out of a registration is taken from the service.

Ruled out: telling all (26 kB/s a node at the planned size), choosing the build by a hash (no set of builds in flux agrees), asking only when needed (loses what the dead knew).

--- a/cleatlink/core/errors.py
+++ b/cleatlink/core/errors.py
@@ -54,6 +54,9 @@
     ENDPOINT_FAILED = "endpoint_failed"
     STREAM_BROKEN = "stream_broken"
     QUARANTINED = "quarantined"
+    BUILD_UNKNOWN = "build_unknown"
+    BUILD_RESTARTS = "build_restarts"
+    BUILD_GONE = "build_gone"
     KEY_MISMATCH = "key_mismatch"
     KEY_UNAVAILABLE = "key_unavailable"
     KEY_OUTCOME_UNKNOWN = "key_outcome_unknown"
@@ -97,6 +100,10 @@
     ErrorKind.STREAM_BROKEN: ErrorResponse(502, "yes", 1.0),
     # A 503, not a 4xx: the caller can't correct anything in its request, and may retry it later.
     ErrorKind.QUARANTINED: ErrorResponse(503, "no", 300.0),
+    # Each of these concerns a stream that its caller takes up, and that can't go on now.
+    ErrorKind.BUILD_UNKNOWN: ErrorResponse(503, "no", 1.0),
+    ErrorKind.BUILD_RESTARTS: ErrorResponse(503, "no", 1.0),
+    ErrorKind.BUILD_GONE: ErrorResponse(503, "no", 300.0),
     ErrorKind.KEY_MISMATCH: ErrorResponse(422, "no", None),
     # This request did not run, but another one with the same idempotency key may have run.
     ErrorKind.KEY_UNAVAILABLE: ErrorResponse(503, "unknown", 1.0),
--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -3,7 +3,7 @@
 import eliot
 import trio
 
-from cleatlink.core.data import ExecutionStatus, Refusal
+from cleatlink.core.data import ExecutionStatus, Refusal, Role
 from cleatlink.core.errors import (
     EndpointRefusedError,
     EndpointUnreachableError,
@@ -29,6 +29,9 @@
 # seconds. It is many times the time in which peers learn of a placement.
 _SUSPECT_SPREAD_S = 0.1
 
+# Time within which an endpoint that crashed is usually replaced by one of its build, in seconds.
+_BUILD_RESTART_S = 5.0
+
 
 class Call:
     """One call: its route, its deadline, the endpoints that it was sent to and whether it ran."""
@@ -54,6 +57,8 @@
         self.revision = revision
         self.last_received_at = inbound.arrived_at
         self.admission = Admission(True, 0)
+        # Build of the endpoint that began the stream, at which alone it may go on; None before.
+        self.required_build: str | None = None
         self._components = components
         self._ledger = ArrivalLedger()
         self._tried_endpoints: set[str] = set()
@@ -151,7 +156,12 @@
         components = self._components
         now = trio.current_time()
         return PlacementContext(
-            components.data_centre, self.excluded, now, components.rng, self.suspicion
+            components.data_centre,
+            self.excluded,
+            now,
+            components.rng,
+            self.suspicion,
+            self.required_build,
         )
 
     def find_send_refusal(self) -> Refusal | None:
@@ -162,6 +172,8 @@
         """
         if not self.is_authorized:
             return Refusal(ErrorKind.UNKNOWN_KEY, "its key was taken away")
+        if self._is_build_gone():
+            return self._refuse_for_build()
         quarantine = self._components.quarantine
         if quarantine.is_empty or self._is_trial_run:
             return None
@@ -186,6 +198,23 @@
         )
         return Refusal(ErrorKind.QUARANTINED, detail, decision.retry_after_s)
 
+    def _is_build_gone(self) -> bool:
+        """Check whether no endpoint is left that may continue the stream."""
+        if self.required_build is None:
+            return False
+        return not self._components.capacity.in_role(
+            self.service.name, Role.DECODE, self.required_build
+        )
+
+    def _refuse_for_build(self) -> Refusal:
+        """Refuse to continue a stream whose build has no endpoint any more."""
+        now = trio.current_time()
+        build = self.required_build or ""
+        gone_s = self._components.capacity.build_history.absent_s(self.service.name, build, now)
+        self.log("no endpoint of the stream's build is left", build=build, gone_s=round(gone_s, 1))
+        kind = ErrorKind.BUILD_RESTARTS if gone_s < _BUILD_RESTART_S else ErrorKind.BUILD_GONE
+        return Refusal(kind, "no endpoint of the build that began the stream is left")
+
     async def wait_for_crash_check(self, endpoint: RoutedEndpoint) -> None:
         """Wait, after an endpoint failed the call, until it is known whether it crashed.
 
--- a/cleatlink/relay/calls/components.py
+++ b/cleatlink/relay/calls/components.py
@@ -1,7 +1,7 @@
 """Components of an instance that all its calls share."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from cleatlink.organisations import OrganisationAccess
@@ -13,6 +13,7 @@
 from cleatlink.relay.peers.messages import HintKind
 from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
 from cleatlink.request.shared_retry_budget import SharedRetryBudget
+from cleatlink.request.stream_builds import StreamBuild
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.endpoint_paths import EndpointPaths
 from cleatlink.routing.table_tracker import TableTracker
@@ -41,6 +42,9 @@
         on_endpoint_problem: Called with an endpoint that was slow or unreachable.
         on_rejection: Called with a decode endpoint that rejected a stream, and the tokens that the
             stream needed.
+        announce_stream: Has peers remember the build at which a stream begins; they have been told
+            when it returns.
+        find_stream_builds: Returns the builds that are remembered for the key of a stream.
         crash_detector: Finds out whether an endpoint that interrupted a request has crashed.
         quarantine: Requests that are suspected of crashing endpoints.
         paths: Paths from this instance to endpoints.
@@ -63,6 +67,8 @@
     on_limit_nearly_used: Callable[[], None]
     on_endpoint_problem: Callable[[str, HintKind], None]
     on_rejection: Callable[[str, int], None]
+    announce_stream: Callable[[StreamBuild], None]
+    find_stream_builds: Callable[[bytes], Awaitable[tuple[str, ...]]]
     crash_detector: CrashDetector
     quarantine: SharedQuarantine
     paths: EndpointPaths
--- a/cleatlink/relay/calls/decode_admission.py
+++ b/cleatlink/relay/calls/decode_admission.py
@@ -193,7 +193,9 @@
         position = self._queue_position(call, prompt_ready)
         if self._shared_queues.is_in_use:
             self._wait_queue.head_start_s = HEAD_START_PER_POINT_S
-        if not self._wait_queue.must_wait(call.service.name, position.urgency, position.arrived_at):
+        if not self._wait_queue.must_wait(
+            _queue_class(call), position.urgency, position.arrived_at
+        ):
             placement = self._try_to_place(call, position, is_retry=False)
             if placement is not None:
                 return placement
@@ -307,8 +309,13 @@
         )
         capacity, now = self._components.capacity, trio.current_time()
         if not capacity.switches.is_enabled(Mechanism.FORECAST):
-            return 0.0 if capacity.candidates(call.service.name, Role.DECODE, now) else None
-        forecast = CapacityForecast(call.service.name, engine_properties, capacity, now)
+            candidates = capacity.candidates(
+                call.service.name, Role.DECODE, now, call.required_build
+            )
+            return 0.0 if candidates else None
+        forecast = CapacityForecast(
+            call.service.name, engine_properties, capacity, now, call.required_build
+        )
         service_times = capacity.service_times(call.service.name)
         output = estimate_output_tokens(call.inbound, service_times)
         prompt_s = plan.ready_s + _PROMPT_GAP_S if plan.computed_by_decode else 0.0
@@ -365,7 +372,6 @@
             return True
 
         began_at = trio.current_time()
-        service, urgency = call.service.name, position.urgency
 
         def is_late() -> bool:
             wait_left_s = max(0.0, expected_at - trio.current_time())
@@ -373,8 +379,8 @@
 
         plan = self._plan_prompt(call, position)
         ticket = self._wait_queue.add(
-            service,
-            urgency,
+            _queue_class(call),
+            position.urgency,
             position.arrived_at,
             attempt,
             is_late,
@@ -635,3 +641,14 @@
             *self._expected_retries.release_expired(trio.current_time())
         )
         self.place_waiting()
+
+
+def _queue_class(call: Call) -> str:
+    """Return the class of a call in the wait queue.
+
+    Streams bound to a build form classes of their own: no capacity at its endpoints says nothing
+    about the others.
+    """
+    if call.required_build is None:
+        return call.service.name
+    return f"{call.service.name}/{call.required_build}"
--- a/cleatlink/relay/calls/decode_target.py
+++ b/cleatlink/relay/calls/decode_target.py
@@ -87,7 +87,7 @@
             if placement.prompt_start_at > now:
                 self._call.log_rate_limit_wait(placement.endpoint, placement.prompt_start_at - now)
                 await trio.sleep_until(placement.prompt_start_at)
-            return await self.prefill.compute_prompt(placement.endpoint.data_centre)
+            return await self.prefill.compute_prompt(placement.endpoint)
 
     def authorize_send(self) -> Refusal | None:
         """Take what one send needs from the retry budget; return a refusal if it is not allowed."""
--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -97,17 +97,19 @@
         age_s = trio.current_time() - self.handle.created_at
         return max(0.0, _SAFE_LIFETIME_SHARE * engine_properties.handle_lifetime_s - age_s)
 
-    async def compute_prompt(self, data_centre: str) -> Refusal | None:
+    async def compute_prompt(self, decode: RoutedEndpoint) -> Refusal | None:
         """Have a prefill endpoint compute the prompt.
 
         Args:
-            data_centre: The data centre of the decode endpoint.
+            decode: The decode endpoint.
 
         Returns:
             The refusal of the call; None if the stream can start. Without an available prefill
             endpoint the decode endpoint computes the prompt.
         """
         call, components = self._call, self._components
+        if self.handle is not None and self.handle.endpoint.build != decode.build:
+            self.discard_handle("other build")
         unreachable_count = 0
         while self.handle is None:
             call_refusal = call.find_send_refusal()
@@ -118,9 +120,10 @@
                 call.service.name,
                 components.capacity,
                 context,
-                data_centre,
+                decode.data_centre,
                 call.inbound.prompt_tokens,
                 target_s=call.route.target_s,
+                build=decode.build,
             )
             if endpoint is None:
                 call.log("found no prefill endpoint; the decode computes the prompt")
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -21,6 +21,7 @@
 from cleatlink.relay.calls.event_parser import EventParser
 from cleatlink.relay.calls.stream_failover import StreamFailover
 from cleatlink.relay.calls.stream_meter import StreamMeter
+from cleatlink.relay.calls.stream_origin import StreamOrigin
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.protocol import ResponseHead
 from cleatlink.relay.exchange import Exchange
@@ -69,10 +70,14 @@
         self._parser = EventParser(call.inbound.last_event)
         self._target = DecodeTarget(call, admission, components)
         self._failover = StreamFailover(call, admission, components)
+        self._origin = StreamOrigin(call, components)
         self._rejection_count = 0
 
     async def run(self) -> StreamResult:
         """Serve the request until its answer is complete, refused or interrupted."""
+        origin_refusal = await self._origin.resolve()
+        if origin_refusal is not None:
+            return StreamResult(origin_refusal)
         try:
             while True:
                 result = await self._attempt()
@@ -274,6 +279,7 @@
             if not events:
                 continue
             meter.note_events(len(events), now)
+            self._origin.note_begun(self._target.endpoint)
             if not exchange.started:
                 await self._start(head)
             await exchange.send(b"".join(event.data for event in events))
--- a/cleatlink/relay/following/lost_updates_test.py
+++ b/cleatlink/relay/following/lost_updates_test.py
@@ -11,6 +11,7 @@
 from cleatlink.relay.following.follower import Follower
 from cleatlink.relay.peers.messages import RegistrationUpdate
 from cleatlink.relay.peers.snapshots import RegistrationRecord
+from cleatlink.routing.fleet_records import EndpointRecord
 from standins.relay import Worker
 from standins.relay.example_fleet import start
 from standins.relay.fleet import Fleet, open_fleet
@@ -46,7 +47,9 @@
         middle = fleet.store.revision
         await fleet.add_worker(announced)
         # The update arrives before any heartbeat can announce the two changes.
-        item = RegistrationRecord(announced.name, fleet.store.revision, endpoint(announced.name))
+        revision = StoreRevision(0, fleet.store.revision)
+        record = EndpointRecord(announced.name, revision, endpoint(announced.name))
+        item = RegistrationRecord.from_record(record)
         assert second.records.complete_revision == StoreRevision(0, known)
         second._follower.apply_peer_update(
             RegistrationUpdate("n1", 0, middle, fleet.store.revision, [item], 60.0)
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -41,6 +41,7 @@
 from cleatlink.relay.status import InstanceStatus
 from cleatlink.relay.tasks import Task, run_and_log_errors, run_with_restarts
 from cleatlink.relay.tunnels.service import TunnelHooks, TunnelService
+from cleatlink.request.stream_builds import StreamBuild
 from cleatlink.routing.buffered_bytes import BufferedBytes
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.fleet_records import FleetRecords
@@ -167,6 +168,8 @@
             self._announce_usage,
             self._send_hint,
             self._announce_rejected_tokens,
+            self._announce_stream,
+            self._find_stream_builds,
             self._crash_detector,
             self._quarantine,
             self._tunnels.paths,
@@ -339,6 +342,7 @@
         )
         self._service.begin_stop()
         self._peers.send_heartbeat()
+        self._peers.stream_builds.hand_over()
         while (now := trio.current_time()) < stop.ends_at:
             in_progress = self._service.in_flight + self._tunnels.carried_count
             if stop.age_s(now) >= _MIN_STOP_S and in_progress == 0:
@@ -423,6 +427,12 @@
     def _announce_rejected_tokens(self, endpoint: str, tokens: int) -> None:
         self._peers.announce_rejection(endpoint, tokens)
 
+    def _announce_stream(self, stream: StreamBuild) -> None:
+        self._peers.stream_builds.announce(stream)
+
+    async def _find_stream_builds(self, key: bytes) -> tuple[str, ...]:
+        return await self._peers.stream_builds.find(key)
+
     def _send_hint(self, endpoint: str, kind: HintKind) -> None:
         self._peers.announce_hint(endpoint, kind)
 
@@ -512,7 +522,11 @@
             self._pool.close_expired()
             self._service.decode_admission.run_maintenance()
             self._quarantine.remove_expired()
+            self._peers.stream_builds.remove_expired()
             self._tunnels.track_endpoints()
+            self._capacity.build_history.note_present(
+                self._capacity.endpoints.values(), trio.current_time()
+            )
             self._capacity.notices.drop_old(trio.current_time())
             self._capacity.endpoint_limits.expire(trio.current_time())
             self._capacity.plain_load.remove_stale(
--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -53,6 +53,9 @@
     RetryUsageUpdate,
     Roster,
     ServiceTimeUpdate,
+    StreamBuildAnswer,
+    StreamBuildQuery,
+    StreamBuildUpdate,
     WaitQueueUpdate,
     WorkChanges,
     WorkItem,
@@ -65,6 +68,7 @@
 from cleatlink.relay.peers.registration_channel import RegistrationChannel
 from cleatlink.relay.peers.retry_usage_channel import RetryUsageChannel
 from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
+from cleatlink.relay.peers.stream_build_directory import StreamBuildDirectory
 from cleatlink.relay.peers.update_channel import UpdateChannel
 from cleatlink.relay.peers.wait_queue_channel import WaitQueueChannel
 from cleatlink.relay.peers.work_updates import WorkUpdates
@@ -178,6 +182,9 @@
         self._address = str(settings.peer_listen)
         configured = (str(peer) for peer in settings.peers if str(peer) != self._address)
         self._peers = LivePeers(settings.name, configured, trio.current_time())
+        self.stream_builds = StreamBuildDirectory(
+            settings.name, settings.data_centre, self._peers, lambda: self._socket
+        )
         self._changed_work: set[str] = set()
         self._work_updates = WorkUpdates(settings.name, incarnation, settings.data_centre, capacity)
         self._work_changed = trio.Event()
@@ -409,6 +416,7 @@
             list(state.lost_services),
             state.is_cut_off,
             state.knows_retry_usage,
+            True,
         )
         if heartbeat != self._last_heartbeat:
             self._heartbeat_number = self._delivery.next_message_number()
@@ -551,6 +559,9 @@
             WaitQueueUpdate: self._handle_wait_queue_update,
             RetryUsageUpdate: self._handle_retry_usage,
             PredecessorRetryUsage: self._handle_predecessor_usage,
+            StreamBuildUpdate: self._handle_stream_builds,
+            StreamBuildQuery: self._handle_stream_build_query,
+            StreamBuildAnswer: self._handle_stream_build_answer,
         }
 
     def _handle_plain_calls(self, update: PlainCallTotals) -> None:
@@ -610,6 +621,18 @@
         if report.receiver == self._settings.name and is_for_this_process:
             self._hooks.on_predecessor_usage(report.used_allowance, report.instance_count)
 
+    def _handle_stream_builds(self, update: StreamBuildUpdate) -> None:
+        self._metrics.count_peer_message("stream_builds")
+        self.stream_builds.handle_update(update)
+
+    def _handle_stream_build_query(self, query: StreamBuildQuery) -> None:
+        self._metrics.count_peer_message("stream_build_query")
+        self.stream_builds.handle_query(query)
+
+    def _handle_stream_build_answer(self, answer: StreamBuildAnswer) -> None:
+        self._metrics.count_peer_message("stream_build_answer")
+        self.stream_builds.handle_answer(answer)
+
     def _send_predecessor_usage(self, heartbeat: HeartbeatMessage) -> None:
         """Tell a peer what the process used that it replaced, if that is known."""
         report = self._retry_usage_channel.predecessor_message(
--- a/cleatlink/relay/peers/live_peers.py
+++ b/cleatlink/relay/peers/live_peers.py
@@ -10,7 +10,7 @@
 from cleatlink.relay.peers.messages import HeartbeatMessage, Member, Roster
 from cleatlink.routing.tunnel_peers import TunnelPeer
 
-__all__ = ["LivePeers", "RemovedPeer"]
+__all__ = ["LivePeers", "RemovedPeer", "StreamKeeper"]
 
 # Time without a heartbeat after which a peer and its work are removed, in seconds.
 _PEER_EXPIRY_S = 4.0
@@ -27,6 +27,14 @@
     silent_s: float
 
 
+class StreamKeeper(NamedTuple):
+    """A peer that remembers the builds of streams."""
+
+    name: str
+    address: str
+    data_centre: str
+
+
 class _LivePeer(NamedTuple):
     """The last heartbeat of a peer, and when it was sent."""
 
@@ -203,6 +211,15 @@
                 peers.append(TunnelPeer(name, address, heartbeat.data_centre, lost_services))
         return peers
 
+    def stream_keepers(self) -> list[StreamKeeper]:
+        """Return the peers that remember the builds of streams and are not leaving."""
+        heartbeats = (peer.heartbeat for peer in self._peers.values())
+        return [
+            StreamKeeper(item.name, item.address, item.data_centre)
+            for item in heartbeats
+            if item.keeps_stream_builds and not item.leaving
+        ]
+
     def leader_election_input(self, silence_s: float, now: float) -> PeerReports:
         """Return what recently seen peers reported for leader election."""
         heartbeats = {
--- a/cleatlink/relay/peers/messages.py
+++ b/cleatlink/relay/peers/messages.py
@@ -16,6 +16,11 @@
 )
 from cleatlink.relay.peers.retry_messages import PredecessorRetryUsage, RetryUsageUpdate
 from cleatlink.relay.peers.snapshots import RegistrationRecord, Snapshot
+from cleatlink.relay.peers.stream_build_messages import (
+    StreamBuildAnswer,
+    StreamBuildQuery,
+    StreamBuildUpdate,
+)
 from cleatlink.relay.peers.wait_queue_messages import (
     PlainCallTotals,
     WaitQueueItem,
@@ -48,6 +53,9 @@
     "OrganisationUsage",
     "PredecessorRetryUsage",
     "RetryUsageUpdate",
+    "StreamBuildAnswer",
+    "StreamBuildQuery",
+    "StreamBuildUpdate",
     "WaitQueueItem",
     "WaitQueueUpdate",
     "WorkItem",
@@ -91,6 +99,7 @@
             orders to many of them.
         knows_retry_usage: Whether the sender knows what earlier processes of it used of the retry
             budgets.
+        keeps_stream_builds: Whether the sender remembers the builds of streams for its peers.
     """
 
     name: str
@@ -118,6 +127,7 @@
     lost_services: list[str] = []
     is_cut_off: bool = False
     knows_retry_usage: bool = False
+    keeps_stream_builds: bool = False
 
     @property
     def newest_registration_revision(self) -> StoreRevision:
@@ -257,6 +267,9 @@
     | PlainCallTotals
     | RetryUsageUpdate
     | PredecessorRetryUsage
+    | StreamBuildUpdate
+    | StreamBuildQuery
+    | StreamBuildAnswer
 )
 _DECODER = msgspec.msgpack.Decoder(Message)
 
--- a/cleatlink/relay/stream_builds_test.py
+++ b/cleatlink/relay/stream_builds_test.py
@@ -1,5 +1,6 @@
 """Test that a stream goes on only at endpoints of the build that began it."""
 
+import json
 from typing import NamedTuple
 
 import pytest
@@ -17,6 +18,8 @@
 EVENTS = 8
 # Events after which a caller loses its connection.
 LOST_AFTER = 3
+# Headers of a caller that waits for longer than the test takes.
+PATIENT = {**STREAM, "Deadline-Milliseconds": "60000"}
 INSTANCE_COUNT = 3
 
 
@@ -62,7 +65,7 @@
 async def break_off(fleet: Fleet, index: int) -> tuple[str, bytes]:
     """Begin a stream at an instance and leave within it; return its ID and what was received."""
     caller = fleet.caller(index)
-    request = await caller.send("/resume/x", "POST", body=b"p", headers=STREAM)
+    request = await caller.send("/resume/x", "POST", body=b"p", headers=PATIENT)
     with trio.fail_after(2):
         body = await caller.receive_events(LOST_AFTER)
     caller.close()
@@ -72,7 +75,7 @@
 async def take_up(fleet: Fleet, index: int, request: str, received: bytes) -> TakenUpStream:
     """Take up a stream at an instance."""
     first = read_marks(received)
-    headers = {**STREAM, "Resumes": request, "Last-Event-Id": str(len(first.builds))}
+    headers = {**PATIENT, "Resumes": request, "Last-Event-Id": str(len(first.builds))}
     reply = await fleet.caller(index).ask("/resume/x", "POST", body=b"p", headers=headers)
     return TakenUpStream(first.builds + read_marks(reply.body).builds, reply)
 
@@ -111,3 +114,105 @@
             taken_up.append(await take_up(fleet, other, request, received))
         assert count_mixed([item.builds for item in taken_up]) == 0
         assert all(len(item.builds) == EVENTS for item in taken_up)
+
+
+async def test_stream_of_a_killed_instance_goes_on_at_its_build() -> None:
+    async with open_fleet() as fleet:
+        await start_two_builds(fleet)
+        begun = [await break_off(fleet, 0) for _ in range(STREAMS)]
+        fleet.kill_instance(0)
+        taken_up = [
+            await take_up(fleet, 1 + number % 2, *begun[number]) for number in range(STREAMS)
+        ]
+        assert count_mixed([item.builds for item in taken_up]) == 0
+        assert all(len(item.builds) == EVENTS for item in taken_up)
+
+
+async def test_stream_goes_on_at_an_instance_that_has_just_started() -> None:
+    async with open_fleet() as fleet:
+        await start_two_builds(fleet)
+        begun = [await break_off(fleet, 1) for _ in range(STREAMS)]
+        fleet.kill_instance(0)
+        fleet.kill_instance(1)
+        await fleet.restart_instance(0)
+        await fleet.wait_until(lambda: fleet.instances[0].status()["instances"] == 2)
+        await fleet.wait_until(lambda: fleet.instances[0].ready)
+        taken_up = [await take_up(fleet, 0, *stream) for stream in begun]
+        assert count_mixed([item.builds for item in taken_up]) == 0
+        assert all(len(item.builds) == EVENTS for item in taken_up)
+
+
+async def test_stream_goes_on_after_planned_stops_of_all_instances_in_turn() -> None:
+    async with open_fleet() as fleet:
+        fleet.drain_s = 5.0
+        await start_two_builds(fleet)
+        begun = [await break_off(fleet, 0) for _ in range(STREAMS)]
+        for index in range(INSTANCE_COUNT):
+            fleet.stop_events[index].set()
+            await fleet.restart_instance(index)
+            await wait_connected(fleet)
+        taken_up = [await take_up(fleet, 1, *stream) for stream in begun]
+        assert count_mixed([item.builds for item in taken_up]) == 0
+        assert all(len(item.builds) == EVENTS for item in taken_up)
+
+
+async def test_stream_whose_build_is_gone_is_refused_at_once_and_not_run() -> None:
+    async with open_fleet() as fleet:
+        decodes = await start_two_builds(fleet)
+        begun = [await break_off(fleet, number % INSTANCE_COUNT) for number in range(STREAMS)]
+        for worker in fleet.workers:
+            if worker.build == "v1":
+                fleet.unregister(worker)
+                worker.close()
+        await trio.sleep(0.3)
+        began_at = trio.current_time()
+        taken_up = [await take_up(fleet, 1, *stream) for stream in begun]
+        assert trio.current_time() - began_at < 2.0
+        refused = [item for item in taken_up if item.builds[0] == "v1"]
+        assert refused
+        for item in refused:
+            assert item.last.status == 503
+            assert json.loads(item.last.body)["error"]["code"] == "build_restarts"
+        others = [item for item in taken_up if item not in refused]
+        assert all(item.builds == ("v2",) * EVENTS for item in others)
+        assert not any(run.ended_at is None for worker in decodes for run in worker.runs)
+
+
+async def test_unknown_stream_is_not_continued_where_two_builds_serve() -> None:
+    async with open_fleet() as fleet:
+        await start_two_builds(fleet)
+        for resumes in ("never-sent", "", "x" * 5000, "\u00ff", "v1"):
+            headers = {**STREAM, "Resumes": resumes, "Last-Event-Id": "2"}
+            if not resumes:
+                del headers["Resumes"]
+            reply = await fleet.caller().ask("/resume/x", "POST", body=b"p", headers=headers)
+            assert reply.status == 503
+            assert json.loads(reply.body)["error"]["code"] == "build_unknown"
+        assert not any(worker.runs for worker in fleet.workers)
+
+
+async def test_unknown_stream_goes_on_at_the_only_build_of_a_long_time() -> None:
+    async with open_fleet() as fleet:
+        engines_of_one_build = [engine("prefill", "v1"), engine("decode", "v1")]
+        await start(fleet, *engines_of_one_build)
+        headers = {**STREAM, "Resumes": "of-an-earlier-build", "Last-Event-Id": "2"}
+        early = await fleet.caller().ask("/resume/x", "POST", body=b"p", headers=headers)
+        assert early.status == 503
+        await trio.sleep(5.0)
+        late = await fleet.caller().ask("/resume/x", "POST", body=b"p", headers=headers)
+        assert late.status == 200
+        await fleet.add_worker(engine("decode", "v2"))
+        await fleet.wait_ready()
+        await trio.sleep(0.5)
+        mixed = await fleet.caller().ask("/resume/x", "POST", body=b"p", headers=headers)
+        assert mixed.status == 503
+
+
+async def test_prompt_of_another_build_is_not_used_by_a_decode() -> None:
+    async with open_fleet() as fleet:
+        prefill, decode = engine("prefill", "v2"), engine("decode", "v1")
+        await start(fleet, prefill, decode)
+        reply = await fleet.caller().ask("/resume/x", "POST", body=b"p", headers=STREAM)
+        assert reply.status == 200
+        assert not prefill.arrivals
+        assert len(decode.runs) == 1
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -10,6 +10,7 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import EngineProperties, RoutedEndpoint
+from cleatlink.routing.build_history import BuildHistory
 from cleatlink.routing.demand import DemandMeter, LatencyTargets, RoleDemand
 from cleatlink.routing.endpoint_limits import EndpointLimits
 from cleatlink.routing.endpoint_speeds import EndpointSpeeds, SpeedSampleKind
@@ -60,6 +61,7 @@
         self._by_service: dict[str, list[RoutedEndpoint]] = {}
         # Newest incarnation by registered name.
         self._incarnations: dict[str, str] = {}
+        self.build_history = BuildHistory()
         self._outcomes = EndpointOutcomes()
         self._rejection_bounds = RejectionBounds()
         # Registrations refuted by an answer of another endpoint at their address.
@@ -173,17 +175,28 @@
         """Return the endpoints that are changing their role, with the seconds that are left."""
         return {name: until - now for name, until in self._role_change_ends.items() if until > now}
 
-    def in_role(self, service: str, role: Role) -> list[RoutedEndpoint]:
+    def in_role(self, service: str, role: Role, build: str | None = None) -> list[RoutedEndpoint]:
         """Return a service's endpoints in a role that are not leaving.
 
         Endpoints that are changing to the role are included.
+
+        Args:
+            service: Name of the service.
+            role: The role.
+            build: Only endpoints of this build; None for all.
         """
         return [
             endpoint
             for endpoint in self._by_service.get(service, ())
-            if endpoint.role is role and self._accepts_work(endpoint)
+            if endpoint.role is role
+            and build in (None, endpoint.build)
+            and self._accepts_work(endpoint)
         ]
 
+    def builds(self, service: str) -> set[str]:
+        """Return the builds of a service's endpoints, including those that are leaving."""
+        return {endpoint.build for endpoint in self._by_service.get(service, ())}
+
     def leaving(self, service: str) -> set[str]:
         """Return the names of a service's endpoints that take no new work."""
         return {
@@ -349,15 +362,23 @@
         """Return when an endpoint accepts a new call, by its capacity, back-off and rate limit."""
         return max(self.full_until(name), now + self.endpoint_limits.due_in_s(name, now))
 
-    def candidates(self, service: str, role: Role, now: float) -> list[RoutedEndpoint]:
+    def candidates(
+        self, service: str, role: Role, now: float, build: str | None = None
+    ) -> list[RoutedEndpoint]:
         """Return a service's endpoints that may get work.
 
         Endpoints that are avoided are returned only if there are no others. If all endpoints are
         in a back-off, they are returned for forecasts; ``is_full`` is true for them.
+
+        Args:
+            service: Name of the service.
+            role: Role of the endpoints.
+            now: The current time, in seconds.
+            build: Only endpoints of this build; None for all.
         """
         present = [
             endpoint
-            for endpoint in self.in_role(service, role)
+            for endpoint in self.in_role(service, role, build)
             if self._role_change_ends.get(endpoint.name, 0.0) <= now
         ]
         available = [item for item in present if self.notices.backoff_until(item.name) <= now]
--- a/cleatlink/routing/fleet_records.py
+++ b/cleatlink/routing/fleet_records.py
@@ -112,7 +112,7 @@
             if record.endpoint is not None and record.revision <= self._complete_revision:
                 return None
             known = EndpointRecord(record.name, NO_REVISION, None)
-        elif record.revision <= known.revision:
+        elif record.revision <= known.revision and not _adds_build(record, known):
             return None
         born_at = record.endpoint.born if record.endpoint is not None else 0
         if born_at and born_at < self._born_at.get(record.name, 0):
@@ -173,3 +173,10 @@
             and record.name not in names
             and record.revision < revision
         ]
+
+
+def _adds_build(record: EndpointRecord, known: EndpointRecord) -> bool:
+    """Check whether a record has the build that an earlier build of a peer left out."""
+    if record.revision != known.revision or record.endpoint is None or known.endpoint is None:
+        return False
+    return bool(record.endpoint.build) and not known.endpoint.build
--- a/cleatlink/routing/forecast.py
+++ b/cleatlink/routing/forecast.py
@@ -98,13 +98,27 @@
     """Forecast of the free capacity of a service's decode endpoints."""
 
     def __init__(
-        self, service: str, traits: EngineProperties, capacity: Capacity, now: float
+        self,
+        service: str,
+        traits: EngineProperties,
+        capacity: Capacity,
+        now: float,
+        build: str | None = None,
     ) -> None:
+        """Start with the present state of the endpoints.
+
+        Args:
+            service: Name of the service.
+            traits: Properties that its engines share.
+            capacity: Estimated state of the endpoints.
+            now: The current time, in seconds.
+            build: Only endpoints of this build; None for all.
+        """
         self._now = now
         spread = capacity.service_times(service).length_spread
         self._endpoints = [
             _endpoint_forecast(endpoint.name, traits, capacity, spread, now)
-            for endpoint in capacity.candidates(service, Role.DECODE, now)
+            for endpoint in capacity.candidates(service, Role.DECODE, now, build)
         ]
 
     def wait_s(self, stream: StreamDemand, ahead: Iterable[StreamDemand] = ()) -> float | None:
--- a/cleatlink/routing/prompt_plan.py
+++ b/cleatlink/routing/prompt_plan.py
@@ -115,7 +115,9 @@
         context: Data centre, time and call of the decision.
         idle_prompt_s: Seconds that an idle endpoint of the usual speed needs for the prompt.
     """
-    names = (item.name for item in capacity.candidates(service, Role.PREFILL, context.now))
+    names = (
+        item.name for item in capacity.candidates(service, Role.PREFILL, context.now, context.build)
+    )
     times = (
         _PrefillTime(
             capacity.prompt_starts_in_s(name, context.now),
--- a/cleatlink/routing/relay_placement.py
+++ b/cleatlink/routing/relay_placement.py
@@ -86,6 +86,7 @@
         now: The current time, in seconds.
         rng: Random generator that breaks ties.
         suspicion: Number of endpoint crashes at which the call's request was in progress.
+        build: Build that must run the call; None for any.
     """
 
     data_centre: str
@@ -93,6 +94,7 @@
     now: float
     rng: random.Random
     suspicion: int = 0
+    build: str | None = None
 
 
 class StreamSize(NamedTuple):
@@ -221,7 +223,7 @@
     options: dict[bool, list[_Option]] = {False: [], True: []}
     # Cost of the least loaded endpoint of each side, not weighted by speed.
     least_cost = {False: math.inf, True: math.inf}
-    candidates = capacity.candidates(service, Role.DECODE, context.now)
+    candidates = capacity.candidates(service, Role.DECODE, context.now, context.build)
     slowest = min((_weighting_speed(item, capacity, context) for item in candidates), default=1.0)
     for endpoint in candidates:
         if endpoint.name in context.excluded or capacity.is_full(endpoint.name, context.now):
@@ -306,7 +308,7 @@
     """
     fitting = 0
     spread = capacity.service_times(service).length_spread
-    for endpoint in capacity.candidates(service, Role.DECODE, context.now):
+    for endpoint in capacity.candidates(service, Role.DECODE, context.now, context.build):
         if capacity.is_full(endpoint.name, context.now):
             continue
         added = [placed_first] if endpoint.name == placed_first.endpoint else []
@@ -352,6 +354,7 @@
     tokens: int = 0,
     *,
     target_s: float = 0.0,
+    build: str | None = None,
 ) -> RoutedEndpoint | None:
     """Return the prefill endpoint that finishes a prompt first.
 
@@ -363,6 +366,7 @@
         tokens: Tokens of the prompt.
         target_s: Time within which the stream should begin; the cost of another data centre
             is at least a share of it.
+        build: Build of the decode endpoint, which can use the result of no other one; None for any.
     """
     best: RoutedEndpoint | None = None
     best_cost = 0.0
@@ -370,7 +374,7 @@
     remote_cost_s, compute_s = times.prompt_s(_REMOTE_COST_TOKENS), times.prompt_s(tokens)
     if capacity.spill_over.is_in_use and target_s < math.inf:
         remote_cost_s = max(remote_cost_s, capacity.spill_over.crossing_share * target_s)
-    candidates = capacity.candidates(service, Role.PREFILL, context.now)
+    candidates = capacity.candidates(service, Role.PREFILL, context.now, build)
     speeds_differ = any(
         capacity.relative_speed(item.name, context.now) != 1.0 for item in candidates
     )
