--- a/soak/ablations.py
+++ b/soak/ablations.py
@@ -16,6 +16,7 @@
 from cleatlink.relay.calls.call import Call
 from cleatlink.relay.calls.event_parser import EventParser
 from cleatlink.relay.calls.planned_stop import PlannedStop
+from cleatlink.relay.calls.stream_origin import StreamOrigin
 from cleatlink.relay.endpoints.protocol import Protocol
 from cleatlink.relay.following.follower import Follower
 from cleatlink.relay.following.store_client import StoreClient
@@ -71,8 +72,18 @@
     return None
 
 
-def _list_with_leaving(self: Capacity, service: str, role: Any) -> list[Any]:
-    return [item for item in self._by_service.get(service, ()) if item.role is role]
+def _list_with_leaving(
+    self: Capacity, service: str, role: Any, build: str | None = None
+) -> list[Any]:
+    return [
+        item
+        for item in self._by_service.get(service, ())
+        if item.role is role and build in (None, item.build)
+    ]
+
+
+async def _resume_anywhere(self: StreamOrigin) -> None:
+    return None
 
 
 def _apply_only_first_table(self: Follower, table: Any, source: str) -> None:
@@ -143,6 +154,11 @@
         "rests are kept",
         (FaultKind.WORKER_REST,),
     ),
+    "stream-builds": Ablation(
+        _make_patch(StreamOrigin, "resolve", _resume_anywhere),
+        "a stream is of one build",
+        (FaultKind.WORKER_RELEASE, FaultKind.WORKER_LINK_RESET),
+    ),
     "eras": Ablation(
         _ignore_eras,
         "calls to the store stay few",
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -9,6 +9,7 @@
 from soak.earlier_builds import RELEASED_COMMITS
 from soak.fault_schedule import (
     BUDGET_KINDS,
+    BUILD_KINDS,
     CLOCK_KINDS,
     CRASH_KINDS,
     MIXED_BUILD_KINDS,
@@ -180,7 +181,14 @@
 # Ablations that need organisations and the separate ones form their own groups, so that a new one
 # changes no other group.
 _ORGANISATION_ABLATIONS = ["key-table", "key-withheld", "shared-limits"]
-_SEPARATE_ABLATIONS = ["leaving-words", "rests", "eras", "quarantine", "endpoint-limits"]
+_SEPARATE_ABLATIONS = [
+    "leaving-words",
+    "rests",
+    "eras",
+    "quarantine",
+    "endpoint-limits",
+    "stream-builds",
+]
 _OTHER_ABLATIONS = sorted(ABLATIONS.keys() - {*_ORGANISATION_ABLATIONS, *_SEPARATE_ABLATIONS})
 
 
@@ -193,6 +201,7 @@
         _OTHER_ABLATIONS[8:],
         _ORGANISATION_ABLATIONS[:2],
         ["quarantine"],
+        ["stream-builds"],
         pytest.param(["endpoint-limits"], marks=pytest.mark.alone),
         pytest.param(_ORGANISATION_ABLATIONS[2:], marks=pytest.mark.alone),
     ],
@@ -253,3 +262,13 @@
     assert result.violations == []
     kinds = {fault.kind for fault in result.faults}
     assert {FaultKind.INSTANCE_HERD, FaultKind.WORKERS_FAIL} <= kinds
+
+
+@pytest.mark.alone
+async def test_streams_stay_at_their_build_under_other_faults() -> None:
+    settings = RunSettings(
+        CI_SEED, seconds=16.0, instances=4, callers=12, rate=1.5, kinds=BUILD_KINDS
+    )
+    result = await run_soak(settings)
+    assert result.violations == []
+    assert any(fault.kind is FaultKind.WORKER_RELEASE for fault in result.faults)
