--- a/cleatlink/relay/peers/group.py
+++ b/cleatlink/relay/peers/group.py
@@ -416,7 +416,7 @@
             list(state.lost_services),
             state.is_cut_off,
             state.knows_retry_usage,
-            True,
+            keeps_stream_builds=True,
         )
         if heartbeat != self._last_heartbeat:
             self._heartbeat_number = self._delivery.next_message_number()
