--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -201,9 +201,9 @@
         _OTHER_ABLATIONS[8:],
         _ORGANISATION_ABLATIONS[:2],
         ["quarantine"],
-        ["stream-builds"],
         pytest.param(["endpoint-limits"], marks=pytest.mark.alone),
         pytest.param(_ORGANISATION_ABLATIONS[2:], marks=pytest.mark.alone),
+        ["stream-builds"],
     ],
 )
 async def test_disabled_mechanism_is_detected(names: list[str]) -> None:
