--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -504,22 +504,16 @@
 
     async def _drain_worker(self, fault: PlannedFault) -> None:
         """Replace a worker that sets its entry to draining."""
-
-        def announce(worker: SoakWorker) -> None:
-            self._fleet.register(worker, "draining")
-            self._fleet.withdrawals.append(Withdrawal(worker.name, trio.current_time()))
-
-        await self._replace_leaving_worker(fault, announce)
+        await self._replace_leaving_worker(fault, self._announce_draining)
 
     async def _release_worker(self, fault: PlannedFault) -> None:
         """Replace a worker by one of the other build; it sets its entry to draining."""
-
-        def announce(worker: SoakWorker) -> None:
-            self._fleet.register(worker, "draining")
-            self._fleet.withdrawals.append(Withdrawal(worker.name, trio.current_time()))
-
         build = other_build(self._pick_worker(fault).build)
-        await self._replace_leaving_worker(fault, announce, build)
+        await self._replace_leaving_worker(fault, self._announce_draining, build)
+
+    def _announce_draining(self, worker: SoakWorker) -> None:
+        self._fleet.register(worker, "draining")
+        self._fleet.withdrawals.append(Withdrawal(worker.name, trio.current_time()))
 
     async def _replace_leaving_worker(
         self, fault: PlannedFault, announce: Callable[[SoakWorker], None], build: str = ""
