Observability: the parts of prompts at each crash

Before this, logs named the requests in progress at a crash by a digest of all of the request.

Now the header is read (without the last part, which belongs to the request; at most 32 parts), and 'endpoint: crashed with requests in progress' lists the digests of the parts by request; 'endpoint failed the request' tells the digest and the name of each part when an answer broke off. No decision uses them yet.

Tests changed for the signature alone: CrashDetector takes the request with its prompt.

--- a/cleatlink/clock_test.py
+++ b/cleatlink/clock_test.py
@@ -15,6 +15,7 @@
 import cleatlink
 from cleatlink.clock import SuspendAwareClock, unix_ms
 from cleatlink.core.data import Role
+from cleatlink.quarantine import NO_PROMPT, Suspect
 from standins.relay import Fault, Worker
 from standins.relay.example_fleet import STREAM, engines, start
 from standins.relay.fleet import Fleet, open_fleet
@@ -146,7 +147,7 @@
         for number in range(3):
             endpoint = instance.capacity.endpoints[worker.name]
             instance._quarantine.record_crash(
-                endpoint._replace(name=f"life-{number}"), {identity: 0.001}
+                endpoint._replace(name=f"life-{number}"), [Suspect(identity, NO_PROMPT, 0.001)]
             )
             await trio.sleep(0.01)
         assert instance._quarantine.decide(identity).is_quarantined
--- a/cleatlink/core/routes.py
+++ b/cleatlink/core/routes.py
@@ -206,6 +206,8 @@
         organisation: Name of the calling organisation; empty for none.
         resumes: Identifier of the attempt that brought the first event of the stream that the
             request takes up; empty for none.
+        prompt_parts: Names of the parts of the prompt that other requests may share, in their
+            order; the last part of a prompt belongs to the request itself.
     """
 
     request_id: str
@@ -222,6 +224,7 @@
     last_event: int | None = None
     organisation: str = ""
     resumes: str = ""
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/cleatlink/quarantine/__init__.py
+++ b/cleatlink/quarantine/__init__.py
@@ -10,13 +10,25 @@
     Trial,
 )
 from cleatlink.quarantine.evidence import CrashAttribution, CrashEvidence, CrashReport
+from cleatlink.quarantine.prompts import (
+    MAX_PARTS,
+    NO_PROMPT,
+    PromptParts,
+    Suspect,
+    digest_prompt,
+)
 
 __all__ = [
     "CRASHES_TO_QUARANTINE",
     "CrashAttribution",
     "CrashEvidence",
     "CrashReport",
+    "MAX_PARTS",
+    "NO_PROMPT",
+    "PromptParts",
     "Quarantine",
-    "Trial",
     "QuarantineDecision",
+    "Suspect",
+    "Trial",
+    "digest_prompt",
 ]
--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -13,6 +13,7 @@
 )
 from cleatlink.core.routes import InboundRequest, Route, RoutedEndpoint, RoutedService, RouteKind
 from cleatlink.organisations import ANONYMOUS, Admission, CallerIdentity
+from cleatlink.quarantine import MAX_PARTS, NO_PROMPT, PromptParts, Suspect, digest_prompt
 from cleatlink.relay.calls.components import RelayComponents
 from cleatlink.relay.endpoints.protocol import MISDIRECTED_REQUEST, ResponseHead
 from cleatlink.relay.peers.messages import HintKind
@@ -65,6 +66,7 @@
         self._last_endpoint = ""
         self._ran_before_send = ExecutionStatus.NO
         self._identity = b""
+        self._prompt: PromptParts | None = None
         self._last_started_at = inbound.arrived_at
         self._is_trial_run = False
         # Endpoints that the call abandoned before they had read its body.
@@ -77,6 +79,18 @@
             self._identity = self.inbound.identity
         return self._identity
 
+    @property
+    def prompt(self) -> PromptParts:
+        """Digests of the parts of the prompt; those of plain calls have none."""
+        if self._prompt is None:
+            inbound, service = self.inbound, self.service
+            self._prompt = (
+                NO_PROMPT
+                if service.engine is None
+                else digest_prompt(service.name, inbound.organisation, inbound.prompt_parts)
+            )
+        return self._prompt
+
     @property
     def suspicion(self) -> int:
         """Number of endpoint crashes while the request ran there, since it last completed."""
@@ -331,23 +345,31 @@
                 capacity for it.
         """
         identity = self.identity
+        is_broken = in_progress and isinstance(error, OutcomeUnknownError | StreamBrokenError)
         self.log(
             "endpoint failed the request",
             endpoint=endpoint.name,
             error=repr(error),
             asks=identity.hex(),
+            parts=self._logged_parts() if is_broken else {},
         )
         self.excluded.add(endpoint.name)
-        if in_progress and isinstance(error, OutcomeUnknownError | StreamBrokenError):
+        if is_broken:
             # The trial run of a quarantined request ended: the next send is checked again.
             self._is_trial_run = False
             seconds = trio.current_time() - self._last_started_at
-            self._components.crash_detector.report_broken_request(endpoint, identity, seconds)
+            suspect = Suspect(identity, self.prompt, seconds)
+            self._components.crash_detector.report_broken_request(endpoint, suspect)
         if not isinstance(error, EndpointRefusedError) and not self._is_of_path(endpoint, error):
             self._components.capacity.note_failure(endpoint.name, trio.current_time())
         if isinstance(error, EndpointUnreachableError):
             self._components.on_endpoint_problem(endpoint.name, HintKind.UNREACHABLE)
 
+    def _logged_parts(self) -> dict[str, str]:
+        """Return the digests of the prompt's parts with their names in the request."""
+        names = dict.fromkeys(self.inbound.prompt_parts[-MAX_PARTS:])
+        return dict(zip(self.prompt.part_names(), names, strict=False))
+
     def _is_of_path(self, endpoint: RoutedEndpoint, error: Exception) -> bool:
         """Check whether a failure is that of a lost path; peers confirm unreachable endpoints."""
         is_confirmed = isinstance(error, EndpointUnreachableError)
--- a/cleatlink/relay/endpoints/crash_detector.py
+++ b/cleatlink/relay/endpoints/crash_detector.py
@@ -5,13 +5,14 @@
 on its machine accepts and closes them, and no other connection to the endpoint is open any more.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Sequence
 
 import eliot
 import trio
 
 from cleatlink.core.errors import EndpointUnreachableError
 from cleatlink.core.routes import RoutedEndpoint
+from cleatlink.quarantine import Suspect
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.pool import ConnectionPool
 from cleatlink.relay.metrics import RelayMetrics
@@ -47,7 +48,7 @@
         metrics: RelayMetrics,
         *,
         spawn: Callable[..., None],
-        on_crash: Callable[[RoutedEndpoint, Mapping[bytes, float]], None],
+        on_crash: Callable[[RoutedEndpoint, Sequence[Suspect]], None],
     ) -> None:
         """Create a detector with no checks in progress.
 
@@ -55,33 +56,28 @@
             pool: The connections; one that is still open shows that its endpoint is alive.
             metrics: Counts crashes.
             spawn: Starts a background task.
-            on_crash: Called with an endpoint that has crashed, and the identities of the requests
-                that were in progress there, each with the seconds for which it had been; called
-                again for requests that turn out later to belong to the crash.
+            on_crash: Called with an endpoint that has crashed, and the requests that were in
+                progress there; called again for requests that turn out later to belong to the
+                crash.
         """
         self._pool = pool
         self._metrics = metrics
         self._spawn = spawn
         self._on_crash = on_crash
-        self._broken_requests: dict[str, dict[bytes, float]] = {}
+        # Of several copies of one request, the one that was in progress for the shortest time.
+        self._broken_requests: dict[str, dict[bytes, Suspect]] = {}
         self._check_finished: dict[str, trio.Event] = {}
         self._crashed_at: dict[str, float] = {}
 
-    def report_broken_request(
-        self, endpoint: RoutedEndpoint, identity: bytes, in_progress_s: float
-    ) -> None:
-        """Report that an endpoint broke off a request that was in progress there.
-
-        Args:
-            endpoint: The endpoint.
-            identity: The request's identity.
-            in_progress_s: How long the request had been in progress there.
-        """
+    def report_broken_request(self, endpoint: RoutedEndpoint, request: Suspect) -> None:
+        """Report that an endpoint broke off a request that was in progress there."""
         batch = self._broken_requests.get(endpoint.name)
         if batch is not None:
-            batch[identity] = min(in_progress_s, batch.get(identity, in_progress_s))
+            known = batch.get(request.identity)
+            if known is None or request.in_progress_s < known.in_progress_s:
+                batch[request.identity] = request
             return
-        self._broken_requests[endpoint.name] = {identity: in_progress_s}
+        self._broken_requests[endpoint.name] = {request.identity: request}
         self._check_finished[endpoint.name] = trio.Event()
         self._spawn(self._check, endpoint)
 
@@ -99,12 +95,12 @@
         try:
             await trio.sleep(_BATCH_DELAY_S)
             if await self._has_crashed(endpoint):
-                self._report_crash(endpoint, self._broken_requests[endpoint.name])
+                self._report_crash(endpoint, list(self._broken_requests[endpoint.name].values()))
         finally:
             del self._broken_requests[endpoint.name]
             self._check_finished.pop(endpoint.name).set()
 
-    def _report_crash(self, endpoint: RoutedEndpoint, requests: Mapping[bytes, float]) -> None:
+    def _report_crash(self, endpoint: RoutedEndpoint, requests: Sequence[Suspect]) -> None:
         now = trio.current_time()
         is_new = (
             now - self._crashed_at.get(endpoint.name, -_SAME_CRASH_WINDOW_S) >= _SAME_CRASH_WINDOW_S
@@ -119,7 +115,8 @@
             message_type="endpoint: crashed with requests in progress",
             endpoint=endpoint.name,
             address=endpoint.address,
-            asks=sorted(identity.hex() for identity in requests),
+            asks=sorted(request.identity.hex() for request in requests),
+            parts={request.identity.hex(): request.prompt.part_names() for request in requests},
             first=is_new,
         )
         self._on_crash(endpoint, requests)
--- a/cleatlink/relay/endpoints/crash_detector_test.py
+++ b/cleatlink/relay/endpoints/crash_detector_test.py
@@ -1,12 +1,13 @@
 """Tests that a crash of an endpoint is distinguished from a single bad response."""
 
-from collections.abc import Mapping
+from collections.abc import Sequence
 
 import pytest
 import trio
 
 from cleatlink.core.data import Role
 from cleatlink.core.routes import RoutedEndpoint
+from cleatlink.quarantine import NO_PROMPT, Suspect
 from cleatlink.relay.endpoints.crash_detector import CrashDetector
 from cleatlink.relay.endpoints.pool import ConnectionPool
 from cleatlink.relay.metrics import RelayMetrics
@@ -16,7 +17,7 @@
 
 pytestmark = pytest.mark.virtual_time
 
-Crash = tuple[str, Mapping[bytes, float]]
+Crash = tuple[str, Sequence[Suspect]]
 
 
 def record_crashes(fleet: Fleet, monkeypatch: pytest.MonkeyPatch) -> list[Crash]:
@@ -119,7 +120,7 @@
             await sock.connect(("127.0.0.1", port))
     address = f"127.0.0.1:{port}"
     endpoint = RoutedEndpoint("e", address, "a", "plain", Role.PLAIN, slots=1)
-    crash_detector.report_broken_request(endpoint, b"x", 0.1)
+    crash_detector.report_broken_request(endpoint, Suspect(b"x", NO_PROMPT, 0.1))
     await trio.sleep(0.9)
     assert reported == []
     for sock in (*backlog, listener):
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -60,6 +60,7 @@
     request_id: bytes = b"x-request-id"
     deadline_ms: bytes = b"x-deadline-ms"
     token_counts: bytes = b"x-tokens"
+    prompt_parts: bytes = b"x-prompt-parts"
     output_hint: bytes = b"x-output-hint"
     last_event_id: bytes = b"last-event-id"
     resumes: bytes = b"x-resumes"
@@ -218,6 +219,7 @@
             estimated_output_tokens=int(_parse_number(values.get(self.names.output_hint), 0)),
             last_event=None if last_event is None else int(_parse_number(last_event, 0)),
             resumes=values.get(self.names.resumes, b"").strip().decode("latin-1"),
+            prompt_parts=_parse_shared_parts(values.get(self.names.prompt_parts, b"")),
         )
 
     def _filter_request_headers(self, headers: Headers, removes_api_key: bool) -> Headers:
@@ -371,6 +373,18 @@
         return default
 
 
+def _parse_shared_parts(value: bytes) -> tuple[str, ...]:
+    """Return the names of a prompt's parts, without the last one; malformed items are left out.
+
+    Args:
+        value: The parts in their order, each a name in hexadecimal, a colon and its tokens,
+            separated by commas.
+    """
+    items = value.decode("latin-1").lower().split(",")[:-1]
+    names = (item.partition(":")[0].strip() for item in items)
+    return tuple(name for name in names if name)
+
+
 def _strip_port(host: str) -> str:
     name, colon, port = host.rpartition(":")
     return name if colon and port.isdigit() else host
--- a/cleatlink/relay/peers/shared_quarantine.py
+++ b/cleatlink/relay/peers/shared_quarantine.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Sequence
 
 import eliot
 import trio
@@ -17,6 +17,7 @@
     CrashReport,
     Quarantine,
     QuarantineDecision,
+    Suspect,
     Trial,
 )
 from cleatlink.relay.peers.messages import CrashItem, CrashUpdate
@@ -82,13 +83,14 @@
         """Decide whether a request may run."""
         return self._quarantine.decide(identity, trio.current_time())
 
-    def record_crash(self, endpoint: RoutedEndpoint, suspects: Mapping[bytes, float]) -> None:
+    def record_crash(self, endpoint: RoutedEndpoint, requests: Sequence[Suspect]) -> None:
         """Record the crash of an endpoint with requests of this instance in progress.
 
         Args:
             endpoint: The crashed endpoint.
-            suspects: Identities of the requests, with the seconds each had been in progress.
+            requests: The requests.
         """
+        suspects = {request.identity: request.in_progress_s for request in requests}
         if self._add_report(CrashReport(endpoint.name, 0.0, suspects)):
             self._queue_update(endpoint.name)
 
