Reproduce: a part of prompts that crashes engines, in requests that are all different

Stand-in engines crash when they begin an answer to a prompt with a given part, other than the last.

--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -16,7 +16,7 @@
 from standins.relay.raw_server import LAST_CHUNK, RawCall, RawServer, answer, chunk
 from standins.relay.stream_builds import mark_event
 
-__all__ = ["Fault", "Run", "Worker"]
+__all__ = ["Fault", "Run", "Worker", "prompt_parts"]
 
 _NAME_NUMBERS = itertools.count(1)
 _HANDLE_LIFETIME_S = 0.5
@@ -38,6 +38,12 @@
     TRUNCATED = "breaks off within the answer"
 
 
+def prompt_parts(call: RawCall) -> list[str]:
+    """Return the identifiers of the parts of a call's prompt, in their order."""
+    items = call.headers.get("prompt-prefix", "").split(",")
+    return [item.partition(":")[0] for item in items if item]
+
+
 class Run:
     """A run of a request; ``connection_closed`` is set if its connection closed before the end."""
 
@@ -116,6 +122,9 @@
         # ``crash_after_s``. None disables crashes.
         self.crash_marker: bytes | None = None
         self.crash_after_s = 0.02
+        # Parts of prompts: beginning an answer to a prompt that contains one of them, other than
+        # as its last part, crashes the worker after ``crash_after_s``.
+        self.crash_parts: frozenset[str] = frozenset()
         # Whether a proxy in front of it still accepts connections after a crash, and closes them.
         self.is_behind_proxy = False
         self.crashed = trio.Event()
@@ -142,6 +151,7 @@
             self.event_interval_s,
         )
         replacement.crash_marker, replacement.crash_after_s = self.crash_marker, self.crash_after_s
+        replacement.crash_parts = self.crash_parts
         replacement.is_behind_proxy = self.is_behind_proxy
         return replacement
 
@@ -206,6 +216,8 @@
         if self.crash_marker is not None and self.crash_marker in call.body + call.target.encode():
             return await self._crash(call)
         if self.stage == "decode":
+            if self.crash_parts.intersection(prompt_parts(call)[:-1]):
+                return await self._crash(call)
             return await self._serve_decode(call, stream, fault)
         return await self._serve_plain(call, stream, fault)
 
