Parts of prompts that crash engines are quarantined, whatever the requests are

What callers saw: engines crashed one after the other, 25 in 20 s, and streams of everyone on them broke off; 16 requests later than allowed reached engines.

Cause: a crash was recorded for requests only, by a digest of all of each. Requests that have a part of their prompts in common were as many suspects, each with one crash: 59 requests, 59 identities at 15 crashes. Class: a fact recorded under something that it does not belong to.

Ruled out: missed crashes (each engine that ended is in the logs), evidence lost at restarts (none was held back before either).

Change: the one evidence has subjects of two kinds, requests and parts of prompts (never the last). A part counts once for each different request, in crashes that did not happen together. Parts are cleared by any answer of a prompt with them that was sent after the crash and goes on for longer than at the crash, also before it completes: in the incident, streams last longer than engines. A crash is attributed to the parts with the highest count together, and only a prompt that contains all of them is refused; so a tie with a companion stops the cause and nothing else. The service of the prompts counts like a part that all have: while no answer goes on, crashes are not blamed on parts. Crashes of one organisation count against its own prompts until a second one has any. Quarantine of 60 s, doubled by each trial that crashes; one trial over all instances, which start it at different moments. Clearing is told as a small difference, not as the whole crash again.

Why it works: at each crash the cause is there, and no answer with it ever goes on; what is shared with sound requests is cleared within half a second of the next answer.

--- a/cleatlink/quarantine/__init__.py
+++ b/cleatlink/quarantine/__init__.py
@@ -3,20 +3,16 @@
 This package does no I/O and reads no clock: callers pass the current time.
 """
 
+from cleatlink.quarantine.attribution import CrashAttribution, PartAttribution
+from cleatlink.quarantine.crash import CrashReport
 from cleatlink.quarantine.decision import (
     CRASHES_TO_QUARANTINE,
     Quarantine,
     QuarantineDecision,
     Trial,
 )
-from cleatlink.quarantine.evidence import CrashAttribution, CrashEvidence, CrashReport
-from cleatlink.quarantine.prompts import (
-    MAX_PARTS,
-    NO_PROMPT,
-    PromptParts,
-    Suspect,
-    digest_prompt,
-)
+from cleatlink.quarantine.evidence import CrashEvidence
+from cleatlink.quarantine.prompts import MAX_PARTS, NO_PROMPT, PromptParts, Suspect, digest_prompt
 
 __all__ = [
     "CRASHES_TO_QUARANTINE",
@@ -25,6 +21,7 @@
     "CrashReport",
     "MAX_PARTS",
     "NO_PROMPT",
+    "PartAttribution",
     "PromptParts",
     "Quarantine",
     "QuarantineDecision",
--- a/cleatlink/quarantine/evidence.py
+++ b/cleatlink/quarantine/evidence.py
@@ -1,109 +1,44 @@
 """Records which requests were in progress at endpoints that crashed, and attributes the crashes.
 
 A crash ends all requests in progress at an endpoint, so a single crash does not show which of them
-caused it. The cause is in progress at every crash that it causes. Other requests are there by
-chance, and complete at another endpoint when they are retried. So each crash is attributed to the
-suspect that was in progress at the most crashes, and to none while several suspects share the
-highest count. A request that completed, at any endpoint, is cleared of all crashes so far.
+caused it. The cause is in progress at every crash that it causes; others are there by chance. The
+cause is one request, or a part that the prompts of different requests have in common. So a crash
+counts for the requests in progress, and for the parts of their prompts.
 
-Crashes that happen together count only once for a request: copies of one request may be in progress
-at several endpoints that fail at the same time by chance. A crash counts for a request only if the
-request started at that endpoint after the last crash that counted.
+Each crash is attributed to the suspect that was in progress at the most crashes. What completed, at
+any endpoint, is no longer a suspect of earlier crashes: a request that completed, and the parts of
+a prompt whose answer went on for longer than it had at the crash. If several parts share the
+highest count, the crash is attributed to them together: only a prompt that contains all of them is
+known to crash endpoints. If several requests share it, it is attributed to none.
+
+Endpoints can also crash whatever they run. So the service of the prompts counts like a part that
+all of them contain, and a crash is attributed to parts only if they were in progress at more
+crashes than the service without any completed answer.
+
+Crashes that happen together count only once: copies of one request may be in progress at several
+endpoints that fail at the same time by chance. A crash counts for a suspect only if it was started
+at that endpoint after the last crash that counted. For parts it also has to be another request.
 
 The evidence is a set that only grows until it expires. Reports may arrive in any order, late,
 repeatedly and from any instance, and the same reports lead to the same result.
 """
 
-import math
-from collections import Counter
-from collections.abc import Iterable, Mapping
-from typing import NamedTuple
+from collections.abc import Iterable
+
+from cleatlink.quarantine.attribution import (
+    NO_CRASHES,
+    Attributions,
+    CrashAttribution,
+    PartAttribution,
+    attribute_crashes,
+)
+from cleatlink.quarantine.crash import Crash, CrashReport
+from cleatlink.quarantine.prompts import PromptParts
 
-__all__ = ["CrashAttribution", "CrashEvidence", "CrashReport"]
+__all__ = ["CrashEvidence"]
 
 # Only the newest crashes are kept: at one crash a minute, those of the last hour.
 _MAX_CRASHES = 64
-# Requests kept for one crash: twice the number that large engines run at once.
-_MAX_REQUESTS = 128
-
-
-class CrashReport(NamedTuple):
-    """Report of one crash, as exchanged between instances.
-
-    Attributes:
-        incarnation: Name of the endpoint's incarnation that crashed; an incarnation crashes only
-            once.
-        age_s: Seconds since the crash.
-        suspects: Identities of the requests in progress at the crash, each with the seconds for
-            which it had been in progress.
-        cleared: Identities of requests that completed since, at any endpoint.
-    """
-
-    incarnation: str
-    age_s: float
-    suspects: Mapping[bytes, float]
-    cleared: frozenset[bytes] = frozenset()
-
-
-class CrashAttribution(NamedTuple):
-    """Crashes that are attributed to a request.
-
-    Attributes:
-        incarnations: Endpoint incarnations that the request crashed according to the evidence.
-        independent_crashes: Number of these crashes, where crashes that happened together count
-            once.
-        last_crash_at: Time of the last of these crashes; minus infinity without any.
-    """
-
-    incarnations: tuple[str, ...] = ()
-    independent_crashes: int = 0
-    last_crash_at: float = -math.inf
-
-
-_NO_CRASHES = CrashAttribution()
-
-
-class _Crash:
-    """One known crash; each of its requests is either a suspect or cleared."""
-
-    __slots__ = ("cleared", "crashed_at", "suspects")
-
-    def __init__(self, crashed_at: float) -> None:
-        self.crashed_at = crashed_at
-        # Seconds for which each had been in progress; of several copies, the shortest time.
-        self.suspects: dict[bytes, float] = {}
-        self.cleared: set[bytes] = set()
-
-    def add(self, suspects: Mapping[bytes, float]) -> bool:
-        """Add suspects up to the maximum number.
-
-        Returns:
-            Whether anything was new.
-        """
-        is_new = False
-        for request, seconds in sorted(suspects.items()):
-            if request in self.cleared:
-                continue
-            known = self.suspects.get(request)
-            if known is None and len(self.suspects) + len(self.cleared) >= _MAX_REQUESTS:
-                continue
-            if known is None or seconds < known:
-                self.suspects[request] = seconds
-                is_new = True
-        return is_new
-
-    def clear(self, requests: Iterable[bytes]) -> bool:
-        """Clear requests, also unknown ones, so that no later report makes them suspects.
-
-        Returns:
-            Whether one of them was a suspect.
-        """
-        was_suspected = False
-        for request in requests:
-            was_suspected |= self.suspects.pop(request, None) is not None
-            if len(self.suspects) + len(self.cleared) < _MAX_REQUESTS:
-                self.cleared.add(request)
-        return was_suspected
 
 
 class CrashEvidence:
@@ -116,9 +51,8 @@
             retention_s: Seconds for which a crash is kept.
         """
         self._retention_s = retention_s
-        self._crashes: dict[str, _Crash] = {}
-        self._attributed: dict[bytes, CrashAttribution] | None = None
-        self._counts: Counter[bytes] = Counter()
+        self._crashes: dict[str, Crash] = {}
+        self._attributions: Attributions | None = None
 
     def __len__(self) -> int:
         return len(self._crashes)
@@ -134,14 +68,14 @@
         crashed_at = now - report.age_s
         crash = self._crashes.get(report.incarnation)
         if crash is None:
-            crash = self._crashes[report.incarnation] = _Crash(crashed_at)
+            crash = self._crashes[report.incarnation] = Crash(crashed_at)
         # The age in a report is too low by the time for which it was in transit.
         crash.crashed_at = min(crash.crashed_at, crashed_at)
-        is_new = crash.add(report.suspects)
+        is_new = crash.add(report.suspects, report.prompts)
         is_new |= crash.clear(report.cleared)
         if is_new:
             self._drop_oldest()
-            self._attributed = None
+            self._attributions = None
         return is_new
 
     def clear_request(self, identity: bytes) -> list[str]:
@@ -158,9 +92,36 @@
         for incarnation in incarnations:
             self._crashes[incarnation].clear((identity,))
         if incarnations:
-            self._attributed = None
+            self._attributions = None
         return incarnations
 
+    def clear_parts(
+        self, prompt: PromptParts, started_at: float, answered_s: float
+    ) -> dict[str, frozenset[bytes]]:
+        """Clear the parts of a prompt of earlier crashes, because its answer goes on.
+
+        Args:
+            prompt: The prompt.
+            started_at: When it was sent to its endpoint; only crashes before that are considered.
+            answered_s: Seconds for which its answer has been going on; infinite if it completed.
+
+        Returns:
+            The parts that are no longer suspects, by the crashed incarnation.
+        """
+        if not self.is_part_suspected(prompt):
+            return {}
+        cleared: dict[str, frozenset[bytes]] = {}
+        for incarnation, crash in self._crashes.items():
+            if crash.crashed_at >= started_at:
+                continue
+            outlived = crash.outlived_parts(prompt, answered_s)
+            if outlived:
+                crash.clear(outlived)
+                cleared[incarnation] = outlived
+        if cleared:
+            self._attributions = None
+        return cleared
+
     def remove_expired(self, now: float) -> None:
         """Remove crashes that are older than the retention time."""
         expired = [
@@ -171,20 +132,28 @@
         for incarnation in expired:
             del self._crashes[incarnation]
         if expired:
-            self._attributed = None
+            self._attributions = None
 
     def suspicion(self, identity: bytes) -> int:
         """Return how many crashes count against a request, without those it is cleared of."""
-        self._attribute_crashes()
-        return self._counts[identity]
+        return self._attribute().request_counts[identity]
+
+    def is_part_suspected(self, prompt: PromptParts) -> bool:
+        """Check whether a crash counts against a part of a prompt or its service."""
+        counts = self._attribute().part_counts
+        return any(counts[part] for part in (prompt.service, *prompt.parts))
 
     def attribution(self, identity: bytes) -> CrashAttribution:
         """Return the crashes that are attributed to a request."""
-        return self._attribute_crashes().get(identity, _NO_CRASHES)
+        return self._attribute().requests.get(identity, NO_CRASHES)
 
     def attributions(self) -> dict[bytes, CrashAttribution]:
         """Return the attributed crashes of each request that has any."""
-        return dict(self._attribute_crashes())
+        return dict(self._attribute().requests)
+
+    def part_attributions(self) -> list[PartAttribution]:
+        """Return the crashes that are attributed to parts of prompts, by the parts."""
+        return list(self._attribute().parts)
 
     def crash_report(self, incarnation: str, now: float) -> CrashReport | None:
         """Return a report of a crash; None if the crash is not known."""
@@ -192,41 +161,30 @@
         if crash is None:
             return None
         return CrashReport(
-            incarnation, now - crash.crashed_at, dict(crash.suspects), frozenset(crash.cleared)
+            incarnation,
+            now - crash.crashed_at,
+            dict(crash.suspects),
+            frozenset(crash.cleared),
+            dict(crash.prompts),
         )
 
+    def clearance_report(
+        self, incarnation: str, cleared: Iterable[bytes], now: float
+    ) -> CrashReport | None:
+        """Return a report of what was cleared of a crash; None if the crash is not known."""
+        crash = self._crashes.get(incarnation)
+        if crash is None:
+            return None
+        return CrashReport(incarnation, now - crash.crashed_at, {}, frozenset(cleared))
+
     def crashed_incarnations(self) -> list[str]:
         """Return the crashed incarnations, the newest crash first."""
         return sorted(self._crashes, key=lambda incarnation: -self._crashes[incarnation].crashed_at)
 
-    def _attribute_crashes(self) -> dict[bytes, CrashAttribution]:
-        """Attribute each crash to its suspect with the highest crash count.
-
-        A crash whose highest count is shared by several suspects is attributed to none. Otherwise
-        innocent requests would be quarantined: of six requests that were retried beside another
-        that crashed endpoints, some shared its first three crashes and were refused with it.
-        """
-        if self._attributed is not None:
-            return self._attributed
-        ordered = sorted(self._crashes.items(), key=lambda item: item[1].crashed_at)
-        self._counts = _count_crashes([crash for _, crash in ordered])
-        crashes_by_request: dict[bytes, list[tuple[str, _Crash]]] = {}
-        for incarnation, crash in ordered:
-            highest = max((self._counts[request] for request in crash.suspects), default=0)
-            top_suspects = [
-                request for request in crash.suspects if self._counts[request] == highest
-            ]
-            if len(top_suspects) == 1:
-                crashes_by_request.setdefault(top_suspects[0], []).append((incarnation, crash))
-        self._attributed = {
-            request: CrashAttribution(
-                tuple(incarnation for incarnation, _ in attributed),
-                _count_crashes([crash for _, crash in attributed])[request],
-                attributed[-1][1].crashed_at,
-            )
-            for request, attributed in crashes_by_request.items()
-        }
-        return self._attributed
+    def _attribute(self) -> Attributions:
+        if self._attributions is None:
+            self._attributions = attribute_crashes(self._crashes)
+        return self._attributions
 
     def _drop_oldest(self) -> None:
         while len(self._crashes) > _MAX_CRASHES:
@@ -234,21 +192,3 @@
                 self._crashes, key=lambda incarnation: self._crashes[incarnation].crashed_at
             )
             del self._crashes[oldest]
-
-
-def _count_crashes(crashes: Iterable[_Crash]) -> Counter[bytes]:
-    """Count the crashes of each suspect, where crashes that happened together count once.
-
-    A crash counts if the request started at that endpoint after the last crash that counted.
-
-    Args:
-        crashes: The crashes, the oldest first.
-    """
-    counts: Counter[bytes] = Counter()
-    last_at: dict[bytes, float] = {}
-    for crash in crashes:
-        for request, seconds in crash.suspects.items():
-            if crash.crashed_at - seconds > last_at.get(request, -math.inf):
-                counts[request] += 1
-                last_at[request] = crash.crashed_at
-    return counts
--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -1,5 +1,8 @@
 """State of one call in the relay: which sends are still allowed, and what is known of its runs."""
 
+import math
+from collections.abc import Set
+
 import eliot
 import trio
 
@@ -93,9 +96,11 @@
 
     @property
     def suspicion(self) -> int:
-        """Number of endpoint crashes while the request ran there, since it last completed."""
+        """Number of endpoint crashes that count against the request or parts of its prompt."""
         quarantine = self._components.quarantine
-        return 0 if quarantine.is_empty else quarantine.decide(self.identity).suspicion
+        if quarantine.is_empty:
+            return 0
+        return quarantine.decide(self.identity, self.prompt).suspicion
 
     @property
     def repeatable(self) -> bool:
@@ -191,15 +196,16 @@
         quarantine = self._components.quarantine
         if quarantine.is_empty or self._is_trial_run:
             return None
-        decision = quarantine.decide(self.identity)
+        decision = quarantine.decide(self.identity, self.prompt)
         if decision.needs_trial:
             self._is_trial_run = True
-            quarantine.begin_trial(self.identity)
+            quarantine.begin_trial(decision.trial_key if decision.parts else self.identity)
         if not decision.is_quarantined:
             return None
         self.log(
             "request refused: it is in quarantine",
             asks=self.identity.hex(),
+            parts=self._logged_parts(decision.parts),
             crashes=decision.attribution.independent_crashes,
             endpoints=decision.attribution.incarnations,
             last_ago_s=round(trio.current_time() - decision.attribution.last_crash_at, 3),
@@ -207,8 +213,9 @@
         )
         if self.ran is not ExecutionStatus.NO:
             return self.make_refusal("the request crashed the endpoints that ran it")
+        subject = "requests with a part of its prompt" if decision.parts else "the request"
         detail = (
-            f"the request crashed {decision.attribution.independent_crashes} endpoints that ran it"
+            f"{subject} crashed {decision.attribution.independent_crashes} endpoints that ran it"
         )
         return Refusal(ErrorKind.QUARANTINED, detail, decision.retry_after_s)
 
@@ -245,6 +252,16 @@
         if not self._components.quarantine.is_empty:
             self._components.quarantine.record_completed(self.identity)
 
+    def note_answering(self, answered_s: float = math.inf) -> None:
+        """Record that an answer goes on, which clears the parts of its prompt of earlier crashes.
+
+        Args:
+            answered_s: Seconds since the first event of this run; infinite if it completed.
+        """
+        quarantine = self._components.quarantine
+        if not quarantine.is_empty:
+            quarantine.record_answering(self.prompt, self._last_started_at, answered_s)
+
     def may_send(self, endpoint: RoutedEndpoint) -> bool:
         """Check whether the route's maximum of attempts allows the call to go to an endpoint."""
         tried = self._tried_endpoints
@@ -365,10 +382,18 @@
         if isinstance(error, EndpointUnreachableError):
             self._components.on_endpoint_problem(endpoint.name, HintKind.UNREACHABLE)
 
-    def _logged_parts(self) -> dict[str, str]:
-        """Return the digests of the prompt's parts with their names in the request."""
+    def _logged_parts(self, parts: Set[bytes] | None = None) -> dict[str, str]:
+        """Return digests of the prompt's parts with their names in the request.
+
+        Args:
+            parts: The parts; None for all of them.
+        """
         names = dict.fromkeys(self.inbound.prompt_parts[-MAX_PARTS:])
-        return dict(zip(self.prompt.part_names(), names, strict=False))
+        return {
+            digest.hex(): name
+            for digest, name in zip(self.prompt.parts, names, strict=False)
+            if parts is None or digest in parts
+        }
 
     def _is_of_path(self, endpoint: RoutedEndpoint, error: Exception) -> bool:
         """Check whether a failure is that of a lost path; peers confirm unreachable endpoints."""
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -216,6 +216,7 @@
         await self._relay(head, connection, meter)
         meter.note_end(self._target.placement)
         call.note_completed()
+        call.note_answering()
         components.pool.release(endpoint, connection)
         components.capacity.note_success(endpoint.name, trio.current_time())
         return StreamResult(is_complete=True)
@@ -265,6 +266,7 @@
         exchange, call = self._exchange, self._call
         self._parser.restart()
         received_at = trio.current_time()
+        first_event_at = math.inf
         longest_gap_s = 0.0
         while True:
             self._failover.expect_data(self._silence_timeout_s())
@@ -279,6 +281,8 @@
             if not events:
                 continue
             meter.note_events(len(events), now)
+            first_event_at = min(first_event_at, now)
+            call.note_answering(now - first_event_at)
             self._origin.note_begun(self._target.endpoint)
             if not exchange.started:
                 await self._start(head)
--- a/cleatlink/relay/crashing_prompt_parts_test.py
+++ b/cleatlink/relay/crashing_prompt_parts_test.py
@@ -37,7 +37,7 @@
 _LAST_S = 5.0
 # Every route shares this first part; the sound requests have the companion, too.
 _SHARED, _COMPANION = "5a5a5a5a", "c0c0c0c0"
-_BAD = "badbad01"
+_BAD, _SECOND_BAD = "badbad01", "badbad02"
 
 
 class SentPrompt(NamedTuple):
@@ -125,6 +125,19 @@
     return lambda rng: [_SHARED, bad]
 
 
+def parts_anywhere(rng: random.Random) -> list[str]:
+    """Return parts with the bad one at a random place among parts of sound prompts."""
+    parts = [_SHARED, _COMPANION, "d1d1d1d1"]
+    rng.shuffle(parts)
+    parts.insert(rng.randrange(4), _BAD)
+    return parts
+
+
+def parts_with_either(rng: random.Random) -> list[str]:
+    """Return parts with one of two bad ones."""
+    return [_SHARED, rng.choice((_BAD, _SECOND_BAD))]
+
+
 def parts_with_rare_companion(rng: random.Random) -> list[str]:
     """Return parts of which two are in no sound prompt; one of these crashes engines."""
     return [_SHARED, "a7a7a7a7", _BAD]
@@ -146,6 +159,8 @@
 _BAD_PROMPTS = {
     "second-of-three": (parts_with(_BAD), (_BAD,)),
     "rare-companion": (parts_with_rare_companion, (_BAD,)),
+    "anywhere": (parts_anywhere, (_BAD,)),
+    "either-of-two": (parts_with_either, (_BAD, _SECOND_BAD)),
 }
 
 
@@ -177,6 +192,31 @@
         assert {(error["code"], error["ran"]) for error in errors} == {("quarantined", "no")}
 
 
+async def test_killed_instances_send_no_prompts_with_a_quarantined_part() -> None:
+    """Guards against instances that start without the evidence that their peers have."""
+    async with open_fleet() as fleet:
+        await start_fleet(fleet, _BAD)
+        async with trio.open_nursery() as nursery:
+            traffic = PromptTraffic(fleet, nursery)
+            nursery.start_soon(
+                lambda: traffic.send_every(_SOUND_INTERVAL_S, sound_parts, is_bad=False)
+            )
+            nursery.start_soon(
+                lambda: traffic.send_every(_BAD_INTERVAL_S, parts_with(_BAD), is_bad=True)
+            )
+            for _ in range(3):
+                await trio.sleep(4.0)
+                for index in (1, 2, 3):
+                    fleet.kill_instance(index)
+                await trio.sleep(0.5)
+                for index in (1, 2, 3):
+                    await fleet.restart_instance(index)
+            await trio.sleep(_LAST_S)
+            nursery.cancel_scope.cancel()
+        assert late_sends(fleet, _BAD) <= _MAX_LATE_SENDS
+        assert traffic.sound_share(trio.current_time() - _LAST_S) >= _MIN_SERVED_SHARE
+
+
 async def test_prompt_parts_shared_by_all_are_not_quarantined_when_engines_crash_by_chance() -> (
     None
 ):
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -489,6 +489,7 @@
             instances=self._peers.live_instances,
             leads=self.is_leader,
             quarantine=self._quarantine.quarantined_requests(),
+            quarantined_parts=self._quarantine.quarantined_parts(),
             leaving=self._capacity.notices.leaving_sources(_MAX_REPORTED_ITEMS),
             limits=self._capacity.endpoint_limits.rates_per_s(_MAX_REPORTED_ITEMS),
             unreachable=sorted(self._tunnels.paths.unreachable())[:_MAX_REPORTED_ITEMS],
--- a/cleatlink/relay/peers/endpoint_messages.py
+++ b/cleatlink/relay/peers/endpoint_messages.py
@@ -3,11 +3,12 @@
 They report crashes, notices, limits, speeds, rejections for overload and reachability.
 """
 
+from collections.abc import Iterable
 from enum import StrEnum
 
 import msgspec
 
-from cleatlink.quarantine import CrashReport
+from cleatlink.quarantine import CrashReport, PromptParts
 
 __all__ = [
     "CrashItem",
@@ -29,13 +30,19 @@
         endpoint_incarnation: Name of the endpoint incarnation that ended.
         age_s: Seconds since the crash.
         suspects: Identities of the requests, with the seconds for which each had been in progress.
-        cleared: Identities of requests that have been served since and are no longer suspects.
+        cleared: Identities of requests that have been served since and are no longer suspects, and
+            parts and services of prompts.
+        digests: Services, organisations and parts of the suspects' prompts, each once.
+        prompts: For each of the suspects, in their order, the positions in ``digests`` of its
+            prompt's service, organisation and parts; empty for one without a prompt.
     """
 
     endpoint_incarnation: str
     age_s: float
     suspects: list[tuple[bytes, float]]
     cleared: list[bytes]
+    digests: list[bytes] = []
+    prompts: list[list[int]] = []
 
     @classmethod
     def from_report(cls, report: CrashReport) -> "CrashItem":
@@ -43,7 +50,17 @@
         suspects = sorted(
             (identity, round(seconds, 3)) for identity, seconds in report.suspects.items()
         )
-        return cls(report.incarnation, round(report.age_s, 3), suspects, sorted(report.cleared))
+        prompts = [report.prompts.get(identity) for identity, _ in suspects]
+        digests = _unique_digests(prompts, report.cleared)
+        positions = {digest: position for position, digest in enumerate(digests)}
+        return cls(
+            report.incarnation,
+            round(report.age_s, 3),
+            suspects,
+            sorted(report.cleared),
+            digests,
+            [_positions_of(prompt, positions) for prompt in prompts] if digests else [],
+        )
 
     def to_report(self) -> CrashReport:
         """Return the item as a crash report.
@@ -51,10 +68,52 @@
         Negative ages, which a clock that runs backwards can produce, count as 0.
         """
         suspects = {identity: max(0.0, seconds) for identity, seconds in self.suspects}
+        prompts = {
+            identity: prompt
+            for (identity, _), positions in zip(self.suspects, self.prompts, strict=False)
+            if (prompt := self._read_prompt(positions)) is not None
+        }
         return CrashReport(
-            self.endpoint_incarnation, max(0.0, self.age_s), suspects, frozenset(self.cleared)
+            self.endpoint_incarnation,
+            max(0.0, self.age_s),
+            suspects,
+            frozenset(self.cleared),
+            prompts,
         )
 
+    def _read_prompt(self, positions: list[int]) -> PromptParts | None:
+        """Return the prompt at some positions; None for none and for invalid positions."""
+        if len(positions) < _MIN_PROMPT_DIGESTS:
+            return None
+        if not all(0 <= position < len(self.digests) for position in positions):
+            return None
+        service, organisation, *parts = (self.digests[position] for position in positions)
+        return PromptParts(service, organisation, tuple(parts))
+
+
+# A prompt has digests of its service and its organisation, and any number of parts.
+_MIN_PROMPT_DIGESTS = 2
+
+
+def _unique_digests(
+    prompts: Iterable[PromptParts | None], cleared: frozenset[bytes]
+) -> list[bytes]:
+    """Return the digests of some prompts, each once, without the parts that are cleared."""
+    digests: dict[bytes, None] = {}
+    for prompt in prompts:
+        if prompt is not None:
+            parts = (part for part in prompt.parts if part not in cleared)
+            digests.update(dict.fromkeys((prompt.service, prompt.organisation, *parts)))
+    return list(digests)
+
+
+def _positions_of(prompt: PromptParts | None, positions: dict[bytes, int]) -> list[int]:
+    """Return the positions of a prompt's digests; parts without a position are left out."""
+    if prompt is None:
+        return []
+    parts = (positions[part] for part in prompt.parts if part in positions)
+    return [positions[prompt.service], positions[prompt.organisation], *parts]
+
 
 class CrashUpdate(msgspec.Struct, array_like=True, frozen=True, tag="q"):
     """What the sender knows about requests that may crash endpoints.
--- a/cleatlink/relay/peers/shared_quarantine.py
+++ b/cleatlink/relay/peers/shared_quarantine.py
@@ -5,6 +5,7 @@
 gets all of it.
 """
 
+import math
 import random
 from collections.abc import Iterator, Sequence
 
@@ -14,7 +15,9 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.quarantine import (
     CRASHES_TO_QUARANTINE,
+    NO_PROMPT,
     CrashReport,
+    PromptParts,
     Quarantine,
     QuarantineDecision,
     Suspect,
@@ -22,7 +25,7 @@
 )
 from cleatlink.relay.peers.messages import CrashItem, CrashUpdate
 from cleatlink.relay.peers.update_channel import UpdateChannel
-from cleatlink.relay.status import QuarantinedRequest
+from cleatlink.relay.status import QuarantinedParts, QuarantinedRequest
 
 __all__ = ["SharedQuarantine"]
 
@@ -34,6 +37,9 @@
 # others chosen at random.
 _MAX_NEWEST_REPEATED = 4
 _MAX_OTHERS_REPEATED = 4
+# Instances start the trial of parts of prompts at different moments within this time, in seconds,
+# so that one of them is the first and the others know it.
+_TRIAL_SPREAD_S = 5.0
 
 
 class SharedQuarantine(UpdateChannel):
@@ -48,8 +54,10 @@
         """
         self._name = name
         self._rng = rng
-        self._quarantine = Quarantine()
+        self._quarantine = Quarantine(_TRIAL_SPREAD_S * rng.random())
         self._changed_incarnations: set[str] = set()
+        # What this instance cleared and has not reported yet, by crashed incarnation.
+        self._new_clearances: dict[str, set[bytes]] = {}
         self._has_changes = trio.Event()
 
     @property
@@ -79,9 +87,31 @@
                 )
         return quarantined
 
-    def decide(self, identity: bytes) -> QuarantineDecision:
-        """Decide whether a request may run."""
-        return self._quarantine.decide(identity, trio.current_time())
+    def quarantined_parts(self) -> list[QuarantinedParts]:
+        """Return the parts of prompts that are in quarantine now, with the evidence."""
+        now = trio.current_time()
+        quarantined = []
+        for attribution in self._quarantine.evidence.part_attributions():
+            decision = self._quarantine.decide_by_parts(attribution, now)
+            if decision.is_quarantined:
+                quarantined.append(
+                    QuarantinedParts(
+                        parts=sorted(part.hex() for part in attribution.parts),
+                        endpoints=list(attribution.crashes.incarnations),
+                        last_ago_s=round(now - attribution.crashes.last_crash_at, 1),
+                        for_s=round(decision.retry_after_s, 1),
+                    )
+                )
+        return quarantined
+
+    def decide(self, identity: bytes, prompt: PromptParts = NO_PROMPT) -> QuarantineDecision:
+        """Decide whether a request may run.
+
+        Args:
+            identity: Identity of the request.
+            prompt: The parts of its prompt.
+        """
+        return self._quarantine.decide(identity, trio.current_time(), prompt)
 
     def record_crash(self, endpoint: RoutedEndpoint, requests: Sequence[Suspect]) -> None:
         """Record the crash of an endpoint with requests of this instance in progress.
@@ -91,7 +121,10 @@
             requests: The requests.
         """
         suspects = {request.identity: request.in_progress_s for request in requests}
-        if self._add_report(CrashReport(endpoint.name, 0.0, suspects)):
+        prompts = {
+            request.identity: request.prompt for request in requests if request.prompt != NO_PROMPT
+        }
+        if self._add_report(CrashReport(endpoint.name, 0.0, suspects, prompts=prompts)):
             self._queue_update(endpoint.name)
 
     def record_completed(self, identity: bytes) -> None:
@@ -106,8 +139,36 @@
         )
         self._queue_update(*incarnations)
 
+    def record_answering(
+        self, prompt: PromptParts, started_at: float, answered_s: float = math.inf
+    ) -> None:
+        """Record that the answer to a prompt goes on, which clears its parts of earlier crashes.
+
+        Args:
+            prompt: The prompt.
+            started_at: When the prompt was sent to its endpoint.
+            answered_s: Seconds for which the answer has been going on; infinite if it completed.
+        """
+        cleared = self._quarantine.evidence.clear_parts(prompt, started_at, answered_s)
+        if not cleared:
+            return
+        eliot.log_message(
+            message_type="quarantine: answer goes on; clearing parts of its prompt of crashes",
+            parts=sorted({part.hex() for parts in cleared.values() for part in parts}),
+            service=prompt.service.hex(),
+            crashes=len(cleared),
+            answered_s=None if answered_s == math.inf else round(answered_s, 3),
+        )
+        for incarnation, parts in cleared.items():
+            self._new_clearances.setdefault(incarnation, set()).update(parts)
+        self._has_changes.set()
+
     def begin_trial(self, identity: bytes) -> None:
-        """Record the start of the single trial of a request whose quarantine is over."""
+        """Record the start of the single trial of a request whose quarantine is over.
+
+        Args:
+            identity: Identity of the request, or key of the parts of its prompt.
+        """
         self._quarantine.begin_trial(identity, trio.current_time())
         eliot.log_message(
             message_type="quarantine: starting the trial of a request", asks=identity.hex()
@@ -118,8 +179,10 @@
         """Add a crash report to the evidence; return whether it contained anything new."""
         now = trio.current_time()
         before = self._quarantine.evidence.attributions()
+        blamed_before = self._blamed_parts()
         if not self._quarantine.add_report(report, now):
             return False
+        self._log_blamed_parts(blamed_before, now)
         for identity, attribution in self._quarantine.evidence.attributions().items():
             known = before.get(identity)
             is_new = known is None or known.independent_crashes < attribution.independent_crashes
@@ -133,6 +196,29 @@
                 )
         return True
 
+    def _blamed_parts(self) -> set[frozenset[bytes]]:
+        """Return the sets of parts to which enough crashes are attributed."""
+        return {
+            attribution.parts
+            for attribution in self._quarantine.evidence.part_attributions()
+            if attribution.crashes.independent_crashes >= CRASHES_TO_QUARANTINE
+        }
+
+    def _log_blamed_parts(self, known: set[frozenset[bytes]], now: float) -> None:
+        """Log the parts that are in quarantine from now on."""
+        for attribution in self._quarantine.evidence.part_attributions():
+            crashes = attribution.crashes
+            if crashes.independent_crashes < CRASHES_TO_QUARANTINE or attribution.parts in known:
+                continue
+            eliot.log_message(
+                message_type="quarantine: prompts with these parts are held back after crashes",
+                parts=sorted(part.hex() for part in attribution.parts),
+                crashes=crashes.independent_crashes,
+                endpoints=crashes.incarnations,
+                organisations=len(attribution.organisations),
+                for_s=round(self._quarantine.decide_by_parts(attribution, now).retry_after_s, 1),
+            )
+
     def _queue_update(self, *incarnations: str) -> None:
         self._changed_incarnations.update(incarnations)
         self._has_changes.set()
@@ -143,7 +229,15 @@
         await trio.sleep(_GATHER_S)
         self._has_changes = trio.Event()
         changed, self._changed_incarnations = self._changed_incarnations, set()
-        return self._messages(sorted(changed))
+        clearances, self._new_clearances = self._new_clearances, {}
+        now = trio.current_time()
+        reports = [self._quarantine.evidence.crash_report(item, now) for item in sorted(changed)]
+        reports += [
+            self._quarantine.evidence.clearance_report(incarnation, parts, now)
+            for incarnation, parts in sorted(clearances.items())
+            if incarnation not in changed and parts
+        ]
+        return self._messages_with(reports)
 
     def repeated_messages(self) -> list[CrashUpdate]:
         """Return the evidence that a heartbeat repeats to a few peers."""
@@ -162,9 +256,12 @@
 
     def _messages(self, incarnations: list[str]) -> list[CrashUpdate]:
         now = trio.current_time()
-        reports = [
-            self._quarantine.evidence.crash_report(incarnation, now) for incarnation in incarnations
-        ]
+        return self._messages_with(
+            [self._quarantine.evidence.crash_report(item, now) for item in incarnations]
+        )
+
+    def _messages_with(self, reports: list[CrashReport | None]) -> list[CrashUpdate]:
+        now = trio.current_time()
         items = [CrashItem.from_report(report) for report in reports if report is not None]
         trials = [(trial.identity, trial.age_s) for trial in self._quarantine.active_trials(now)]
         parts = list(_split(items)) or ([[]] if trials else [])
@@ -173,6 +270,10 @@
     def record_update(self, update: CrashUpdate) -> None:
         """Add the evidence and the trials that a peer reported."""
         for item in update.crashes:
+            # A peer has told everyone already.
+            self._new_clearances.get(item.endpoint_incarnation, set()).difference_update(
+                item.cleared
+            )
             self._add_report(item.to_report())
         trials = (Trial(identity, age_s) for identity, age_s in update.trials)
         self._quarantine.add_peer_trials(trials, trio.current_time())
--- a/cleatlink/relay/status.py
+++ b/cleatlink/relay/status.py
@@ -4,7 +4,7 @@
 
 from cleatlink.relay.peers.snapshots import SnapshotPart
 
-__all__ = ["QuarantinedRequest", "InstanceState", "InstanceStatus"]
+__all__ = ["QuarantinedParts", "QuarantinedRequest", "InstanceState", "InstanceStatus"]
 
 
 class QuarantinedRequest(TypedDict):
@@ -23,6 +23,22 @@
     for_s: float
 
 
+class QuarantinedParts(TypedDict):
+    """Parts of prompts in quarantine; a prompt that contains all of them is refused.
+
+    Attributes:
+        parts: Digests of the parts, as in the log.
+        endpoints: Incarnations of endpoints that crashed during requests with these parts.
+        last_ago_s: Seconds since the last of these crashes.
+        for_s: Seconds until a request with these parts may be tried.
+    """
+
+    parts: list[str]
+    endpoints: list[str]
+    last_ago_s: float
+    for_s: float
+
+
 class InstanceStatus(TypedDict):
     """The current status of an instance.
 
@@ -37,6 +53,7 @@
         instances: Number of instances whose heartbeats arrive, this one included.
         leads: Whether the instance is the leader, which gives orders to the others.
         quarantine: Requests in quarantine.
+        quarantined_parts: Parts of prompts in quarantine.
         leaving: Incarnations of endpoints that accept no new work, with the first source of that
             notice.
         limits: Calls per second that endpoints accept from all instances, by incarnation.
@@ -53,6 +70,7 @@
     instances: int
     leads: bool
     quarantine: list[QuarantinedRequest]
+    quarantined_parts: list[QuarantinedParts]
     leaving: dict[str, str]
     limits: dict[str, float]
     unreachable: list[str]
