A common request is not quarantined for the crashes of others

It was in progress at six crashes that parts of other prompts caused, and only a completed answer cleared a request, which none reached in between.

Cause: the evidence against a request ignored that the service answered nothing at all meanwhile, and that its own answers went on.

Change: a crash is attributed to a request only if the request's count is above that of its service, as for parts; and an answer that goes on for twice as long as the request had been in progress at any of its crashes clears it, before it completes. The longest of its crashes counts, since copies of it can overlap; parts keep the shortest of the crash itself.

--- a/cleatlink/quarantine/attribution.py
+++ b/cleatlink/quarantine/attribution.py
@@ -82,7 +82,8 @@
 
     A crash whose highest count is shared by several requests is attributed to none. Otherwise
     innocent requests would be quarantined: of six requests that were retried beside another
-    that crashed endpoints, some shared its first three crashes and were refused with it.
+    that crashed endpoints, some shared its first three crashes and were refused with it. Nor is
+    it attributed while the service has that count.
 
     Args:
         crashes: The crashes, by the incarnation that crashed.
@@ -98,7 +99,7 @@
         top_requests = [item for item in crash.suspects if request_counts[item] == highest]
         if parts:
             by_parts[parts].append((incarnation, crash))
-        elif len(top_requests) == 1:
+        elif len(top_requests) == 1 and highest > _service_count(crash, part_counts):
             by_request[top_requests[0]].append((incarnation, crash))
     return Attributions(
         request_counts,
@@ -123,12 +124,17 @@
     services = {prompt.service for prompt in crash.prompts.values()}
     parts = suspected - services
     highest = max((counts[part] for part in parts), default=0)
-    service_count = max((counts[item] for item in services & suspected), default=0)
-    if highest <= service_count or highest < min_count:
+    if highest <= _service_count(crash, counts) or highest < min_count:
         return frozenset()
     return frozenset(part for part in parts if counts[part] == highest)
 
 
+def _service_count(crash: Crash, counts: Counter[bytes]) -> int:
+    """Return the count of the service of a crash's prompts; 0 if it is cleared or unknown."""
+    services = {prompt.service for prompt in crash.prompts.values()}
+    return max((counts[item] for item in services & crash.requests_by_part().keys()), default=0)
+
+
 def _attribute_request(request: bytes, crashes: Sequence[_NamedCrash]) -> CrashAttribution:
     count = _count_requests([crash for _, crash in crashes])[request]
     return _summarise(crashes, count)
--- a/cleatlink/quarantine/crash.py
+++ b/cleatlink/quarantine/crash.py
@@ -5,14 +5,14 @@
 
 from cleatlink.quarantine.prompts import MAX_PARTS, PromptParts
 
-__all__ = ["Crash", "CrashReport"]
+__all__ = ["Crash", "CrashReport", "outliving_s"]
 
 # Requests kept for one crash: twice the number that large engines run at once.
 _MAX_REQUESTS = 128
 # Requests, services and parts kept as cleared of one crash.
 _MAX_CLEARED = 512
-# A part is cleared by an answer that has been going on for this many times as long as its youngest
-# request had been in progress at the crash, and for this minimum time in seconds.
+# What was in progress at a crash is cleared by an answer that has been going on for this many times
+# as long as it had been in progress, and for this minimum time in seconds.
 _OUTLIVED_FACTOR = 2.0
 _MIN_OUTLIVED_S = 0.5
 
@@ -116,7 +116,7 @@
             part
             for part in (prompt.service, *prompt.parts)
             if part in requests_by_part
-            and answered_s >= _OUTLIVED_FACTOR * min(requests_by_part[part].values())
+            and answered_s >= outliving_s(min(requests_by_part[part].values()))
         )
 
     def requests_by_part(self) -> dict[bytes, dict[bytes, float]]:
@@ -134,3 +134,12 @@
                         requests[request] = self.suspects[request]
             self._requests_by_part = requests_by_part
         return self._requests_by_part
+
+
+def outliving_s(in_progress_s: float) -> float:
+    """Return the seconds after which an answer clears what was in progress at a crash.
+
+    Args:
+        in_progress_s: Seconds for which it had been in progress.
+    """
+    return max(_MIN_OUTLIVED_S, _OUTLIVED_FACTOR * in_progress_s)
--- a/cleatlink/quarantine/evidence.py
+++ b/cleatlink/quarantine/evidence.py
@@ -32,7 +32,7 @@
     PartAttribution,
     attribute_crashes,
 )
-from cleatlink.quarantine.crash import Crash, CrashReport
+from cleatlink.quarantine.crash import Crash, CrashReport, outliving_s
 from cleatlink.quarantine.prompts import PromptParts
 
 __all__ = ["CrashEvidence"]
@@ -95,26 +95,30 @@
             self._attributions = None
         return incarnations
 
-    def clear_parts(
-        self, prompt: PromptParts, started_at: float, answered_s: float
+    def clear_answered(
+        self, identity: bytes, prompt: PromptParts, started_at: float, answered_s: float
     ) -> dict[str, frozenset[bytes]]:
-        """Clear the parts of a prompt of earlier crashes, because its answer goes on.
+        """Clear a request and the parts of its prompt of earlier crashes: its answer goes on.
 
         Args:
-            prompt: The prompt.
+            identity: Identity of the request.
+            prompt: The parts of its prompt.
             started_at: When it was sent to its endpoint; only crashes before that are considered.
             answered_s: Seconds for which its answer has been going on; infinite if it completed.
 
         Returns:
-            The parts that are no longer suspects, by the crashed incarnation.
+            What is no longer suspected, by the crashed incarnation.
         """
-        if not self.is_part_suspected(prompt):
+        if not (self.suspicion(identity) or self.is_part_suspected(prompt)):
             return {}
+        is_request_cleared = answered_s >= self._outliving_s(identity)
         cleared: dict[str, frozenset[bytes]] = {}
         for incarnation, crash in self._crashes.items():
             if crash.crashed_at >= started_at:
                 continue
             outlived = crash.outlived_parts(prompt, answered_s)
+            if is_request_cleared and identity in crash.suspects:
+                outlived |= {identity}
             if outlived:
                 crash.clear(outlived)
                 cleared[incarnation] = outlived
@@ -122,6 +126,15 @@
             self._attributions = None
         return cleared
 
+    def _outliving_s(self, identity: bytes) -> float:
+        """Return the seconds after which an answer to a request clears it of its crashes.
+
+        Copies of a request can be in progress at the same time, so that the youngest one had just
+        begun when another one caused the crash. Its other crashes show how long it runs by then.
+        """
+        seconds = (crash.suspects.get(identity, 0.0) for crash in self._crashes.values())
+        return outliving_s(max(seconds, default=0.0))
+
     def remove_expired(self, now: float) -> None:
         """Remove crashes that are older than the retention time."""
         expired = [
@@ -138,6 +151,14 @@
         """Return how many crashes count against a request, without those it is cleared of."""
         return self._attribute().request_counts[identity]
 
+    def unexplained_crashes(self, service: bytes) -> int:
+        """Return how many crashes no answer of a service has followed that went on.
+
+        Args:
+            service: Digest of the service.
+        """
+        return self._attribute().part_counts[service]
+
     def is_part_suspected(self, prompt: PromptParts) -> bool:
         """Check whether a crash counts against a part of a prompt or its service."""
         counts = self._attribute().part_counts
--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -253,14 +253,16 @@
             self._components.quarantine.record_completed(self.identity)
 
     def note_answering(self, answered_s: float = math.inf) -> None:
-        """Record that an answer goes on, which clears the parts of its prompt of earlier crashes.
+        """Record that an answer goes on, which clears it of earlier crashes.
 
         Args:
             answered_s: Seconds since the first event of this run; infinite if it completed.
         """
         quarantine = self._components.quarantine
         if not quarantine.is_empty:
-            quarantine.record_answering(self.prompt, self._last_started_at, answered_s)
+            quarantine.record_answering(
+                self.identity, self.prompt, self._last_started_at, answered_s
+            )
 
     def may_send(self, endpoint: RoutedEndpoint) -> bool:
         """Check whether the route's maximum of attempts allows the call to go to an endpoint."""
--- a/cleatlink/relay/peers/shared_quarantine.py
+++ b/cleatlink/relay/peers/shared_quarantine.py
@@ -140,27 +140,29 @@
         self._queue_update(*incarnations)
 
     def record_answering(
-        self, prompt: PromptParts, started_at: float, answered_s: float = math.inf
+        self, identity: bytes, prompt: PromptParts, started_at: float, answered_s: float = math.inf
     ) -> None:
-        """Record that the answer to a prompt goes on, which clears its parts of earlier crashes.
+        """Record that an answer goes on, which clears its request and prompt of earlier crashes.
 
         Args:
-            prompt: The prompt.
-            started_at: When the prompt was sent to its endpoint.
+            identity: Identity of the request.
+            prompt: The parts of its prompt.
+            started_at: When it was sent to its endpoint.
             answered_s: Seconds for which the answer has been going on; infinite if it completed.
         """
-        cleared = self._quarantine.evidence.clear_parts(prompt, started_at, answered_s)
+        cleared = self._quarantine.evidence.clear_answered(identity, prompt, started_at, answered_s)
         if not cleared:
             return
         eliot.log_message(
-            message_type="quarantine: answer goes on; clearing parts of its prompt of crashes",
-            parts=sorted({part.hex() for parts in cleared.values() for part in parts}),
+            message_type="quarantine: answer goes on; clearing its prompt of earlier crashes",
+            asks=identity.hex(),
+            cleared=sorted({item.hex() for items in cleared.values() for item in items}),
             service=prompt.service.hex(),
             crashes=len(cleared),
             answered_s=None if answered_s == math.inf else round(answered_s, 3),
         )
-        for incarnation, parts in cleared.items():
-            self._new_clearances.setdefault(incarnation, set()).update(parts)
+        for incarnation, items in cleared.items():
+            self._new_clearances.setdefault(incarnation, set()).update(items)
         self._has_changes.set()
 
     def begin_trial(self, identity: bytes) -> None:
