Prompts run apart while crashes of their service are not explained

Cause: requests are separated only once one of them is suspected, and none can be while no answer of the service goes on.

Change: from three crashes of different requests on that no answer has followed, all prompts of the service count as suspects of two crashes or more, which never share an endpoint. The next crash then has one request, and a sound one is alone and gets on, which ends this state.

--- a/cleatlink/quarantine/decision.py
+++ b/cleatlink/quarantine/decision.py
@@ -109,6 +109,11 @@
         ]
         decisions = [self._decide_by_request(identity, now), *by_parts]
         suspicion = max(decision.suspicion for decision in decisions)
+        unexplained_crashes = self.evidence.unexplained_crashes(prompt.service)
+        if unexplained_crashes >= CRASHES_TO_QUARANTINE:
+            # All prompts of the service run apart, so that the next crash shows its cause, and an
+            # answer goes on that clears the others.
+            suspicion = max(suspicion, unexplained_crashes)
         strictest = max(decisions, key=_strictness)
         return strictest._replace(suspicion=suspicion)
 
--- a/cleatlink/quarantine/part_attribution_test.py
+++ b/cleatlink/quarantine/part_attribution_test.py
@@ -155,6 +155,13 @@
     assert quarantine.decide(b"late", 5.0, prompt(SHARED)).is_quarantined
 
 
+def test_prompts_run_apart_while_no_answer_of_their_service_goes_on() -> None:
+    quarantine = collect(*(crash_report(number, prompt(SHARED, BAD)) for number in range(3)))
+    assert quarantine.decide(b"new", 5.0, prompt(RARE)).suspicion == 3
+    answer(quarantine, prompt(SHARED), 2.5)
+    assert not quarantine.decide(b"new", 5.0, prompt(RARE)).suspicion
+
+
 def test_crashes_of_one_organisation_hold_back_its_own_prompts_only() -> None:
     quarantine = collect(*(crash_report(number, prompt(SHARED, BAD)) for number in range(3)))
     answer(quarantine, prompt(SHARED), 2.5)
