--- a/cleatlink/analysis/report.py
+++ b/cleatlink/analysis/report.py
@@ -10,6 +10,7 @@
 from cleatlink.analysis.log_reader import LogLine, LogReader
 from cleatlink.analysis.organisations import OrganisationRow, OrganisationTable
 from cleatlink.analysis.outcomes import Outcome, OutcomeTable, RouteSecond
+from cleatlink.analysis.prompt_parts import PartRow, PartTable
 from cleatlink.analysis.sampling import ReservoirSample
 
 __all__ = ["Report", "Table", "render_html", "render_text"]
@@ -44,6 +45,7 @@
         self.outcomes = OutcomeTable(self.organisations.count)
         self.engines = EngineTable()
         self.crashes = CrashTable()
+        self.prompt_parts = PartTable()
 
     def add(self, line: LogLine) -> None:
         """Add a log line to all tables."""
@@ -51,6 +53,7 @@
         self.outcomes.add(line)
         self.engines.add(line)
         self.crashes.add(line)
+        self.prompt_parts.add(line)
 
     def tables(self, reader: LogReader) -> list[Table]:
         """Return all tables; call this after the last line was added.
@@ -65,6 +68,7 @@
             _count_table("Refusals by kind and detail", self.outcomes.refusals),
             _organisation_table(self.organisations.rows()),
             _suspect_table(self.crashes.rows()),
+            _part_table(self.prompt_parts.rows()),
             _count_table("Retries after a refusal, by outcome", self.outcomes.retry_outcomes),
             _count_table("Wasted prefills by cause", self.outcomes.wasted_prefills),
             _count_table("Reservation requests by result", self.engines.reservation_results),
@@ -157,6 +161,26 @@
     )
 
 
+def _part_table(rows: Iterable[PartRow]) -> Table:
+    table_rows = [
+        (
+            row.part,
+            row.name,
+            str(row.endpoint_count),
+            str(row.request_count),
+            "" if row.quarantined_at is None else f"{row.quarantined_at:.1f}",
+            *(str(value or "") for value in (row.refusal_count, row.clearance_count)),
+        )
+        for row in rows
+    ]
+    header = ("part", "name", "crashed endpoints", "requests", "quarantined at")
+    return Table(
+        "Parts of prompts in progress at crashes",
+        (*header, "refused attempts", "cleared"),
+        table_rows,
+    )
+
+
 def _count_table(title: str, counts: Counter[str] | Counter[Outcome]) -> Table:
     rows: list[Sequence[str]] = [(str(name), str(count)) for name, count in counts.most_common()]
     return Table(title, ("what", "count"), rows)
--- a/cleatlink/analysis/report_test.py
+++ b/cleatlink/analysis/report_test.py
@@ -206,3 +206,27 @@
     assert row.quarantined_at is not None
     assert row.first_crash_at < row.last_crash_at <= row.quarantined_at
     assert row.identity in render_text(read(log).tables(LogReader([log])))
+
+
+async def test_parts_of_prompts_at_crashes_are_listed_with_quarantine_decisions(log: Path) -> None:
+    async with open_fleet() as fleet:
+        workers = [Worker("model", "prefill"), *(Worker("model", "decode") for _ in range(3))]
+        for worker in workers:
+            worker.crash_parts = frozenset({"bad1"})
+            fleet.restart_after_crashes(worker, 0.1)
+        await start(fleet, *workers)
+        for number in range(8):
+            for part in ("50d1", "bad1"):
+                prompt = f"aaaa:10,{part}:10,{number:08x}:10"
+                headers = {"Token-Counts": "100,50", "Model": "m", "Prompt-Prefix": prompt}
+                body = f"{part} {number}".encode()
+                await fleet.caller().ask("/stream/x", "POST", body=body, headers=headers)
+                await trio.sleep(0.2)
+    report = read(log)
+    by_name = {row.name: row for row in report.prompt_parts.rows()}
+    assert by_name["bad1"].endpoint_count == by_name["bad1"].request_count == 3
+    assert by_name["bad1"].refusal_count == 5
+    assert by_name["bad1"].quarantined_at is not None
+    assert by_name["aaaa"].quarantined_at is None
+    assert by_name["aaaa"].clearance_count
+    assert by_name["bad1"].part in render_text(report.tables(LogReader([log])))
