--- a/standins/relay/raw_server.py
+++ b/standins/relay/raw_server.py
@@ -2,12 +2,13 @@
 
 import math
 import socket
+import struct
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
 import trio
 
-__all__ = ["RawCall", "RawServer", "answer", "chunk", "close_connections"]
+__all__ = ["RawCall", "RawServer", "answer", "chunk", "close_connections", "reset"]
 
 _READ_BYTES = 65_536
 # Maximum number of body bytes per read; a simulated slow link pauses after each read.
@@ -47,6 +48,9 @@
         # Whether it serves new connections; if not, it closes each at once, like a server that
         # has reached its connection limit.
         self.accepts_connections = True
+        # Whether its end resets connections also where all data was read. Otherwise the end of a
+        # connection looks like that of a response without a length.
+        self.resets_on_close = False
         # Rate at which bodies are read, to simulate a slow link.
         self.link_bytes_per_s = math.inf
         # Size of the kernel's receive buffer, set before the start; None keeps the default size.
@@ -80,6 +84,8 @@
         if self._listener is not None:
             self._listener.socket.close()
         for stream in list(self._streams):
+            if self.resets_on_close:
+                reset(stream)
             stream.socket.close()
 
     @abstractmethod
@@ -160,6 +166,13 @@
             stream.socket.close()
 
 
+def reset(stream: trio.SocketStream) -> None:
+    """Reset a connection."""
+    if stream.socket.fileno() != -1:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        stream.socket.close()
+
+
 async def close_connections(port: int) -> None:
     """Accept connections at a port and close each at once, like a proxy without a backend."""
     (listener,) = await trio.open_tcp_listeners(port, host="127.0.0.1")
@@ -169,9 +182,20 @@
             stream.socket.close()
 
 
-def answer(status: int, headers: dict[str, str], body: bytes = b"") -> bytes:
-    """Build a complete response with a Content-Length header."""
-    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+def answer(
+    status: int, headers: dict[str, str], body: bytes = b"", *, has_length: bool = True
+) -> bytes:
+    """Build a complete response.
+
+    Args:
+        status: Status of the response.
+        headers: Headers of the response.
+        body: Body of the response.
+        has_length: Whether it has a Content-Length header; without one, its end is that of the
+            connection.
+    """
+    lines = [f"HTTP/1.1 {status} X"]
+    lines += [f"Content-Length: {len(body)}"] if has_length else []
     lines += [f"{name}: {value}" for name, value in headers.items()]
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -13,7 +13,7 @@
 import trio
 
 from standins.relay.extra_arrivals import WorkerArrival
-from standins.relay.raw_server import LAST_CHUNK, RawCall, RawServer, answer, chunk
+from standins.relay.raw_server import LAST_CHUNK, RawCall, RawServer, answer, chunk, reset
 from standins.relay.stream_builds import mark_event
 
 __all__ = ["Fault", "Run", "Worker", "prompt_parts"]
@@ -116,6 +116,8 @@
         # but the first.
         self.response_parts = 1
         self.part_pause_s = 0.0
+        # Whether responses have neither a length nor chunks, and end with their connection.
+        self.ends_with_connection = False
         # Start time of this incarnation, in milliseconds; 0 if the worker does not report it.
         self.born = 0
         # Marker in a call's body or target: running such a call crashes the worker after
@@ -181,11 +183,9 @@
             handle = call.path.rpartition("/")[2]
             self.deleted_handles.append(handle)
             self.handles.pop(handle, None)
-            await stream.send_all(answer(200, self._notice_headers()))
-            return True
+            return await self._send_answer(stream, 200, self._notice_headers())
         if call.path.startswith("/hold-"):
-            await stream.send_all(self._serve_reservation(call))
-            return True
+            return await self._serve_reservation(call, stream)
         if call.path == "/order":
             status = self._accept_role_change(json.loads(call.body))
             await stream.send_all(answer(status, self._notice_headers()))
@@ -207,8 +207,7 @@
         fault = self.faults.pop(0) if self.faults else None
         if fault is Fault.FULL or self.leaving or self.rejects_work:
             headers = {"Not-Executed": "1", **self._notice_headers(), **self._backoff_headers()}
-            await stream.send_all(answer(503, headers))
-            return True
+            return await self._send_answer(stream, 503, headers)
         if fault is Fault.RESET_BEFORE:
             return False
         if call.headers.get("stage") == "prefill":
@@ -216,11 +215,19 @@
         if self.crash_marker is not None and self.crash_marker in call.body + call.target.encode():
             return await self._crash(call)
         if self.stage == "decode":
-            if self.crash_parts.intersection(prompt_parts(call)[:-1]):
+            if self.crashes_on_prompt(call):
                 return await self._crash(call)
             return await self._serve_decode(call, stream, fault)
         return await self._serve_plain(call, stream, fault)
 
+    async def _send_answer(
+        self, stream: trio.SocketStream, status: int, headers: dict[str, str], body: bytes = b""
+    ) -> bool:
+        """Send a complete response; return whether the connection stays open after it."""
+        has_length = not self.ends_with_connection
+        await self._send_in_parts(answer(status, headers, body, has_length=has_length), stream)
+        return has_length
+
     def _notice_headers(self) -> dict[str, str]:
         """Return the headers of its notices, which any response may have."""
         headers = {"Server-Leaving": "1", "Connection": "close"} if self.announces_leaving else {}
@@ -236,6 +243,10 @@
             else {"Retry-After": f"{self.requested_backoff_s:g}"}
         )
 
+    def crashes_on_prompt(self, call: RawCall) -> bool:
+        """Check whether a part of a call's prompt crashes the worker."""
+        return not self.crash_parts.isdisjoint(prompt_parts(call)[:-1])
+
     async def _crash(self, call: RawCall) -> bool:
         """Crash while running a request; all other runs of the worker end, too."""
         self.runs.append(Run(call.headers["attempt-id"], call, trio.current_time()))
@@ -244,23 +255,25 @@
         self.crashed.set()
         return False
 
-    def _serve_reservation(self, call: RawCall) -> bytes:
+    async def _serve_reservation(self, call: RawCall, stream: trio.SocketStream) -> bool:
         """Create or cancel a reservation of memory, called a hold in the protocol."""
         if not self.offers_reservations:
-            return answer(404, {})
+            return await self._send_answer(stream, 404, {})
         if call.method == "DELETE":
             name = call.path.rpartition("/")[2]
             self.cancelled_reservations.append(name)
             self.reservations.pop(name, None)
-            return answer(200, {})
+            return await self._send_answer(stream, 200, {})
         tokens = int(json.loads(call.body)["tokens"])
         if self.rejects_work or sum(self.reservations.values()) + tokens > self.reservable_tokens:
             self.rejected_reservations += 1
-            return answer(503, {**self._notice_headers(), **self._backoff_headers()})
+            headers = {**self._notice_headers(), **self._backoff_headers()}
+            return await self._send_answer(stream, 503, headers)
         name = f"hold{len(self.granted_reservation_tokens)}{self.name}"
         self.granted_reservation_tokens.append(tokens)
         self.reservations[name] = tokens
-        return answer(200, self._notice_headers(), json.dumps({"hold": name}).encode())
+        body = json.dumps({"hold": name}).encode()
+        return await self._send_answer(stream, 200, self._notice_headers(), body)
 
     def _accept_role_change(self, order: dict[str, Any]) -> int:
         """Accept or reject an order to change the role; the test decides when it takes effect.
@@ -294,8 +307,8 @@
         handle = f"h{len(self.handles) + len(self.deleted_handles)}{self.name}"
         self.handles[handle] = trio.current_time()
         value = {"prefill_handle": handle, "tokens": 10, "version": 1}
-        await stream.send_all(answer(200, self._signed_headers(call), json.dumps(value).encode()))
-        return True
+        body = json.dumps(value).encode()
+        return await self._send_answer(stream, 200, self._signed_headers(call), body)
 
     async def _run(self, call: RawCall, stream: trio.SocketStream, work_s: float) -> Run | None:
         """Run a request; return None if its connection closed in the meantime."""
@@ -340,14 +353,17 @@
             headers["Attempt-Id"] = "another"
         if fault is Fault.UNSIGNED:
             del headers["Server-Stamp"]
-        data = answer(status, headers, body)
+        has_length = not self.ends_with_connection
+        data = answer(status, headers, body, has_length=has_length)
         if fault is Fault.TRUNCATED:
             await stream.send_all(data[:-2])
+            if not has_length:
+                reset(stream)
             return False
-        if fault is Fault.EXTRA_RESPONSE:
+        if fault is Fault.EXTRA_RESPONSE and has_length:
             data += answer(200, {**headers, "Attempt-Id": "another"}, b"late")
         await self._send_in_parts(data, stream)
-        return True
+        return has_length
 
     async def _send_in_parts(self, data: bytes, stream: trio.SocketStream) -> None:
         size = math.ceil(len(data) / self.response_parts)
@@ -373,7 +389,10 @@
         self.runs.append(run)
         if fault is Fault.NO_RESPONSE:
             await trio.sleep_forever()
-        lines = ["HTTP/1.1 200 X", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        lines = ["HTTP/1.1 200 X", "Content-Type: text/event-stream"]
+        has_chunks = not self.ends_with_connection
+        lines += ["Transfer-Encoding: chunked"] if has_chunks else []
+        encode = chunk if has_chunks else bytes
         lines += [f"{name}: {value}" for name, value in self._signed_headers(call).items()]
         try:
             await stream.send_all(("\r\n".join(lines) + "\r\n\r\n").encode())
@@ -383,11 +402,13 @@
                     await trio.sleep(self.silent_s)
                 event = b"id: %d\ndata: %s %d\n\n" % (number, run.request.encode(), number)
                 if fault is Fault.TRUNCATED and number == self.events // 2 + 1:
-                    await stream.send_all(chunk(event[:7]))
+                    await stream.send_all(encode(event[:7]))
                     return False
                 if self.marks_events:
                     event = mark_event(event, self.build)
-                await stream.send_all(chunk(event))
+                await stream.send_all(encode(event))
+            if not has_chunks:
+                return False
             await stream.send_all(LAST_CHUNK)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             run.connection_closed = True
