--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -74,7 +74,8 @@
         # Number of the event before which a stream pauses for ``silent_s``; None disables this.
         self.silent_from_event: int | None = None
         self.silent_s = math.inf
-        self.faults: list[Fault] = []
+        # How it mishandles the next requests, one item each; None handles one properly.
+        self.faults: list[Fault | None] = []
         self.runs: list[Run] = []
         self.arrivals: list[RawCall] = []
         # The same arrivals with their times, to count them against the retry budget.
