Soak: prompt parts that crash workers, answers that end with their connection, skewed connections

Two checks for parts: late runs after the fifth crash (3 allowed) and the share of other streams that begin; one for skewed connections, from 3 s on. Each check fails for a constructed history. Links reset connections instead of closing them, since an answer may end with its connection: a closed one would make half an answer look whole.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+from soak.connection_checks import check_skewed_connections
 from soak.notice_checks import check_announced_limits, check_backoffs, check_leaving_notices
+from soak.prompt_checks import check_crashing_parts, check_sound_prompts
 from soak.records import Arrival, History, LostPaths, Request, RequestKind, RouteMove
 from soak.violations import DRAIN_S, SLACK_S, Violation
 from standins.relay.extra_arrivals import BudgetLimits, SentRequest, find_fullest_window
@@ -449,7 +451,8 @@
     """Check that a request that crashed three workers crashes only few more."""
     by_body: dict[str, list[float]] = defaultdict(list)
     for run in history.crashes:
-        by_body[run.body].append(run.at)
+        if run.body:
+            by_body[run.body].append(run.at)
     for body, times in by_body.items():
         times.sort()
         late = [at for at in times if at > times[min(2, len(times) - 1)] + CATCH_UP_S]
@@ -535,6 +538,9 @@
     "keys in force": _check_keys,
     "limits hold over all": _check_organisation_limits,
     "requests that crash workers stop": _check_crashing_requests,
+    "parts of prompts that crash workers stop": check_crashing_parts,
+    "other prompts go on": check_sound_prompts,
+    "most connections at one instance cost no answers": check_skewed_connections,
     "a lost path costs no answers": _check_lost_paths,
     "it goes on": _check_liveness,
 }
--- a/soak/checks_test.py
+++ b/soak/checks_test.py
@@ -9,6 +9,7 @@
     AnnouncedWorkerLimit,
     Arrival,
     CallerIdentity,
+    CrashingPart,
     CrashingRun,
     Disturbance,
     History,
@@ -20,6 +21,7 @@
     RequestedBackoff,
     RequestKind,
     RouteMove,
+    SkewedConnections,
     Stop,
     Withdrawal,
     WorkerLeavingNotice,
@@ -60,6 +62,26 @@
     "requests that crash workers stop": EMPTY_HISTORY._replace(
         crashes=tuple(CrashingRun("crash-1", f"i-{at}", 10.0 + at) for at in (0, 1, 2, 6, 7, 8, 9))
     ),
+    "parts of prompts that crash workers stop": EMPTY_HISTORY._replace(
+        crashes=tuple(
+            CrashingRun("", f"i-{at}", 10.0 + at, "bad1") for at in (0, 1, 2, 3, 4, 8, 9, 10, 11)
+        )
+    ),
+    "other prompts go on": EMPTY_HISTORY._replace(
+        crashes=(CrashingRun("", "i-1", 10.0, "bad1"),),
+        crashing_parts=(CrashingPart("bad1", 10.0, 30.0),),
+        requests=[
+            STREAM._replace(sent_at=at, status=status, retry_after="1")
+            for at, status in (*((40.0, 200),) * 20, *((17.0, 503),) * 11, *((17.0, 200),) * 9)
+        ],
+    ),
+    "most connections at one instance cost no answers": EMPTY_HISTORY._replace(
+        skewed_connections=(SkewedConnections(1, 45.0, 60.0),),
+        requests=[
+            SUCCESS._replace(sent_at=at, status=status, retry_after="1")
+            for at, status in (*((44.0, 200),) * 20, *((50.0, 503),) * 6, *((50.0, 200),) * 14)
+        ],
+    ),
     "at most once": EMPTY_HISTORY._replace(requests=[UNSAFE], runs=[run("r1"), run("r1")]),
     "'not run' is true": EMPTY_HISTORY._replace(
         requests=[UNSAFE._replace(status=503, retry_after="1")], runs=[run("r1")]
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -3,9 +3,11 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 import trio
 
+from soak.crashing_parts import send_prompts_with_crashing_part
 from soak.fault_schedule import ORGANISATION_KINDS, FaultKind, PlannedFault
 from soak.fleet import SoakFleet
 from soak.link import Link, LinkFault
@@ -14,6 +16,7 @@
     AnnouncedWorkerLimit,
     LostPaths,
     RequestedBackoff,
+    SkewedConnections,
     Stop,
     Withdrawal,
     WorkerLeavingNotice,
@@ -86,6 +89,10 @@
 _EXTRA_FAILURE_S = 3.0
 _FAILURE_COUNT = 500
 _SERVICE_FAULTS = (Fault.FULL, Fault.ERROR, Fault.RESET_BEFORE)
+# Number of parts of prompts that crash workers at the same time.
+_MAX_CRASHING_PARTS = 2
+# Seconds by which a skew of connections lasts longer than other faults.
+_EXTRA_SKEW_S = 5.0
 _STORE_MODES = {
     FaultKind.STORE_BUSY: StoreMode.BUSY,
     FaultKind.STORE_SILENT: StoreMode.SILENT,
@@ -122,6 +129,8 @@
         FaultKind.UPGRADE,
         FaultKind.KEY,
         FaultKind.LIMIT,
+        FaultKind.WORKER_UNFRAMED,
+        FaultKind.CONNECTIONS_SKEWED,
     }
 )
 
@@ -162,14 +171,11 @@
             await self._roll_instances(fault)
         elif kind is FaultKind.INSTANCE_HERD:
             await self._kill_herd(fault)
-        elif kind is FaultKind.WORKERS_FAIL:
-            await self._inject_exclusively("workers", fault, self._fail_workers)
         elif kind is FaultKind.UPGRADE:
             await self._upgrade_instances(fault)
-        elif kind is FaultKind.CRASHING_REQUEST:
-            await self._inject_exclusively(
-                f"request {fault.target}", fault, self._send_crashing_requests
-            )
+        elif kind in _NAMED_ACTIONS:
+            named = _NAMED_ACTIONS[kind]
+            await self._inject_exclusively(named.target_name(fault), fault, named.action(self))
         elif kind in _INSTANCE_ACTIONS:
             await self._inject_exclusively(
                 self._pick_instance(fault).name, fault, _INSTANCE_ACTIONS[kind](self)
@@ -437,6 +443,26 @@
                 caller.close()
             await trio.sleep(_CRASHING_REQUEST_INTERVAL_S)
 
+    async def _send_crashing_part(self, fault: PlannedFault) -> None:
+        await send_prompts_with_crashing_part(self._fleet, self._rng, fault.target)
+
+    async def _skew_connections(self, fault: PlannedFault) -> None:
+        """Make most callers connect to one instance."""
+        instance, began_at = self._pick_instance(fault), trio.current_time()
+        self._fleet.preferred_instance = instance
+        await trio.sleep(_EXTRA_SKEW_S + fault.duration_s)
+        self._fleet.preferred_instance = None
+        self._fleet.skewed_connections.append(
+            SkewedConnections(instance.number, began_at, trio.current_time())
+        )
+
+    async def _send_unframed_responses(self, fault: PlannedFault) -> None:
+        """Make a worker's responses end with their connection for a while."""
+        worker = self._pick_worker(fault)
+        worker.ends_with_connection = True
+        await trio.sleep(fault.duration_s)
+        worker.ends_with_connection = False
+
     async def _inject_worker_faults(self, fault: PlannedFault) -> None:
         worker = self._pick_worker(fault)
         worker_faults = _STREAM_FAULTS if worker.stage else _WORKER_FAULTS
@@ -547,4 +573,34 @@
     FaultKind.WORKER_WORD: lambda injector: injector._announce_leaving_in_responses,
     FaultKind.WORKER_REST: lambda injector: injector._request_backoff,
     FaultKind.WORKER_LIMIT: lambda injector: injector._announce_limit,
+    FaultKind.WORKER_UNFRAMED: lambda injector: injector._send_unframed_responses,
+}
+
+
+class _NamedAction(NamedTuple):
+    """The action of a fault whose target is neither one instance nor one worker.
+
+    Attributes:
+        target_name: Returns the name under which faults exclude each other.
+        action: Returns the action.
+    """
+
+    target_name: Callable[[PlannedFault], str]
+    action: Callable[[FaultInjector], _FaultAction]
+
+
+_NAMED_ACTIONS: dict[FaultKind, _NamedAction] = {
+    FaultKind.WORKERS_FAIL: _NamedAction(
+        lambda fault: "workers", lambda injector: injector._fail_workers
+    ),
+    FaultKind.CRASHING_REQUEST: _NamedAction(
+        lambda fault: f"request {fault.target}", lambda injector: injector._send_crashing_requests
+    ),
+    FaultKind.CRASHING_PART: _NamedAction(
+        lambda fault: f"part {fault.target % _MAX_CRASHING_PARTS}",
+        lambda injector: injector._send_crashing_part,
+    ),
+    FaultKind.CONNECTIONS_SKEWED: _NamedAction(
+        lambda fault: "connections", lambda injector: injector._skew_connections
+    ),
 }
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -9,6 +9,8 @@
     "BUILD_KINDS",
     "CLOCK_KINDS",
     "CRASH_KINDS",
+    "CRASHING_PART_KINDS",
+    "CONNECTION_KINDS",
     "MIXED_BUILD_KINDS",
     "MOVING_CLOCK_KINDS",
     "NOTICE_KINDS",
@@ -16,6 +18,7 @@
     "PATH_KINDS",
     "RESTORE_KINDS",
     "STOP_KINDS",
+    "UNFRAMED_KINDS",
     "WORKER_LIMIT_KINDS",
     "FaultKind",
     "PlannedFault",
@@ -72,6 +75,9 @@
     WORKERS_FAIL = "all workers of a service reject, reset or fail most requests"
     WORKER_RELEASE = "a worker is replaced by one of another build, and drains before it exits"
     PATHS_CUT = "an instance loses its paths to all workers, which the others still reach"
+    CRASHING_PART = "different requests are sent whose prompts have a part that crashes workers"
+    WORKER_UNFRAMED = "a worker's responses have no length and end with their connection"
+    CONNECTIONS_SKEWED = "most new connections go to one instance, and callers open more of them"
 
 
 # Planned operations only; none of them may interrupt a request.
@@ -157,6 +163,40 @@
     FaultKind.INSTANCE_STOP,
     FaultKind.STORE_LINK_SILENCE,
 )
+# A part of prompts that crashes workers, combined with instances that are killed alone and
+# together, paused, stopped and disconnected from the store, and with workers that crash by chance.
+CRASHING_PART_KINDS = (
+    FaultKind.CRASHING_PART,
+    FaultKind.CRASHING_PART,
+    FaultKind.INSTANCE_HERD,
+    FaultKind.INSTANCE_KILL,
+    FaultKind.INSTANCE_PAUSE,
+    FaultKind.INSTANCE_STOP,
+    FaultKind.WORKER_CRASH,
+    FaultKind.STORE_LINK_SILENCE,
+)
+# Responses that end with their connection, combined with faults that break responses off.
+UNFRAMED_KINDS = (
+    FaultKind.WORKER_UNFRAMED,
+    FaultKind.WORKER_UNFRAMED,
+    FaultKind.WORKER_FAULTS,
+    FaultKind.WORKER_CRASH,
+    FaultKind.WORKER_DRAIN,
+    FaultKind.WORKER_LINK_RESET,
+    FaultKind.INSTANCE_STOP,
+    FaultKind.INSTANCE_KILL,
+    FaultKind.INSTANCE_PAUSE,
+    FaultKind.CONFIGURATION,
+)
+# Connections to one instance, combined with changes that disturb no request.
+CONNECTION_KINDS = (
+    FaultKind.CONNECTIONS_SKEWED,
+    FaultKind.CONNECTIONS_SKEWED,
+    FaultKind.INSTANCE_RELOAD,
+    FaultKind.INSTANCE_ROLL,
+    FaultKind.WORKER_DRAIN,
+    FaultKind.CONFIGURATION,
+)
 # Lost paths of instances, combined with instances that are stopped, killed and paused, and with
 # workers that crash and leave.
 PATH_KINDS = (
@@ -211,6 +251,9 @@
     FaultKind.INSTANCE_HERD,
     FaultKind.WORKERS_FAIL,
     FaultKind.WORKER_RELEASE,
+    FaultKind.CRASHING_PART,
+    FaultKind.WORKER_UNFRAMED,
+    FaultKind.CONNECTIONS_SKEWED,
 )
 _DEFAULT_KINDS = tuple(kind for kind in FaultKind if kind not in _OPT_IN_KINDS)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,10 +9,12 @@
 from soak.processes import InstanceProcess, find_free_ports, instance_ip
 from soak.records import (
     AnnouncedWorkerLimit,
+    CrashingPart,
     Disturbance,
     LostPaths,
     RequestedBackoff,
     RouteMove,
+    SkewedConnections,
     Stop,
     Withdrawal,
     WorkerLeavingNotice,
@@ -77,6 +79,10 @@
         self.backoffs: list[RequestedBackoff] = []
         self.announced_limits: list[AnnouncedWorkerLimit] = []
         self.lost_paths: list[LostPaths] = []
+        self.crashing_parts: list[CrashingPart] = []
+        self.skewed_connections: list[SkewedConnections] = []
+        # Instance that gets most new connections; None if they go to all alike.
+        self.preferred_instance: InstanceProcess | None = None
         self.earlier_build_folder = earlier_build_folder
         # Workers with an entry in the store, and the state in the entry, by worker name.
         self._registered: dict[str, tuple[SoakWorker, str]] = {}
--- a/soak/link.py
+++ b/soak/link.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from standins.relay.raw_server import reset
+
 __all__ = ["Link", "LinkFault"]
 
 _READ_BYTES = 65_536
@@ -63,7 +65,7 @@
 
     def _close_streams(self) -> None:
         for stream in list(self._streams):
-            stream.socket.close()
+            reset(stream)
 
     async def _accept_connections(self) -> None:
         assert self._listener is not None, "the link is not started"
@@ -81,6 +83,7 @@
         target: trio.SocketStream | None = None
         try:
             if self._fault is LinkFault.RESET:
+                reset(caller)
                 return
             host, _, port = self.target.rpartition(":")
             target = await trio.open_tcp_stream(host, int(port))
@@ -111,7 +114,9 @@
                     break
                 await destination.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
+            # The other side must see a reset too: a response may end with its connection.
+            reset(source)
+            reset(destination)
         scope.cancel()
 
     async def _apply_fault(self, is_response: bool) -> None:
--- a/soak/records.py
+++ b/soak/records.py
@@ -10,6 +10,7 @@
 __all__ = [
     "Arrival",
     "CallerIdentity",
+    "CrashingPart",
     "CrashingRun",
     "History",
     "KeyChange",
@@ -22,6 +23,7 @@
     "RequestKind",
     "RequestedBackoff",
     "Disturbance",
+    "SkewedConnections",
     "Stop",
     "RouteMove",
     "Withdrawal",
@@ -164,11 +166,47 @@
 
 
 class CrashingRun(NamedTuple):
-    """A run that crashed its worker, with the body of the request."""
+    """A run that crashed its worker.
+
+    Attributes:
+        body: Body of the request; empty if a part of its prompt caused the crash.
+        worker: Name of the worker.
+        at: When the run began.
+        part: The part of the prompt that caused the crash; empty if the body did.
+    """
 
     body: str
     worker: str
     at: float
+    part: str = ""
+
+
+class CrashingPart(NamedTuple):
+    """A period in which prompts with a part that crashes workers were sent.
+
+    Attributes:
+        part: Name of the part.
+        began_at: When the first of these requests was sent.
+        ended_at: When the last of them had ended.
+    """
+
+    part: str
+    began_at: float
+    ended_at: float
+
+
+class SkewedConnections(NamedTuple):
+    """A period in which most new connections went to one instance.
+
+    Attributes:
+        instance: Number of the instance.
+        began_at: When that began.
+        ended_at: When it ended.
+    """
+
+    instance: int
+    began_at: float
+    ended_at: float
 
 
 class Order(NamedTuple):
@@ -314,6 +352,8 @@
         backoffs: Periods in which workers requested backoffs.
         announced_limits: Periods in which workers announced rate limits over all instances.
         lost_paths: Periods in which instances had no path to any worker.
+        crashing_parts: Periods in which prompts with a part that crashes workers were sent.
+        skewed_connections: Periods in which most new connections went to one instance.
         arrival_records: Arrivals at workers, to count them against the retry budgets.
         store_calls: Number of calls to the store, from all instances.
         instance_count: Number of instances.
@@ -339,6 +379,8 @@
     backoffs: tuple[RequestedBackoff, ...] = ()
     announced_limits: tuple[AnnouncedWorkerLimit, ...] = ()
     lost_paths: tuple[LostPaths, ...] = ()
+    crashing_parts: tuple[CrashingPart, ...] = ()
+    skewed_connections: tuple[SkewedConnections, ...] = ()
     arrival_records: tuple[WorkerArrival, ...] = ()
     store_calls: int = 0
     instance_count: int = 1
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -11,13 +11,16 @@
     BUDGET_KINDS,
     BUILD_KINDS,
     CLOCK_KINDS,
+    CONNECTION_KINDS,
     CRASH_KINDS,
+    CRASHING_PART_KINDS,
     MIXED_BUILD_KINDS,
     MOVING_CLOCK_KINDS,
     NOTICE_KINDS,
     ORGANISATION_KINDS,
     PATH_KINDS,
     RESTORE_KINDS,
+    UNFRAMED_KINDS,
     WORKER_LIMIT_KINDS,
     FaultKind,
     plan_faults,
@@ -49,6 +52,9 @@
         FaultKind.INSTANCE_HERD,
         FaultKind.WORKERS_FAIL,
         FaultKind.WORKER_RELEASE,
+        FaultKind.CRASHING_PART,
+        FaultKind.WORKER_UNFRAMED,
+        FaultKind.CONNECTIONS_SKEWED,
     }
     assert default_kinds == set(FaultKind) - opt_in_kinds
     kinds = tuple(FaultKind)
@@ -272,3 +278,35 @@
     result = await run_soak(settings)
     assert result.violations == []
     assert any(fault.kind is FaultKind.WORKER_RELEASE for fault in result.faults)
+
+
+@pytest.mark.alone
+async def test_prompt_parts_that_crash_workers_are_quarantined_under_other_faults() -> None:
+    settings = RunSettings(
+        CI_SEED, seconds=26.0, instances=4, callers=12, rate=0.8, kinds=CRASHING_PART_KINDS
+    )
+    result = await run_soak(settings)
+    assert result.violations == []
+    kinds = {fault.kind for fault in result.faults}
+    assert FaultKind.CRASHING_PART in kinds
+    assert len(kinds) > 2
+
+
+@pytest.mark.alone
+async def test_answers_that_end_with_their_connection_cause_no_violations() -> None:
+    settings = RunSettings(
+        CI_SEED, seconds=16.0, instances=3, callers=12, rate=2.0, kinds=UNFRAMED_KINDS
+    )
+    result = await run_soak(settings)
+    assert result.violations == []
+    assert any(fault.kind is FaultKind.WORKER_UNFRAMED for fault in result.faults)
+
+
+@pytest.mark.alone
+async def test_most_connections_at_one_instance_cause_no_violations() -> None:
+    settings = RunSettings(
+        CI_SEED, seconds=22.0, instances=4, callers=24, rate=0.6, kinds=CONNECTION_KINDS
+    )
+    result = await run_soak(settings)
+    assert result.violations == []
+    assert any(fault.kind is FaultKind.CONNECTIONS_SKEWED for fault in result.faults)
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -7,6 +7,7 @@
 
 from soak.fleet import SoakFleet
 from soak.organisations import ANONYMOUS
+from soak.processes import InstanceProcess
 from soak.records import CallerIdentity, Request, RequestKind
 from soak.workers import EVENTS_PER_STREAM
 from standins.relay.raw_client import Caller, Reply
@@ -21,6 +22,10 @@
 _MAX_RETRY_PAUSE_S = 0.5
 # Share of answers after which a caller reuses its connection.
 _REUSE_SHARE = 0.9
+# Share of the new connections that go to the preferred instance, and share of answers after which a
+# caller then reuses its connection.
+_PREFERRED_SHARE = 0.95
+_REUSE_SHARE_OF_MANY_CONNECTIONS = 0.3
 # Share of resumable streams whose caller loses its connection, in runs with several builds, and the
 # events that it has received by then.
 _BREAK_OFF_SHARE = 0.5
@@ -99,7 +104,7 @@
         """Run one caller: use a connection until it ends, then connect to any instance."""
         await trio.sleep(_MEAN_PAUSE_S * self._rng.random())
         while not self._stopping:
-            instance = self._rng.choice(self._fleet.instances)
+            instance = self._choose_instance()
             caller = Caller(instance.caller_address)
             try:
                 await caller.open()
@@ -173,7 +178,16 @@
             retry_s = float(reply.headers.get("retry-after") or _MAX_RETRY_PAUSE_S)
             await trio.sleep(min(_MAX_RETRY_PAUSE_S, retry_s))
         closes = not reply.is_complete or reply.headers.get("connection") == "close"
-        return not closes and self._rng.random() < _REUSE_SHARE
+        is_skewed = self._fleet.preferred_instance is not None
+        reuse_share = _REUSE_SHARE_OF_MANY_CONNECTIONS if is_skewed else _REUSE_SHARE
+        return not closes and self._rng.random() < reuse_share
+
+    def _choose_instance(self) -> InstanceProcess:
+        """Choose the instance of a new connection."""
+        preferred = self._fleet.preferred_instance
+        if preferred is not None and self._rng.random() < _PREFERRED_SHARE:
+            return preferred
+        return self._rng.choice(self._fleet.instances)
 
     def _breaks_off(self) -> bool:
         """Decide whether a caller loses its connection within a stream and takes it up later."""
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -9,13 +9,24 @@
 from soak.records import Arrival, CrashingRun, Order, WorkerRun
 from standins.relay import Worker
 from standins.relay.raw_server import RawCall
+from standins.relay.worker import prompt_parts
 
-__all__ = ["BUILDS", "CRASHING_BODY_PREFIX", "EVENTS_PER_STREAM", "SoakWorker", "other_build"]
+__all__ = [
+    "BUILDS",
+    "CRASHING_BODY_PREFIX",
+    "CRASHING_PART_PREFIX",
+    "EVENTS_PER_STREAM",
+    "SoakWorker",
+    "other_build",
+]
 
 EVENTS_PER_STREAM = 8
 BUILDS = ("v1", "v2")
 # A request whose body contains this crashes the worker that runs it.
 CRASHING_BODY_PREFIX = b"crash-"
+# A part of a prompt, other than the last, whose name begins with this crashes the worker that
+# begins the answer.
+CRASHING_PART_PREFIX = "bad"
 _EVENT_S = 0.04
 # Streams and unsafe calls with an ID divisible by this are long, so that a run that continues after
 # its caller has left is noticed.
@@ -39,6 +50,8 @@
         self.events = EVENTS_PER_STREAM
         self.event_interval_s = _EVENT_S
         self.crash_marker = CRASHING_BODY_PREFIX
+        # A response without a length must not seem complete when its worker ends.
+        self.resets_on_close = True
         self.recorded_arrivals: list[Arrival] = []
         self.recorded_orders: list[Order] = []
 
@@ -87,6 +100,12 @@
         for run in self.runs:
             if run.call.body.startswith(CRASHING_BODY_PREFIX):
                 yield CrashingRun(run.call.body.decode(), self.name, run.began_at)
+            elif parts := _crashing_parts(run.call):
+                yield CrashingRun("", self.name, run.began_at, parts[0])
+
+    def crashes_on_prompt(self, call: RawCall) -> bool:
+        """Check whether a part of a call's prompt crashes the worker."""
+        return bool(_crashing_parts(call))
 
     def worker_runs(self) -> Iterator[WorkerRun]:
         """Return records of all runs on this worker."""
@@ -97,6 +116,11 @@
             )
 
 
+def _crashing_parts(call: RawCall) -> list[str]:
+    """Return the parts of a call's prompt that crash workers."""
+    return [part for part in prompt_parts(call)[:-1] if part.startswith(CRASHING_PART_PREFIX)]
+
+
 def other_build(build: str) -> str:
     """Return the build that a release replaces a build with."""
     return BUILDS[1 - BUILDS.index(build)]
