--- a/cleatlink/quarantine/__init__.py
+++ b/cleatlink/quarantine/__init__.py
@@ -3,7 +3,7 @@
 This package does no I/O and reads no clock: callers pass the current time.
 """
 
-from cleatlink.quarantine.attribution import CrashAttribution, PartAttribution
+from cleatlink.quarantine.attribution import NO_CRASHES, CrashAttribution, PartAttribution
 from cleatlink.quarantine.crash import CrashReport
 from cleatlink.quarantine.decision import (
     CRASHES_TO_QUARANTINE,
@@ -20,6 +20,7 @@
     "CrashEvidence",
     "CrashReport",
     "MAX_PARTS",
+    "NO_CRASHES",
     "NO_PROMPT",
     "PartAttribution",
     "PromptParts",
--- a/cleatlink/relay/peers/endpoint_messages.py
+++ b/cleatlink/relay/peers/endpoint_messages.py
@@ -23,6 +23,10 @@
 ]
 
 
+# A prompt has digests of its service and its organisation, and any number of parts.
+_MIN_PROMPT_DIGESTS = 2
+
+
 class CrashItem(msgspec.Struct, array_like=True, frozen=True):
     """A crash of an endpoint and the requests that were in progress there.
 
@@ -91,10 +95,6 @@
         return PromptParts(service, organisation, tuple(parts))
 
 
-# A prompt has digests of its service and its organisation, and any number of parts.
-_MIN_PROMPT_DIGESTS = 2
-
-
 def _unique_digests(
     prompts: Iterable[PromptParts | None], cleared: frozenset[bytes]
 ) -> list[bytes]:
--- a/cleatlink/relay/peers/shared_quarantine.py
+++ b/cleatlink/relay/peers/shared_quarantine.py
@@ -7,7 +7,7 @@
 
 import math
 import random
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 import eliot
 import trio
@@ -15,7 +15,9 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.quarantine import (
     CRASHES_TO_QUARANTINE,
+    NO_CRASHES,
     NO_PROMPT,
+    CrashAttribution,
     CrashReport,
     PromptParts,
     Quarantine,
@@ -124,7 +126,7 @@
         prompts = {
             request.identity: request.prompt for request in requests if request.prompt != NO_PROMPT
         }
-        if self._add_report(CrashReport(endpoint.name, 0.0, suspects, prompts=prompts)):
+        if self._add_reports([CrashReport(endpoint.name, 0.0, suspects, prompts=prompts)]):
             self._queue_update(endpoint.name)
 
     def record_completed(self, identity: bytes) -> None:
@@ -177,26 +179,33 @@
         )
         self._queue_update()
 
-    def _add_report(self, report: CrashReport) -> bool:
-        """Add a crash report to the evidence; return whether it contained anything new."""
+    def _add_reports(self, reports: Iterable[CrashReport]) -> bool:
+        """Add crash reports to the evidence; return whether they contained anything new."""
         now = trio.current_time()
-        before = self._quarantine.evidence.attributions()
-        blamed_before = self._blamed_parts()
-        if not self._quarantine.add_report(report, now):
-            return False
-        self._log_blamed_parts(blamed_before, now)
+        requests_before = self._quarantine.evidence.attributions()
+        parts_before = self._blamed_parts()
+        is_new = False
+        for report in reports:
+            is_new |= self._quarantine.add_report(report, now)
+        if is_new:
+            self._log_blamed_requests(requests_before, now)
+            self._log_blamed_parts(parts_before, now)
+        return is_new
+
+    def _log_blamed_requests(self, known: Mapping[bytes, CrashAttribution], now: float) -> None:
+        """Log the requests that are in quarantine, or longer than before, from now on."""
         for identity, attribution in self._quarantine.evidence.attributions().items():
-            known = before.get(identity)
-            is_new = known is None or known.independent_crashes < attribution.independent_crashes
-            if is_new and attribution.independent_crashes >= CRASHES_TO_QUARANTINE:
-                eliot.log_message(
-                    message_type="quarantine: request held back after repeated crashes",
-                    asks=identity.hex(),
-                    crashes=attribution.independent_crashes,
-                    endpoints=attribution.incarnations,
-                    for_s=round(self._quarantine.decide(identity, now).retry_after_s, 1),
-                )
-        return True
+            crashes = attribution.independent_crashes
+            known_crashes = known.get(identity, NO_CRASHES).independent_crashes
+            if crashes < CRASHES_TO_QUARANTINE or crashes <= known_crashes:
+                continue
+            eliot.log_message(
+                message_type="quarantine: request held back after repeated crashes",
+                asks=identity.hex(),
+                crashes=crashes,
+                endpoints=attribution.incarnations,
+                for_s=round(self._quarantine.decide(identity, now).retry_after_s, 1),
+            )
 
     def _blamed_parts(self) -> set[frozenset[bytes]]:
         """Return the sets of parts to which enough crashes are attributed."""
@@ -276,7 +285,7 @@
             self._new_clearances.get(item.endpoint_incarnation, set()).difference_update(
                 item.cleared
             )
-            self._add_report(item.to_report())
+        self._add_reports(item.to_report() for item in update.crashes)
         trials = (Trial(identity, age_s) for identity, age_s in update.trials)
         self._quarantine.add_peer_trials(trials, trio.current_time())
 
