Crash reports of long prompts fit into datagrams

What callers would have seen: with long prompts, an instance that starts gets no evidence from its peers and sends prompts that are held back. Found by reading, shown by a test: the reports of 16 crashes of 64 requests with 20 parts each exceed a datagram (65,507 bytes), and such a message is not sent at all.

Cause: messages were split by their number of crashes, 16, which fitted before prompts were in them.

Change: they are split by size; of a prompt 16 parts are recorded, the first and the last ones, so that a single crash of 128 of the longest prompts fits (test).

Failed before: test_crashes_of_long_prompts_fit_into_datagrams[20] and [32].

--- a/cleatlink/quarantine/__init__.py
+++ b/cleatlink/quarantine/__init__.py
@@ -12,7 +12,14 @@
     Trial,
 )
 from cleatlink.quarantine.evidence import CrashEvidence
-from cleatlink.quarantine.prompts import MAX_PARTS, NO_PROMPT, PromptParts, Suspect, digest_prompt
+from cleatlink.quarantine.prompts import (
+    MAX_PARTS,
+    NO_PROMPT,
+    PromptParts,
+    Suspect,
+    digest_prompt,
+    select_parts,
+)
 
 __all__ = [
     "CRASHES_TO_QUARANTINE",
@@ -29,4 +36,5 @@
     "Suspect",
     "Trial",
     "digest_prompt",
+    "select_parts",
 ]
--- a/cleatlink/quarantine/attribution.py
+++ b/cleatlink/quarantine/attribution.py
@@ -74,6 +74,9 @@
     parts: list[PartAttribution]
 
 
+# Crashes from which on a part is distinguished from the others of its prompt.
+_MIN_PART_CRASHES = 2
+
 _NamedCrash = tuple[str, Crash]
 
 
@@ -120,11 +123,10 @@
         counts: The counts of all parts and services.
         min_count: The highest count of a request; a lower count of parts is not conclusive.
     """
-    suspected = crash.requests_by_part().keys()
     services = {prompt.service for prompt in crash.prompts.values()}
-    parts = suspected - services
-    highest = max((counts[part] for part in parts), default=0)
-    if highest <= _service_count(crash, counts) or highest < min_count:
+    parts = crash.requests_by_part().keys() - services
+    highest = max(map(counts.__getitem__, parts), default=0)
+    if highest < max(min_count, _MIN_PART_CRASHES) or highest <= _service_count(crash, counts):
         return frozenset()
     return frozenset(part for part in parts if counts[part] == highest)
 
@@ -212,27 +214,21 @@
     return counts
 
 
-def _count_parts(crashes: Iterable[Crash]) -> Counter[bytes]:
+def _count_parts(crashes: Sequence[Crash]) -> Counter[bytes]:
     """Count the crashes of each part and each service.
 
     Args:
         crashes: The crashes, the oldest first.
     """
-    crashes_by_part: dict[bytes, list[Crash]] = defaultdict(list)
-    for crash in crashes:
-        for part in crash.requests_by_part():
-            crashes_by_part[part].append(crash)
     counts: Counter[bytes] = Counter()
-    for part, crashes_with_part in crashes_by_part.items():
-        counts[part] = _count_independent(part, crashes_with_part)
-    return counts
-
-
-def _count_independent(part: bytes, crashes: Sequence[Crash]) -> int:
-    """Count the independent ones of the crashes at which a part was in progress."""
-    if len(crashes) == 1:
-        return 1
-    counter = _IndependentCrashes()
     for crash in crashes:
-        counter.add(crash.crashed_at, crash.requests_by_part()[part])
-    return counter.count
+        counts.update(crash.requests_by_part().keys())
+    # Long prompts have many parts that are in progress at one crash only.
+    repeated = {part for part, count in counts.items() if count > 1}
+    counters: dict[bytes, _IndependentCrashes] = defaultdict(_IndependentCrashes)
+    for crash in crashes:
+        requests_by_part = crash.requests_by_part()
+        for part in requests_by_part.keys() & repeated:
+            counters[part].add(crash.crashed_at, requests_by_part[part])
+    counts.update({part: counter.count - counts[part] for part, counter in counters.items()})
+    return counts
--- a/cleatlink/quarantine/prompts.py
+++ b/cleatlink/quarantine/prompts.py
@@ -8,13 +8,20 @@
 import hashlib
 from typing import NamedTuple
 
-__all__ = ["MAX_PARTS", "NO_PROMPT", "PromptParts", "Suspect", "digest_prompt"]
+__all__ = [
+    "MAX_PARTS",
+    "NO_PROMPT",
+    "PromptParts",
+    "Suspect",
+    "digest_prompt",
+    "select_parts",
+]
 
 # The same size as that of a request's identity, since both are cleared by the same messages.
 _DIGEST_BYTES = 8
-# Number of parts that are recorded for a prompt, the last of them: the first ones are shared by
-# most requests.
-MAX_PARTS = 32
+# Number of parts that are recorded for a prompt: the first ones and the last ones. The crash of an
+# endpoint that runs many of the longest prompts fits into a datagram.
+MAX_PARTS = 16
 
 
 class PromptParts(NamedTuple):
@@ -60,14 +67,26 @@
         organisation: Name of the caller's organisation; empty for none.
         part_names: Names of its parts, without the last one.
     """
-    names = dict.fromkeys(part_names[-MAX_PARTS:])
     return PromptParts(
         _digest("service", service),
         _digest("organisation", organisation),
-        tuple(_digest("part", service, name) for name in names),
+        tuple(_digest("part", service, name) for name in select_parts(part_names)),
     )
 
 
+def select_parts(part_names: tuple[str, ...]) -> list[str]:
+    """Return the names of the parts that are recorded for a prompt, each once.
+
+    Args:
+        part_names: Names of its parts, without the last one.
+    """
+    names = list(dict.fromkeys(part_names))
+    if len(names) <= MAX_PARTS:
+        return names
+    half = MAX_PARTS // 2
+    return names[:half] + names[-half:]
+
+
 def _digest(*texts: str) -> bytes:
     """Return the digest of some texts."""
     digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -16,7 +16,7 @@
 )
 from cleatlink.core.routes import InboundRequest, Route, RoutedEndpoint, RoutedService, RouteKind
 from cleatlink.organisations import ANONYMOUS, Admission, CallerIdentity
-from cleatlink.quarantine import MAX_PARTS, NO_PROMPT, PromptParts, Suspect, digest_prompt
+from cleatlink.quarantine import NO_PROMPT, PromptParts, Suspect, digest_prompt, select_parts
 from cleatlink.relay.calls.components import RelayComponents
 from cleatlink.relay.endpoints.protocol import MISDIRECTED_REQUEST, ResponseHead
 from cleatlink.relay.peers.messages import HintKind
@@ -390,7 +390,7 @@
         Args:
             parts: The parts; None for all of them.
         """
-        names = dict.fromkeys(self.inbound.prompt_parts[-MAX_PARTS:])
+        names = select_parts(self.inbound.prompt_parts)
         return {
             digest.hex(): name
             for digest, name in zip(self.prompt.parts, names, strict=False)
--- a/cleatlink/relay/peers/shared_quarantine.py
+++ b/cleatlink/relay/peers/shared_quarantine.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 import eliot
+import msgspec
 import trio
 
 from cleatlink.core.routes import RoutedEndpoint
@@ -33,8 +34,9 @@
 
 # One crash breaks its connections within milliseconds; this delay combines them in one message.
 _GATHER_S = 0.005
-# Maximum number of crashes in one datagram; it fits with 128 requests for each crash.
-_MAX_CRASHES_PER_MESSAGE = 16
+# Size of the crashes in one datagram from which on the next ones go into another. A single crash of
+# the longest prompts is larger, and still fits.
+_MAX_MESSAGE_BYTES = 40_000
 # Number of crashes that a heartbeat repeats: the newest, which a peer may have missed, and some
 # others chosen at random.
 _MAX_NEWEST_REPEATED = 4
@@ -296,5 +298,14 @@
 
 def _split(items: list[CrashItem]) -> Iterator[list[CrashItem]]:
     """Split crashes into parts that fit into one datagram each."""
-    for first in range(0, len(items), _MAX_CRASHES_PER_MESSAGE):
-        yield items[first : first + _MAX_CRASHES_PER_MESSAGE]
+    part: list[CrashItem] = []
+    part_bytes = 0
+    for item in items:
+        item_bytes = len(msgspec.msgpack.encode(item))
+        if part and part_bytes + item_bytes > _MAX_MESSAGE_BYTES:
+            yield part
+            part, part_bytes = [], 0
+        part.append(item)
+        part_bytes += item_bytes
+    if part:
+        yield part
