--- a/soak/ablations.py
+++ b/soak/ablations.py
@@ -12,6 +12,7 @@
 from cleatlink.core.organisations import Organisation
 from cleatlink.members.leadership import LeaderElection
 from cleatlink.organisations import Admission, KeyTable, OrganisationAccess, OrganisationLimits
+from cleatlink.quarantine import NO_PROMPT
 from cleatlink.relay.callers.server import CallerConnection
 from cleatlink.relay.calls.call import Call
 from cleatlink.relay.calls.event_parser import EventParser
@@ -224,6 +225,11 @@
         "requests that crash workers stop",
         (FaultKind.CRASHING_REQUEST,),
     ),
+    "prompt-parts": Ablation(
+        _make_patch(Call, "prompt", NO_PROMPT),
+        "parts of prompts that crash workers stop",
+        (FaultKind.CRASHING_PART,),
+    ),
     "key-table": Ablation(
         _make_patch(KeyTable, "find", _find_current_or_old_key),
         "keys in force",
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -194,6 +194,7 @@
     "quarantine",
     "endpoint-limits",
     "stream-builds",
+    "prompt-parts",
 ]
 _OTHER_ABLATIONS = sorted(ABLATIONS.keys() - {*_ORGANISATION_ABLATIONS, *_SEPARATE_ABLATIONS})
 
@@ -210,6 +211,7 @@
         pytest.param(["endpoint-limits"], marks=pytest.mark.alone),
         pytest.param(_ORGANISATION_ABLATIONS[2:], marks=pytest.mark.alone),
         ["stream-builds"],
+        ["prompt-parts"],
     ],
 )
 async def test_disabled_mechanism_is_detected(names: list[str]) -> None:
