Soak: evidence that no instance can have is not asked for

Trace: two herds of three of four instances each, drawn for the same moment (14.74 s), killed all four; the evidence is in their memory alone, and the first five crashes were before that moment, the others after. The check counts from such a moment anew, only if every instance was down at once; with one of them up it stays as strict (test).

--- a/soak/checks_test.py
+++ b/soak/checks_test.py
@@ -12,6 +12,7 @@
     CrashingPart,
     CrashingRun,
     Disturbance,
+    Downtime,
     History,
     KeyChange,
     LimitChange,
@@ -266,3 +267,17 @@
     assert check_history(EMPTY_HISTORY._replace(requests=[early], key_changes=changes)) == []
     leaked = arrival("r1", 50.0)._replace(authorization="Bearer k1")
     assert check_history(EMPTY_HISTORY._replace(requests=[SUCCESS], arrivals=[leaked]))
+
+
+def test_lost_evidence_excuses_crashes_only_if_all_instances_were_down_at_once() -> None:
+    history = VIOLATING_HISTORIES["parts of prompts that crash workers stop"]
+    first, second = Downtime(1, 15.0, 17.0), Downtime(2, 16.0, 18.0)
+    both_down = history._replace(instance_count=2, downtimes=(first, second))
+    assert check_history(both_down) == []
+    one_up = history._replace(instance_count=2, downtimes=(first, Downtime(2, 17.5, 18.0)))
+    assert check_history(one_up) != []
+    # All are down for the time of the first crashes; the later ones are as many as without that.
+    early = history._replace(
+        instance_count=2, downtimes=(Downtime(1, 9.0, 9.9), Downtime(2, 9.0, 9.9))
+    )
+    assert check_history(early) != []
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -14,6 +14,7 @@
 from soak.processes import InstanceProcess
 from soak.records import (
     AnnouncedWorkerLimit,
+    Downtime,
     LostPaths,
     RequestedBackoff,
     SkewedConnections,
@@ -368,6 +369,7 @@
                 )
 
     async def _restart(self, instance: InstanceProcess) -> None:
+        began_at = trio.current_time()
         await trio.sleep(_RESTART_DELAY_S)
         instance.kill()
         instance.start()
@@ -375,6 +377,7 @@
             self._fleet.process_failures.append(
                 f"{instance.name} was not ready in time after a restart"
             )
+        self._fleet.downtimes.append(Downtime(instance.number, began_at, trio.current_time()))
 
     async def _pause_instance(self, fault: PlannedFault) -> None:
         instance = self._pick_instance(fault)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,6 +11,7 @@
     AnnouncedWorkerLimit,
     CrashingPart,
     Disturbance,
+    Downtime,
     LostPaths,
     RequestedBackoff,
     RouteMove,
@@ -79,6 +80,7 @@
         self.backoffs: list[RequestedBackoff] = []
         self.announced_limits: list[AnnouncedWorkerLimit] = []
         self.lost_paths: list[LostPaths] = []
+        self.downtimes: list[Downtime] = []
         self.crashing_parts: list[CrashingPart] = []
         self.skewed_connections: list[SkewedConnections] = []
         # Instance that gets most new connections; None if they go to all alike.
--- a/soak/prompt_checks.py
+++ b/soak/prompt_checks.py
@@ -1,5 +1,6 @@
 """Checks that a part of prompts that crashes workers stops, and that other prompts go on."""
 
+import math
 from collections import defaultdict
 from collections.abc import Iterator
 
@@ -22,15 +23,43 @@
 
 def check_crashing_parts(history: History) -> Iterator[Violation]:
     """Check that a part that crashed five workers is sent to only few more."""
-    for part, times in _crash_times(history).items():
-        bound = _bounding_crash_at(times) + _KNOWN_S
-        late = [at for at in times if at > bound]
-        if len(late) > MAX_LATE_RUNS:
-            yield Violation(
-                "",
-                f"prompts with the part {part} crashed {len(times)} workers, {len(late)} after "
-                "that was known",
-            )
+    outages = _find_outages(history)
+    for part, all_times in _crash_times(history).items():
+        for times in _split_at(all_times, outages):
+            bound = _bounding_crash_at(times) + _KNOWN_S
+            late = [at for at in times if at > bound]
+            if len(late) > MAX_LATE_RUNS:
+                yield Violation(
+                    "",
+                    f"prompts with the part {part} crashed {len(times)} workers, {len(late)} after "
+                    "that was known",
+                )
+
+
+def _find_outages(history: History) -> list[float]:
+    """Return the times at which the last instance that was up ended.
+
+    The evidence of crashes is in the memory of the instances alone, so that it is lost then.
+    """
+    return [
+        item.began_at
+        for item in history.downtimes
+        if len(_instances_down_at(history, item.began_at)) == history.instance_count
+    ]
+
+
+def _instances_down_at(history: History, time: float) -> set[int]:
+    return {item.instance for item in history.downtimes if item.began_at <= time < item.ended_at}
+
+
+def _split_at(times: list[float], borders: list[float]) -> list[list[float]]:
+    """Split sorted times at some borders; parts without a time are left out."""
+    edges = [-math.inf, *sorted(borders), math.inf]
+    parts = (
+        [time for time in times if first <= time < last]
+        for first, last in zip(edges, edges[1:], strict=False)
+    )
+    return [part for part in parts if part]
 
 
 def check_sound_prompts(history: History) -> Iterator[Violation]:
--- a/soak/records.py
+++ b/soak/records.py
@@ -23,6 +23,7 @@
     "RequestKind",
     "RequestedBackoff",
     "Disturbance",
+    "Downtime",
     "SkewedConnections",
     "Stop",
     "RouteMove",
@@ -195,6 +196,20 @@
     ended_at: float
 
 
+class Downtime(NamedTuple):
+    """A period without a ready process of an instance, because it was killed or stopped.
+
+    Attributes:
+        instance: Number of the instance.
+        began_at: When its process had ended.
+        ended_at: When the next process was ready.
+    """
+
+    instance: int
+    began_at: float
+    ended_at: float
+
+
 class SkewedConnections(NamedTuple):
     """A period in which most new connections went to one instance.
 
@@ -352,6 +367,7 @@
         backoffs: Periods in which workers requested backoffs.
         announced_limits: Periods in which workers announced rate limits over all instances.
         lost_paths: Periods in which instances had no path to any worker.
+        downtimes: Periods without a ready process of an instance.
         crashing_parts: Periods in which prompts with a part that crashes workers were sent.
         skewed_connections: Periods in which most new connections went to one instance.
         arrival_records: Arrivals at workers, to count them against the retry budgets.
@@ -379,6 +395,7 @@
     backoffs: tuple[RequestedBackoff, ...] = ()
     announced_limits: tuple[AnnouncedWorkerLimit, ...] = ()
     lost_paths: tuple[LostPaths, ...] = ()
+    downtimes: tuple[Downtime, ...] = ()
     crashing_parts: tuple[CrashingPart, ...] = ()
     skewed_connections: tuple[SkewedConnections, ...] = ()
     arrival_records: tuple[WorkerArrival, ...] = ()
--- a/soak/run.py
+++ b/soak/run.py
@@ -166,6 +166,7 @@
         backoffs=tuple(fleet.backoffs),
         announced_limits=tuple(fleet.announced_limits),
         lost_paths=tuple(fleet.lost_paths),
+        downtimes=tuple(fleet.downtimes),
         crashing_parts=tuple(fleet.crashing_parts),
         skewed_connections=tuple(fleet.skewed_connections),
         store_calls=fleet.platform.store.calls,
