A peer socket that is closed after data arrived ends its receiver

Cause: a datagram wakes the receiving task, the group is closed before it runs, and each error of a receive was taken for one of an earlier send, so it tried again without a pause. An instance closes its group after its tasks have ended, so callers could not see it; the tests close it before.

Change: with the socket closed, the receiver is cancelled or raises ClosedResourceError. Evidence: the new test did not end within 15 s before.

--- a/cleatlink/relay/peers/datagrams.py
+++ b/cleatlink/relay/peers/datagrams.py
@@ -87,6 +87,10 @@
                 except BlockingIOError:
                     break
                 except OSError:
+                    if sock.fileno() < 0:
+                        # It was closed after the data had arrived that woke this task.
+                        await trio.lowlevel.checkpoint()
+                        raise trio.ClosedResourceError from None
                     # Reports that an earlier datagram was sent to a closed port.
                     continue
             if messages:
--- a/cleatlink/relay/peers/datagrams_test.py
+++ b/cleatlink/relay/peers/datagrams_test.py
@@ -2,6 +2,7 @@
 
 import eliot
 import pytest
+import trio
 
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.peers.datagrams import DatagramSocket
@@ -32,3 +33,17 @@
     assert 0 < len(reported) < 100
     assert reported[0]["bytes"] == len(encode(message))
     assert reported[0]["addresses"] == 2
+
+
+async def test_receive_ends_when_the_socket_was_closed_after_data_arrived(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a loop without a pause: the task that waits was woken before the close."""
+    socket = DatagramSocket(free_address(), RelayMetrics())
+
+    async def close_and_return(_: object) -> None:
+        socket.close()
+
+    monkeypatch.setattr(trio.lowlevel, "wait_readable", close_and_return)
+    with pytest.raises(trio.ClosedResourceError):
+        await socket.receive()
