Quarantine: the decision names its trial, for requests and parts alike

The caller of a decision chose between a request's identity and the key of parts. No change of behaviour; tests of the quarantine, its clock and its decisions pass.

--- a/cleatlink/quarantine/decision.py
+++ b/cleatlink/quarantine/decision.py
@@ -55,6 +55,7 @@
         retry_after_s: Seconds until it may run, if it is in quarantine.
         attribution: The crashes that are attributed to it, or to parts of its prompt.
         parts: The parts of its prompt to which they are attributed; empty if it is the request.
+        trial_key: Key under which a trial is recorded; empty if no crash counts against it.
     """
 
     suspicion: int = 0
@@ -63,11 +64,7 @@
     retry_after_s: float = 0.0
     attribution: CrashAttribution = CrashAttribution()
     parts: frozenset[bytes] = frozenset()
-
-    @property
-    def trial_key(self) -> bytes:
-        """Key under which a trial of these parts is recorded."""
-        return key_of_parts(self.parts)
+    trial_key: bytes = b""
 
 
 _NO_SUSPICION = QuarantineDecision()
@@ -124,17 +121,18 @@
             return _NO_SUSPICION
         attribution = self.evidence.attribution(identity)
         blocked_until = self._blocked_until(identity, attribution, _QUARANTINE_S)
-        return _make_decision(suspicion, attribution, blocked_until, now)
+        decision = _make_decision(suspicion, attribution, blocked_until, now)
+        return decision._replace(trial_key=identity)
 
     def decide_by_parts(self, attribution: PartAttribution, now: float) -> QuarantineDecision:
         """Decide about prompts with certain parts, by the crashes that are attributed to them."""
         crashes = attribution.crashes
-        key = key_of_parts(attribution.parts)
+        key = _key_of_parts(attribution.parts)
         blocked_until = self._blocked_until(key, crashes, _PART_QUARANTINE_S)
         decision = _make_decision(
             crashes.independent_crashes, crashes, blocked_until + self._part_trial_delay_s, now
         )
-        return decision._replace(parts=attribution.parts)
+        return decision._replace(parts=attribution.parts, trial_key=key)
 
     def _blocked_until(self, key: bytes, crashes: CrashAttribution, first_s: float) -> float:
         """Return the end of a quarantine, or of the trial that follows it.
@@ -184,7 +182,7 @@
         }
 
 
-def key_of_parts(parts: frozenset[bytes]) -> bytes:
+def _key_of_parts(parts: frozenset[bytes]) -> bytes:
     """Return the key under which a trial of some parts is recorded."""
     return hashlib.blake2b(b"".join(sorted(parts)), digest_size=_KEY_BYTES).digest()
 
--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -199,7 +199,7 @@
         decision = quarantine.decide(self.identity, self.prompt)
         if decision.needs_trial:
             self._is_trial_run = True
-            quarantine.begin_trial(decision.trial_key if decision.parts else self.identity)
+            quarantine.begin_trial(decision.trial_key)
         if not decision.is_quarantined:
             return None
         self.log(
