--- a/cleatlink/relay/crashing_prompt_parts_test.py
+++ b/cleatlink/relay/crashing_prompt_parts_test.py
@@ -110,9 +110,7 @@
     for _ in range(_INSTANCES - 1):
         fleet.start_instance()
     await fleet.wait_ready()
-    await fleet.wait_until(
-        lambda: all(item._peers.live_instances == _INSTANCES for item in fleet.instances)
-    )
+    await fleet.wait_for_peers()
 
 
 def sound_parts(rng: random.Random) -> list[str]:
--- a/cleatlink/relay/quarantine_test.py
+++ b/cleatlink/relay/quarantine_test.py
@@ -71,9 +71,7 @@
         fleet.start_instance()
     await fleet.wait_ready()
     # Instances that have just started don't know each other yet.
-    await fleet.wait_until(
-        lambda: all(item._peers.live_instances == _INSTANCES for item in fleet.instances)
-    )
+    await fleet.wait_for_peers()
 
 
 def count_crashes(fleet: Fleet) -> int:
--- a/cleatlink/relay/skewed_connections_test.py
+++ b/cleatlink/relay/skewed_connections_test.py
@@ -40,9 +40,7 @@
     for _ in range(_INSTANCES - 1):
         fleet.start_instance()
     await fleet.wait_ready()
-    await fleet.wait_until(
-        lambda: all(item._peers.live_instances == _INSTANCES for item in fleet.instances)
-    )
+    await fleet.wait_for_peers()
 
 
 async def send_calls(fleet: Fleet, duration_s: float, preferred_share: float) -> list[bool]:
--- a/standins/relay/fleet.py
+++ b/standins/relay/fleet.py
@@ -238,6 +238,13 @@
             while not condition():
                 await trio.sleep(_POLL_INTERVAL_S)
 
+    async def wait_for_peers(self) -> None:
+        """Wait until all instances know each other."""
+        count = len(self.instances)
+        await self.wait_until(
+            lambda: all(item._peers.live_instances == count for item in self.instances)
+        )
+
     async def wait_ready(self) -> None:
         """Wait until every instance serves callers and knows every worker."""
         names = {worker.name for worker in self.workers}
