Quarantine: the count of a crash's service is found once

attribute_crashes found it again where it compared parts, and again for requests. The lowest conclusive count is now passed in. No change of behaviour; 66 tests of the quarantine and of prompt parts pass.

--- a/cleatlink/quarantine/attribution.py
+++ b/cleatlink/quarantine/attribution.py
@@ -98,11 +98,13 @@
     by_parts: dict[frozenset[bytes], list[_NamedCrash]] = defaultdict(list)
     for incarnation, crash in ordered:
         highest = max((request_counts[request] for request in crash.suspects), default=0)
-        parts = _find_top_parts(crash, part_counts, highest)
+        service_count = _service_count(crash, part_counts)
+        min_part_count = max(_MIN_PART_CRASHES, highest, service_count + 1)
+        parts = _find_top_parts(crash, part_counts, min_part_count)
         top_requests = [item for item in crash.suspects if request_counts[item] == highest]
         if parts:
             by_parts[parts].append((incarnation, crash))
-        elif len(top_requests) == 1 and highest > _service_count(crash, part_counts):
+        elif len(top_requests) == 1 and highest > service_count:
             by_request[top_requests[0]].append((incarnation, crash))
     return Attributions(
         request_counts,
@@ -115,26 +117,30 @@
 def _find_top_parts(crash: Crash, counts: Counter[bytes], min_count: int) -> frozenset[bytes]:
     """Return the suspected parts with the highest count, if it is conclusive.
 
-    It is not if the service of the prompts has that count, too: then no answer of the service shows
-    that its endpoints run anything at all.
-
     Args:
         crash: The crash.
         counts: The counts of all parts and services.
-        min_count: The highest count of a request; a lower count of parts is not conclusive.
+        min_count: The lowest count that is conclusive.
     """
-    services = {prompt.service for prompt in crash.prompts.values()}
-    parts = crash.requests_by_part().keys() - services
+    parts = crash.requests_by_part().keys() - _services(crash)
     highest = max(map(counts.__getitem__, parts), default=0)
-    if highest < max(min_count, _MIN_PART_CRASHES) or highest <= _service_count(crash, counts):
+    if highest < min_count:
         return frozenset()
     return frozenset(part for part in parts if counts[part] == highest)
 
 
 def _service_count(crash: Crash, counts: Counter[bytes]) -> int:
-    """Return the count of the service of a crash's prompts; 0 if it is cleared or unknown."""
-    services = {prompt.service for prompt in crash.prompts.values()}
-    return max((counts[item] for item in services & crash.requests_by_part().keys()), default=0)
+    """Return the count of the service of a crash's prompts; 0 if it is cleared or unknown.
+
+    A suspect with no higher count is not blamed: no answer of the service shows that its endpoints
+    run anything at all.
+    """
+    suspected_services = _services(crash) & crash.requests_by_part().keys()
+    return max((counts[service] for service in suspected_services), default=0)
+
+
+def _services(crash: Crash) -> set[bytes]:
+    return {prompt.service for prompt in crash.prompts.values()}
 
 
 def _attribute_request(request: bytes, crashes: Sequence[_NamedCrash]) -> CrashAttribution:
