--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from soak.crashing_parts import send_prompts_with_crashing_part
+from soak.crashing_requests import send_crashing_request, send_prompts_with_crashing_part
 from soak.fault_schedule import ORGANISATION_KINDS, FaultKind, PlannedFault
 from soak.fleet import SoakFleet
 from soak.link import Link, LinkFault
@@ -22,11 +22,9 @@
     Withdrawal,
     WorkerLeavingNotice,
 )
-from soak.traffic import STREAM_HEADERS
-from soak.workers import CRASHING_BODY_PREFIX, SoakWorker, other_build
+from soak.workers import SoakWorker, other_build
 from standins.relay import Fault, StoreMode
 from standins.relay.cut_paths import PathCut
-from standins.relay.raw_client import Caller
 
 __all__ = ["FaultInjector"]
 
@@ -74,15 +72,6 @@
 _BUSY_POLL_S = 0.05
 # Seconds by which lost paths last longer than other faults, so that requests are sent meanwhile.
 _EXTRA_CUT_S = 2.0
-# A crashing request is repeated for longer than it takes to be quarantined.
-_CRASHING_REQUEST_COUNT = 20
-_CRASHING_REQUEST_INTERVAL_S = 0.4
-_CRASHING_REQUEST_TIMEOUT_S = 3.0
-_CRASHING_REQUEST_TARGETS: tuple[tuple[str, dict[str, str]], ...] = (
-    ("/unsafe/x", {}),
-    ("/stream/x", STREAM_HEADERS),
-    ("/resume/x", STREAM_HEADERS),
-)
 # Share of the instances that are killed at the same moment.
 _HERD_SHARE = 0.7
 # Seconds by which the failure of all workers lasts longer than other faults, and the number of
@@ -431,20 +420,7 @@
         self.injected.append(fault)
 
     async def _send_crashing_requests(self, fault: PlannedFault) -> None:
-        """Send a request that crashes workers repeatedly, each time through a random instance."""
-        path, headers = _CRASHING_REQUEST_TARGETS[fault.target % len(_CRASHING_REQUEST_TARGETS)]
-        body = CRASHING_BODY_PREFIX + str(fault.target).encode()
-        for _ in range(_CRASHING_REQUEST_COUNT):
-            caller = Caller(self._rng.choice(self._fleet.instances).caller_address)
-            try:
-                with trio.move_on_after(_CRASHING_REQUEST_TIMEOUT_S):
-                    await caller.ask(path, "POST", body=body, headers=headers)
-            except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-                # The instance is down; the next attempt uses another one.
-                pass
-            finally:
-                caller.close()
-            await trio.sleep(_CRASHING_REQUEST_INTERVAL_S)
+        await send_crashing_request(self._fleet, self._rng, fault.target)
 
     async def _send_crashing_part(self, fault: PlannedFault) -> None:
         await send_prompts_with_crashing_part(self._fleet, self._rng, fault.target)
