Soak: a link that refuses connections keeps its port

Cause: while a crashed worker is away its link listens nowhere for half a second, on a port of the range that the system gives to outgoing connections, and one of them got it.

Change: a bound socket that does not listen keeps the port; connections are refused as before. The new test failed before: another socket could be bound to the port.

--- a/soak/link.py
+++ b/soak/link.py
@@ -1,5 +1,6 @@
 """A TCP proxy on the loopback interface that injects connection faults."""
 
+import socket
 from enum import StrEnum
 
 import trio
@@ -30,8 +31,13 @@
         self._fault: LinkFault | None = None
         self._fault_changed = trio.Event()
         self._listener: trio.SocketListener | None = None
+        self._reserved_port: socket.socket | None = None
         self._streams: set[trio.SocketStream] = set()
 
+    @property
+    def _port(self) -> int:
+        return int(self.address.rpartition(":")[2])
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Listen on a free port and forward connections."""
         self._listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
@@ -39,20 +45,30 @@
         nursery.start_soon(self._accept_connections)
 
     def stop_accepting(self) -> None:
-        """Refuse connections, as at the address of a crashed process."""
+        """Refuse connections, as at the address of a crashed process.
+
+        A socket that does not listen keeps the port, which an outgoing connection could get.
+        """
         if self._listener is not None:
             self._listener.socket.close()
+            self._reserved_port = _reserve_port(self._port)
 
     async def resume_accepting(self, nursery: trio.Nursery) -> None:
         """Accept connections again at the same address."""
-        port = int(self.address.rpartition(":")[2])
-        self._listener = (await trio.open_tcp_listeners(port, host="127.0.0.1"))[0]
+        self._listener = (await trio.open_tcp_listeners(self._port, host="127.0.0.1"))[0]
+        self._release_port()
         nursery.start_soon(self._accept_connections)
 
+    def _release_port(self) -> None:
+        if self._reserved_port is not None:
+            self._reserved_port.close()
+            self._reserved_port = None
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         if self._listener is not None:
             self._listener.socket.close()
+        self._release_port()
         self._close_streams()
 
     def set_fault(self, fault: LinkFault | None) -> None:
@@ -127,3 +143,11 @@
             self._fault is LinkFault.ONE_WAY and is_response
         ):
             await self._fault_changed.wait()
+
+
+def _reserve_port(port: int) -> socket.socket:
+    """Bind a socket to a port without listening, so that connections are refused."""
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind(("127.0.0.1", port))
+    return reserved
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -1,6 +1,7 @@
 """Tests of the soak test: fault schedule, links, short runs, disabled mechanisms."""
 
 import contextlib
+import socket
 
 import pytest
 import trio
@@ -103,6 +104,29 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_link_keeps_its_port_while_it_refuses_connections() -> None:
+    """Guards against an outgoing connection that takes the port before the link is back."""
+    async with trio.open_nursery() as nursery:
+        worker = Worker("plain")
+        await worker.start(nursery)
+        link = Link(worker.address)
+        await link.start(nursery)
+        host, _, port = link.address.rpartition(":")
+        link.stop_accepting()
+        with pytest.raises(OSError, match="in use"), socket.socket() as other:
+            other.bind((host, int(port)))
+        with pytest.raises(OSError, match="failed"):
+            await trio.open_tcp_stream(host, int(port))
+        await link.resume_accepting(nursery)
+        caller = Caller(link.address)
+        headers = {"Expected-Instance": worker.name}
+        assert (await caller.ask("/a", headers=headers)).status == 200
+        caller.close()
+        worker.close()
+        link.close()
+        nursery.cancel_scope.cancel()
+
+
 @pytest.mark.alone
 async def test_short_run_has_no_violations() -> None:
     result = await run_soak(RunSettings(CI_SEED, seconds=10.0, instances=3, rate=2.0))
