Review: a worker that left without a word gets requests after a lost watch

Connections to the store go silent during a release (NEWS-27). Instances then delay the removal of workers by 1.2 s on top of the up to 3.0 s in which they notice the silence.

--- a/review/fleet.py
+++ b/review/fleet.py
@@ -119,6 +119,7 @@
     def __init__(self) -> None:
         self.address = ""
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Start to listen; port 0 chooses a free port."""
@@ -126,9 +127,11 @@
         self.address = f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
     def close(self) -> None:
-        """Stop to listen."""
+        """End: stop to listen, and reset all connections."""
         if self._server is not None:
             self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
 
     async def serve(
         self, request: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -139,6 +142,7 @@
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while (request := await read_message(reader)) is not None:
                 if not await self.serve(request, reader, writer):
@@ -147,6 +151,7 @@
             # The other side has gone, or the case has ended.
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
 
@@ -159,6 +164,18 @@
         self._items: dict[str, tuple[str, int]] = {}
         self._history: list[dict[str, Any]] = []
         self._changed = asyncio.Event()
+        # Open connections, and those of them that say nothing any more.
+        self._open: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
+
+    def silence_connections(self) -> int:
+        """Make the connections that are open now silent for good; new ones work.
+
+        Returns:
+            The number of these connections.
+        """
+        self._silent |= self._open
+        return len(self._open)
 
     def put(self, key: str, value: dict[str, Any]) -> None:
         """Write an item."""
@@ -186,10 +203,13 @@
         self, request: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         """Answer a read or a watch."""
+        self._open.add(writer)
         path, _, query = request.target.partition("?")
         pairs = (pair.partition("=") for pair in query.split("&"))
         fields = {name: value.replace("%2F", "/") for name, _, value in pairs}
         status, value = await self._read(path, fields)
+        if writer in self._silent:
+            await asyncio.Event().wait()
         headers = {"Content-Type": "application/json"}
         writer.write(answer(status, headers, json.dumps(value).encode()))
         await writer.drain()
@@ -225,10 +245,11 @@
 
 
 class Run(NamedTuple):
-    """A run of a request at a worker."""
+    """A run of a request at a worker, and when the request arrived there."""
 
     request: str
     worker: str
+    arrived_at: float = 0.0
 
 
 class Worker(Server):
@@ -294,7 +315,7 @@
         return True
 
     async def _run(self, name: str, request: Message, writer: asyncio.StreamWriter) -> bool:
-        self.runs.append(Run(name, self.name))
+        self.runs.append(Run(name, self.name, time.monotonic()))
         self.record.write(f"{self.name} runs {name} ({request.method} {request.target})")
         await asyncio.sleep(self.work_s)
         headers = {"Attempt-Id": name, "Server-Stamp": f"stamp.{self.name}.{name}"}
