--- a/review/fleet.py
+++ b/review/fleet.py
@@ -8,12 +8,14 @@
 import asyncio
 import base64
 import contextlib
+import ctypes
 import itertools
 import json
 import os
 import shlex
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -24,6 +26,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 _READ_BYTES = 65_536
+# Linux: attaches a packet filter to a socket.
+_SO_ATTACH_FILTER = 26
 _WORKER_NUMBERS = itertools.count(1)
 
 EXIT_HELD = 0
@@ -155,6 +159,16 @@
             writer.close()
 
 
+def _drop_incoming_packets(sock: socket.socket) -> None:
+    """Have the kernel drop all packets that arrive for a connection, so that it acknowledges none.
+
+    So a keep-alive of the other side shows the silence, as on a connection whose path is gone.
+    """
+    drop_all = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0))
+    program = struct.pack("HL", 1, ctypes.addressof(drop_all))
+    sock.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, program)
+
+
 class Store(Server):
     """The platform's store: the configuration and the workers' entries, with a watch."""
 
@@ -174,6 +188,8 @@
         Returns:
             The number of these connections.
         """
+        for writer in self._open:
+            _drop_incoming_packets(writer.get_extra_info("socket"))
         self._silent |= self._open
         return len(self._open)
 
