--- a/review/fleet.py
+++ b/review/fleet.py
@@ -26,6 +26,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 _READ_BYTES = 65_536
+# Seconds from the last packet until the keep-alive of an instance ends a silent connection.
+_KEEP_ALIVE_S = 2.0
 # Linux: attaches a packet filter to a socket.
 _SO_ATTACH_FILTER = 26
 _WORKER_NUMBERS = itertools.count(1)
@@ -189,7 +191,11 @@
             The number of these connections.
         """
         for writer in self._open:
-            _drop_incoming_packets(writer.get_extra_info("socket"))
+            try:
+                _drop_incoming_packets(writer.get_extra_info("socket"))
+            except OSError:
+                # No packet filters here: end the connection when a keep-alive would.
+                asyncio.get_running_loop().call_later(_KEEP_ALIVE_S, writer.transport.abort)
         self._silent |= self._open
         return len(self._open)
 
