Observability: lateness of the event loop, delay of connections, callers' connections

An instrument of the event loop measures its busy share and how long data waits; the time that connections to several endpoints take beyond their usual one shows the delay of loop and link together. Metrics for both, for callers' connections (open, new by outcome) and from acceptance to the first head. No decision uses them yet.

--- a/cleatlink/relay/callers/server.py
+++ b/cleatlink/relay/callers/server.py
@@ -13,6 +13,7 @@
 
 from cleatlink.core.routes import CallerLimits, Headers
 from cleatlink.relay.callers.answer_buffer import AnswerBuffer
+from cleatlink.relay.callers.intake import CallerIntake
 from cleatlink.relay.callers.targets import to_origin_form
 from cleatlink.relay.exchange import AnswerStream, Exchange, RawRequest
 from cleatlink.relay.sockets import accept_connections, set_connection_options
@@ -78,10 +79,26 @@
 class CallerConnection(AnswerStream):
     """One connection of a caller."""
 
-    def __init__(self, stream: trio.SocketStream, handler: Handler, memory: BufferedBytes) -> None:
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        handler: Handler,
+        memory: BufferedBytes,
+        intake: CallerIntake | None = None,
+    ) -> None:
+        """Create a connection that was just accepted.
+
+        Args:
+            stream: The connection.
+            handler: Serves its requests.
+            memory: Counts the bytes held for the caller.
+            intake: Records when the first request is read; None to record nothing.
+        """
         self._stream = stream
         self._handler = handler
         self._memory = memory
+        self._intake = intake
+        self._accepted_at = trio.current_time()
         self._reserved_body_bytes = 0
         self._answer_buffer = AnswerBuffer(stream, memory)
         self._start_task: Callable[..., None] | None = None
@@ -165,6 +182,9 @@
         head = await self._read_head()
         if head is None:
             return None
+        if self._intake is not None:
+            self._intake.note_first_read(trio.current_time() - self._accepted_at)
+            self._intake = None
         fields_bytes = sum(len(name) + len(value) + 4 for name, value in head.headers)
         if fields_bytes + len(head.target) > self._handler.limits.header_bytes:
             raise _BadRequestError(431)
@@ -303,7 +323,10 @@
 
 
 async def serve_connections(
-    listener: trio.SocketListener, handler: Handler, memory: BufferedBytes | None = None
+    listener: trio.SocketListener,
+    handler: Handler,
+    memory: BufferedBytes | None = None,
+    intake: CallerIntake | None = None,
 ) -> None:
     """Accept and serve connections until cancelled.
 
@@ -311,17 +334,28 @@
         listener: Accepts the connections.
         handler: Serves their requests.
         memory: Counts the bytes held for their callers; by default the listener has its own count.
+        intake: Counts the connections; None to count none.
     """
     memory = BufferedBytes(_DEFAULT_MEMORY_LIMIT_BYTES) if memory is None else memory
-    await accept_connections(listener, lambda stream: _serve_connection(stream, handler, memory))
 
+    async def serve(stream: trio.SocketStream) -> None:
+        connection = CallerConnection(stream, handler, memory, intake)
+        if intake is None:
+            await _serve_connection(stream, connection)
+            return
+        intake.note_opened()
+        try:
+            await _serve_connection(stream, connection)
+        finally:
+            intake.note_closed()
 
-async def _serve_connection(
-    stream: trio.SocketStream, handler: Handler, memory: BufferedBytes
-) -> None:
+    await accept_connections(listener, serve)
+
+
+async def _serve_connection(stream: trio.SocketStream, connection: CallerConnection) -> None:
     try:
         set_connection_options(stream.socket, _TCP_USER_TIMEOUT_S)
-        await CallerConnection(stream, handler, memory).run()
+        await connection.run()
     except OSError:
         return
     finally:
--- a/cleatlink/relay/endpoints/dialer.py
+++ b/cleatlink/relay/endpoints/dialer.py
@@ -2,6 +2,8 @@
 
 from abc import ABC, abstractmethod
 
+import trio
+
 from cleatlink.core.errors import EndpointUnreachableError
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.endpoints.path_monitor import PathMonitor
@@ -67,6 +69,7 @@
         self, endpoint: RoutedEndpoint, ack_timeout_s: float, timeout_s: float
     ) -> EndpointStream:
         """Connect to the endpoint."""
+        began_at = trio.current_time()
         try:
             stream = await connect_within(
                 self._connector, endpoint.address, ack_timeout_s, timeout_s
@@ -76,5 +79,5 @@
                 self._monitor.note_failed(endpoint)
             raise
         if self._monitor is not None:
-            self._monitor.note_connected(endpoint)
+            self._monitor.note_connected(endpoint, trio.current_time() - began_at)
         return stream
--- a/cleatlink/relay/endpoints/path_monitor.py
+++ b/cleatlink/relay/endpoints/path_monitor.py
@@ -8,6 +8,7 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.metrics import DialOutcome, DialPath, RelayMetrics
 from cleatlink.routing.endpoint_paths import EndpointPaths
+from cleatlink.routing.own_delay import OwnDelay
 
 __all__ = ["PathMonitor"]
 
@@ -20,6 +21,8 @@
         paths: EndpointPaths,
         metrics: RelayMetrics,
         on_change: Callable[[RoutedEndpoint], None] = lambda _: None,
+        *,
+        own_delay: OwnDelay | None = None,
     ) -> None:
         """Create a monitor.
 
@@ -27,15 +30,19 @@
             paths: The paths to update.
             metrics: Counts connections by path and outcome.
             on_change: Called with an endpoint whose path was lost or works again.
+            own_delay: Records how long connections take; None to start a record of its own.
         """
         self.paths = paths
+        self.own_delay = OwnDelay() if own_delay is None else own_delay
         self._metrics = metrics
         self._on_change = on_change
 
-    def note_connected(self, endpoint: RoutedEndpoint) -> None:
-        """Record a direct connection to an endpoint."""
+    def note_connected(self, endpoint: RoutedEndpoint, took_s: float) -> None:
+        """Record a direct connection to an endpoint, and how many seconds it took."""
+        now = trio.current_time()
         self._metrics.count_dial(DialPath.DIRECT, DialOutcome.CONNECTED)
-        lost_s = self.paths.note_connected(endpoint.name, trio.current_time())
+        self.own_delay.note_connection(endpoint.name, took_s, now)
+        lost_s = self.paths.note_connected(endpoint.name, now)
         if lost_s is None:
             return
         eliot.log_message(
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -12,6 +12,7 @@
 from cleatlink.core.errors import ListenError
 from cleatlink.core.routes import RoutedEndpoint, RouteTable
 from cleatlink.organisations import OrganisationAccess, OrganisationLimits
+from cleatlink.relay.callers.intake import CallerIntake
 from cleatlink.relay.callers.internal_pages import MetricsHandler, PeerHandler, ReadyHandler
 from cleatlink.relay.callers.server import Handler, serve_connections
 from cleatlink.relay.callers.service import RelayService
@@ -142,6 +143,7 @@
         # Highest number of instances that a peer reported to this process after its start.
         self._reported_instance_count = 0
         self._caller_memory = BufferedBytes(_caller_memory_limit_bytes(settings.memory_mb))
+        self._intake = CallerIntake(self._capacity.own_delay, self._metrics)
         self._planned_stop = PlannedStop()
         limits = OrganisationLimits(settings.limit_tolerance, trio.current_time())
         self._organisation_access = OrganisationAccess(limits)
@@ -264,7 +266,12 @@
             ListenError: An address of the settings can't be bound.
         """
         try:
-            await self._run(self._listen(), stop)
+            listeners = self._listen()
+            self._intake.start()
+            try:
+                await self._run(listeners, stop)
+            finally:
+                self._intake.close()
         finally:
             self._tunnels.close()
             self._peers.close()
@@ -304,8 +311,10 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             for listener, handler in listeners:
-                memory = self._caller_memory if handler is self._service else None
-                nursery.start_soon(serve_connections, listener, handler, memory)
+                serves_callers = handler is self._service
+                memory = self._caller_memory if serves_callers else None
+                intake = self._intake if serves_callers else None
+                nursery.start_soon(serve_connections, listener, handler, memory, intake)
             self._tunnels.start(nursery, self._start_supervised)
             self._peers.start(self._start_supervised, self._spawn)
             for task in (self._follower.run, self._run_housekeeping, self._role_controller.run):
@@ -502,6 +511,7 @@
             self._metrics.set_dropped_log_lines(self._writer.dropped_lines)
         self._metrics.set_held_bytes(self._caller_memory)
         self._metrics.set_lost_paths(self._tunnels.paths.lost_count)
+        self._intake.update_metrics()
         return self._metrics.render()
 
     async def _sleep_and_detect_pause(self, seconds: float) -> None:
@@ -530,6 +540,7 @@
             )
             self._capacity.notices.drop_old(trio.current_time())
             self._capacity.endpoint_limits.expire(trio.current_time())
+            self._capacity.own_delay.remove_stale(self._capacity.endpoints.keys())
             self._capacity.plain_load.remove_stale(
                 self._capacity.endpoints.keys(), trio.current_time()
             )
--- a/cleatlink/relay/metrics.py
+++ b/cleatlink/relay/metrics.py
@@ -134,6 +134,34 @@
             "Speeds of endpoints beside their service's usual one: slowest, median, fastest.",
             registry=self._registry,
         )
+        self._caller_connections = self._counter(
+            "cleatlink_relay_caller_connections_total",
+            "New connections of callers, by outcome.",
+        )
+        self._open_caller_connections = Gauge(
+            "cleatlink_relay_open_caller_connections",
+            "Open connections of callers.",
+            registry=self._registry,
+        )
+        self._loop_busy_share = Gauge(
+            "cleatlink_relay_loop_busy_share",
+            "Share of the time in which the event loop ran tasks.",
+            registry=self._registry,
+        )
+        self._delays = Gauge(
+            "cleatlink_relay_own_delay_seconds",
+            "Delay that this instance adds: of its event loop, and of its connections.",
+            registry=self._registry,
+        )
+        self._intake_share = Gauge(
+            "cleatlink_relay_intake_share",
+            "Share of new connections of callers that are served.",
+            registry=self._registry,
+        )
+        self._first_read_s = self._histogram(
+            "cleatlink_relay_first_read_seconds",
+            "Acceptance of a connection to the first request's head.",
+        )
         self._first_byte_s = self._histogram(
             "cleatlink_relay_first_byte_seconds", "Arrival to the first byte of the answer."
         )
@@ -240,6 +268,30 @@
         """Count a stream that was assigned to an endpoint, by whether it is in this data centre."""
         self._stream_placements.inc({"data_centre": "other" if is_other_data_centre else "own"})
 
+    def count_caller_connection(self, *, is_served: bool) -> None:
+        """Count a new connection of a caller, which is served or closed unread."""
+        self._caller_connections.inc({"outcome": "served" if is_served else "closed"})
+
+    def set_open_caller_connections(self, count: int) -> None:
+        """Set the number of open connections of callers."""
+        self._open_caller_connections.set({}, count)
+
+    def set_own_delay(
+        self, busy_share: float, loop_delay_s: float, connection_delay_s: float
+    ) -> None:
+        """Set how busy the event loop is, and the delays that this instance adds, in seconds."""
+        self._loop_busy_share.set({}, round(busy_share, 3))
+        self._delays.set({"part": "loop"}, round(loop_delay_s, 4))
+        self._delays.set({"part": "connections"}, round(connection_delay_s, 4))
+
+    def set_intake_share(self, share: float) -> None:
+        """Set the share of new connections of callers that are served."""
+        self._intake_share.set({}, round(share, 3))
+
+    def observe_first_read(self, seconds: float) -> None:
+        """Record the time from the acceptance of a connection to its first request's head."""
+        self._first_read_s.observe({}, seconds)
+
     def observe_prefill(self, seconds: float) -> None:
         """Record the duration of a prefill."""
         self._prefill_s.observe({}, seconds)
--- a/cleatlink/relay/tunnels/service.py
+++ b/cleatlink/relay/tunnels/service.py
@@ -74,7 +74,9 @@
         self._hooks = hooks
         self._paths = EndpointPaths()
         self._announced_lost_services: tuple[str, ...] = ()
-        monitor = PathMonitor(self._paths, metrics, self._handle_path_change)
+        monitor = PathMonitor(
+            self._paths, metrics, self._handle_path_change, own_delay=capacity.own_delay
+        )
         direct = DirectDialer(connector, monitor)
         client = TunnelClient(
             settings.name,
--- a/cleatlink/routing/capacity.py
+++ b/cleatlink/routing/capacity.py
@@ -17,6 +17,7 @@
 from cleatlink.routing.mechanisms import Mechanism, MechanismSwitches
 from cleatlink.routing.notices import EndpointNotices
 from cleatlink.routing.outcomes import EndpointOutcomes
+from cleatlink.routing.own_delay import OwnDelay
 from cleatlink.routing.plain_load import PlainLoad
 from cleatlink.routing.plain_retries import ExpectedPlainRetries
 from cleatlink.routing.process_pauses import ProcessPauses
@@ -51,6 +52,7 @@
         self.expected_plain_retries = ExpectedPlainRetries()
         self.read_rates = ReadRates()
         self.process_pauses = ProcessPauses()
+        self.own_delay = OwnDelay()
         super().__init__(self.notices.begin_work, self.notices.end_work)
         self.switches = switches or MechanismSwitches()
         self.spill_over = SpillOver(is_on=self.switches.is_enabled(Mechanism.SPILL_OVER))
