--- a/soak/processes.py
+++ b/soak/processes.py
@@ -157,6 +157,17 @@
         """Cut the paths of the instance to all workers, or restore them."""
         write_cut(self._cut_path, cut)
 
+    @property
+    def process_id(self) -> int:
+        """ID of the current process.
+
+        Raises:
+            RuntimeError: No process was started.
+        """
+        if self._process is None:
+            raise RuntimeError(f"{self.name} has no process")
+        return self._process.pid
+
     def exit_code(self) -> int | None:
         """Return the exit code; None while the process runs."""
         return self._process.poll() if self._process is not None else None
