A late instance closes some new connections unread

Cause: an instance took in whatever came. It accepted one connection each time that the event loop ran its tasks, so that the others waited in the kernel where nobody sees them, and each request it had read delayed all others until most missed their target.

Change: the delay of a round trip (of the event loop, or of connections to several endpoints) controls the share of new connections that are served. The others are accepted and closed unread, which costs little; callers may retry at once, also with requests that must not be repeated. Answers ask for the end of kept connections meanwhile.

Weighed: a fixed number of requests in progress (instances differ in cores and links), leaving connections in the kernel (time counts from the caller's first try), handing work to peers (costs both).

--- a/cleatlink/relay/callers/server.py
+++ b/cleatlink/relay/callers/server.py
@@ -334,7 +334,7 @@
         listener: Accepts the connections.
         handler: Serves their requests.
         memory: Counts the bytes held for their callers; by default the listener has its own count.
-        intake: Counts the connections; None to count none.
+        intake: Decides which connections are served, and counts them; None to serve all.
     """
     memory = BufferedBytes(_DEFAULT_MEMORY_LIMIT_BYTES) if memory is None else memory
 
@@ -349,7 +349,8 @@
         finally:
             intake.note_closed()
 
-    await accept_connections(listener, serve)
+    admits = (lambda: True) if intake is None else intake.admits
+    await accept_connections(listener, serve, admits)
 
 
 async def _serve_connection(stream: trio.SocketStream, connection: CallerConnection) -> None:
--- a/cleatlink/relay/callers/service.py
+++ b/cleatlink/relay/callers/service.py
@@ -1,6 +1,7 @@
 """Handles callers' requests: routes each one, runs its call and sends exactly one answer."""
 
 import math
+from collections.abc import Callable
 from functools import partial
 from traceback import format_exc
 from typing import NamedTuple
@@ -64,8 +65,17 @@
 class RelayService(Handler):
     """Serves callers according to the route table in force."""
 
-    def __init__(self, components: RelayComponents) -> None:
+    def __init__(
+        self, components: RelayComponents, is_late: Callable[[], bool] = lambda: False
+    ) -> None:
+        """Create a service without a route table.
+
+        Args:
+            components: The components of the instance.
+            is_late: Returns whether callers should use other instances for their next requests.
+        """
         self._components = components
+        self._is_late = is_late
         self._index: RouteIndex | None = None
         self._newer_table_wait = NewerTableWait(components.table_tracker, components.planned_stop)
         self._decode_admission = DecodeAdmission(components)
@@ -81,7 +91,7 @@
     @property
     def asks_to_close(self) -> bool:
         """Whether answers ask callers to close their connection."""
-        return self._components.planned_stop.has_begun
+        return self._components.planned_stop.has_begun or self._is_late()
 
     @property
     def in_flight(self) -> int:
--- a/cleatlink/relay/full_link_test.py
+++ b/cleatlink/relay/full_link_test.py
@@ -3,8 +3,8 @@
 import pytest
 import trio
 
+from cleatlink.routing.mechanisms import Mechanism
 from standins.relay import Worker
-from standins.relay.example_fleet import start
 from standins.relay.fleet import Fleet, open_fleet
 
 pytestmark = pytest.mark.virtual_time
@@ -34,9 +34,14 @@
 
 async def start_fleet(fleet: Fleet) -> None:
     workers = [Worker("plain", slots=_SLOTS) for _ in range(_WORKERS)]
-    await start(fleet, *workers)
     for worker in workers:
         worker.run_duration_s = _WORK_S
+        await fleet.add_worker(worker)
+    fleet.add_route("/unsafe/", "unsafe", "plain", attempts=1)
+    fleet.configure()
+    # All calls are read, also those that come while the link is full.
+    fleet.start_instance("a", Mechanism.INTAKE_LIMIT)
+    await fleet.wait_ready()
 
 
 async def test_full_link_does_not_make_a_service_look_full() -> None:
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -143,7 +143,12 @@
         # Highest number of instances that a peer reported to this process after its start.
         self._reported_instance_count = 0
         self._caller_memory = BufferedBytes(_caller_memory_limit_bytes(settings.memory_mb))
-        self._intake = CallerIntake(self._capacity.own_delay, self._metrics)
+        self._intake = CallerIntake(
+            self._capacity.own_delay,
+            self._metrics,
+            self._capacity.switches,
+            random.Random(incarnation),
+        )
         self._planned_stop = PlannedStop()
         limits = OrganisationLimits(settings.limit_tolerance, trio.current_time())
         self._organisation_access = OrganisationAccess(limits)
@@ -177,7 +182,7 @@
             self._tunnels.paths,
             self._spawn,
         )
-        self._service = RelayService(self._components)
+        self._service = RelayService(self._components, lambda: self._intake.is_limiting)
         follower_hooks = FollowerHooks(
             self._service.use_table,
             self._announce_new_table,
@@ -531,6 +536,7 @@
             # Random intervals, so that instances that start together do not check at the same time.
             await self._sleep_and_detect_pause(_HOUSEKEEPING_S * (0.5 + rng.random()))
             self._pool.close_expired()
+            self._intake.update()
             self._service.decode_admission.run_maintenance()
             self._quarantine.remove_expired()
             self._peers.stream_builds.remove_expired()
--- a/cleatlink/relay/sockets.py
+++ b/cleatlink/relay/sockets.py
@@ -1,7 +1,8 @@
 """TCP sockets with options that detect unresponsive peers."""
 
+import os
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import trio
 
@@ -16,6 +17,8 @@
 _ACCEPT_PAUSE_S = 0.05
 # Room for all clients that reconnect at once after a restart.
 _BACKLOG = 512
+# Most connections that are accepted between two runs of other tasks.
+_MAX_ACCEPTS = 64
 
 
 def set_connection_options(
@@ -90,23 +93,46 @@
 
 
 async def accept_connections(
-    listener: trio.SocketListener, serve: Callable[[trio.SocketStream], Awaitable[None]]
+    listener: trio.SocketListener,
+    serve: Callable[[trio.SocketStream], Awaitable[None]],
+    admits: Callable[[], bool] = lambda: True,
 ) -> None:
     """Accept connections until cancelled, and close the listener then.
 
     Args:
         listener: Accepts the connections.
         serve: Serves one connection.
+        admits: Decides whether a new connection is served; if not, it is closed unread.
     """
+    # A listener accepts one connection each time that the event loop runs its tasks. While the loop
+    # is late, the others would wait in the kernel, where nobody sees them.
+    waiting = socket.socket(fileno=os.dup(listener.socket.fileno()))
+    waiting.setblocking(False)
     try:
         async with trio.open_nursery() as nursery:
             while True:
                 try:
-                    stream = await listener.accept()
+                    first = await listener.accept()
                 except OSError:
                     # No file descriptors are left, or the other side has already disconnected.
                     await trio.sleep(_ACCEPT_PAUSE_S)
                     continue
-                nursery.start_soon(serve, stream)
+                for stream in (first, *_accept_waiting(waiting)):
+                    if admits():
+                        nursery.start_soon(serve, stream)
+                    else:
+                        stream.socket.close()
     finally:
+        waiting.close()
         listener.socket.close()
+
+
+def _accept_waiting(sock: socket.socket) -> Iterator[trio.SocketStream]:
+    """Accept connections that wait already; an error is left to the next regular attempt."""
+    for _ in range(_MAX_ACCEPTS):
+        try:
+            accepted, _ = sock.accept()
+        except OSError:
+            return
+        accepted.setblocking(False)
+        yield trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
--- a/cleatlink/routing/mechanisms.py
+++ b/cleatlink/routing/mechanisms.py
@@ -56,6 +56,8 @@
     PLAIN_ADMISSION = "plain-admission"
     # Connect to endpoints through a peer where this instance lost its own path to them.
     TUNNELS = "tunnels"
+    # Close some new connections of callers unread while this instance is late.
+    INTAKE_LIMIT = "intake-limit"
 
 
 class MechanismSwitches:
--- a/cleatlink/routing/own_delay.py
+++ b/cleatlink/routing/own_delay.py
@@ -14,7 +14,7 @@
 __all__ = ["OwnDelay"]
 
 # Window of recent connections, in seconds.
-_WINDOW_S = 1.0
+_WINDOW_S = 0.5
 # Smallest numbers of recent connections, and of endpoints that they were opened to, for an
 # estimate: a single endpoint may be far away or unreachable for a moment.
 _MIN_CONNECTIONS = 3
