Soak: the check of skewed connections has a bound on time, also beside faults

It skipped every run in which anything else was disturbed and asked for served requests only, however late, so it held while answers of the preferred instance took seconds.

While other components are disturbed, the requests at the other instances are the reference; only runs in which the preferred instance itself was disturbed are left out.

--- a/soak/checks_test.py
+++ b/soak/checks_test.py
@@ -5,6 +5,7 @@
 import pytest
 
 from soak.checks import CHECKS, check_history
+from soak.connection_checks import check_skewed_connections
 from soak.records import (
     AnnouncedWorkerLimit,
     Arrival,
@@ -281,3 +282,38 @@
         instance_count=2, downtimes=(Downtime(1, 9.0, 9.9), Downtime(2, 9.0, 9.9))
     )
     assert check_history(early) != []
+
+
+def skewed_history(*requests: Request, disturbed: tuple[str, ...] = ()) -> History:
+    """Return a history in which most connections went to instance 1 from 45 s to 60 s."""
+    return EMPTY_HISTORY._replace(
+        skewed_connections=(SkewedConnections(1, 45.0, 60.0),),
+        requests=list(requests),
+        disturbances=[Disturbance(name, 50.0, 52.0) for name in disturbed],
+    )
+
+
+def skewed_request(at: float, took_s: float, instance: int = 1, status: int = 200) -> Request:
+    return SUCCESS._replace(
+        sent_at=at, ended_at=at + took_s, instance=instance, status=status, retry_after="1"
+    )
+
+
+def test_late_answers_at_the_instance_with_most_connections_are_reported() -> None:
+    before = [skewed_request(44.0, 0.05)] * 20
+    late, in_time = [skewed_request(50.0, 1.0)] * 10, [skewed_request(50.0, 0.1)] * 10
+    assert list(check_skewed_connections(skewed_history(*before, *late, *in_time)))
+    assert not list(check_skewed_connections(skewed_history(*before, *in_time, *in_time)))
+
+
+def test_skew_beside_other_faults_is_compared_with_the_other_instances() -> None:
+    failed = [skewed_request(50.0, 0.1, status=503)] * 10
+    served = [skewed_request(50.0, 0.1)] * 10
+    others = [skewed_request(50.0, 0.1, instance=2)] * 20
+    disturbed = ("store", "instance 3")
+    history = skewed_history(*failed, *served, *others, disturbed=disturbed)
+    assert list(check_skewed_connections(history))
+    history = skewed_history(*served, *served, *others, disturbed=disturbed)
+    assert not list(check_skewed_connections(history))
+    history = skewed_history(*failed, *served, *others, disturbed=("instance 1",))
+    assert not list(check_skewed_connections(history))
