Intake limit: a round trip waits four times for the event loop

Cause: two waits for the loop were counted for a round trip (connect, send, receive and pass on are four), and the share shrank slowly, so the process stayed at the border of its quota.

--- a/cleatlink/relay/callers/intake.py
+++ b/cleatlink/relay/callers/intake.py
@@ -14,8 +14,8 @@
 
 __all__ = ["CallerIntake"]
 
-# Number of waits for the event loop in one round trip.
-_WAITS_PER_ROUND_TRIP = 2
+# Number of waits for the event loop in one round trip: connect, send, receive and pass on.
+_WAITS_PER_ROUND_TRIP = 4
 # Most lines about a change of the limit in a window of time, and its length in seconds.
 _MAX_LOG_LINES, _LOG_WINDOW_S = 10, 10.0
 
--- a/cleatlink/routing/intake_control.py
+++ b/cleatlink/routing/intake_control.py
@@ -14,7 +14,7 @@
 # Shortest interval between two changes of the share, in seconds.
 _UPDATE_INTERVAL_S = 0.1
 # Factor by which the share shrinks with each change while the instance is late.
-_DECREASE = 0.85
+_DECREASE = 0.7
 # Increase of the share per second while the instance is not late.
 _INCREASE_PER_S = 0.5
 # Smallest share. Some connections show whether the instance is still late, and an instance that is
