--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -271,11 +271,7 @@
                 call.inbound, endpoint, call.remaining_s
             )
 
-        capacity, now = components.capacity, trio.current_time()
-        # The delay of this instance must be known before a service counts as full.
-        must_be_new = capacity.plain_load.is_nearly_full(now) and (
-            capacity.own_delay.needs_connection(now)
-        )
+        must_be_new = components.capacity.own_delay.needs_connection(trio.current_time())
         return await components.pool.call(
             endpoint,
             max_idle_s,
--- a/cleatlink/routing/own_delay.py
+++ b/cleatlink/routing/own_delay.py
@@ -21,6 +21,10 @@
 _MIN_ENDPOINTS = 2
 # Most recent connections that are considered: bounds the cost of an estimate.
 _MAX_CONNECTIONS = 64
+# Smallest delay, in seconds: below it, the times of connections vary without a reason.
+_MIN_DELAY_S = 0.01
+# Time for which connections are opened for an estimate after a doubt, in seconds.
+_DOUBT_S = 1.0
 # Time for which an estimate is used again, in seconds.
 _ESTIMATE_LIFETIME_S = 0.05
 
@@ -49,6 +53,7 @@
         self._shortest_s: dict[str, float] = {}
         self._estimate_s = 0.0
         self._estimated_at = -math.inf
+        self._doubted_until = -math.inf
 
     def note_connection(self, endpoint: str, took_s: float, now: float) -> None:
         """Record that a direct connection was opened.
@@ -62,8 +67,14 @@
         self._shortest_s[endpoint] = shortest_s
         self._recent.append(_Connection(endpoint, now, took_s - shortest_s))
 
+    def note_doubt(self, now: float) -> None:
+        """Record that calls are held back because endpoints seem full or slow."""
+        self._doubted_until = now + _DOUBT_S
+
     def needs_connection(self, now: float) -> bool:
-        """Check whether too few connections were opened lately for an estimate."""
+        """Check whether an estimate is wanted and too few connections were opened for one."""
+        if now >= self._doubted_until:
+            return False
         self._remove_old(now)
         return len(self._recent) < _MIN_CONNECTIONS
 
@@ -81,7 +92,8 @@
             return 0.0
         if len({item.endpoint for item in recent}) < _MIN_ENDPOINTS:
             return 0.0
-        return median(item.delay_s for item in recent)
+        delay_s = median(item.delay_s for item in recent)
+        return delay_s if delay_s >= _MIN_DELAY_S else 0.0
 
     def _remove_old(self, now: float) -> None:
         while self._recent and self._recent[0].opened_at <= now - _WINDOW_S:
--- a/cleatlink/routing/own_delay_test.py
+++ b/cleatlink/routing/own_delay_test.py
@@ -39,6 +39,25 @@
     assert delay.seconds(2.6) == 0.0
 
 
+def test_usual_variation_of_connections_is_no_delay() -> None:
+    """Durations of a few milliseconds were measured too short, and roles were changed later."""
+    delay = OwnDelay()
+    open_connections(delay, 0.001, 0.0, "a", "b", "c")
+    open_connections(delay, 0.004, 1.0, "a", "b", "c")
+    assert delay.seconds(1.1) == 0.0
+
+
+def test_connections_are_wanted_only_while_the_estimate_matters() -> None:
+    """Connections were opened on calm days, although idle ones could be used."""
+    delay = OwnDelay()
+    assert not delay.needs_connection(0.0)
+    delay.note_doubt(0.0)
+    assert delay.needs_connection(0.1)
+    open_connections(delay, 0.002, 0.2, "a", "b", "c")
+    assert not delay.needs_connection(0.3)
+    assert not delay.needs_connection(2.0)
+
+
 def test_endpoints_that_are_gone_are_forgotten() -> None:
     delay = OwnDelay()
     open_connections(delay, 0.002, 0.0, "a", "b", "c")
--- a/cleatlink/routing/plain_admission_policy.py
+++ b/cleatlink/routing/plain_admission_policy.py
@@ -75,6 +75,9 @@
         share = admitted_shares(
             capacity.plain_load.arrival_rates(service, now), service_load.sustainable_per_s
         )[rank]
+        if share < 1.0:
+            # The service may only seem full because this instance is late.
+            capacity.own_delay.note_doubt(now)
         return CallAssessment(rank, share, service_load)
 
     def service_load(self, service: str, now: float) -> ServiceLoad:
