Tests of whole fleets don't measure their shared event loop

Cause: in these tests many instances and stand-ins share one loop, and the jumps of the virtual clock fall between two looks for data, so the loop seems busy all the time. Not a fault of the program: the lateness of such a loop says nothing about one instance.

Change: an instance is told not to measure a loop that isn't its own; the delay of its connections is measured as before. No test was changed. The real processes of the soak measure their loops.

--- a/cleatlink/relay/callers/intake.py
+++ b/cleatlink/relay/callers/intake.py
@@ -29,6 +29,8 @@
         metrics: RelayMetrics,
         switches: MechanismSwitches,
         rng: random.Random,
+        *,
+        measures_loop: bool = True,
     ) -> None:
         """Create an intake without connections.
 
@@ -37,12 +39,14 @@
             metrics: Counts the connections.
             switches: Tells whether any connections are closed unread.
             rng: Chooses the connections that are closed.
+            measures_loop: Whether the event loop is measured.
         """
         self._own_delay = own_delay
         self._metrics = metrics
         self._is_enabled = switches.is_enabled(Mechanism.INTAKE_LIMIT)
         self._rng = rng
         self._monitor = LoopMonitor()
+        self._measures_loop = measures_loop
         self._control = IntakeControl(trio.current_time())
         self._log_limit = LogRateLimit(_MAX_LOG_LINES, _LOG_WINDOW_S)
         self._open_count = 0
@@ -55,11 +59,13 @@
 
     def start(self) -> None:
         """Start to measure the event loop."""
-        self._monitor.start()
+        if self._measures_loop:
+            self._monitor.start()
 
     def close(self) -> None:
         """End the measurement."""
-        self._monitor.close()
+        if self._measures_loop:
+            self._monitor.close()
 
     def admits(self) -> bool:
         """Decide whether a new connection is served; otherwise it is to be closed unread."""
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -87,6 +87,7 @@
         writer: LogWriter | None = None,
         *,
         connector: Connector | None = None,
+        measures_loop: bool = True,
     ) -> None:
         """Create the components of an instance without starting it.
 
@@ -97,6 +98,8 @@
             incarnation: Number of this start; it grows with each start.
             writer: Writes the log; None in tests.
             connector: Opens connections to endpoints; None for TCP connections.
+            measures_loop: Whether the lateness of the event loop is the instance's own; not if
+                other components of a test share the loop, or if its clock is virtual.
         """
         self._settings = settings
         self._source = source
@@ -148,6 +151,7 @@
             self._metrics,
             self._capacity.switches,
             random.Random(incarnation),
+            measures_loop=measures_loop,
         )
         self._planned_stop = PlannedStop()
         limits = OrganisationLimits(settings.limit_tolerance, trio.current_time())
--- a/standins/relay/fleet.py
+++ b/standins/relay/fleet.py
@@ -178,6 +178,7 @@
             platform_store,
             self._incarnations,
             connector=self.connectors[index],
+            measures_loop=False,
         )
         stop, ended, scope = trio.Event(), trio.Event(), trio.CancelScope()
         # Replaces the items of an earlier process, or appends them.
