Stand-ins: workers with a status of their own, repeated rejections and answers without end

No stand-in could show it: a worker answered only 200 or 500 after a run, and its extra answer was a copy of a 200.

Change: a worker can answer a request that it ran with any status without the mark of a rejection, can send a rejection a second time when the next request has come in on the connection, and can send a head, a body, events, interim responses or other bytes without end.

Behaviour of the program is unchanged.

--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -12,8 +12,10 @@
 
 import trio
 
+from standins.relay.endless_answers import EndlessPart, send_without_end
 from standins.relay.extra_arrivals import WorkerArrival
 from standins.relay.raw_server import LAST_CHUNK, RawCall, RawServer, answer, chunk, reset
+from standins.relay.rejections import Rejections
 from standins.relay.stream_builds import mark_event
 
 __all__ = ["Fault", "Run", "Worker", "prompt_parts"]
@@ -36,6 +38,9 @@
     UNSIGNED = "no signature"
     EXTRA_RESPONSE = "a second answer after the first"
     TRUNCATED = "breaks off within the answer"
+    OWN_STATUS = "runs it, then answers with a status of its own"
+    REPEATED_REJECTION = "rejects it, and rejects again when the next request has come in"
+    ENDLESS = "bytes without end"
 
 
 def prompt_parts(call: RawCall) -> list[str]:
@@ -96,6 +101,11 @@
         self.extra_headers: dict[str, str] = {}
         # Whether it rejects every request and reservation.
         self.rejects_work = False
+        self.rejections = Rejections()
+        # Status with which it answers requests that it ran, for ``Fault.OWN_STATUS``.
+        self.own_status = 503
+        # Part that has no end, for ``Fault.ENDLESS``.
+        self.endless_part = EndlessPart.HEAD
         # Calls without a request id, which were meant for another server at this address.
         self.calls_without_id: list[RawCall] = []
         self.arrival_times: list[float] = []
@@ -180,6 +190,7 @@
     async def serve(self, call: RawCall, stream: trio.SocketStream) -> bool:
         """Respond to one call."""
         self.all_arrival_times.append(trio.current_time())
+        await self.rejections.send_due(stream)
         if call.path.startswith("/kv-handle/"):
             handle = call.path.rpartition("/")[2]
             self.deleted_handles.append(handle)
@@ -206,9 +217,9 @@
             await stream.send_all(answer(421, {"Instance-Id": self.name}))
             return True
         fault = self.faults.pop(0) if self.faults else None
-        if fault is Fault.FULL or self.leaving or self.rejects_work:
-            headers = {"Not-Executed": "1", **self._notice_headers(), **self._backoff_headers()}
-            return await self._send_answer(stream, 503, headers)
+        is_repeated = fault is Fault.REPEATED_REJECTION
+        if is_repeated or fault is Fault.FULL or self.leaving or self.rejects_work:
+            return await self._reject(call, stream, is_repeated=is_repeated)
         if fault is Fault.RESET_BEFORE:
             return False
         if call.headers.get("stage") == "prefill":
@@ -221,6 +232,22 @@
             return await self._serve_decode(call, stream, fault)
         return await self._serve_plain(call, stream, fault)
 
+    async def _reject(self, call: RawCall, stream: trio.SocketStream, *, is_repeated: bool) -> bool:
+        """Reject a call; return whether the connection stays open after it."""
+        headers = {
+            **self.rejections.headers(call),
+            **self._notice_headers(),
+            **self._backoff_headers(),
+        }
+        if is_repeated:
+            self.rejections.repeat_later(stream, headers)
+        return await self._send_answer(stream, self.rejections.status, headers)
+
+    async def _send_own_status(self, call: RawCall, stream: trio.SocketStream) -> bool:
+        """Answer a call that ran with a status of rejections, without their mark."""
+        headers = {**self._signed_headers(call), **self._backoff_headers()}
+        return await self._send_answer(stream, self.own_status, headers, b"failed")
+
     async def _send_answer(
         self, stream: trio.SocketStream, status: int, headers: dict[str, str], body: bytes = b""
     ) -> bool:
@@ -346,6 +373,10 @@
         if fault is Fault.GARBAGE:
             await stream.send_all(b"\x00\x01 this is no answer \r\n\r\n")
             return False
+        if fault is Fault.ENDLESS:
+            await send_without_end(stream, self.endless_part, self._signed_headers(call))
+        if fault is Fault.OWN_STATUS:
+            return await self._send_own_status(call, stream)
         headers = self._signed_headers(call)
         status, body = 200, self.body
         if fault is Fault.ERROR:
@@ -390,6 +421,10 @@
         self.runs.append(run)
         if fault is Fault.NO_RESPONSE:
             await trio.sleep_forever()
+        if fault is Fault.ENDLESS:
+            await send_without_end(stream, self.endless_part, self._signed_headers(call))
+        if fault is Fault.OWN_STATUS:
+            return await self._send_own_status(call, stream)
         lines = ["HTTP/1.1 200 X", "Content-Type: text/event-stream"]
         has_chunks = not self.ends_with_connection
         lines += ["Transfer-Encoding: chunked"] if has_chunks else []
