Observability: rejections are logged with their mark and the request that they name

Logs and metrics could not tell an endpoint's own status that is passed on from a late copy of a rejection that is taken for the next request's answer.

Change: a request to an endpoint carries the ID of the caller's request, and the head of a response is passed on with it and with the number of the request on its connection. A response with a status of rejections or with their mark is counted (cleatlink_relay_endpoint_rejections_total) and, at most 50 times in 10 s, logged with its mark and with the request that it names. No decision changes.

--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -16,7 +16,7 @@
     OutcomeUnknownError,
     StreamBrokenError,
 )
-from cleatlink.relay.endpoints.protocol import OutgoingRequest, ResponseHead
+from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReceivedHead, ResponseHead
 from cleatlink.relay.endpoints.streams import EndpointStream, TcpConnector, connect_within
 from cleatlink.relay.tasks import run_watched
 from cleatlink.routing.uploads import AcceptedBytes, Upload
@@ -42,7 +42,7 @@
         self,
         stream: EndpointStream,
         opened_at: float,
-        on_head: Callable[[ResponseHead], None] | None = None,
+        on_head: Callable[[ReceivedHead], None] | None = None,
         on_send: Callable[[], None] | None = None,
     ) -> None:
         """Create a connection over an open stream.
@@ -63,6 +63,9 @@
         self._on_head = on_head
         self._on_bytes: Callable[[], None] | None = None
         self._status = 0
+        # ID of the caller's request that is sent or was sent last, and the number of requests.
+        self._request_id: str | None = None
+        self._exchange_number = 0
         self.idle_since = opened_at
 
     @classmethod
@@ -125,6 +128,8 @@
             OutcomeUnknownError: No response arrived, or bytes that are not a valid response.
         """
         self._on_bytes = on_bytes
+        self._request_id = request.request_id
+        self._exchange_number += 1
         if self._on_send is not None:
             self._on_send()
         try:
@@ -208,7 +213,7 @@
 
     def _report_head(self, head: ResponseHead) -> None:
         if self._on_head is not None:
-            self._on_head(head)
+            self._on_head(ReceivedHead(head, self._request_id, self._exchange_number))
 
     async def read_chunk(self) -> bytes | None:
         """Read more of the response body.
--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -11,7 +11,7 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.dialer import Dialer, DirectDialer
-from cleatlink.relay.endpoints.protocol import OutgoingRequest, ResponseHead
+from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReceivedHead, ResponseHead
 from cleatlink.relay.endpoints.streams import TcpConnector
 from cleatlink.routing.uploads import Upload
 
@@ -56,7 +56,7 @@
     def __init__(
         self,
         connection_limit: Callable[[RoutedEndpoint], float] | None = None,
-        on_head: Callable[[RoutedEndpoint, ResponseHead], None] | None = None,
+        on_head: Callable[[RoutedEndpoint, ReceivedHead], None] | None = None,
         is_leaving: Callable[[str], bool] = lambda _: False,
         on_send: Callable[[RoutedEndpoint], None] | None = None,
         dialer: Dialer | None = None,
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -6,6 +6,7 @@
 
 import math
 from collections.abc import Mapping
+from enum import StrEnum
 from typing import NamedTuple
 
 import msgspec
@@ -21,6 +22,7 @@
 
 __all__ = [
     "MISDIRECTED_REQUEST",
+    "NOT_EXECUTED_STATUSES",
     "REJECTION_STATUSES",
     "EndpointPaths",
     "HeaderNames",
@@ -28,7 +30,9 @@
     "RoleChangeFields",
     "OutgoingRequest",
     "Protocol",
+    "ReceivedHead",
     "ResponseHead",
+    "ResponseOwner",
 ]
 
 # Hop-by-hop headers, and headers that message framing sets anew on each connection.
@@ -52,6 +56,16 @@
 MISDIRECTED_REQUEST = 421
 # Statuses with which an endpoint rejects work; the response may say when to retry.
 REJECTION_STATUSES = frozenset({429, 503})
+# Statuses that tell a caller that its request did not run and never will.
+NOT_EXECUTED_STATUSES = REJECTION_STATUSES | {408, MISDIRECTED_REQUEST}
+
+
+class ResponseOwner(StrEnum):
+    """Which request a response names; the value is used in logs and metrics."""
+
+    THIS_REQUEST = "this request"
+    OTHER_REQUEST = "another request"
+    UNNAMED = "no request"
 
 
 class HeaderNames(NamedTuple):
@@ -143,12 +157,35 @@
 
 
 class OutgoingRequest(NamedTuple):
-    """A request to an endpoint."""
+    """A request to an endpoint.
+
+    Attributes:
+        method: Method as sent.
+        target: Path and query as sent.
+        headers: Headers as sent.
+        body: The complete body.
+        request_id: ID of the caller's request; None for requests of the relay itself.
+    """
 
     method: bytes
     target: bytes
     headers: Headers
     body: bytes
+    request_id: str | None = None
+
+
+class ReceivedHead(NamedTuple):
+    """The head of a response, and the request on whose connection it arrived.
+
+    Attributes:
+        head: The head.
+        request_id: ID of the caller's request; None for requests of the relay itself.
+        exchange_number: Number of the request on its connection, from 1.
+    """
+
+    head: ResponseHead
+    request_id: str | None
+    exchange_number: int
 
 
 # The largest priority value, for the least urgent requests, that endpoints support.
@@ -278,7 +315,9 @@
             headers.append((names.last_event_id, b"%d" % last_event))
         if inbound.body or inbound.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
             headers.append((b"Content-Length", b"%d" % len(inbound.body)))
-        return OutgoingRequest(inbound.method, inbound.target, tuple(headers), inbound.body)
+        return OutgoingRequest(
+            inbound.method, inbound.target, tuple(headers), inbound.body, inbound.request_id
+        )
 
     def make_relay_request(
         self, method: bytes, path: str, endpoint: RoutedEndpoint
@@ -332,9 +371,27 @@
             dropped |= {token.strip().lower() for token in connection.split(b",")}
         return tuple((name, value) for name, value in head.headers if name.lower() not in dropped)
 
+    def owner(self, head: ResponseHead, request_id: str | None) -> ResponseOwner:
+        """Return which request a response names.
+
+        Args:
+            head: The head of the response.
+            request_id: ID of the caller's request that was sent; None for a request of the relay.
+        """
+        named_id = head.get(self.names.request_id)
+        if named_id is None:
+            return ResponseOwner.UNNAMED
+        if named_id.decode("latin-1") == request_id:
+            return ResponseOwner.THIS_REQUEST
+        return ResponseOwner.OTHER_REQUEST
+
+    def is_marked_not_executed(self, head: ResponseHead) -> bool:
+        """Check whether a response has the mark of a rejection."""
+        return head.get(self.names.not_executed) is not None
+
     def reports_not_executed(self, head: ResponseHead) -> bool:
         """Check whether a response states that the endpoint did not run the request."""
-        return head.status == MISDIRECTED_REQUEST or head.get(self.names.not_executed) is not None
+        return head.status == MISDIRECTED_REQUEST or self.is_marked_not_executed(head)
 
     def accepts_work(self, head: ResponseHead) -> bool:
         """Check whether a response shows that its endpoint accepts work."""
@@ -358,8 +415,7 @@
 
     def matches_request(self, head: ResponseHead, inbound: InboundRequest) -> bool:
         """Check whether a response carries the identifier of this request."""
-        response_id = head.get(self.names.request_id)
-        return response_id is not None and response_id.decode("latin-1") == inbound.request_id
+        return self.owner(head, inbound.request_id) is ResponseOwner.THIS_REQUEST
 
     def has_signature(self, head: ResponseHead) -> bool:
         """Check whether a response carries the endpoint's signature."""
--- a/cleatlink/relay/endpoints/response_notices.py
+++ b/cleatlink/relay/endpoints/response_notices.py
@@ -11,7 +11,12 @@
 
 from cleatlink.core.notices import EMPTY_NOTICE, EndpointNotice
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.endpoints.protocol import Protocol, ResponseHead
+from cleatlink.relay.endpoints.protocol import (
+    NOT_EXECUTED_STATUSES,
+    Protocol,
+    ReceivedHead,
+    ResponseHead,
+)
 from cleatlink.relay.logs import LogRateLimit
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.routing.endpoint_limits import EndpointLimits
@@ -19,8 +24,7 @@
 
 __all__ = ["ResponseNoticeReader"]
 
-# Most log lines about back-offs, and about rate limits, within the window in seconds: each
-# response of an endpoint can carry a new value.
+# Most log lines of a kind within the window in seconds: each response of an endpoint can cause one.
 _MAX_LOG_LINES = 50
 _LOG_WINDOW_S = 10.0
 
@@ -95,11 +99,14 @@
         self._metrics = metrics
         self._backoff_log_limit = LogRateLimit(_MAX_LOG_LINES, _LOG_WINDOW_S)
         self._limit_change_log_limit = LogRateLimit(_MAX_LOG_LINES, _LOG_WINDOW_S)
+        self._rejection_log_limit = LogRateLimit(_MAX_LOG_LINES, _LOG_WINDOW_S)
 
-    def process_head(self, endpoint: RoutedEndpoint, head: ResponseHead) -> None:
+    def process_head(self, endpoint: RoutedEndpoint, received: ReceivedHead) -> None:
         """Process the notice in a response of an endpoint; most responses carry none."""
         now = trio.current_time()
+        head = received.head
         self._log_unknown_headers(endpoint, head)
+        self._record_rejection(endpoint, received, now)
         if self._protocol.accepts_work(head):
             self._notices.note_served(endpoint.name, now)
         notice = self._protocol.read_notice(head)
@@ -127,6 +134,28 @@
                 field=field.decode("latin-1"),
             )
 
+    def _record_rejection(
+        self, endpoint: RoutedEndpoint, received: ReceivedHead, now: float
+    ) -> None:
+        """Count and log a response that says, or seems to say, that its request did not run."""
+        protocol, head = self._protocol, received.head
+        is_marked = protocol.is_marked_not_executed(head)
+        if not is_marked and head.status not in NOT_EXECUTED_STATUSES:
+            return
+        owner = protocol.owner(head, received.request_id)
+        self._metrics.count_endpoint_rejection(owner.value, is_marked=is_marked)
+        if self._rejection_log_limit.allow(now):
+            eliot.log_message(
+                message_type="endpoint: response has a status or the mark of a rejection",
+                endpoint=endpoint.name,
+                service=endpoint.service,
+                request=received.request_id,
+                status=head.status,
+                marked=is_marked,
+                names=owner.value,
+                exchange=received.exchange_number,
+            )
+
     def _record_leaving(self, endpoint: RoutedEndpoint, status: int, now: float) -> None:
         self._metrics.count_endpoint_notice("leaving")
         if self._notices.note_leaving(endpoint.name, NoticeSource.ANSWER, now):
--- a/cleatlink/relay/endpoints/response_notices_test.py
+++ b/cleatlink/relay/endpoints/response_notices_test.py
@@ -9,7 +9,7 @@
 from cleatlink.core.notices import EMPTY_NOTICE, EndpointNotice
 from cleatlink.platform import PROTOCOL
 from cleatlink.relay.endpoints.protocol import ResponseHead
-from standins.relay import Worker
+from standins.relay import Fault, Worker
 from standins.relay.example_fleet import STREAM, engines, start
 from standins.relay.fleet import open_fleet
 
@@ -211,3 +211,25 @@
     ]
     assert len(leaving_lines) == 1
     assert 'cleatlink_relay_endpoint_notices_total{kind="leaving"}' in metrics
+
+
+async def test_rejection_is_logged_with_its_mark_and_the_request_that_it_names() -> None:
+    lines: list[dict[str, Any]] = []
+    eliot.add_destinations(lines.append)
+    try:
+        async with open_fleet() as fleet:
+            worker = Worker("plain")
+            await start(fleet, worker)
+            worker.faults = [Fault.FULL, Fault.OWN_STATUS]
+            caller = fleet.caller()
+            for request in ("marked", "unmarked"):
+                await caller.ask("/unsafe/x", "POST", headers={"Attempt-Id": request})
+                await trio.sleep(1.0)
+    finally:
+        eliot.remove_destination(lines.append)
+    logged = [
+        (line["request"], line["marked"], line["names"])
+        for line in lines
+        if line["message_type"] == "endpoint: response has a status or the mark of a rejection"
+    ]
+    assert logged == [("marked", True, "this request"), ("unmarked", False, "this request")]
--- a/cleatlink/relay/metrics.py
+++ b/cleatlink/relay/metrics.py
@@ -79,6 +79,10 @@
             "cleatlink_relay_endpoint_notices_total",
             "Answers in which endpoints said something of themselves, by kind.",
         )
+        self._rejections = self._counter(
+            "cleatlink_relay_endpoint_rejections_total",
+            "Responses with a status or the mark of a rejection, by request named and by mark.",
+        )
         self._yielded_capacity = self._counter(
             "cleatlink_relay_room_left_total",
             "Streams that left room to others that wait at other instances.",
@@ -252,6 +256,10 @@
         """Count an answer in which an endpoint reported something about itself."""
         self._notices.inc({"kind": kind})
 
+    def count_endpoint_rejection(self, names: str, *, is_marked: bool) -> None:
+        """Count a response that says, or seems to say, that its request did not run."""
+        self._rejections.inc({"names": names, "marked": str(is_marked).lower()})
+
     def count_plain_admission(self, outcome: str) -> None:
         """Count a plain call that arrived while its service was nearly at capacity."""
         self._plain_admissions.inc({"outcome": outcome})
