A response's owner is checked before anything else in it is used

Cause: an endpoint may send a second copy of a rejection late, in the place of the next answer on its connection. Plain calls, streams and prefills asked what a response says (`reports_not_executed`) before whose it is (`matches_request`), and a 421 counted whatever its ID. So the next request, which was running, counted as not run. A reservation's and an order's response was not asked at all. Worse, a plain call put the connection back into the pool after a response of another request, where it still owed an answer.

Class: a statement is believed before it is known to whom it applies. So the check moves to the one place that all paths pass, `EndpointConnection.exchange`: a response belongs to the request if it names it. Responses to requests of the relay itself name none. All else is an unknown outcome, and closes the connection. Of a response that belongs to another request, only an announced shutdown is still read. An unmarked 421 is a rejection only if it names an endpoint and is not signed.

Ruled out: that IDs alone are enough (rejections may have none).

--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -289,15 +289,13 @@
             The answer; None if another endpoint is to be tried.
 
         Raises:
-            OutcomeUnknownError: It belongs to another request or is not signed.
+            OutcomeUnknownError: It is not signed.
         """
         call, components = self._call, self._components
         head = answer.head
         if components.protocol.reports_not_executed(head):
             self._note_refusal(endpoint, head)
             return None
-        if not components.protocol.matches_request(head, call.inbound):
-            raise OutcomeUnknownError("the answer belongs to another request")
         if head.status < 300 and not components.protocol.has_signature(head):
             raise OutcomeUnknownError("the answer has no signature")
         call.ran = ExecutionStatus.YES
--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -267,7 +267,7 @@
         if components.protocol.reports_not_executed(head):
             call.note_refused(endpoint, head)
             raise EndpointRefusedError("the endpoint refused the prefill")
-        if not components.protocol.matches_request(head, call.inbound) or head.status != 200:
+        if head.status != 200:
             raise OutcomeUnknownError(f"invalid answer to the prefill, status {head.status}")
         try:
             handle = str(msgspec.json.decode(body)[components.protocol.paths.prefill_handle_field])
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -195,8 +195,6 @@
         if components.protocol.reports_not_executed(head):
             connection.close()
             return await self._handle_rejection(endpoint, head)
-        if not components.protocol.matches_request(head, call.inbound):
-            raise OutcomeUnknownError("the answer belongs to another request")
         call.ran = ExecutionStatus.YES
         call.update_read_rate(endpoint, upload, trio.current_time() - sent_at)
         components.capacity.note_free_capacity(endpoint.name)
--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -16,7 +16,13 @@
     OutcomeUnknownError,
     StreamBrokenError,
 )
-from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReceivedHead, ResponseHead
+from cleatlink.relay.endpoints.protocol import (
+    OutgoingRequest,
+    Protocol,
+    ReceivedHead,
+    ResponseHead,
+    ResponseOwner,
+)
 from cleatlink.relay.endpoints.streams import EndpointStream, TcpConnector, connect_within
 from cleatlink.relay.tasks import run_watched
 from cleatlink.routing.uploads import AcceptedBytes, Upload
@@ -44,6 +50,7 @@
         opened_at: float,
         on_head: Callable[[ReceivedHead], None] | None = None,
         on_send: Callable[[], None] | None = None,
+        protocol: Protocol | None = None,
     ) -> None:
         """Create a connection over an open stream.
 
@@ -52,8 +59,10 @@
             opened_at: Time at which it was opened.
             on_head: Called with the head of each response, and with trailers after a body.
             on_send: Called before each request is sent.
+            protocol: Tells to which request a response belongs; None if responses name none.
         """
         self._on_send = on_send
+        self._protocol = protocol
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._is_request_sent = True
@@ -66,6 +75,7 @@
         # ID of the caller's request that is sent or was sent last, and the number of requests.
         self._request_id: str | None = None
         self._exchange_number = 0
+        self._may_be_reused = True
         self.idle_since = opened_at
 
     @classmethod
@@ -125,7 +135,8 @@
             upload: Receives the progress of a long body.
 
         Raises:
-            OutcomeUnknownError: No response arrived, or bytes that are not a valid response.
+            OutcomeUnknownError: No response arrived, or bytes that are not a valid response, or a
+                response that does not belong to the request.
         """
         self._on_bytes = on_bytes
         self._request_id = request.request_id
@@ -145,10 +156,29 @@
             data = (head or b"") + (body or b"") + (end or b"")
             if len(request.body) <= _SMALL_BODY_BYTES:
                 await self._stream.send_all(data)
-                return await self._read_head()
-            return await self._send_and_read(data, upload)
+                response_head = await self._read_head()
+            else:
+                response_head = await self._send_and_read(data, upload)
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError) as error:
             raise OutcomeUnknownError(repr(error)) from error
+        self._check_owner(response_head)
+        return response_head
+
+    def _check_owner(self, head: ResponseHead) -> None:
+        """Check that a response belongs to the request, before anything else in it is used.
+
+        Raises:
+            OutcomeUnknownError: It belongs to another request, or to an unknown one.
+        """
+        protocol = self._protocol
+        if protocol is None:
+            return
+        self._may_be_reused = not protocol.is_unnamed_rejection(head)
+        if protocol.is_response_to(head, self._request_id):
+            return
+        owner = protocol.owner(head, self._request_id)
+        detail = "names no request" if owner is ResponseOwner.UNNAMED else "is another request's"
+        raise OutcomeUnknownError(f"the response {detail}, status {head.status}")
 
     async def _send_and_read(self, data: bytes, upload: Upload | None) -> ResponseHead:
         """Send a long request while reading, since the response may arrive before its end."""
@@ -283,7 +313,7 @@
         """
         extra_bytes = self._http.trailing_data[0]
         is_complete = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        if not (is_complete and self._is_request_sent) or extra_bytes:
+        if not (is_complete and self._is_request_sent and self._may_be_reused) or extra_bytes:
             return False
         self._http.start_next_cycle()
         self.idle_since = now
--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -11,7 +11,12 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.dialer import Dialer, DirectDialer
-from cleatlink.relay.endpoints.protocol import OutgoingRequest, ReceivedHead, ResponseHead
+from cleatlink.relay.endpoints.protocol import (
+    OutgoingRequest,
+    Protocol,
+    ReceivedHead,
+    ResponseHead,
+)
 from cleatlink.relay.endpoints.streams import TcpConnector
 from cleatlink.routing.uploads import Upload
 
@@ -59,7 +64,9 @@
         on_head: Callable[[RoutedEndpoint, ReceivedHead], None] | None = None,
         is_leaving: Callable[[str], bool] = lambda _: False,
         on_send: Callable[[RoutedEndpoint], None] | None = None,
+        *,
         dialer: Dialer | None = None,
+        protocol: Protocol | None = None,
     ) -> None:
         """Create an empty pool.
 
@@ -71,7 +78,9 @@
                 kept to it.
             on_send: Called before each request is sent to an endpoint.
             dialer: Opens streams to endpoints; None for TCP connections.
+            protocol: Tells to which request a response belongs; None if responses name none.
         """
+        self._protocol = protocol
         self._dialer = dialer or DirectDialer(TcpConnector())
         self._on_send = on_send
         self._is_leaving = is_leaving
@@ -133,7 +142,9 @@
         on_send = None if self._on_send is None else partial(self._on_send, endpoint)
         dial = self._dialer.dial_directly if must_be_direct else self._dialer.dial
         stream = await dial(endpoint, ack_timeout_s, timeout_s)
-        connection = EndpointConnection(stream, trio.current_time(), on_head, on_send)
+        connection = EndpointConnection(
+            stream, trio.current_time(), on_head, on_send, self._protocol
+        )
         self._known_connections.setdefault(endpoint.name, WeakSet()).add(connection)
         return connection
 
@@ -163,7 +174,7 @@
 
         Raises:
             EndpointUnreachableError: No connection could be established; nothing was sent.
-            OutcomeUnknownError: No response arrived.
+            OutcomeUnknownError: No response to this request arrived.
             StreamBrokenError: The response ended early.
         """
         connection = await self.acquire(
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -175,7 +175,7 @@
 
 
 class ReceivedHead(NamedTuple):
-    """The head of a response, and the request on whose connection it arrived.
+    """The head of a response, and the request after which it arrived.
 
     Attributes:
         head: The head.
@@ -385,13 +385,42 @@
             return ResponseOwner.THIS_REQUEST
         return ResponseOwner.OTHER_REQUEST
 
+    def is_response_to(self, head: ResponseHead, request_id: str | None) -> bool:
+        """Check whether a response is the one to a request.
+
+        A rejection may name no request. It is not an extra copy of an earlier one, since no
+        connection is used again after a rejection that names no request.
+
+        Args:
+            head: The head of the response.
+            request_id: ID of the caller's request that was sent; None for a request of the relay.
+        """
+        owner = self.owner(head, request_id)
+        if owner is not ResponseOwner.UNNAMED:
+            return owner is ResponseOwner.THIS_REQUEST
+        return request_id is None or self.reports_not_executed(head)
+
+    def is_unnamed_rejection(self, head: ResponseHead) -> bool:
+        """Check whether a response is a rejection that names no request."""
+        return self.reports_not_executed(head) and not self.is_response_to_caller(head)
+
     def is_marked_not_executed(self, head: ResponseHead) -> bool:
         """Check whether a response has the mark of a rejection."""
         return head.get(self.names.not_executed) is not None
 
     def reports_not_executed(self, head: ResponseHead) -> bool:
-        """Check whether a response states that the endpoint did not run the request."""
-        return head.status == MISDIRECTED_REQUEST or self.is_marked_not_executed(head)
+        """Check whether a response states that the endpoint did not run its request.
+
+        A misdirected request needs no mark: the response names the endpoint that now answers at the
+        address. An endpoint signs only responses to requests that it ran.
+        """
+        if self.is_marked_not_executed(head):
+            return True
+        return (
+            head.status == MISDIRECTED_REQUEST
+            and head.get(self.names.endpoint) is not None
+            and not self.has_signature(head)
+        )
 
     def accepts_work(self, head: ResponseHead) -> bool:
         """Check whether a response shows that its endpoint accepts work."""
@@ -413,10 +442,6 @@
         rates = head.get_all(names.rate_per_s)
         return EndpointNotice(leaving, backoff_s, parse_rate_limit_per_s(rates), bool(rates))
 
-    def matches_request(self, head: ResponseHead, inbound: InboundRequest) -> bool:
-        """Check whether a response carries the identifier of this request."""
-        return self.owner(head, inbound.request_id) is ResponseOwner.THIS_REQUEST
-
     def has_signature(self, head: ResponseHead) -> bool:
         """Check whether a response carries the endpoint's signature."""
         return head.get(self.names.signature) is not None
--- a/cleatlink/relay/endpoints/response_notices.py
+++ b/cleatlink/relay/endpoints/response_notices.py
@@ -1,7 +1,7 @@
 """Reads the notices that endpoints put into the headers of their responses.
 
-Every response is read, whichever request it belongs to. A notice says that the endpoint is
-shutting down, asks for a back-off, or names a rate limit.
+Every response is read. A notice says that the endpoint is shutting down, asks for a back-off, or
+names a rate limit. Of a response that belongs to an earlier request only a shutdown still holds.
 """
 
 from collections.abc import Callable
@@ -16,6 +16,7 @@
     Protocol,
     ReceivedHead,
     ResponseHead,
+    ResponseOwner,
 )
 from cleatlink.relay.logs import LogRateLimit
 from cleatlink.relay.metrics import RelayMetrics
@@ -107,6 +108,9 @@
         head = received.head
         self._log_unknown_headers(endpoint, head)
         self._record_rejection(endpoint, received, now)
+        if self._protocol.owner(head, received.request_id) is ResponseOwner.OTHER_REQUEST:
+            self._process_late_head(endpoint, head, now)
+            return
         if self._protocol.accepts_work(head):
             self._notices.note_served(endpoint.name, now)
         notice = self._protocol.read_notice(head)
@@ -118,6 +122,11 @@
         if notice.backoff_s:
             self._record_backoff(endpoint, notice.backoff_s, now)
 
+    def _process_late_head(self, endpoint: RoutedEndpoint, head: ResponseHead, now: float) -> None:
+        """Process the notice in a response that is late, of which only a shutdown still holds."""
+        if self._protocol.read_notice(head).leaving:
+            self._record_leaving(endpoint, head.status, now)
+
     def _log_unknown_headers(self, endpoint: RoutedEndpoint, head: ResponseHead) -> None:
         """Log headers that the relay does not read, since they may carry an unsupported notice."""
         for name, _ in head.headers:
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -138,7 +138,8 @@
             self._notice_reader.process_head,
             notices.is_leaving,
             self._count_sent_call,
-            self._tunnels.dialer,
+            dialer=self._tunnels.dialer,
+            protocol=protocol,
         )
         self._budgets = ServiceBudgets(settings, trio.current_time())
         if settings.is_first_start:
--- a/soak/ablations.py
+++ b/soak/ablations.py
@@ -171,7 +171,7 @@
         (FaultKind.WORKER_LINK_RESET, FaultKind.WORKER_FAULTS),
     ),
     "whose-answer": Ablation(
-        _make_patch(Protocol, "matches_request", _return_true),
+        _make_patch(Protocol, "is_response_to", _return_true),
         "the whole answer to its own request",
         (FaultKind.WORKER_FAULTS,),
     ),
