An endpoint's own 408, 421, 429 or 503 is not passed on as a promise

Cause: the status of whatever response had the right ID was passed on, by plain calls and streams.

A call that may be repeated, and a stream that may be resumed, look for another endpoint, as after a 500; they do so after 425 as well, with which, like with 408, an endpoint says that our body was late. Otherwise, and if none is left, the caller gets our own 502 `endpoint_failed`, without the endpoint's signature, whose detail names the status. A 502 promises nothing. All other statuses are passed on as before.

Considered: passing the status on with the body changed (MIXED), and 500 (it would say that we failed).

--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -501,6 +501,14 @@
         )
         return Refusal(ErrorKind.STOPPING, "this instance is stopping", 0.0)
 
+    def refuse_for_status(self, status: int) -> Refusal:
+        """Refuse a call whose endpoint answered with a status that is not passed on.
+
+        To a caller, the status would say that the call did not run. The endpoint rejected nothing.
+        """
+        self.log("endpoint's status is not passed on, since the call ran", status=status)
+        return self.make_refusal(f"the endpoint answered with status {status}")
+
     def log_interrupted_by_stop(self) -> None:
         """Log that the end of a planned stop interrupts the call."""
         now = trio.current_time()
--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -17,7 +17,11 @@
 from cleatlink.relay.calls.components import RelayComponents
 from cleatlink.relay.calls.plain_call_admission import PlainCallAdmission
 from cleatlink.relay.endpoints.pool import IDLE_LIMIT_S, UNREPEATABLE_IDLE_LIMIT_S, Response
-from cleatlink.relay.endpoints.protocol import OutgoingRequest, ResponseHead
+from cleatlink.relay.endpoints.protocol import (
+    NOT_EXECUTED_STATUSES,
+    OutgoingRequest,
+    ResponseHead,
+)
 from cleatlink.relay.tasks import run_watched, sleep_until_sockets_read
 from cleatlink.routing.endpoint_speeds import SpeedSampleKind
 from cleatlink.routing.mechanisms import Mechanism
@@ -65,6 +69,13 @@
         self._upload = Upload(DEFAULT_READ_RATE)
 
     async def run(self) -> Response | Refusal:
+        """Return the caller's answer: that of an endpoint, or a refusal."""
+        result = await self._run_attempts()
+        if isinstance(result, Refusal) or result.head.status not in NOT_EXECUTED_STATUSES:
+            return result
+        return self._call.refuse_for_status(result.head.status)
+
+    async def _run_attempts(self) -> Response | Refusal:
         """Send the call to endpoints until one answers or no further attempt is possible."""
         call = self._call
         unreachable_count = 0
@@ -300,7 +311,7 @@
             raise OutcomeUnknownError("the answer has no signature")
         call.ran = ExecutionStatus.YES
         call.note_completed()
-        if head.status >= 500 and call.repeatable:
+        if call.repeatable and components.protocol.is_failure(head):
             call.log(
                 "received an error status; looks for another endpoint",
                 endpoint=endpoint.name,
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -23,7 +23,7 @@
 from cleatlink.relay.calls.stream_meter import StreamMeter
 from cleatlink.relay.calls.stream_origin import StreamOrigin
 from cleatlink.relay.endpoints.connection import EndpointConnection
-from cleatlink.relay.endpoints.protocol import ResponseHead
+from cleatlink.relay.endpoints.protocol import NOT_EXECUTED_STATUSES, ResponseHead
 from cleatlink.relay.exchange import Exchange
 from cleatlink.relay.tasks import run_watched
 from cleatlink.routing.rejection_plan import RejectionAction, RejectionPlan, plan_after_rejection
@@ -242,12 +242,14 @@
         self._call.note_completed()
         if self._exchange.started:
             return StreamResult()
-        if head.status >= 500 and self._may_fail_over():
+        if self._may_fail_over() and self._components.protocol.is_failure(head):
             self._call.log(
                 "received an error status; looks for another endpoint", status=head.status
             )
             self._target.release_and_exclude()
             return None
+        if head.status in NOT_EXECUTED_STATUSES:
+            return StreamResult(self._call.refuse_for_status(head.status))
         headers = self._components.protocol.filter_response_headers(head)
         await self._exchange.answer(head.status, headers, body)
         return StreamResult(is_complete=True)
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -58,6 +58,8 @@
 REJECTION_STATUSES = frozenset({429, 503})
 # Statuses that tell a caller that its request did not run and never will.
 NOT_EXECUTED_STATUSES = REJECTION_STATUSES | {408, MISDIRECTED_REQUEST}
+# "Too Early": the endpoint had not received the request in time.
+_TOO_EARLY = 425
 
 
 class ResponseOwner(StrEnum):
@@ -422,6 +424,13 @@
             and not self.has_signature(head)
         )
 
+    def is_failure(self, head: ResponseHead) -> bool:
+        """Check whether a response that is no rejection says that its endpoint failed the request.
+
+        Another endpoint may succeed, unlike with a request that is wrong itself.
+        """
+        return head.status >= 500 or head.status in NOT_EXECUTED_STATUSES | {_TOO_EARLY}
+
     def accepts_work(self, head: ResponseHead) -> bool:
         """Check whether a response shows that its endpoint accepts work."""
         return head.status not in REJECTION_STATUSES and head.status != MISDIRECTED_REQUEST
