Only a rejection asks for a back-off

What callers saw: where endpoints answered part of their requests with 503 or 429 and Retry-After of their own, nearly all other requests were refused (truly): each such answer took its endpoint out for that time, and a few took a service out.

Cause: the word was believed without the mark of a rejection. An endpoint that runs a request and then answers 503 is not one that asks for a rest.

Change: in a response to a caller's request, Retry-After counts only with the mark. Responses to requests of the relay itself, as reservations, have no mark, and count as before.

--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -440,13 +440,18 @@
         return head.get(self.names.request_id) is not None
 
     def read_notice(self, head: ResponseHead) -> EndpointNotice:
-        """Read an endpoint's notice from a response head; malformed values are ignored."""
+        """Read an endpoint's notice from a response head; malformed values are ignored.
+
+        Only a rejection asks for a back-off. A response to a caller's request is one if it has the
+        mark; one to a request of the relay itself has none.
+        """
         if head.status == MISDIRECTED_REQUEST:
             return EMPTY_NOTICE
         names = self.names
         leaving = b"1" in head.get_all(names.leaving)
         backoff_s = 0.0
-        if head.status in REJECTION_STATUSES:
+        is_rejection = self.is_marked_not_executed(head) or not self.is_response_to_caller(head)
+        if is_rejection and head.status in REJECTION_STATUSES:
             backoff_s = parse_backoff_s(head.get_all(names.retry_after_s))
         rates = head.get_all(names.rate_per_s)
         return EndpointNotice(leaving, backoff_s, parse_rate_limit_per_s(rates), bool(rates))
