One place decides whether a refusal may say that a call did not run

Change: every refusal of a call passes `Call.to_truthful`, which replaces one that says "did not run" by 502 where the call may have run, and logs it. The conditions at three other places go.

--- a/cleatlink/relay/callers/service.py
+++ b/cleatlink/relay/callers/service.py
@@ -328,9 +328,7 @@
             self._components.metrics.count_request_cut_by_stop(call.route.kind.value)
             call.log_interrupted_by_stop()
             return
-        refusal = Refusal(ErrorKind.ENDPOINT_FAILED, "this instance stopped before an answer came")
-        if call.ran is ExecutionStatus.NO:
-            refusal = Refusal(ErrorKind.STOPPING, "this instance is stopping")
+        refusal = Refusal(ErrorKind.STOPPING, "this instance stopped before an answer came")
         await self._refuse_call(call, exchange, refusal)
 
     async def _dispatch(self, call: Call, exchange: Exchange) -> None:
@@ -376,7 +374,7 @@
         await self._send_complete(exchange, status, headers, answer.body)
 
     async def _refuse_call(self, call: Call, exchange: Exchange, refusal: Refusal) -> None:
-        refusal = self._newer_table_wait.to_retryable(refusal)
+        refusal = call.to_truthful(self._newer_table_wait.to_retryable(refusal))
         call.log_outcome(
             "is refused", kind=refusal.kind.value, detail=refusal.detail, sends=call.send_count
         )
--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -8,6 +8,7 @@
 
 from cleatlink.core.data import ExecutionStatus, Refusal, Role
 from cleatlink.core.errors import (
+    ERROR_RESPONSES,
     EndpointRefusedError,
     EndpointUnreachableError,
     ErrorKind,
@@ -501,6 +502,13 @@
         )
         return Refusal(ErrorKind.STOPPING, "this instance is stopping", 0.0)
 
+    def to_truthful(self, refusal: Refusal) -> Refusal:
+        """Replace a refusal which says that the call did not run, though it may have run."""
+        if self.ran is ExecutionStatus.NO or ERROR_RESPONSES[refusal.kind].ran != "no":
+            return refusal
+        self.log("may have run; its refusal says so", kind=refusal.kind.value, ran=self.ran.value)
+        return self.make_refusal(refusal.detail)
+
     def refuse_for_status(self, status: int) -> Refusal:
         """Refuse a call whose endpoint answered with a status that is not passed on.
 
--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -332,14 +332,9 @@
     def _final_answer(self, refusal: Refusal) -> Response | Refusal:
         """Return the caller's answer for a call that admission refused.
 
-        After a failed attempt that is the endpoint's error answer, or a refusal which says that the
-        call ran or may have run.
+        After a failed attempt that is the endpoint's error answer.
         """
-        if self._error_answer is not None:
-            return self._error_answer
-        if self._call.ran is ExecutionStatus.NO:
-            return refusal
-        return self._call.make_refusal(refusal.detail)
+        return refusal if self._error_answer is None else self._error_answer
 
     def _give_up(self, detail: str) -> Response | Refusal:
         """Return the caller's answer for a call that is not sent any more."""
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -100,11 +100,7 @@
         return await self._decode()
 
     def _finish_refused(self, refusal: Refusal) -> StreamResult:
-        if self._exchange.started:
-            return StreamResult()
-        if self._call.ran is not ExecutionStatus.NO:
-            refusal = self._call.make_refusal(refusal.detail)
-        return StreamResult(refusal)
+        return StreamResult() if self._exchange.started else StreamResult(refusal)
 
     async def _decode(self) -> StreamResult | None:
         """Send the request to the decode endpoint and relay its stream."""
