The answer behind a second copy of a response is delivered

Change: a response that names the request which the connection carried before is an extra one, as the platform's page says ("one extra answer may arrive late, in the place where the next answer should come; the id shows this"). It is read to its end, and the next response is read as this request's. The connection is closed afterwards. A response that names any other request ends the call at once, as before: nothing says that another one follows.

Evidence: test_answer_behind_a_second_copy_of_a_rejection_is_delivered: 502 before, 200 now.

--- a/cleatlink/relay/calls/plain_test.py
+++ b/cleatlink/relay/calls/plain_test.py
@@ -330,3 +330,18 @@
         assert [reply.status for reply in replies] == [200]
         assert trio.current_time() - sent_at < 0.35
         assert (len(silent.arrivals), len(other.arrivals)) == (1, 1)
+
+
+async def test_answer_behind_a_second_copy_of_a_rejection_is_delivered() -> None:
+    async with open_fleet() as fleet:
+        worker = Worker("plain")
+        await start(fleet, worker)
+        caller = fleet.caller()
+        for _ in range(5):
+            worker.faults = [Fault.REPEATED_REJECTION]
+            assert (await caller.ask("/unsafe/x", "POST", body=b"b")).status == 503
+            await trio.sleep(0.5)
+            reply = await caller.ask("/unsafe/x", "POST", body=b"b")
+            assert (reply.status, reply.body) == (200, b"served")
+            assert (await caller.ask("/unsafe/x", "POST", body=b"b")).status == 200
+        assert worker.rejections.repeated > 2
--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -31,6 +31,8 @@
 
 # Far above the longest response head that an endpoint sends.
 _MAX_HEAD_BYTES = 65_536
+# Longest body of an extra response that is skipped.
+_MAX_EXTRA_BODY_BYTES = 1_048_576
 # A body up to this size fits into the socket's buffer, so sending it cannot block for long.
 _SMALL_BODY_BYTES = 16_384
 # A long body is passed to the kernel in parts of this size.
@@ -72,10 +74,16 @@
         self._on_head = on_head
         self._on_bytes: Callable[[], None] | None = None
         self._status = 0
-        # ID of the caller's request that is sent or was sent last, and the number of requests.
+        # IDs of the caller's request that was sent last and of the one before it; None for those of
+        # the relay itself.
         self._request_id: str | None = None
+        self._previous_request_id: str | None = None
+        # Number of requests that were sent.
         self._exchange_number = 0
-        self._may_be_reused = True
+        # Whether the last response was a rejection that names no request, and whether another one
+        # came before it; the connection is not used again after either.
+        self._is_unnamed_rejection = False
+        self._has_extra_response = False
         self.idle_since = opened_at
 
     @classmethod
@@ -139,7 +147,7 @@
                 response that does not belong to the request.
         """
         self._on_bytes = on_bytes
-        self._request_id = request.request_id
+        self._previous_request_id, self._request_id = self._request_id, request.request_id
         self._exchange_number += 1
         if self._on_send is not None:
             self._on_send()
@@ -156,14 +164,43 @@
             data = (head or b"") + (body or b"") + (end or b"")
             if len(request.body) <= _SMALL_BODY_BYTES:
                 await self._stream.send_all(data)
-                response_head = await self._read_head()
+                response_head = await self._read_own_head(request.method)
             else:
-                response_head = await self._send_and_read(data, upload)
-        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError) as error:
+                response_head = await self._send_and_read(request.method, data, upload)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            h11.ProtocolError,
+            StreamBrokenError,
+        ) as error:
             raise OutcomeUnknownError(repr(error)) from error
         self._check_owner(response_head)
         return response_head
 
+    async def _read_own_head(self, method: bytes) -> ResponseHead:
+        """Read the head of the response, after an extra one to the request before, if any."""
+        head = await self._read_head()
+        if self._protocol is None or self._protocol.is_response_to(head, self._request_id):
+            return head
+        owner = self._protocol.owner(head, self._previous_request_id)
+        if owner is not ResponseOwner.THIS_REQUEST:
+            return head
+        await self.read_body(_MAX_EXTRA_BODY_BYTES)
+        self._expect_next_response(method)
+        return await self._read_head()
+
+    def _expect_next_response(self, method: bytes) -> None:
+        """Parse what follows an extra response as the response to the same request."""
+        data, is_closed = self._http.trailing_data
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
+        self._http.send(h11.Request(method=method, target="/", headers=[("Host", "endpoint")]))
+        self._http.send(h11.EndOfMessage())
+        self._has_extra_response = True
+        if data:
+            self._http.receive_data(data)
+        if is_closed:
+            self._http.receive_data(b"")
+
     def _check_owner(self, head: ResponseHead) -> None:
         """Check that a response belongs to the request, before anything else in it is used.
 
@@ -173,19 +210,23 @@
         protocol = self._protocol
         if protocol is None:
             return
-        self._may_be_reused = not protocol.is_unnamed_rejection(head)
+        self._is_unnamed_rejection = protocol.is_unnamed_rejection(head)
         if protocol.is_response_to(head, self._request_id):
             return
         owner = protocol.owner(head, self._request_id)
         detail = "names no request" if owner is ResponseOwner.UNNAMED else "is another request's"
         raise OutcomeUnknownError(f"the response {detail}, status {head.status}")
 
-    async def _send_and_read(self, data: bytes, upload: Upload | None) -> ResponseHead:
+    async def _send_and_read(
+        self, method: bytes, data: bytes, upload: Upload | None
+    ) -> ResponseHead:
         """Send a long request while reading, since the response may arrive before its end."""
         self._is_request_sent, self._accepted_bytes = False, 0
         if upload is not None:
             upload.begin(len(data), trio.current_time())
-        head = await run_watched(self._read_head, lambda _: self._send_in_parts(data, upload))
+        head = await run_watched(
+            lambda: self._read_own_head(method), lambda _: self._send_in_parts(data, upload)
+        )
         assert head is not None, "sending the body must not cancel reading the response"
         return head
 
@@ -313,7 +354,8 @@
         """
         extra_bytes = self._http.trailing_data[0]
         is_complete = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        if not (is_complete and self._is_request_sent and self._may_be_reused) or extra_bytes:
+        is_ambiguous = self._is_unnamed_rejection or self._has_extra_response
+        if not (is_complete and self._is_request_sent) or extra_bytes or is_ambiguous:
             return False
         self._http.start_next_cycle()
         self.idle_since = now
