A connection is not used for two requests with the same ID in a row

Cause: a late second copy of the rejection carries the ID of both calls.

Change: the pool gives out no connection whose last request had the ID of the next one. Clients with an ID per attempt cost no connection more.

--- a/cleatlink/relay/calls/decode_target.py
+++ b/cleatlink/relay/calls/decode_target.py
@@ -121,7 +121,9 @@
         self._close_connection()
         try:
             self._connection = await self._components.pool.acquire(
-                self.endpoint, UNREPEATABLE_IDLE_LIMIT_S
+                self.endpoint,
+                UNREPEATABLE_IDLE_LIMIT_S,
+                request_id=self._call.inbound.request_id,
             )
         except EndpointUnreachableError as error:
             self._call.note_failure(self.endpoint, error)
--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -291,6 +291,7 @@
             self._note_received,
             upload=self._upload,
             must_be_new=must_be_new,
+            request_id=call.inbound.request_id,
         )
 
     def _check_answer(self, endpoint: RoutedEndpoint, answer: Response) -> Response | None:
--- a/cleatlink/relay/calls/prefill.py
+++ b/cleatlink/relay/calls/prefill.py
@@ -258,7 +258,12 @@
             )
 
         reply = await components.pool.call(
-            endpoint, IDLE_LIMIT_S, make_request, _MAX_REPLY_BYTES, upload=upload
+            endpoint,
+            IDLE_LIMIT_S,
+            make_request,
+            _MAX_REPLY_BYTES,
+            upload=upload,
+            request_id=call.inbound.request_id,
         )
         return self._read_handle(endpoint, reply.head, reply.body)
 
--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -109,6 +109,11 @@
         """Whether the connection to the endpoint is this instance's own."""
         return self._stream.is_direct
 
+    @property
+    def last_request_id(self) -> str | None:
+        """ID of the caller's request that was sent last; None for one of the relay itself."""
+        return self._request_id
+
     @property
     def is_reusable(self) -> bool:
         """Whether the connection is open and idle, with nothing received on it."""
--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -97,6 +97,7 @@
         *,
         must_be_direct: bool = False,
         must_be_new: bool = False,
+        request_id: str | None = None,
     ) -> EndpointConnection:
         """Return an idle connection, or open one.
 
@@ -105,6 +106,8 @@
             idle_limit_s: Longest idle time of a connection that may be used.
             must_be_direct: Whether no peer may hold the connection on behalf of this instance.
             must_be_new: Whether to open a connection also if there is an idle one.
+            request_id: ID of the caller's request. A connection whose last request had the same ID
+                is not used, since an extra response to that request could not be told apart.
 
         Raises:
             EndpointUnreachableError: No connection could be established.
@@ -114,8 +117,10 @@
         while idle and not must_be_new:
             connection = idle.pop()
             is_usable = connection.is_direct or not must_be_direct
+            is_ambiguous = request_id is not None and connection.last_request_id == request_id
             if (
                 is_usable
+                and not is_ambiguous
                 and connection.is_within_idle_limit(now, idle_limit_s)
                 and connection.is_reusable
             ):
@@ -159,6 +164,7 @@
         upload: Upload | None = None,
         must_be_direct: bool = False,
         must_be_new: bool = False,
+        request_id: str | None = None,
     ) -> Response:
         """Send one request and read the complete response.
 
@@ -171,6 +177,7 @@
             upload: Receives the progress of a long body.
             must_be_direct: Whether no peer may hold the connection on behalf of this instance.
             must_be_new: Whether to open a connection also if there is an idle one.
+            request_id: ID of the caller's request; None for one of the relay itself.
 
         Raises:
             EndpointUnreachableError: No connection could be established; nothing was sent.
@@ -178,7 +185,11 @@
             StreamBrokenError: The response ended early.
         """
         connection = await self.acquire(
-            endpoint, idle_limit_s, must_be_direct=must_be_direct, must_be_new=must_be_new
+            endpoint,
+            idle_limit_s,
+            must_be_direct=must_be_direct,
+            must_be_new=must_be_new,
+            request_id=request_id,
         )
         try:
             head = await connection.exchange(make_request(), on_bytes, upload)
