A success with the mark of a rejection is no rejection

Change: the mark counts only with a status from 300 up. A signed success is passed on as any other; one without signature has an unknown outcome, as before.

Evidence: the test of the failure passes.

--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -58,6 +58,8 @@
 REJECTION_STATUSES = frozenset({429, 503})
 # Statuses that tell a caller that its request did not run and never will.
 NOT_EXECUTED_STATUSES = REJECTION_STATUSES | {408, MISDIRECTED_REQUEST}
+# Statuses below are those of success.
+_FIRST_STATUS_AFTER_SUCCESS = 300
 # "Too Early": the endpoint had not received the request in time.
 _TOO_EARLY = 425
 
@@ -414,10 +416,11 @@
         """Check whether a response states that the endpoint did not run its request.
 
         A misdirected request needs no mark: the response names the endpoint that now answers at the
-        address. An endpoint signs only responses to requests that it ran.
+        address. An endpoint signs only responses to requests that it ran. A success is no
+        rejection, even if it has the mark.
         """
         if self.is_marked_not_executed(head):
-            return True
+            return head.status >= _FIRST_STATUS_AFTER_SUCCESS
         return (
             head.status == MISDIRECTED_REQUEST
             and head.get(self.names.endpoint) is not None
--- a/cleatlink/relay/endpoints/response_owner_test.py
+++ b/cleatlink/relay/endpoints/response_owner_test.py
@@ -25,3 +25,13 @@
             reply = await caller.ask("/unsafe/x", "POST", body=b"b", headers=same_id)
             results.append((reply.status, runs(fleet, same_id["Attempt-Id"])))
         assert (503, 1) not in results
+
+
+async def test_marked_success_that_is_signed_is_no_rejection() -> None:
+    async with open_fleet() as fleet:
+        worker = Worker("plain")
+        worker.extra_headers = {"Not-Executed": "1"}
+        await start(fleet, worker)
+        reply = await fleet.caller().ask("/unsafe/x", "POST", body=b"b")
+        assert len(worker.runs) == 1
+        assert reply.status not in (408, 421, 429, 503)
