An extra response is skipped only where it is framed like the next one

Change: an extra response is skipped only if both requests are HEAD or neither is; otherwise the outcome is unknown at once, as it was before extra responses were skipped. Behind an extra response, only a response that names the request is accepted, since the bytes that follow it may be a part of it.

--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -78,6 +78,9 @@
         # the relay itself.
         self._request_id: str | None = None
         self._previous_request_id: str | None = None
+        # Whether responses to the last request, and to the one before it, have no body.
+        self._is_head_request = False
+        self._was_head_request = False
         # Number of requests that were sent.
         self._exchange_number = 0
         # Whether the last response was a rejection that names no request, and whether another one
@@ -153,6 +156,10 @@
         """
         self._on_bytes = on_bytes
         self._previous_request_id, self._request_id = self._request_id, request.request_id
+        self._was_head_request, self._is_head_request = (
+            self._is_head_request,
+            request.method == b"HEAD",
+        )
         self._exchange_number += 1
         if self._on_send is not None:
             self._on_send()
@@ -188,7 +195,8 @@
         if self._protocol is None or self._protocol.is_response_to(head, self._request_id):
             return head
         owner = self._protocol.owner(head, self._previous_request_id)
-        if owner is not ResponseOwner.THIS_REQUEST:
+        is_framed_alike = self._is_head_request == self._was_head_request
+        if owner is not ResponseOwner.THIS_REQUEST or not is_framed_alike:
             return head
         await self.read_body(_MAX_EXTRA_BODY_BYTES)
         self._expect_next_response(method)
@@ -216,9 +224,11 @@
         if protocol is None:
             return
         self._is_unnamed_rejection = protocol.is_unnamed_rejection(head)
-        if protocol.is_response_to(head, self._request_id):
-            return
         owner = protocol.owner(head, self._request_id)
+        must_be_named = self._has_extra_response and self._request_id is not None
+        is_named_as_needed = owner is ResponseOwner.THIS_REQUEST or not must_be_named
+        if is_named_as_needed and protocol.is_response_to(head, self._request_id):
+            return
         detail = "names no request" if owner is ResponseOwner.UNNAMED else "is another request's"
         raise OutcomeUnknownError(f"the response {detail}, status {head.status}")
 
--- a/cleatlink/relay/endpoints/response_owner_test.py
+++ b/cleatlink/relay/endpoints/response_owner_test.py
@@ -1,15 +1,67 @@
 """Tests of which request a response belongs to, where requests or responses are unusual."""
 
+from contextlib import suppress
+
 import pytest
 import trio
 
-from standins.relay import Fault, Worker
+from cleatlink.core.errors import OutcomeUnknownError
+from cleatlink.platform import PROTOCOL
+from cleatlink.relay.endpoints.connection import EndpointConnection
+from cleatlink.relay.endpoints.protocol import OutgoingRequest, ResponseHead
+from cleatlink.relay.endpoints.streams import TcpConnector
+from standins.relay import Fault, RawCall, RawServer, Worker
 from standins.relay.example_fleet import runs, start
 from standins.relay.fleet import open_fleet
+from standins.relay.raw_server import answer
 
 pytestmark = pytest.mark.virtual_time
 
 
+class _ScriptedEndpoint(RawServer):
+    """Sends given bytes in answer to each request."""
+
+    def __init__(self, *answers: bytes) -> None:
+        super().__init__()
+        self._answers = list(answers)
+
+    async def serve(self, call: RawCall, stream: trio.SocketStream) -> bool:
+        await stream.send_all(self._answers.pop(0))
+        return True
+
+
+def _signed(request_id: str) -> dict[str, str]:
+    return {"Attempt-Id": request_id, "Server-Stamp": "stamp"}
+
+
+async def _second_response(
+    methods: tuple[bytes, bytes], answers: tuple[bytes, bytes]
+) -> ResponseHead | None:
+    """Send requests r1 and r2 on one connection, and return the response to r2, if there is one."""
+    endpoint = _ScriptedEndpoint(*answers)
+    head: ResponseHead | None = None
+    async with trio.open_nursery() as nursery:
+        await endpoint.start(nursery)
+        stream = await TcpConnector().connect(endpoint.address, 1.0)
+        connection = EndpointConnection(stream, trio.current_time(), protocol=PROTOCOL)
+        try:
+            await connection.exchange(_request(methods[0], "r1"))
+            await connection.read_body(1000)
+            assert connection.end_exchange(trio.current_time())
+            with suppress(OutcomeUnknownError):
+                head = await connection.exchange(_request(methods[1], "r2"))
+        finally:
+            connection.close()
+            endpoint.close()
+            nursery.cancel_scope.cancel()
+    return head
+
+
+def _request(method: bytes, request_id: str) -> OutgoingRequest:
+    headers = ((b"Host", b"h.example"), (b"Attempt-Id", request_id.encode()))
+    return OutgoingRequest(method, b"/x", headers, b"", request_id)
+
+
 async def test_call_with_the_id_of_a_rejected_one_is_not_told_that_it_did_not_run() -> None:
     async with open_fleet() as fleet:
         worker = Worker("plain")
@@ -35,3 +87,19 @@
         reply = await fleet.caller().ask("/unsafe/x", "POST", body=b"b")
         assert len(worker.runs) == 1
         assert reply.status not in (408, 421, 429, 503)
+
+
+async def test_body_of_an_extra_response_is_no_rejection_of_a_head_request() -> None:
+    rejection = answer(421, {"Instance-Id": "i"})
+    extra = answer(200, _signed("r1"), rejection)
+    own = answer(200, {**_signed("r2"), "Content-Length": "3"}, has_length=False)
+    head = await _second_response((b"GET", b"HEAD"), (extra, extra + own))
+    assert head is None or head.status == 200
+
+
+async def test_extra_response_to_a_head_request_does_not_make_the_next_call_hang() -> None:
+    extra = answer(200, {**_signed("r1"), "Content-Length": "300"}, has_length=False)
+    own = answer(200, _signed("r2"), b"two")
+    with trio.fail_after(1):
+        head = await _second_response((b"HEAD", b"GET"), (extra, extra + own))
+    assert head is None or head.status == 200
