Only a marked response to a caller's request asks for a back-off

Change: whose request it was decides, not whether the response has an ID. Trailers count no rejection, since their head did.

--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -297,9 +297,9 @@
         self._report_head(head)
         return head
 
-    def _report_head(self, head: ResponseHead) -> None:
+    def _report_head(self, head: ResponseHead, *, is_trailer: bool = False) -> None:
         if self._on_head is not None:
-            self._on_head(ReceivedHead(head, self._request_id, self._exchange_number))
+            self._on_head(ReceivedHead(head, self._request_id, self._exchange_number, is_trailer))
 
     async def read_chunk(self) -> bytes | None:
         """Read more of the response body.
@@ -318,7 +318,8 @@
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             if event.headers:
-                self._report_head(ResponseHead(self._status, tuple(event.headers.raw_items())))
+                trailers = ResponseHead(self._status, tuple(event.headers.raw_items()))
+                self._report_head(trailers, is_trailer=True)
             return None
         raise StreamBrokenError("the server closed the connection within the response")
 
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -185,11 +185,13 @@
         head: The head.
         request_id: ID of the caller's request; None for requests of the relay itself.
         exchange_number: Number of the request on its connection, from 1.
+        is_trailer: Whether these are the headers that followed the body.
     """
 
     head: ResponseHead
     request_id: str | None
     exchange_number: int
+    is_trailer: bool = False
 
 
 # The largest priority value, for the least urgent requests, that endpoints support.
--- a/cleatlink/relay/endpoints/response_notices.py
+++ b/cleatlink/relay/endpoints/response_notices.py
@@ -119,9 +119,13 @@
             return
         if notice.leaving:
             self._record_leaving(endpoint, head.status, now)
-        if notice.backoff_s:
+        if notice.backoff_s and self._may_ask_for_backoff(received):
             self._record_backoff(endpoint, notice.backoff_s, now)
 
+    def _may_ask_for_backoff(self, received: ReceivedHead) -> bool:
+        """Check whether a response is a rejection; one to a caller's request has the mark."""
+        return received.request_id is None or self._protocol.is_marked_not_executed(received.head)
+
     def _process_late_head(self, endpoint: RoutedEndpoint, head: ResponseHead, now: float) -> None:
         """Process the notice in a response that is late, of which only a shutdown still holds."""
         if self._protocol.read_notice(head).leaving:
@@ -149,7 +153,7 @@
         """Count and log a response that says, or seems to say, that its request did not run."""
         protocol, head = self._protocol, received.head
         is_marked = protocol.is_marked_not_executed(head)
-        if not is_marked and head.status not in NOT_EXECUTED_STATUSES:
+        if received.is_trailer or not (is_marked or head.status in NOT_EXECUTED_STATUSES):
             return
         owner = protocol.owner(head, received.request_id)
         self._metrics.count_endpoint_rejection(owner.value, is_marked=is_marked)
--- a/cleatlink/relay/endpoints/response_owner_test.py
+++ b/cleatlink/relay/endpoints/response_owner_test.py
@@ -103,3 +103,31 @@
     with trio.fail_after(1):
         head = await _second_response((b"HEAD", b"GET"), (extra, extra + own))
     assert head is None or head.status == 200
+
+
+class _UnmarkedWorker(Worker):
+    """Runs a call and answers 503 without the mark of a rejection."""
+
+    # Trailers of answers that name the call; None if answers don't name it.
+    trailers: bytes | None = None
+
+    async def _send_own_status(self, call: RawCall, stream: trio.SocketStream) -> bool:
+        if self.trailers is None:
+            await stream.send_all(answer(503, {"Retry-After": "60"}))
+            return True
+        names = {**self._signed_headers(call), "Transfer-Encoding": "chunked"}
+        head = answer(503, names, has_length=False)
+        await stream.send_all(head + b"1\r\nx\r\n0\r\n" + self.trailers + b"\r\n")
+        return True
+
+
+@pytest.mark.parametrize("trailers", [None, b"Retry-After: 60\r\n"])
+async def test_unmarked_503_asks_for_no_backoff(trailers: bytes | None) -> None:
+    async with open_fleet() as fleet:
+        worker = _UnmarkedWorker("plain")
+        worker.trailers = trailers
+        await start(fleet, worker)
+        caller = fleet.caller()
+        worker.faults = [Fault.OWN_STATUS]
+        assert (await caller.ask("/unsafe/x", "POST", body=b"b")).status == 502
+        assert (await caller.ask("/unsafe/x", "POST", body=b"b")).status == 200
