A rejection whose body breaks off is a rejection

What callers saw: 502 for unsafe calls that their endpoint rejected.

Change: the body of a rejection may be cut, since it is not passed on.

Evidence: the test of the failure passes.

--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from cleatlink.core.errors import StreamBrokenError
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.dialer import Dialer, DirectDialer
@@ -193,13 +194,24 @@
         )
         try:
             head = await connection.exchange(make_request(), on_bytes, upload)
-            body = await connection.read_body(max_bytes)
+            body = await self._read_body(connection, head, max_bytes)
         except BaseException:
             connection.close()
             raise
         self.release(endpoint, connection)
         return Response(head, body)
 
+    async def _read_body(
+        self, connection: EndpointConnection, head: ResponseHead, max_bytes: int
+    ) -> bytes:
+        """Read the body of a response; that of a rejection, which is not passed on, may be cut."""
+        try:
+            return await connection.read_body(max_bytes)
+        except StreamBrokenError:
+            if self._protocol is None or not self._protocol.reports_not_executed(head):
+                raise
+            return b""
+
     def return_unused(self, endpoint: RoutedEndpoint, connection: EndpointConnection) -> None:
         """Return to the pool a connection that was acquired but not used."""
         idle = self._idle.setdefault(endpoint.name, deque())
--- a/cleatlink/relay/endpoints/response_owner_test.py
+++ b/cleatlink/relay/endpoints/response_owner_test.py
@@ -131,3 +131,20 @@
         worker.faults = [Fault.OWN_STATUS]
         assert (await caller.ask("/unsafe/x", "POST", body=b"b")).status == 502
         assert (await caller.ask("/unsafe/x", "POST", body=b"b")).status == 200
+
+
+class _CutRejections(Worker):
+    """Breaks off within the body of each rejection."""
+
+    async def _reject(self, call: RawCall, stream: trio.SocketStream, *, is_repeated: bool) -> bool:
+        await stream.send_all(answer(503, self.rejections.headers(call), b"full")[:-2])
+        return False
+
+
+async def test_rejection_whose_body_breaks_off_is_a_rejection() -> None:
+    async with open_fleet() as fleet:
+        full = _CutRejections("plain")
+        full.rejects_work = True
+        await start(fleet, full)
+        reply = await fleet.caller().ask("/unsafe/x", "POST", body=b"b")
+        assert (len(full.arrivals), reply.status) == (1, 503)
