Attribution of responses in a module without I/O; one place decides about back-offs

The connection mixed parsing, sending and the decision which request a response belongs to. The decision moves to endpoints/attribution.py, which does no I/O; the connection tells it what was sent and asks it about heads. Whether a response asks for a back-off is decided in Protocol.read_notice alone, with the request that was sent.

--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -16,12 +16,12 @@
     OutcomeUnknownError,
     StreamBrokenError,
 )
+from cleatlink.relay.endpoints.attribution import ResponseAttribution
 from cleatlink.relay.endpoints.protocol import (
     OutgoingRequest,
     Protocol,
     ReceivedHead,
     ResponseHead,
-    ResponseOwner,
 )
 from cleatlink.relay.endpoints.streams import EndpointStream, TcpConnector, connect_within
 from cleatlink.relay.tasks import run_watched
@@ -64,7 +64,7 @@
             protocol: Tells to which request a response belongs; None if responses name none.
         """
         self._on_send = on_send
-        self._protocol = protocol
+        self._attribution = ResponseAttribution(protocol)
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._is_request_sent = True
@@ -74,19 +74,6 @@
         self._on_head = on_head
         self._on_bytes: Callable[[], None] | None = None
         self._status = 0
-        # IDs of the caller's request that was sent last and of the one before it; None for those of
-        # the relay itself.
-        self._request_id: str | None = None
-        self._previous_request_id: str | None = None
-        # Whether responses to the last request, and to the one before it, have no body.
-        self._is_head_request = False
-        self._was_head_request = False
-        # Number of requests that were sent.
-        self._exchange_number = 0
-        # Whether the last response was a rejection that names no request, and whether another one
-        # came before it; the connection is not used again after either.
-        self._is_unnamed_rejection = False
-        self._has_extra_response = False
         self.idle_since = opened_at
 
     @classmethod
@@ -112,11 +99,6 @@
         """Whether the connection to the endpoint is this instance's own."""
         return self._stream.is_direct
 
-    @property
-    def last_request_id(self) -> str | None:
-        """ID of the caller's request that was sent last; None for one of the relay itself."""
-        return self._request_id
-
     @property
     def is_reusable(self) -> bool:
         """Whether the connection is open and idle, with nothing received on it."""
@@ -127,6 +109,11 @@
         """Whether the connection is open, with neither data nor its end waiting to be read."""
         return self._stream.is_open_without_input
 
+    @property
+    def last_request_id(self) -> str | None:
+        """ID of the caller's request that was sent last; None for one of the relay itself."""
+        return self._attribution.request_id
+
     async def wait_readable(self) -> None:
         """Wait until data or the end can be read, or until this side closes the connection."""
         await self._stream.wait_readable()
@@ -155,12 +142,7 @@
                 response that does not belong to the request.
         """
         self._on_bytes = on_bytes
-        self._previous_request_id, self._request_id = self._request_id, request.request_id
-        self._was_head_request, self._is_head_request = (
-            self._is_head_request,
-            request.method == b"HEAD",
-        )
-        self._exchange_number += 1
+        self._attribution.note_sent(request)
         if self._on_send is not None:
             self._on_send()
         try:
@@ -176,9 +158,9 @@
             data = (head or b"") + (body or b"") + (end or b"")
             if len(request.body) <= _SMALL_BODY_BYTES:
                 await self._stream.send_all(data)
-                response_head = await self._read_own_head(request.method)
+                response_head = await self._read_own_head()
             else:
-                response_head = await self._send_and_read(request.method, data, upload)
+                response_head = await self._send_and_read(data, upload)
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
@@ -186,62 +168,37 @@
             StreamBrokenError,
         ) as error:
             raise OutcomeUnknownError(repr(error)) from error
-        self._check_owner(response_head)
+        self._attribution.check(response_head)
         return response_head
 
-    async def _read_own_head(self, method: bytes) -> ResponseHead:
-        """Read the head of the response, after an extra one to the request before, if any."""
+    async def _read_own_head(self) -> ResponseHead:
+        """Read the head of the response, after an extra response if there is one."""
         head = await self._read_head()
-        if self._protocol is None or self._protocol.is_response_to(head, self._request_id):
-            return head
-        owner = self._protocol.owner(head, self._previous_request_id)
-        is_framed_alike = self._is_head_request == self._was_head_request
-        if owner is not ResponseOwner.THIS_REQUEST or not is_framed_alike:
+        if not self._attribution.is_extra_response(head):
             return head
         await self.read_body(_MAX_EXTRA_BODY_BYTES)
-        self._expect_next_response(method)
+        self._attribution.note_extra_response()
+        self._expect_next_response()
         return await self._read_head()
 
-    def _expect_next_response(self, method: bytes) -> None:
+    def _expect_next_response(self) -> None:
         """Parse what follows an extra response as the response to the same request."""
         data, is_closed = self._http.trailing_data
+        method = self._attribution.method
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._http.send(h11.Request(method=method, target="/", headers=[("Host", "endpoint")]))
         self._http.send(h11.EndOfMessage())
-        self._has_extra_response = True
         if data:
             self._http.receive_data(data)
         if is_closed:
             self._http.receive_data(b"")
 
-    def _check_owner(self, head: ResponseHead) -> None:
-        """Check that a response belongs to the request, before anything else in it is used.
-
-        Raises:
-            OutcomeUnknownError: It belongs to another request, or to an unknown one.
-        """
-        protocol = self._protocol
-        if protocol is None:
-            return
-        self._is_unnamed_rejection = protocol.is_unnamed_rejection(head)
-        owner = protocol.owner(head, self._request_id)
-        must_be_named = self._has_extra_response and self._request_id is not None
-        is_named_as_needed = owner is ResponseOwner.THIS_REQUEST or not must_be_named
-        if is_named_as_needed and protocol.is_response_to(head, self._request_id):
-            return
-        detail = "names no request" if owner is ResponseOwner.UNNAMED else "is another request's"
-        raise OutcomeUnknownError(f"the response {detail}, status {head.status}")
-
-    async def _send_and_read(
-        self, method: bytes, data: bytes, upload: Upload | None
-    ) -> ResponseHead:
+    async def _send_and_read(self, data: bytes, upload: Upload | None) -> ResponseHead:
         """Send a long request while reading, since the response may arrive before its end."""
         self._is_request_sent, self._accepted_bytes = False, 0
         if upload is not None:
             upload.begin(len(data), trio.current_time())
-        head = await run_watched(
-            lambda: self._read_own_head(method), lambda _: self._send_in_parts(data, upload)
-        )
+        head = await run_watched(self._read_own_head, lambda _: self._send_in_parts(data, upload))
         assert head is not None, "sending the body must not cancel reading the response"
         return head
 
@@ -299,7 +256,9 @@
 
     def _report_head(self, head: ResponseHead, *, is_trailer: bool = False) -> None:
         if self._on_head is not None:
-            self._on_head(ReceivedHead(head, self._request_id, self._exchange_number, is_trailer))
+            sent = self._attribution
+            received = ReceivedHead(head, sent.request_id, sent.exchange_number, is_trailer)
+            self._on_head(received)
 
     async def read_chunk(self) -> bytes | None:
         """Read more of the response body.
@@ -318,8 +277,8 @@
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             if event.headers:
-                trailers = ResponseHead(self._status, tuple(event.headers.raw_items()))
-                self._report_head(trailers, is_trailer=True)
+                trailer = ResponseHead(self._status, tuple(event.headers.raw_items()))
+                self._report_head(trailer, is_trailer=True)
             return None
         raise StreamBrokenError("the server closed the connection within the response")
 
@@ -370,8 +329,9 @@
         """
         extra_bytes = self._http.trailing_data[0]
         is_complete = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        is_ambiguous = self._is_unnamed_rejection or self._has_extra_response
-        if not (is_complete and self._is_request_sent) or extra_bytes or is_ambiguous:
+        if not (is_complete and self._is_request_sent and self._attribution.allows_reuse):
+            return False
+        if extra_bytes:
             return False
         self._http.start_next_cycle()
         self.idle_since = now
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -58,8 +58,7 @@
 REJECTION_STATUSES = frozenset({429, 503})
 # Statuses that tell a caller that its request did not run and never will.
 NOT_EXECUTED_STATUSES = REJECTION_STATUSES | {408, MISDIRECTED_REQUEST}
-# Statuses below are those of success.
-_FIRST_STATUS_AFTER_SUCCESS = 300
+_LOWEST_ERROR_STATUS = 400
 # "Too Early": the endpoint had not received the request in time.
 _TOO_EARLY = 425
 
@@ -185,7 +184,7 @@
         head: The head.
         request_id: ID of the caller's request; None for requests of the relay itself.
         exchange_number: Number of the request on its connection, from 1.
-        is_trailer: Whether these are the headers that followed the body.
+        is_trailer: Whether the headers followed the body of the response.
     """
 
     head: ResponseHead
@@ -418,11 +417,10 @@
         """Check whether a response states that the endpoint did not run its request.
 
         A misdirected request needs no mark: the response names the endpoint that now answers at the
-        address. An endpoint signs only responses to requests that it ran. A success is no
-        rejection, even if it has the mark.
+        address. An endpoint signs only responses to requests that it ran.
         """
         if self.is_marked_not_executed(head):
-            return head.status >= _FIRST_STATUS_AFTER_SUCCESS
+            return head.status >= _LOWEST_ERROR_STATUS
         return (
             head.status == MISDIRECTED_REQUEST
             and head.get(self.names.endpoint) is not None
@@ -444,18 +442,22 @@
         """Check whether a response is to a caller's request, not to one of the relay itself."""
         return head.get(self.names.request_id) is not None
 
-    def read_notice(self, head: ResponseHead) -> EndpointNotice:
+    def read_notice(self, head: ResponseHead, request_id: str | None = None) -> EndpointNotice:
         """Read an endpoint's notice from a response head; malformed values are ignored.
 
-        Only a rejection asks for a back-off. A response to a caller's request is one if it has the
-        mark; one to a request of the relay itself has none.
+        Only a rejection asks for a back-off.
+
+        Args:
+            head: The head of the response.
+            request_id: ID of the caller's request that was sent; None for a request of the relay
+                itself, whose rejections have no mark.
         """
         if head.status == MISDIRECTED_REQUEST:
             return EMPTY_NOTICE
         names = self.names
         leaving = b"1" in head.get_all(names.leaving)
         backoff_s = 0.0
-        is_rejection = self.is_marked_not_executed(head) or not self.is_response_to_caller(head)
+        is_rejection = request_id is None or self.is_marked_not_executed(head)
         if is_rejection and head.status in REJECTION_STATUSES:
             backoff_s = parse_backoff_s(head.get_all(names.retry_after_s))
         rates = head.get_all(names.rate_per_s)
--- a/cleatlink/relay/endpoints/response_notices.py
+++ b/cleatlink/relay/endpoints/response_notices.py
@@ -107,25 +107,22 @@
         now = trio.current_time()
         head = received.head
         self._log_unknown_headers(endpoint, head)
-        self._record_rejection(endpoint, received, now)
+        if not received.is_trailer:
+            self._record_rejection(endpoint, received, now)
         if self._protocol.owner(head, received.request_id) is ResponseOwner.OTHER_REQUEST:
             self._process_late_head(endpoint, head, now)
             return
         if self._protocol.accepts_work(head):
             self._notices.note_served(endpoint.name, now)
-        notice = self._protocol.read_notice(head)
+        notice = self._protocol.read_notice(head, received.request_id)
         self._record_limit(endpoint, head, notice, now)
         if notice == EMPTY_NOTICE:
             return
         if notice.leaving:
             self._record_leaving(endpoint, head.status, now)
-        if notice.backoff_s and self._may_ask_for_backoff(received):
+        if notice.backoff_s:
             self._record_backoff(endpoint, notice.backoff_s, now)
 
-    def _may_ask_for_backoff(self, received: ReceivedHead) -> bool:
-        """Check whether a response is a rejection; one to a caller's request has the mark."""
-        return received.request_id is None or self._protocol.is_marked_not_executed(received.head)
-
     def _process_late_head(self, endpoint: RoutedEndpoint, head: ResponseHead, now: float) -> None:
         """Process the notice in a response that is late, of which only a shutdown still holds."""
         if self._protocol.read_notice(head).leaving:
@@ -153,7 +150,7 @@
         """Count and log a response that says, or seems to say, that its request did not run."""
         protocol, head = self._protocol, received.head
         is_marked = protocol.is_marked_not_executed(head)
-        if received.is_trailer or not (is_marked or head.status in NOT_EXECUTED_STATUSES):
+        if not is_marked and head.status not in NOT_EXECUTED_STATUSES:
             return
         owner = protocol.owner(head, received.request_id)
         self._metrics.count_endpoint_rejection(owner.value, is_marked=is_marked)
