--- a/cleatlink/relay/calls/refused_though_run_test.py
+++ b/cleatlink/relay/calls/refused_though_run_test.py
@@ -10,6 +10,7 @@
 import trio
 
 from standins.relay import Fault, Worker
+from standins.relay.cut_paths import PathCut
 from standins.relay.example_fleet import STREAM, engines, runs, start
 from standins.relay.fleet import Fleet, open_fleet
 from standins.relay.raw_client import Reply
@@ -26,6 +27,10 @@
 CALLS_PER_CALLER = 10
 # Share of the requests that are rejected twice.
 REJECTED_SHARE = 0.3
+# Share of the requests that endpoints answer with a status of their own.
+OWN_STATUS_SHARE = 0.4
+# Time from the loss of paths to the requests, in seconds; longer than idle connections are kept.
+CUT_AGE_S = 5.0
 # Pause of a caller after a refusal, in seconds; shorter than idle connections are kept.
 PAUSE_S = 0.3
 SEED = 77
@@ -154,3 +159,48 @@
         assert any(item.status == 200 for item in outcomes)
         broken += [(path, status, names_request, *item) for item in outcomes if item.breaks_promise]
     assert broken == []
+
+
+@pytest.mark.parametrize("status", PROMISES)
+async def test_resumable_stream_that_ran_was_answered_with_an_endpoints_own_status(
+    status: int,
+) -> None:
+    async with open_fleet() as fleet:
+        _, decodes = await start_all(fleet)
+        answer_with_own_status(decodes, status)
+        for worker in decodes:
+            worker.faults *= 9
+        outcome, _ = await ask(fleet, "/resume/x")
+        assert outcome.runs >= 1
+        assert outcome.status == 502
+
+
+@pytest.mark.parametrize("status", PROMISES)
+async def test_own_status_of_an_endpoint_took_it_out_for_other_callers(status: int) -> None:
+    async with open_fleet() as fleet:
+        plain, _ = await start_all(fleet)
+        rng = random.Random(SEED)
+        for worker in plain:
+            worker.own_status, worker.requested_backoff_s = status, 1.0
+            worker.faults = [
+                Fault.OWN_STATUS if rng.random() < OWN_STATUS_SHARE else None for _ in range(99)
+            ]
+        outcomes = [(await ask(fleet, "/unsafe/x"))[0] for _ in range(CALLERS * CALLS_PER_CALLER)]
+        assert [item for item in outcomes if not item.runs] == []
+
+
+@pytest.mark.parametrize("status", PROMISES)
+async def test_own_status_that_came_through_a_tunnel_was_passed_on_as_a_promise(
+    status: int,
+) -> None:
+    async with open_fleet() as fleet:
+        plain, decodes = await start_all(fleet)
+        fleet.start_instance()
+        await fleet.wait_ready()
+        await fleet.wait_for_peers()
+        fleet.connectors[0].cut(PathCut.RESET)
+        await trio.sleep(CUT_AGE_S)
+        assert (await ask(fleet, "/unsafe/x"))[0] == Outcome(200, 1)
+        for path in (*PLAIN_PATHS, STREAM_PATH):
+            answer_with_own_status(plain + decodes, status)
+            assert (path, *(await ask(fleet, path))[0]) == (path, 502, 1)
