An unnamed rejection counts on a new connection only; empty IDs are compared, too

Change: a response to a caller's request that names no request is a rejection only if it is the first response on its connection; behind another one it may be the rest of that. The pool compares the ID of the next request also if it is empty.

Cost: an unnamed rejection on a used connection has an unknown outcome, so that an unsafe call gets 502.

--- a/cleatlink/relay/endpoints/attribution.py
+++ b/cleatlink/relay/endpoints/attribution.py
@@ -92,7 +92,8 @@
         owner = protocol.owner(head, self.request_id)
         if owner is ResponseOwner.THIS_REQUEST:
             return
-        may_be_unnamed = self.request_id is None or not self._has_extra_response
+        # On a connection that carried another request, it may be the rest of an earlier response.
+        may_be_unnamed = self.request_id is None or self._exchange_number == 1
         if may_be_unnamed and protocol.is_response_to(head, self.request_id):
             return
         detail = "names no request" if owner is ResponseOwner.UNNAMED else "is another request's"
--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -118,7 +118,7 @@
         while idle and not must_be_new:
             connection = idle.pop()
             is_usable = connection.is_direct or not must_be_direct
-            is_ambiguous = bool(request_id) and connection.last_request_id == request_id
+            is_ambiguous = request_id is not None and connection.last_request_id == request_id
             if (
                 is_usable
                 and not is_ambiguous
--- a/cleatlink/relay/endpoints/response_owner_test.py
+++ b/cleatlink/relay/endpoints/response_owner_test.py
@@ -148,3 +148,38 @@
         await start(fleet, full)
         reply = await fleet.caller().ask("/unsafe/x", "POST", body=b"b")
         assert (len(full.arrivals), reply.status) == (1, 503)
+
+
+class _RejectsNothing(Worker):
+    """Sends a rejection that belongs to no request, after the next request has come in."""
+
+    async def _send_in_parts(self, data: bytes, stream: trio.SocketStream) -> None:
+        self.rejections.repeat_later(stream, {"Not-Executed": "1"})
+        await super()._send_in_parts(data, stream)
+
+
+async def test_rejection_of_no_request_after_a_whole_answer_is_not_the_next_answer() -> None:
+    async with open_fleet() as fleet:
+        await start(fleet, _RejectsNothing("plain"))
+        caller = fleet.caller()
+        results = []
+        for _ in range(4):
+            request = await caller.send("/unsafe/x", "POST", body=b"b")
+            results.append(((await caller.receive()).status, runs(fleet, request)))
+        assert (503, 1) not in results
+
+
+async def test_calls_with_an_empty_id_are_not_told_that_they_did_not_run() -> None:
+    async with open_fleet() as fleet:
+        worker = Worker("plain")
+        await start(fleet, worker)
+        caller = fleet.caller()
+        results = []
+        for _ in range(5):
+            worker.faults = [Fault.REPEATED_REJECTION]
+            await caller.ask("/unsafe/x", "POST", body=b"b", headers={"Attempt-Id": ""})
+            await trio.sleep(0.5)
+            run_count = len(worker.runs)
+            reply = await caller.ask("/unsafe/x", "POST", body=b"b", headers={"Attempt-Id": ""})
+            results.append((reply.status, len(worker.runs) - run_count))
+        assert (503, 1) not in results
