--- a/cleatlink/relay/endpoints/attribution.py
+++ b/cleatlink/relay/endpoints/attribution.py
@@ -90,11 +90,10 @@
             return
         self._is_unnamed_rejection = protocol.is_unnamed_rejection(head)
         owner = protocol.owner(head, self.request_id)
-        if owner is ResponseOwner.THIS_REQUEST:
-            return
         # On a connection that carried another request, it may be the rest of an earlier response.
         may_be_unnamed = self.request_id is None or self._exchange_number == 1
-        if may_be_unnamed and protocol.is_response_to(head, self.request_id):
+        is_named_as_needed = may_be_unnamed or owner is not ResponseOwner.UNNAMED
+        if is_named_as_needed and protocol.is_response_to(head, self.request_id):
             return
         detail = "names no request" if owner is ResponseOwner.UNNAMED else "is another request's"
         raise OutcomeUnknownError(f"the response {detail}, status {head.status}")
