The soak's replacements of read_notice take the request's ID

What was seen: 500 for every call of an instance that hears no notices, in the soak.

Evidence: the test of the failure passes. The soak itself was not run.

--- a/soak/ablations.py
+++ b/soak/ablations.py
@@ -120,12 +120,14 @@
 _original_apply_table = Follower.apply_table_if_newer
 
 
-def _read_empty_notice(self: Protocol, head: Any) -> EndpointNotice:
+def _read_empty_notice(self: Protocol, head: Any, request_id: str | None = None) -> EndpointNotice:
     return EMPTY_NOTICE
 
 
-def _read_notice_without_backoff(self: Protocol, head: Any) -> EndpointNotice:
-    return _original_read_notice(self, head)._replace(backoff_s=0.0)
+def _read_notice_without_backoff(
+    self: Protocol, head: Any, request_id: str | None = None
+) -> EndpointNotice:
+    return _original_read_notice(self, head, request_id)._replace(backoff_s=0.0)
 
 
 def _return_era_zero(self: StoreClient, head: Any) -> int:
