An unnamed 421 with the endpoint's name still counts on a used connection

Change: a misdirected response names the endpoint that sent it and is no rest of an earlier one. Behind an extra response it is not accepted.

--- a/cleatlink/relay/endpoints/attribution.py
+++ b/cleatlink/relay/endpoints/attribution.py
@@ -6,6 +6,7 @@
 
 from cleatlink.core.errors import OutcomeUnknownError
 from cleatlink.relay.endpoints.protocol import (
+    MISDIRECTED_REQUEST,
     OutgoingRequest,
     Protocol,
     ResponseHead,
@@ -90,10 +91,18 @@
             return
         self._is_unnamed_rejection = protocol.is_unnamed_rejection(head)
         owner = protocol.owner(head, self.request_id)
-        # On a connection that carried another request, it may be the rest of an earlier response.
-        may_be_unnamed = self.request_id is None or self._exchange_number == 1
-        is_named_as_needed = may_be_unnamed or owner is not ResponseOwner.UNNAMED
-        if is_named_as_needed and protocol.is_response_to(head, self.request_id):
+        is_stray = owner is ResponseOwner.UNNAMED and not self._may_be_unnamed(head)
+        if not is_stray and protocol.is_response_to(head, self.request_id):
             return
         detail = "names no request" if owner is ResponseOwner.UNNAMED else "is another request's"
         raise OutcomeUnknownError(f"the response {detail}, status {head.status}")
+
+    def _may_be_unnamed(self, head: ResponseHead) -> bool:
+        """Check whether a response need not name the request that was sent last.
+
+        On a connection that carried another request, an unnamed response may be the rest of that
+        one's. A misdirected one is not: it comes from another endpoint.
+        """
+        if self.request_id is None or self._exchange_number == 1:
+            return True
+        return head.status == MISDIRECTED_REQUEST and not self._has_extra_response
