Stand-in: prefills, reservations, orders and frees are answered without end, too

Only plain calls and decodes could be answered without end. A worker can now also go on after a whole answer, within an event, or with the first event again and again, as fast as the bytes are taken or one at a time, and it records how many bytes were taken and when it found its connection closed.

--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from standins.relay.endless_answers import EndlessPart, send_without_end
+from standins.relay.endless_answers import EndlessAnswers, EndlessPart
 from standins.relay.extra_arrivals import WorkerArrival
 from standins.relay.raw_server import LAST_CHUNK, RawCall, RawServer, answer, chunk, reset
 from standins.relay.rejections import Rejections
@@ -41,6 +41,7 @@
     OWN_STATUS = "runs it, then answers with a status of its own"
     REPEATED_REJECTION = "rejects it, and rejects again when the next request has come in"
     ENDLESS = "bytes without end"
+    ENDLESS_WITHIN = "an event without end within a stream"
 
 
 def prompt_parts(call: RawCall) -> list[str]:
@@ -106,6 +107,7 @@
         self.own_status = 503
         # Part that has no end, for ``Fault.ENDLESS``.
         self.endless_part = EndlessPart.HEAD
+        self.endless = EndlessAnswers()
         # Calls without a request id, which were meant for another server at this address.
         self.calls_without_id: list[RawCall] = []
         self.arrival_times: list[float] = []
@@ -191,6 +193,8 @@
         """Respond to one call."""
         self.all_arrival_times.append(trio.current_time())
         await self.rejections.send_due(stream)
+        if call.path.startswith(self.endless.paths):
+            await self._send_without_end(stream, self._notice_headers())
         if call.path.startswith("/kv-handle/"):
             handle = call.path.rpartition("/")[2]
             self.deleted_handles.append(handle)
@@ -223,7 +227,7 @@
         if fault is Fault.RESET_BEFORE:
             return False
         if call.headers.get("stage") == "prefill":
-            return await self._serve_prefill(call, stream, number)
+            return await self._serve_prefill(call, stream, number, fault)
         if self.crash_marker is not None and self.crash_marker in call.body + call.target.encode():
             return await self._crash(call)
         if self.stage == "decode":
@@ -256,6 +260,13 @@
         await self._send_in_parts(answer(status, headers, body, has_length=has_length), stream)
         return has_length
 
+    async def _send_without_end(
+        self, stream: trio.SocketStream, headers: dict[str, str], body: bytes = b""
+    ) -> None:
+        """Send an answer without end; the body is that of a whole answer before it."""
+        whole = answer(200, headers, body)
+        await self.endless.send(stream, self.endless_part, headers, whole)
+
     def _notice_headers(self) -> dict[str, str]:
         """Return the headers of its notices, which any response may have."""
         headers = {"Server-Leaving": "1", "Connection": "close"} if self.announces_leaving else {}
@@ -324,7 +335,7 @@
         return {**signature_headers, **self._notice_headers()}
 
     async def _serve_prefill(
-        self, call: RawCall, stream: trio.SocketStream, arrival_number: int
+        self, call: RawCall, stream: trio.SocketStream, arrival_number: int, fault: Fault | None
     ) -> bool:
         if self.stage != "prefill":
             await stream.send_all(answer(421, {"Instance-Id": self.name}))
@@ -336,6 +347,8 @@
         self.handles[handle] = trio.current_time()
         value = {"prefill_handle": handle, "tokens": 10, "version": 1}
         body = json.dumps(value).encode()
+        if fault is Fault.ENDLESS:
+            await self._send_without_end(stream, self._signed_headers(call), body)
         return await self._send_answer(stream, 200, self._signed_headers(call), body)
 
     async def _run(self, call: RawCall, stream: trio.SocketStream, work_s: float) -> Run | None:
@@ -374,7 +387,7 @@
             await stream.send_all(b"\x00\x01 this is no answer \r\n\r\n")
             return False
         if fault is Fault.ENDLESS:
-            await send_without_end(stream, self.endless_part, self._signed_headers(call))
+            await self._send_without_end(stream, self._signed_headers(call), self.body)
         if fault is Fault.OWN_STATUS:
             return await self._send_own_status(call, stream)
         headers = self._signed_headers(call)
@@ -422,7 +435,8 @@
         if fault is Fault.NO_RESPONSE:
             await trio.sleep_forever()
         if fault is Fault.ENDLESS:
-            await send_without_end(stream, self.endless_part, self._signed_headers(call))
+            event = b"id: %d\ndata: more\n\n" % first_event
+            await self._send_without_end(stream, self._signed_headers(call), event)
         if fault is Fault.OWN_STATUS:
             return await self._send_own_status(call, stream)
         lines = ["HTTP/1.1 200 X", "Content-Type: text/event-stream"]
@@ -437,6 +451,8 @@
                 if number == self.silent_from_event:
                     await trio.sleep(self.silent_s)
                 event = b"id: %d\ndata: %s %d\n\n" % (number, run.request.encode(), number)
+                if fault is Fault.ENDLESS_WITHIN and number == self.events // 2 + 1:
+                    await self.endless.send(stream, EndlessPart.WITHIN_EVENT, {})
                 if fault is Fault.TRUNCATED and number == self.events // 2 + 1:
                     await stream.send_all(encode(event[:7]))
                     return False
