Interim responses without end are given up after eight of them

What callers saw: 504 at the deadline, also for safe calls, whose endpoint was not silent; other callers waited up to 453 ms meanwhile, because the interim responses in one read were all parsed in one turn of the event loop.

Cause: interim responses were skipped without a limit.

Evidence: both tests fail before (504 instead of 200 and 502) and pass after. An endpoint has no use for more than a few of them: RFC 9110 defines 100 to 103, and the relay never asks to continue. The request may have run, so nothing is promised: a safe call is tried elsewhere, another one gets 502.

--- /dev/null
+++ b/cleatlink/relay/endless_answers_test.py
@@ -0,0 +1,66 @@
+"""Tests of endpoints that send bytes without end, until the relay closes the connection.
+
+The limits on bytes are tested in virtual time. Where only time ends an answer, or the latency of
+other callers matters, the machine's clock is used.
+"""
+
+import pytest
+
+from standins.relay import EndlessPart, Fault, Worker
+from standins.relay.endless_answers import EndlessAnswer
+from standins.relay.example_fleet import start
+from standins.relay.fleet import Fleet, open_fleet
+from standins.relay.raw_client import Reply
+
+pytestmark = pytest.mark.virtual_time
+
+# Bytes that the kernel takes from an endpoint beside those that the relay reads.
+_KERNEL_BYTES = 1_048_576
+# Seconds in which a connection is closed after a limit on bytes was reached.
+_CLOSE_S = 1.0
+
+
+async def start_endless(fleet: Fleet, part: EndlessPart, bad: int = 1) -> list[Worker]:
+    """Start two plain workers, of which the first ones answer one call each without end."""
+    workers = [Worker("plain"), Worker("plain")]
+    await start(fleet, *workers)
+    for worker in workers[:bad]:
+        worker.endless_part, worker.faults = part, [Fault.ENDLESS]
+    return workers
+
+
+async def ask_until_endless(fleet: Fleet, path: str, workers: list[Worker]) -> Reply:
+    """Make calls until one of them meets an answer without end; return its reply."""
+    for _ in range(8):
+        reply = await fleet.caller().ask(path, "POST", body=b"x")
+        if records(workers):
+            return reply
+    raise AssertionError("no call met an answer without end")
+
+
+def records(workers: list[Worker]) -> list[EndlessAnswer]:
+    return [record for worker in workers for record in worker.endless.records]
+
+
+async def check_closed(fleet: Fleet, workers: list[Worker], max_bytes: int) -> None:
+    """Check that each connection with an answer without end was closed within the limits."""
+    await fleet.wait_until(lambda: all(item.lasted_s < _CLOSE_S for item in records(workers)))
+    assert max(item.sent_bytes for item in records(workers)) <= max_bytes + _KERNEL_BYTES
+
+
+@pytest.mark.real_time
+async def test_interim_responses_without_end_were_read_until_the_deadline() -> None:
+    async with open_fleet() as fleet:
+        workers = await start_endless(fleet, EndlessPart.INTERIM)
+        reply = await ask_until_endless(fleet, "/safe/x", workers)
+        assert (reply.status, reply.body) == (200, b"served")
+        await check_closed(fleet, workers, 65_536)
+
+
+@pytest.mark.real_time
+async def test_interim_responses_without_end_promise_nothing() -> None:
+    async with open_fleet() as fleet:
+        workers = await start_endless(fleet, EndlessPart.INTERIM, bad=2)
+        reply = await ask_until_endless(fleet, "/unsafe/x", workers)
+        assert (reply.status, len(workers[0].runs) + len(workers[1].runs)) == (502, 1)
+        await check_closed(fleet, workers, 65_536)
--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -31,6 +31,8 @@
 
 # Far above the longest response head that an endpoint sends.
 _MAX_HEAD_BYTES = 65_536
+# Most interim responses, of status 1xx, before a response.
+_MAX_INTERIM_RESPONSES = 8
 # Longest body of an extra response that is skipped.
 _MAX_EXTRA_BODY_BYTES = 1_048_576
 # A body up to this size fits into the socket's buffer, so sending it cannot block for long.
@@ -235,13 +237,14 @@
         return AcceptedBytes(max(0, self._accepted_bytes - unacknowledged), True)
 
     async def _read_head(self) -> ResponseHead:
-        while True:
+        for _ in range(1 + _MAX_INTERIM_RESPONSES):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
                 return self._record_head(event)
             raise OutcomeUnknownError("the server closed the connection before a response")
+        raise OutcomeUnknownError(f"more than {_MAX_INTERIM_RESPONSES} interim responses")
 
     def _record_head(self, event: h11.Response) -> ResponseHead:
         head = ResponseHead(event.status_code, tuple(event.headers.raw_items()))
