Other tasks run between the small chunks of an answer

What callers saw: while three endpoints sent events of 12 bytes without end, callers of other endpoints waited up to 1.18 s for their answers.

Cause: a read takes up to 64 KB, which can hold thousands of chunks, and all of them were parsed and passed on in one turn of the event loop.

--- a/cleatlink/relay/endless_answers_test.py
+++ b/cleatlink/relay/endless_answers_test.py
@@ -5,7 +5,10 @@
 """
 
 import pytest
+import trio
 
+from cleatlink.relay.endpoints.connection import EndpointConnection
+from cleatlink.relay.endpoints.protocol import OutgoingRequest
 from standins.relay import EndlessPart, Fault, Worker
 from standins.relay.endless_answers import EndlessAnswer
 from standins.relay.example_fleet import start
@@ -64,3 +67,27 @@
         reply = await ask_until_endless(fleet, "/unsafe/x", workers)
         assert (reply.status, len(workers[0].runs) + len(workers[1].runs)) == (502, 1)
         await check_closed(fleet, workers, 65_536)
+
+
+async def test_small_chunks_without_end_kept_other_tasks_from_running() -> None:
+    worker, turns = Worker("plain"), 0
+    worker.endless_part, worker.faults = EndlessPart.EVENTS, [Fault.ENDLESS]
+
+    async def count_turns() -> None:
+        nonlocal turns
+        while True:
+            turns += 1
+            await trio.lowlevel.checkpoint()
+
+    async with trio.open_nursery() as nursery:
+        await worker.start(nursery)
+        connection = await EndpointConnection.open(worker.address, 1.0, 1.0)
+        headers = ((b"Host", b"h.example"), (b"Attempt-Id", b"r1"))
+        await connection.exchange(OutgoingRequest(b"GET", b"/a", headers, b""))
+        nursery.start_soon(count_turns)
+        for _ in range(3_200):
+            await connection.read_chunk()
+        connection.close()
+        worker.close()
+        nursery.cancel_scope.cancel()
+    assert turns >= 3_200 / 64
--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -33,6 +33,8 @@
 _MAX_HEAD_BYTES = 65_536
 # Most interim responses, of status 1xx, before a response.
 _MAX_INTERIM_RESPONSES = 8
+# Most parts of received data, such as chunks, that are parsed between two runs of other tasks.
+_MAX_PARTS_A_TURN = 32
 # Longest body of an extra response that is skipped.
 _MAX_EXTRA_BODY_BYTES = 1_048_576
 # A body up to this size fits into the socket's buffer, so sending it cannot block for long.
@@ -75,6 +77,8 @@
         self._keep_alive_s: float | None = None
         self._on_head = on_head
         self._on_bytes: Callable[[], None] | None = None
+        # Parts of received data that were parsed since other tasks could run.
+        self._parts_in_turn = 0
         self._status = 0
         self.idle_since = opened_at
 
@@ -315,10 +319,15 @@
             ) from error
 
     async def _next_event(self) -> object:
+        self._parts_in_turn += 1
+        if self._parts_in_turn > _MAX_PARTS_A_TURN:
+            self._parts_in_turn = 0
+            await trio.lowlevel.checkpoint()
         while True:
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
+            self._parts_in_turn = 0
             data = await self._stream.receive_some()
             if data and self._on_bytes is not None:
                 self._on_bytes()
