Single bytes without end don't keep a safe call at its endpoint

What callers saw: 504 at the deadline of a safe call, though other endpoints were free: one byte each 10 ms of a head, a body, an interim response or bytes that are no answer.

Cause: each received byte counted as progress, so that the endpoint was never silent.

Now parts of less than 512 bytes count as progress only within the first half of the time that the call had left. A slow answer in larger parts is waited for as before, and so is one that comes in small parts within that half.

Evidence: the four new tests fail before with 504.

--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -41,6 +41,11 @@
 # A safe call is retried elsewhere if its endpoint is silent for this many times the usual duration
 # of a call. An earlier retry would only lengthen the queues.
 _SILENCE_TIMEOUT_FACTOR = 3.0
+# Endpoints in trouble may send a byte now and then, without end. Parts of an answer with fewer
+# bytes than this count as progress only within the first share of the time that the call had left
+# when it was sent.
+_MIN_PART_BYTES = 512
+_SMALL_PARTS_SHARE = 0.5
 # Provisional duration of the call's reservation, in seconds. The reservation is released when the
 # call ends, and no decision depends on this value.
 _RESERVATION_S = 0.1
@@ -63,6 +68,8 @@
         self._next_endpoint: RoutedEndpoint | None = None
         # When the current endpoint last sent a byte, or was sent the call if it sent none.
         self._received_at = -math.inf
+        # When small parts of the current endpoint's answer no longer count as progress.
+        self._small_parts_until = -math.inf
         # When the current endpoint was sent the call; None while there is no connection.
         self._sent_at: float | None = None
         # Transfer of the request body to the current endpoint.
@@ -162,6 +169,7 @@
                 return None
             started_at = trio.current_time()
             self._received_at, self._sent_at = started_at, None
+            self._small_parts_until = started_at + _SMALL_PARTS_SHARE * call.remaining_s
             self._upload = call.start_upload(endpoint)
             plain_load.call_started(endpoint.name, started_at)
             answer = await run_watched(
@@ -254,8 +262,11 @@
                 return
             since = silent_since
 
-    def _note_received(self) -> None:
-        self._received_at = trio.current_time()
+    def _note_received(self, count: int) -> None:
+        """Record that a number of bytes of the answer arrived."""
+        now = trio.current_time()
+        if count >= _MIN_PART_BYTES or now <= self._small_parts_until:
+            self._received_at = now
 
     def _silence_timeout_s(self) -> float:
         """Return the silence timeout in seconds.
--- a/cleatlink/relay/endless_answers_test.py
+++ b/cleatlink/relay/endless_answers_test.py
@@ -91,3 +91,17 @@
         worker.close()
         nursery.cancel_scope.cancel()
     assert turns >= 3_200 / 64
+
+
+@pytest.mark.parametrize(
+    "part", [EndlessPart.HEAD, EndlessPart.BODY, EndlessPart.INTERIM, EndlessPart.GARBAGE]
+)
+async def test_slow_bytes_without_end_kept_a_safe_call_until_its_deadline(
+    part: EndlessPart,
+) -> None:
+    async with open_fleet() as fleet:
+        workers = await start_endless(fleet, part)
+        workers[0].endless.byte_interval_s = 0.01
+        reply = await ask_until_endless(fleet, "/safe/x", workers)
+        assert (reply.status, reply.body) == (200, b"served")
+        await fleet.wait_until(lambda: records(workers)[0].lasted_s < 1.5)
--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -76,7 +76,7 @@
         self._accepted_bytes = 0
         self._keep_alive_s: float | None = None
         self._on_head = on_head
-        self._on_bytes: Callable[[], None] | None = None
+        self._on_bytes: Callable[[int], None] | None = None
         # Parts of received data that were parsed since other tasks could run.
         self._parts_in_turn = 0
         self._status = 0
@@ -133,14 +133,15 @@
     async def exchange(
         self,
         request: OutgoingRequest,
-        on_bytes: Callable[[], None] | None = None,
+        on_bytes: Callable[[int], None] | None = None,
         upload: Upload | None = None,
     ) -> ResponseHead:
         """Send a request and read the head of its response.
 
         Args:
             request: The request.
-            on_bytes: Called each time that bytes of the response arrive, including its body.
+            on_bytes: Called each time that bytes of the response arrive, including its body, with
+                their number.
             upload: Receives the progress of a long body.
 
         Raises:
@@ -330,7 +331,7 @@
             self._parts_in_turn = 0
             data = await self._stream.receive_some()
             if data and self._on_bytes is not None:
-                self._on_bytes()
+                self._on_bytes(len(data))
             self._http.receive_data(data)
 
     def end_exchange(self, now: float) -> bool:
--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -160,7 +160,7 @@
         idle_limit_s: float,
         make_request: Callable[[], OutgoingRequest],
         max_bytes: int,
-        on_bytes: Callable[[], None] | None = None,
+        on_bytes: Callable[[int], None] | None = None,
         *,
         upload: Upload | None = None,
         must_be_direct: bool = False,
@@ -174,7 +174,7 @@
             idle_limit_s: Longest idle time of a connection that may be used.
             make_request: Builds the request once a connection is available.
             max_bytes: Longest response body that is accepted.
-            on_bytes: Called each time that bytes of the response arrive.
+            on_bytes: Called each time that bytes of the response arrive, with their number.
             upload: Receives the progress of a long body.
             must_be_direct: Whether no peer may hold the connection on behalf of this instance.
             must_be_new: Whether to open a connection also if there is an idle one.
--- a/cleatlink/relay/following/store_client.py
+++ b/cleatlink/relay/following/store_client.py
@@ -131,7 +131,7 @@
             raise PlatformError(f"the store answered with status {head.status}")
         return StoreAnswer(head.status == _HTTP_OK, era, body)
 
-    def _note_bytes(self) -> None:
+    def _note_bytes(self, _: int) -> None:
         self._received_at = trio.current_time()
 
     async def _connect(self) -> EndpointConnection:
