Idle connections that received data are closed within a second

An endpoint that went on sending after a whole answer could do so for 4 s, the longest idle time of a connection: bytes that arrive while a connection is idle kept it from being used again, but only connections of tunnels were closed for that. The check every quarter of a second now closes each of them.

Evidence: the test with a byte each 0.2 s fails before (still open after 1 s) and passes after; the one without pauses passed before in virtual time, where the bytes arrive together with the answer.

--- a/cleatlink/relay/endless_answers_test.py
+++ b/cleatlink/relay/endless_answers_test.py
@@ -105,3 +105,20 @@
         reply = await ask_until_endless(fleet, "/safe/x", workers)
         assert (reply.status, reply.body) == (200, b"served")
         await fleet.wait_until(lambda: records(workers)[0].lasted_s < 1.5)
+
+
+async def test_bytes_after_a_whole_answer_kept_an_idle_connection_open() -> None:
+    async with open_fleet() as fleet:
+        workers = await start_endless(fleet, EndlessPart.AFTER)
+        reply = await ask_until_endless(fleet, "/unsafe/x", workers)
+        assert (reply.status, reply.body) == (200, b"served")
+        await check_closed(fleet, workers, 0)
+
+
+async def test_slow_bytes_after_a_whole_answer_kept_an_idle_connection_open() -> None:
+    async with open_fleet() as fleet:
+        workers = await start_endless(fleet, EndlessPart.AFTER)
+        workers[0].endless.byte_interval_s = 0.2
+        reply = await ask_until_endless(fleet, "/unsafe/x", workers)
+        assert (reply.status, reply.body) == (200, b"served")
+        await check_closed(fleet, workers, 0)
--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -237,19 +237,19 @@
         return int(max(1.0, min(_MAX_IDLE, _IDLE_SHARE * self._connection_limit(endpoint))))
 
     def close_expired(self) -> None:
-        """Close connections whose idle time exceeds ``IDLE_LIMIT_S``, and unwanted tunnels.
+        """Close connections that are idle for longer than ``IDLE_LIMIT_S`` or that received data.
 
-        A tunnel keeps its peer from completing a planned stop.
+        An endpoint may send bytes without end until its connection is closed, and a tunnel that has
+        ended keeps its peer from completing a planned stop.
         """
         now = trio.current_time()
         for incarnation in list(self._idle):
             idle = self._idle[incarnation]
             while idle and not idle[0].is_within_idle_limit(now, IDLE_LIMIT_S):
                 idle.popleft().close()
-            for connection in [item for item in idle if not item.is_direct]:
-                if not connection.is_reusable:
-                    idle.remove(connection)
-                    connection.close()
+            for connection in [item for item in idle if not item.is_reusable]:
+                idle.remove(connection)
+                connection.close()
             if not idle:
                 del self._idle[incarnation]
         self._known_connections = {
