Bytes that make no new event don't keep a resumable stream at its endpoint

What callers saw: a stream that was cut off at its deadline, or 504, though another decode endpoint was free: an event without end, a byte at a time, or the same event again and again.

Cause: each received chunk counted as a sign of life, also one that completed no event or an event that had been delivered before.

Now only new events count. Slow heads were continued elsewhere before, and are.

Evidence: of the five new tests, the three within the body fail before and pass after; the two of heads pass before, too.

--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -264,10 +264,10 @@
         received_at = trio.current_time()
         first_event_at = math.inf
         longest_gap_s = 0.0
+        # Only new events show that the endpoint works: bytes that make none may come without end.
+        self._failover.expect_data(self._silence_timeout_s())
         while True:
-            self._failover.expect_data(self._silence_timeout_s())
             chunk = await connection.read_chunk()
-            self._note_activity()
             now = trio.current_time()
             longest_gap_s, received_at = max(longest_gap_s, now - received_at), now
             call.note_received(now)
@@ -276,6 +276,7 @@
             events = self._parser.feed(chunk)
             if not events:
                 continue
+            self._note_activity()
             meter.note_events(len(events), now)
             first_event_at = min(first_event_at, now)
             call.note_answering(now - first_event_at)
@@ -288,6 +289,8 @@
             if longest_gap_s > call.route.event_gap_target_s:
                 call.report_slow(self._target.endpoint, longest_gap_s)
                 longest_gap_s = -math.inf
+            self._failover.expect_data(self._silence_timeout_s())
+        self._note_activity()
         if self._parser.has_partial_event:
             raise StreamBrokenError("the stream ended within an event")
         if not exchange.started:
--- a/cleatlink/relay/endless_answers_test.py
+++ b/cleatlink/relay/endless_answers_test.py
@@ -11,7 +11,7 @@
 from cleatlink.relay.endpoints.protocol import OutgoingRequest
 from standins.relay import EndlessPart, Fault, Worker
 from standins.relay.endless_answers import EndlessAnswer
-from standins.relay.example_fleet import start
+from standins.relay.example_fleet import STREAM, engines, start
 from standins.relay.fleet import Fleet, open_fleet
 from standins.relay.raw_client import Reply
 
@@ -122,3 +122,41 @@
         reply = await ask_until_endless(fleet, "/unsafe/x", workers)
         assert (reply.status, reply.body) == (200, b"served")
         await check_closed(fleet, workers, 0)
+
+
+async def start_endless_decode(fleet: Fleet, part: EndlessPart, fault: Fault) -> list[Worker]:
+    """Start engines, of which one decode answers one stream without end, a byte at a time."""
+    workers = list(engines())
+    await start(fleet, *workers)
+    workers[1].endless_part, workers[1].faults = part, [fault]
+    workers[1].endless.byte_interval_s = 0.01
+    return workers
+
+
+async def ask_stream_until_endless(fleet: Fleet, path: str, workers: list[Worker]) -> Reply:
+    """Request streams until one of them meets an answer without end; return its reply."""
+    for _ in range(8):
+        reply = await fleet.caller().ask(path, "POST", headers=STREAM)
+        if records(workers):
+            return reply
+    raise AssertionError("no stream met an answer without end")
+
+
+@pytest.mark.parametrize(
+    ("part", "fault"),
+    [
+        (EndlessPart.HEAD, Fault.ENDLESS),
+        (EndlessPart.INTERIM, Fault.ENDLESS),
+        (EndlessPart.BODY, Fault.ENDLESS),
+        (EndlessPart.OLD_EVENTS, Fault.ENDLESS),
+        (EndlessPart.HEAD, Fault.ENDLESS_WITHIN),
+    ],
+)
+async def test_slow_bytes_that_make_no_event_kept_a_resumable_stream_until_its_deadline(
+    part: EndlessPart, fault: Fault
+) -> None:
+    async with open_fleet() as fleet:
+        workers = await start_endless_decode(fleet, part, fault)
+        reply = await ask_stream_until_endless(fleet, "/resume/x", workers)
+        assert (reply.status, reply.is_complete, reply.body.count(b"\n\n")) == (200, True, 5)
+        await fleet.wait_until(lambda: records(workers)[0].lasted_s < 1.9)
