The connection of a reservation that failed is closed at once

An endpoint that answered a reservation without end could send until the stream was placed elsewhere or refused, up to its deadline, though the request for the reservation had failed after 0.3 s or at its limit of 64 KB.

Cause: the connection was left to the next connect of the stream.

Evidence: the six new tests (a head, interim responses, a body; as fast as they are taken, and a byte each 0.05 s) fail before, with the connection still open after 1 s, and pass after.

--- a/cleatlink/relay/calls/endpoint_reservation.py
+++ b/cleatlink/relay/calls/endpoint_reservation.py
@@ -79,7 +79,7 @@
 
         Args:
             endpoint: The endpoint.
-            connection: A connection to it.
+            connection: A connection to it; closed if the request fails.
             output_tokens: Estimated length of the answer, in tokens.
         """
         engine_properties = self._call.service.engine
@@ -100,6 +100,7 @@
                 head = await connection.exchange(request)
                 body = await connection.read_body(_MAX_REPLY_BYTES)
         except (EndpointError, trio.TooSlowError) as error:
+            connection.close()
             self._call.note_failure(endpoint, error, in_progress=False)
             return ReservationOutcome.FAILED
         connection.end_exchange(trio.current_time())
--- a/cleatlink/relay/endless_answers_test.py
+++ b/cleatlink/relay/endless_answers_test.py
@@ -160,3 +160,22 @@
         reply = await ask_stream_until_endless(fleet, "/resume/x", workers)
         assert (reply.status, reply.is_complete, reply.body.count(b"\n\n")) == (200, True, 5)
         await fleet.wait_until(lambda: records(workers)[0].lasted_s < 1.9)
+
+
+@pytest.mark.parametrize("part", [EndlessPart.HEAD, EndlessPart.INTERIM, EndlessPart.BODY])
+@pytest.mark.parametrize("byte_interval_s", [0.0, 0.05])
+async def test_reservation_without_end_kept_its_connection_open(
+    part: EndlessPart, byte_interval_s: float
+) -> None:
+    async with open_fleet() as fleet:
+        workers = list(engines())
+        await start(fleet, *workers)
+        version = fleet.configure({"hold_ms": 2000})
+        await fleet.wait_until(lambda: fleet.instances[0].records.table_revision == version)
+        for worker in workers[1:]:
+            worker.endless_part, worker.endless.paths = part, ("/hold-take",)
+            worker.endless.byte_interval_s = byte_interval_s
+        reply = await fleet.caller().ask("/stream/x", "POST", headers=STREAM)
+        assert (reply.status, workers[1].runs + workers[2].runs) == (503, [])
+        assert len(records(workers)) == 2
+        await check_closed(fleet, workers, 65_536)
