--- a/cleatlink/relay/endless_answers_test.py
+++ b/cleatlink/relay/endless_answers_test.py
@@ -7,9 +7,12 @@
 import pytest
 import trio
 
+from cleatlink.core.data import Role
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.protocol import OutgoingRequest
+from cleatlink.routing.role_planner import RoleChange
 from standins.relay import EndlessPart, Fault, Worker
+from standins.relay.cut_paths import PathCut
 from standins.relay.endless_answers import EndlessAnswer
 from standins.relay.example_fleet import STREAM, engines, start
 from standins.relay.fleet import Fleet, open_fleet
@@ -19,8 +22,9 @@
 
 # Bytes that the kernel takes from an endpoint beside those that the relay reads.
 _KERNEL_BYTES = 1_048_576
-# Seconds in which a connection is closed after a limit on bytes was reached.
+# Seconds in which a connection is closed, and those for a role order, whose timeout is 1 s.
 _CLOSE_S = 1.0
+_ORDER_CLOSE_S = 1.2
 
 
 async def start_endless(fleet: Fleet, part: EndlessPart, bad: int = 1) -> list[Worker]:
@@ -45,9 +49,11 @@
     return [record for worker in workers for record in worker.endless.records]
 
 
-async def check_closed(fleet: Fleet, workers: list[Worker], max_bytes: int) -> None:
+async def check_closed(
+    fleet: Fleet, workers: list[Worker], max_bytes: int, within_s: float = _CLOSE_S
+) -> None:
     """Check that each connection with an answer without end was closed within the limits."""
-    await fleet.wait_until(lambda: all(item.lasted_s < _CLOSE_S for item in records(workers)))
+    await fleet.wait_until(lambda: all(item.lasted_s < within_s for item in records(workers)))
     assert max(item.sent_bytes for item in records(workers)) <= max_bytes + _KERNEL_BYTES
 
 
@@ -179,3 +185,88 @@
         assert (reply.status, workers[1].runs + workers[2].runs) == (503, [])
         assert len(records(workers)) == 2
         await check_closed(fleet, workers, 65_536)
+
+
+@pytest.mark.parametrize("byte_interval_s", [0.0, 0.05])
+@pytest.mark.parametrize(
+    "part", [EndlessPart.HEAD, EndlessPart.BODY, EndlessPart.INTERIM, EndlessPart.GARBAGE]
+)
+async def test_prefill_without_end_is_given_up(part: EndlessPart, byte_interval_s: float) -> None:
+    async with open_fleet() as fleet:
+        workers = list(engines())
+        await start(fleet, *workers)
+        workers[0].endless_part, workers[0].faults = part, [Fault.ENDLESS]
+        workers[0].endless.byte_interval_s = byte_interval_s
+        reply = await fleet.caller().ask("/stream/x", "POST", headers=STREAM)
+        assert (reply.status, reply.is_complete, len(records(workers))) == (200, True, 1)
+        await check_closed(fleet, workers, 65_536)
+
+
+@pytest.mark.parametrize("byte_interval_s", [0.0, 0.05])
+@pytest.mark.parametrize("part", [EndlessPart.HEAD, EndlessPart.BODY, EndlessPart.INTERIM])
+async def test_free_of_a_handle_without_end_is_given_up(
+    part: EndlessPart, byte_interval_s: float
+) -> None:
+    async with open_fleet() as fleet:
+        workers = list(engines())
+        await start(fleet, *workers)
+        workers[0].endless_part, workers[0].endless.paths = part, ("/kv-handle/",)
+        workers[0].endless.byte_interval_s = byte_interval_s
+        for worker in workers[1:]:
+            worker.faults = [Fault.RESET_BEFORE] * 3
+        reply = await fleet.caller().ask("/stream/x", "POST", headers=STREAM)
+        assert reply.status == 502
+        await fleet.wait_until(lambda: len(records(workers)) == 3)
+        await check_closed(fleet, workers, 65_536)
+
+
+@pytest.mark.parametrize("byte_interval_s", [0.0, 0.05])
+@pytest.mark.parametrize(
+    "part",
+    [
+        EndlessPart.HEAD,
+        EndlessPart.BODY,
+        EndlessPart.UNFRAMED_BODY,
+        EndlessPart.INTERIM,
+        EndlessPart.AFTER,
+    ],
+)
+async def test_role_order_without_end_is_given_up(
+    part: EndlessPart, byte_interval_s: float
+) -> None:
+    async with open_fleet() as fleet:
+        workers = list(engines())
+        await start(fleet, *workers)
+        for worker in workers:
+            worker.endless_part, worker.endless.paths = part, ("/order",)
+            worker.endless.byte_interval_s = byte_interval_s
+        await send_order(fleet, workers[1])
+        await check_closed(fleet, workers, 65_536, _ORDER_CLOSE_S)
+
+
+async def send_order(fleet: Fleet, worker: Worker) -> None:
+    """Have the instance order a decode worker to prefill."""
+    instance = fleet.instances[0]
+    endpoint = instance.capacity.endpoints[worker.name]
+    table = instance.records.table
+    assert table is not None
+    engine = table.services["model"].engine
+    assert engine is not None
+    change = RoleChange(endpoint, Role.PREFILL)
+    await instance._role_controller._send_order("model", change, engine)
+
+
+@pytest.mark.parametrize(
+    "part", [EndlessPart.HEAD, EndlessPart.BODY, EndlessPart.GARBAGE, EndlessPart.AFTER]
+)
+async def test_peer_that_carries_a_tunnel_closes_what_has_no_end(part: EndlessPart) -> None:
+    async with open_fleet() as fleet:
+        workers = await start_endless(fleet, part, bad=2)
+        fleet.start_instance()
+        await fleet.wait_for_peers()
+        await fleet.wait_ready()
+        fleet.connectors[0].cut(PathCut.REFUSE_NEW)
+        reply = await ask_until_endless(fleet, "/safe/x", workers)
+        assert reply.status in (200, 502)
+        await check_closed(fleet, workers, 16_777_216)
+        await fleet.wait_until(lambda: not fleet.instances[1]._tunnels._server.open_count)
