Answers that are read completely count against the memory for buffers

What callers would see: an instance of 128 MB that is killed, with all its callers' connections. Bodies of plain calls were read up to 16 MiB each, and counted nowhere until they were sent.

Now they count while they are read, from their second part on. One that finds no memory for a second is given up like one that breaks off: a safe call is tried elsewhere, another gets 502. The body is kept in one buffer; a list of small parts took several times their bytes.

--- a/cleatlink/relay/endless_answers_test.py
+++ b/cleatlink/relay/endless_answers_test.py
@@ -4,12 +4,16 @@
 other callers matters, the machine's clock is used.
 """
 
+import math
+
 import pytest
 import trio
 
 from cleatlink.core.data import Role
+from cleatlink.core.errors import StreamBrokenError
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.protocol import OutgoingRequest
+from cleatlink.routing.buffered_bytes import BufferedBytes, BufferKind
 from cleatlink.routing.role_planner import RoleChange
 from standins.relay import EndlessPart, Fault, Worker
 from standins.relay.cut_paths import PathCut
@@ -270,3 +274,51 @@
         assert reply.status in (200, 502)
         await check_closed(fleet, workers, 16_777_216)
         await fleet.wait_until(lambda: not fleet.instances[1]._tunnels._server.open_count)
+
+
+@pytest.mark.real_time
+async def test_bodies_without_end_of_many_calls_took_more_than_the_memory_for_buffers() -> None:
+    call_count, peak_bytes, statuses = 10, 0, []
+    async with open_fleet() as fleet:
+        workers = await start_endless(fleet, EndlessPart.BODY, bad=2)
+        for worker in workers:
+            worker.slots, worker.faults = 100, [Fault.ENDLESS] * call_count
+        memory = fleet.instances[0]._caller_memory
+
+        async def ask() -> None:
+            statuses.append((await fleet.caller().ask("/unsafe/x", "POST", body=b"x")).status)
+
+        async def watch() -> None:
+            nonlocal peak_bytes
+            while True:
+                sent = [item.sent_bytes for item in records(workers) if item.lasted_s == math.inf]
+                peak_bytes = max(peak_bytes, sum(sent))
+                await trio.sleep(0.01)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            async with trio.open_nursery() as calls:
+                for _ in range(call_count):
+                    calls.start_soon(ask)
+            nursery.cancel_scope.cancel()
+        assert set(statuses) <= {502, 504}
+        assert peak_bytes <= memory.limit_bytes + call_count * _KERNEL_BYTES
+        assert memory.total == 0
+
+
+async def test_body_without_end_leaves_the_memory_for_buffers_to_others() -> None:
+    worker, memory = Worker("plain"), BufferedBytes(4_000_000)
+    worker.endless_part, worker.faults = EndlessPart.BODY, [Fault.ENDLESS]
+    memory.add(BufferKind.UNREAD_ANSWERS, 1_000_000)
+    async with trio.open_nursery() as nursery:
+        await worker.start(nursery)
+        connection = await EndpointConnection.open(worker.address, 1.0, 1.0)
+        headers = ((b"Host", b"h.example"), (b"Attempt-Id", b"r1"))
+        await connection.exchange(OutgoingRequest(b"GET", b"/a", headers, b""))
+        with pytest.raises(StreamBrokenError, match="no memory"):
+            await connection.read_body(16_777_216, memory=memory)
+        connection.close()
+        worker.close()
+        nursery.cancel_scope.cancel()
+    assert worker.endless.records[0].sent_bytes <= 3_000_000 + _KERNEL_BYTES
+    assert memory.total == 1_000_000
--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -25,6 +25,7 @@
 )
 from cleatlink.relay.endpoints.streams import EndpointStream, TcpConnector, connect_within
 from cleatlink.relay.tasks import run_watched
+from cleatlink.routing.buffered_bytes import BufferedBytes, BufferKind
 from cleatlink.routing.uploads import AcceptedBytes, Upload
 
 __all__ = ["EndpointConnection"]
@@ -37,6 +38,9 @@
 _MAX_PARTS_A_TURN = 32
 # Longest body of an extra response that is skipped.
 _MAX_EXTRA_BODY_BYTES = 1_048_576
+# Longest wait of a response body for memory, and interval between checks, in seconds.
+_MEMORY_WAIT_S = 1.0
+_MEMORY_CHECK_INTERVAL_S = 0.05
 # A body up to this size fits into the socket's buffer, so sending it cannot block for long.
 _SMALL_BODY_BYTES = 16_384
 # A long body is passed to the kernel in parts of this size.
@@ -290,25 +294,41 @@
             return None
         raise StreamBrokenError("the server closed the connection within the response")
 
-    async def read_body(self, max_bytes: int, *, silence_timeout_s: float = math.inf) -> bytes:
+    async def read_body(
+        self,
+        max_bytes: int,
+        *,
+        silence_timeout_s: float = math.inf,
+        memory: BufferedBytes | None = None,
+    ) -> bytes:
         """Read the whole response body.
 
         Args:
             max_bytes: Longest body that is accepted.
             silence_timeout_s: Longest time without any byte of the body.
+            memory: Counts the body until all of it is read; None to count it nowhere.
 
         Raises:
             EndpointTimeoutError: No byte arrived for ``silence_timeout_s``.
-            StreamBrokenError: The body ended early or is longer than ``max_bytes``.
+            StreamBrokenError: The body ended early, is longer than ``max_bytes``, or found no
+                memory for a second.
         """
-        parts: list[bytes] = []
-        size = 0
-        while (chunk := await self._read_chunk_with_timeout(silence_timeout_s)) is not None:
-            parts.append(chunk)
-            size += len(chunk)
-            if size > max_bytes:
-                raise StreamBrokenError("the response body exceeds the size limit")
-        return b"".join(parts)
+        body = bytearray()
+        counted = 0
+        try:
+            while (chunk := await self._read_chunk_with_timeout(silence_timeout_s)) is not None:
+                if len(body) + len(chunk) > max_bytes:
+                    raise StreamBrokenError("the response body exceeds the size limit")
+                if memory is not None:
+                    if not memory.may_read_answer(counted, len(chunk)):
+                        await _wait_for_memory(memory, counted, len(chunk))
+                    memory.add(BufferKind.INCOMPLETE_ANSWERS, len(chunk))
+                    counted += len(chunk)
+                body += chunk
+            return bytes(body)
+        finally:
+            if memory is not None:
+                memory.remove(BufferKind.INCOMPLETE_ANSWERS, counted)
 
     async def _read_chunk_with_timeout(self, silence_timeout_s: float) -> bytes | None:
         try:
@@ -353,3 +373,16 @@
     def close(self) -> None:
         """Close the connection immediately, without waiting."""
         self._stream.close()
+
+
+async def _wait_for_memory(memory: BufferedBytes, buffered: int, count: int) -> None:
+    """Wait until more of a response body may be buffered.
+
+    Raises:
+        StreamBrokenError: There was no memory for it in time.
+    """
+    with trio.move_on_after(_MEMORY_WAIT_S):
+        while not memory.may_read_answer(buffered, count):
+            await trio.sleep(_MEMORY_CHECK_INTERVAL_S)
+        return
+    raise StreamBrokenError("no memory for the rest of the response body")
--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -19,6 +19,7 @@
     ResponseHead,
 )
 from cleatlink.relay.endpoints.streams import TcpConnector
+from cleatlink.routing.buffered_bytes import BufferedBytes
 from cleatlink.routing.uploads import Upload
 
 __all__ = [
@@ -68,6 +69,7 @@
         *,
         dialer: Dialer | None = None,
         protocol: Protocol | None = None,
+        memory: BufferedBytes | None = None,
     ) -> None:
         """Create an empty pool.
 
@@ -80,8 +82,10 @@
             on_send: Called before each request is sent to an endpoint.
             dialer: Opens streams to endpoints; None for TCP connections.
             protocol: Tells to which request a response belongs; None if responses name none.
+            memory: Counts bodies of responses while they are read; None to count them nowhere.
         """
         self._protocol = protocol
+        self._memory = memory
         self._dialer = dialer or DirectDialer(TcpConnector())
         self._on_send = on_send
         self._is_leaving = is_leaving
@@ -206,7 +210,7 @@
     ) -> bytes:
         """Read the body of a response; that of a rejection, which is not passed on, may be cut."""
         try:
-            return await connection.read_body(max_bytes)
+            return await connection.read_body(max_bytes, memory=self._memory)
         except StreamBrokenError:
             if self._protocol is None or not self._protocol.reports_not_executed(head):
                 raise
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -133,6 +133,7 @@
                 lambda: self._peers.send_heartbeat(),  # noqa: PLW0108
             ),
         )
+        self._caller_memory = BufferedBytes(_caller_memory_limit_bytes(settings.memory_mb))
         self._pool = ConnectionPool(
             self._connection_limit,
             self._notice_reader.process_head,
@@ -140,13 +141,13 @@
             self._count_sent_call,
             dialer=self._tunnels.dialer,
             protocol=protocol,
+            memory=self._caller_memory,
         )
         self._budgets = ServiceBudgets(settings, trio.current_time())
         if settings.is_first_start:
             self._budgets.inherit({})
         # Highest number of instances that a peer reported to this process after its start.
         self._reported_instance_count = 0
-        self._caller_memory = BufferedBytes(_caller_memory_limit_bytes(settings.memory_mb))
         self._intake = CallerIntake(
             self._capacity.own_delay,
             self._metrics,
--- a/cleatlink/routing/buffered_bytes.py
+++ b/cleatlink/routing/buffered_bytes.py
@@ -1,6 +1,7 @@
 """Bound the bytes that an instance buffers for callers that send or read slowly.
 
-An instance has little memory, so buffered request bodies and answers share one limit. Requests
+An instance has little memory, so buffered request bodies and answers share one limit, also those
+answers that are still being read from endpoints. Requests
 that are not routed yet are refused first, and their callers learn that they were not executed.
 Answers of endpoints are never dropped; while they use most of the memory, nothing more is read
 from callers or endpoints.
@@ -23,6 +24,7 @@
 
     REQUEST_BODIES = "request_bodies"
     UNREAD_ANSWERS = "unread_answers"
+    INCOMPLETE_ANSWERS = "incomplete_answers"
 
 
 class BufferedBytes:
@@ -66,6 +68,16 @@
         bodies = self._bytes_by_kind[BufferKind.REQUEST_BODIES] + count
         return bodies <= _BODIES_SHARE * self._limit_bytes
 
+    def may_read_answer(self, buffered: int, count: int) -> bool:
+        """Check whether more of an answer that has to be read completely may be buffered.
+
+        Args:
+            buffered: Bytes that are already buffered of the answer; its first part is accepted
+                whatever is left.
+            count: Bytes that would be added.
+        """
+        return not buffered or self.total + count <= self._limit_bytes
+
     def may_buffer_answer(self, buffered: int, count: int) -> bool:
         """Check whether more of an answer may be buffered for a caller that reads slowly.
 
