Serving: an endpoint's own 408, 421, 429 or 503 isn't passed on

Callers of plain services saw 408, 421, 429 or 503, by which they learn that their call did not run, though it had run.

Cause: a status without X-Ran: no was passed on whatever it says, and stored as the answer of the call's idempotency key.

Now such an answer leaves the outcome unknown: a call that may be repeated goes to another endpoint within the attempts and the retry budget; at the end, and at once for every other call, the caller gets 502 endpoint_failed. The outcome of a key stays unknown, so a later copy gets 409 key_outcome_unknown.

--- a/cleatlink/core/errors.py
+++ b/cleatlink/core/errors.py
@@ -21,6 +21,7 @@
     "ErrorKind",
     "StaleFenceError",
     "ListenError",
+    "NOT_RUN_STATUSES",
     "OutcomeUnknownError",
     "PeerError",
     "PeerUnreachableError",
@@ -111,6 +112,9 @@
     ErrorKind.INTERNAL: ErrorResponse(500, "unknown", None),
 }
 
+# Statuses by which a caller learns that its request did not run, also without ``X-Ran``.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class CleatlinkError(Exception):
     """Base class of all exceptions of this project."""
--- a/cleatlink/request/call_machine.py
+++ b/cleatlink/request/call_machine.py
@@ -2,7 +2,8 @@
 
 A call that is not repeatable is sent at most once, unless it is certain that it did
 not run: another attempt follows only if the call was never sent or the endpoint
-refused it.
+refused it. An answer whose status says that the call did not run, without being a refusal,
+leaves its outcome unknown and is not passed on.
 """
 
 from collections.abc import Mapping
@@ -10,7 +11,7 @@
 from typing import NamedTuple
 
 from cleatlink.core.data import Endpoint, ExecutionStatus, Limits, Refusal, UnrepeatableCallRule
-from cleatlink.core.errors import ErrorKind
+from cleatlink.core.errors import NOT_RUN_STATUSES, ErrorKind
 from cleatlink.request.events import (
     CountRetry,
     DeadlinePassed,
@@ -82,6 +83,7 @@
         self._limits = limits
         self._budget = budget
         self._attempt = -1
+        self._endpoint: Endpoint | None = None
         self._excluded_names: set[str] = set()
         self._ran = ExecutionStatus.NO
         self._in_flight = False
@@ -116,12 +118,16 @@
         match event:
             case EndpointFound(endpoint):
                 self._attempt += 1
+                self._endpoint = endpoint
                 self._in_flight = True
                 return [SendCall(self._attempt, endpoint)]
             case PlacementFailed(refusal):
                 return self._refuse(
                     refusal if self._ran is ExecutionStatus.NO else self._failure_refusal()
                 )
+            case AnswerReceived(_, status) if status in NOT_RUN_STATUSES:
+                assert self._endpoint is not None
+                return self._fail(OrderFailed(event.attempt, self._endpoint, FailureCause.UNKNOWN))
             case AnswerReceived():
                 return self._finish(event)
             case OrderFailed():
@@ -153,7 +159,9 @@
     def _failure_refusal(self) -> Refusal:
         if self._ran is ExecutionStatus.NO:
             return Refusal(ErrorKind.ENDPOINT_REFUSED, "no endpoint accepted the call")
-        return Refusal(ErrorKind.ENDPOINT_FAILED, "the call left, but no answer came")
+        return Refusal(
+            ErrorKind.ENDPOINT_FAILED, "the call left, but no answer shows whether it ran"
+        )
 
     def _deadline_refusal(self) -> Refusal:
         if self.ran is ExecutionStatus.NO:
--- a/features/calls.feature
+++ b/features/calls.feature
@@ -12,6 +12,22 @@
       | during | unknown | 0     |
       | after  | unknown | 1     |
 
+  Scenario Outline: A service runs the call and answers with a status that says it did not
+    Given entries e1 in a, e2 in a
+    And each service executes an order and answers with status <status>
+    When an order is posted through e1 and posted again through e2
+    Then the caller receives status 502 and the error endpoint_failed
+    And the caller receives the execution status unknown
+    And the second caller receives status 409 and the error key_outcome_unknown
+    And the order with the key ran exactly once
+
+    Examples:
+      | status |
+      | 408    |
+      | 421    |
+      | 429    |
+      | 503    |
+
   Scenario: One key at two entries at once
     Given entries e1 in a, e2 in a, e3 in b
     When orders with one key are posted through e1, e2, e3 at the same time
--- a/features/calls_test.py
+++ b/features/calls_test.py
@@ -127,6 +127,16 @@
     run.execute(action)
 
 
+@when("an order is posted through e1 and posted again through e2")
+def _(run: ScenarioRun) -> None:
+    async def action(world: World) -> None:
+        run.key = world.make_idempotency_key()
+        await world.call("e1", run.key)
+        await world.call("e2", run.key)
+
+    run.execute(action)
+
+
 @when("an order is posted, its caller disconnects, and the order is posted again")
 def _(run: ScenarioRun) -> None:
     async def action(world: World) -> None:
--- a/features/conftest.py
+++ b/features/conftest.py
@@ -118,6 +118,15 @@
     run.world.preparations.append(change)
 
 
+@given(parsers.parse("each service executes an order and answers with status {status:d}"))
+def _(run: ScenarioRun, status: int) -> None:
+    def change(world: World) -> None:
+        for service in world.fleet.services.values():
+            service.status = status
+
+    run.world.preparations.append(change)
+
+
 @given(parsers.parse("callers read each part of an answer after a delay of {seconds:g} seconds"))
 def _(run: ScenarioRun, seconds: float) -> None:
     run.world.caller_receive_delay_s = seconds
@@ -162,6 +171,18 @@
     assert run.first_caller.headers["x-ran"] == ran
 
 
+@then(parsers.parse("the caller receives status {status:d} and the error {error_code}"))
+def _(run: ScenarioRun, status: int, error_code: str) -> None:
+    assert run.first_caller.status == status
+    assert run.first_caller.error["code"] == error_code
+
+
+@then(parsers.parse("the second caller receives status {status:d} and the error {error_code}"))
+def _(run: ScenarioRun, status: int, error_code: str) -> None:
+    assert run.second_caller.status == status
+    assert run.second_caller.error["code"] == error_code
+
+
 @then(parsers.parse("the second caller receives the execution status {ran}"))
 def _(run: ScenarioRun, ran: str) -> None:
     assert run.first_caller.status == 200
--- a/standins/fakes.py
+++ b/standins/fakes.py
@@ -180,10 +180,11 @@
         if failure_moment == "during":
             raise OutcomeUnknownError("connection failed while the call was sent")
         key = headers.get("idempotency-key", f"{method} {path}")
-        answer = await self.fleet.services[address].execute(method, path, key, body)
+        service = self.fleet.services[address]
+        answer = await service.execute(method, path, key, body)
         if failure_moment == "after":
             raise OutcomeUnknownError("connection failed after the call ran")
-        return PlainAnswer(200, {"content-type": "text/plain"}, answer)
+        return PlainAnswer(service.status, {"content-type": "text/plain"}, answer)
 
     async def _run_until_death(
         self, address: str, work: Awaitable[engines.KvReference]
--- a/standins/service.py
+++ b/standins/service.py
@@ -17,6 +17,7 @@
         executions: Number of executions by key.
         delay_s: Duration of each execution in seconds.
         leaving: Whether the service reports that it is leaving.
+        status: Status of the answer to each execution.
     """
 
     def __init__(self, name: str) -> None:
@@ -24,6 +25,7 @@
         self.executions: Counter[str] = Counter()
         self.delay_s = 0.0
         self.leaving = False
+        self.status = 200
 
     async def execute(self, method: str, path: str, key: str, body: bytes) -> bytes:
         """Execute a call: count it, wait ``delay_s`` seconds, return the call's own content."""
@@ -49,12 +51,14 @@
         changes = await request.get_json()
         service.delay_s = changes.get("delay_s", service.delay_s)
         service.leaving = changes.get("leaving", service.leaving)
+        service.status = changes.get("status", service.status)
         return {}
 
     @app.route("/<path:path>", methods=["GET", "POST", "PUT", "DELETE", "PATCH"])
     async def call(path: str) -> Response:
         key = request.headers.get("Idempotency-Key") or f"{request.method} /{path}"
         body = await request.data
-        return Response(await service.execute(request.method, f"/{path}", key, body))
+        content = await service.execute(request.method, f"/{path}", key, body)
+        return Response(content, status=service.status)
 
     return app
