Serving: a second copy of a refusal isn't the next order's answer

Callers of models saw 503 endpoint_refused with X-Ran: no though an engine ran their request.

Cause: orders used connections again, and a refusal names no request. An engine that sent a refusal twice, at once or when the next order had come in, answered that order with the copy, and ran it.

Now each order has a connection of its own, so that any response on it is to this order. Cancellations and commands too; they did not leave connections to use again before. Load reports still do.

--- a/cleatlink/serving/endpoints.py
+++ b/cleatlink/serving/endpoints.py
@@ -3,6 +3,10 @@
 The exceptions show whether an order was not sent, was refused, or has an unknown
 outcome; retries and the release of endpoint memory depend on this. An order counts as
 not sent only if the connection failed; after that, any byte may have been sent.
+
+A response names no request, so it belongs to the request that its connection carries. Each order
+and each call therefore has a connection of its own, on which no late copy of another response can
+arrive. Only load reports use connections again.
 """
 
 import ssl
@@ -239,6 +243,23 @@
     return StreamEvent(attempt_id.decode("latin-1"), int(position), data, data == _DONE_MARKER)
 
 
+class _EndpointPools(NamedTuple):
+    """Connections to one endpoint.
+
+    Attributes:
+        reports: For load reports; idle connections are used again.
+        orders: For everything else; each connection is used once.
+    """
+
+    reports: httpx.AsyncClient
+    orders: httpx.AsyncClient
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.reports.aclose()
+        await self.orders.aclose()
+
+
 class HttpEndpointClient(EndpointClient):
     """Model engines with an OpenAI-compatible JSON API, and plain services, over HTTP."""
 
@@ -246,9 +267,9 @@
         self._timeout = httpx.Timeout(None, connect=connect_timeout_s, pool=connect_timeout_s)
         # Creating a context is slow, so all clients share this one.
         self._ssl_context = ssl.create_default_context()
-        # Each endpoint has its own pool, so that an endpoint that does not answer can't use up
+        # Each endpoint has its own pools, so that an endpoint that does not answer can't use up
         # the connections of others, and the search for a free connection is short.
-        self._clients: dict[str, httpx.AsyncClient] = {}
+        self._pools: dict[str, _EndpointPools] = {}
         self._last_used_at: dict[str, float] = {}
         # Each call of a plain service has a new connection: an endpoint may close an idle
         # connection while a call is being sent, and the outcome of the call is unknown then.
@@ -256,8 +277,9 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        for client in (*self._clients.values(), self._unpooled_client):
-            await client.aclose()
+        for pools in self._pools.values():
+            await pools.close()
+        await self._unpooled_client.aclose()
 
     async def close_idle(self) -> None:
         """Close pools that have been idle for longer than the longest request."""
@@ -266,13 +288,16 @@
             address for address, used_at in self._last_used_at.items() if used_at < idle_since
         ]:
             del self._last_used_at[address]
-            await self._clients.pop(address).aclose()
+            await self._pools.pop(address).close()
 
-    def _get_client(self, address: str) -> httpx.AsyncClient:
+    def _get_pools(self, address: str) -> _EndpointPools:
         self._last_used_at[address] = trio.current_time()
-        if address not in self._clients:
-            self._clients[address] = self._make_client(max_idle_connections=_MAX_IDLE_CONNECTIONS)
-        return self._clients[address]
+        if address not in self._pools:
+            self._pools[address] = _EndpointPools(
+                reports=self._make_client(max_idle_connections=_MAX_IDLE_CONNECTIONS),
+                orders=self._make_client(max_idle_connections=0),
+            )
+        return self._pools[address]
 
     def _make_client(self, max_idle_connections: int) -> httpx.AsyncClient:
         limits = httpx.Limits(
@@ -336,7 +361,7 @@
     async def fetch_report(self, endpoint: Endpoint, role: Role, after: int) -> EndpointReport:
         """Request an endpoint's load, and its cache events with numbers above ``after``."""
         try:
-            response = await self._get_client(endpoint.address).get(
+            response = await self._get_pools(endpoint.address).reports.get(
                 f"http://{endpoint.address}/load?events_after={after}", timeout=_REPORT_TIMEOUT_S
             )
             data = msgspec.json.decode(response.content)
@@ -395,7 +420,7 @@
         self, address: str, path: str, body: Mapping[str, Any], headers: Mapping[str, str]
     ) -> httpx.Response:
         """Send a JSON body and return the response as soon as its headers are received."""
-        client = self._get_client(address)
+        client = self._get_pools(address).orders
         request = client.build_request(
             "POST",
             f"http://{address}{path}",
