Serving: a response body without an end doesn't fill the memory

An instance kept reading a plain answer, a prefill's answer, an engine's error or a load report for as long as the endpoint sent, and held all of it.

Cause: the bodies were read whole by the client library, which has no limit; only heads (its own limit, 100 KiB) and events were limited.

Now a body ends the connection once it has more than 16,777,216 bytes after decompression (65,536 for an engine's error). The outcome is unknown then: 502 endpoint_failed, or another attempt for calls that may be repeated and models. A service's refusal is recognised by its header, and its body isn't read. The connection is closed before the iteration ends, so its generators end with it.

--- a/cleatlink/serving/endpoints.py
+++ b/cleatlink/serving/endpoints.py
@@ -49,6 +49,9 @@
 # endpoint that is no longer listed may be completing streams until the longest deadline.
 _POOL_IDLE_TIMEOUT_S = 7_200.0
 _MAX_EVENT_BYTES = 1_000_000
+# Limits on response bodies, after decompression: of answers and reports, and of errors.
+_MAX_ANSWER_BYTES = 16_777_216
+_MAX_ERROR_BYTES = 65_536
 _REPORT_TIMEOUT_S = 2.0
 _DONE_MARKER = b"[DONE]"
 # Exceptions after which no byte of the request has been sent.
@@ -312,7 +315,7 @@
         transfer = {"do_remote_decode": True, "do_remote_prefill": False}
         response = await self._post(order, transfer, max_tokens=1, stream=False)
         try:
-            body = msgspec.json.decode(await response.aread())
+            body = msgspec.json.decode(await _read_body(response, _MAX_ANSWER_BYTES))
             handle = body["kv_transfer_params"]
             return KvHandle(
                 str(handle["remote_engine_id"]),
@@ -361,10 +364,12 @@
     async def fetch_report(self, endpoint: Endpoint, role: Role, after: int) -> EndpointReport:
         """Request an endpoint's load, and its cache events with numbers above ``after``."""
         try:
-            response = await self._get_pools(endpoint.address).reports.get(
-                f"http://{endpoint.address}/load?events_after={after}", timeout=_REPORT_TIMEOUT_S
-            )
-            data = msgspec.json.decode(response.content)
+            async with self._get_pools(endpoint.address).reports.stream(
+                "GET",
+                f"http://{endpoint.address}/load?events_after={after}",
+                timeout=_REPORT_TIMEOUT_S,
+            ) as response:
+                data = msgspec.json.decode(await _read_body(response, _MAX_ANSWER_BYTES))
             return EndpointReport(
                 parse_load_report(endpoint, role, data), parse_cache_update(data, after)
             )
@@ -387,24 +392,14 @@
             name: value for name, value in headers.items() if name not in _HOP_BY_HOP_HEADERS
         }
         try:
-            response = await self._unpooled_client.request(
+            async with self._unpooled_client.stream(
                 method, f"http://{endpoint.address}{path}", headers=forwarded, content=body
-            )
+            ) as response:
+                return await _read_plain_answer(response)
         except _CONNECT_ERRORS as error:
             raise EndpointUnreachableError(repr(error)) from error
         except httpx.HTTPError as error:
             raise OutcomeUnknownError(repr(error)) from error
-        if response.headers.get("x-ran") == "no":
-            raise EndpointRefusedError(
-                f"endpoint refused the call with status {response.status_code}"
-            )
-        response_headers = {
-            name: value
-            for name, value in response.headers.items()
-            if name not in _HOP_BY_HOP_HEADERS
-        }
-        response_headers.pop("content-encoding", None)
-        return PlainAnswer(response.status_code, response_headers, response.content)
 
     async def _post(
         self, order: Order, transfer: Mapping[str, Any], **changes: Any
@@ -441,10 +436,49 @@
             await response.aclose()
 
 
+async def _read_body(response: httpx.Response, max_bytes: int) -> bytes:
+    """Read and decompress the body of a response.
+
+    Raises:
+        httpx.HTTPError: The connection failed, or the body is invalid.
+        OutcomeUnknownError: The body has more than ``max_bytes`` bytes.
+    """
+    body = bytearray()
+    try:
+        async for chunk in response.aiter_bytes():
+            body += chunk
+            if len(body) > max_bytes:
+                # Makes the iteration end with an error, which also ends its nested generators.
+                await response.extensions["network_stream"].aclose()
+    except httpx.HTTPError:
+        if len(body) <= max_bytes:
+            raise
+    if len(body) > max_bytes:
+        raise OutcomeUnknownError(f"response body has more than {max_bytes} bytes")
+    return bytes(body)
+
+
+async def _read_plain_answer(response: httpx.Response) -> PlainAnswer:
+    """Read the answer of a plain service.
+
+    Raises:
+        EndpointRefusedError: The service refused the call.
+        OutcomeUnknownError: The body is too large.
+    """
+    if response.headers.get("x-ran") == "no":
+        raise EndpointRefusedError(f"endpoint refused the call with status {response.status_code}")
+    body = await _read_body(response, _MAX_ANSWER_BYTES)
+    headers = {
+        name: value for name, value in response.headers.items() if name not in _HOP_BY_HOP_HEADERS
+    }
+    headers.pop("content-encoding", None)
+    return PlainAnswer(response.status_code, headers, body)
+
+
 async def _parse_error_response(response: httpx.Response) -> EndpointError:
     """Return the exception for an error response: a refusal, or an unknown outcome."""
     try:
-        error = msgspec.json.decode(await response.aread())["error"]
+        error = msgspec.json.decode(await _read_body(response, _MAX_ERROR_BYTES))["error"]
         if error["ran"] == "no":
             values = (value.encode() for value in response.headers.get_list("retry-after"))
             leaving = error["code"] == "leaving"
--- a/cleatlink/serving/repeated_refusals_test.py
+++ b/cleatlink/serving/repeated_refusals_test.py
@@ -1,14 +1,13 @@
 """Engines that send a refusal twice: the copy is not an answer to the next order."""
 
-from collections.abc import Callable
-
 import msgspec
 import pytest
 import trio
 
-from cleatlink.core.data import Endpoint, KvHandle
+from cleatlink.core.data import KvHandle
 from cleatlink.core.errors import EndpointRefusedError
-from cleatlink.serving.endpoints import HttpEndpointClient, Order
+from cleatlink.serving.endpoints import HttpEndpointClient
+from standins.socket_endpoint import build_order, serve_on_socket
 
 _KV = {
     "remote_engine_id": "p1",
@@ -71,26 +70,13 @@
     engine = Engine(late)
     client = HttpEndpointClient(connect_timeout_s=1.0)
     async with trio.open_nursery() as nursery:
-        address = await serve(nursery, engine.serve)
+        endpoint = await serve_on_socket(nursery, engine.serve)
         with trio.fail_after(_TIMEOUT_S):
             with pytest.raises(EndpointRefusedError):
-                await client.prefill(build_order(address, "r1"))
-            assert await client.prefill(build_order(address, "r2")) == KvHandle(
+                await client.prefill(build_order(endpoint, "r1"))
+            assert await client.prefill(build_order(endpoint, "r2")) == KvHandle(
                 "p1", "127.0.0.1", 1, (1,)
             )
             assert engine.run_count == 1
             await client.close()
         nursery.cancel_scope.cancel()
-
-
-async def serve(nursery: trio.Nursery, handler: Callable[[trio.SocketStream], object]) -> str:
-    """Serve connections on a port that the system chooses, and return the address."""
-    listeners = await nursery.start(trio.serve_tcp, handler, 0)
-    port = listeners[0].socket.getsockname()[1]
-    return f"127.0.0.1:{port}"
-
-
-def build_order(address: str, request: str) -> Order:
-    """Build an order of a prefill."""
-    endpoint = Endpoint("p1", address, "a", "prefill")
-    return Order(endpoint, request, 0, {"model": "m", "prompt": "x"}, False, 0, "")
