Serving: a slow copy of a call doesn't say that its key didn't run

A caller that sent a call with a key again, slowly, saw 408 slow_sender with X-Ran: no though the first copy had run through another instance.

Cause: the body is read before the key's owner is asked, and its refusal was that of any request. Refusals of the admission already leave the key open.

Now a call with a key whose body arrives too slowly gets key_unavailable, like one that isn't admitted: only the owner knows whether the key ran.

--- a/cleatlink/serving/caller_app.py
+++ b/cleatlink/serving/caller_app.py
@@ -320,7 +320,7 @@
     """Serve a call to a plain service."""
     arrived_at = trio.current_time()
     configuration = _admit_call(components)
-    body = await _read_body(configuration.limits.body_bytes)
+    body = await _read_call_body(configuration.limits.body_bytes)
     headers = _read_headers()
     name = _get_lifetime().begin(components)
     call_request, request_class, service = classify_call(
@@ -409,18 +409,31 @@
 
 
 def _admit_call(components: CallerComponents) -> Configuration:
-    """Admit a call to a plain service, like ``_admit``.
+    """Admit a call to a plain service, like ``_admit``."""
+    try:
+        return _admit(components)
+    except RequestError as error:
+        raise _leave_key_open(error) from None
+
+
+async def _read_call_body(max_bytes: int) -> bytes:
+    """Read the body of a call to a plain service, like ``_read_body``."""
+    try:
+        return await _read_body(max_bytes)
+    except RequestError as error:
+        raise (_leave_key_open(error) if error.kind is ErrorKind.SLOW_SENDER else error) from None
+
+
+def _leave_key_open(error: RequestError) -> RequestError:
+    """Return the error for a call that is refused before its key's owner was asked.
 
     A refusal of a call with a key must not state that the call did not run, because the
     same call may have run through another instance; only the key's owner knows.
     """
-    try:
-        return _admit(components)
-    except RequestError as error:
-        if KEY_HEADER not in request.headers:
-            raise
-        detail = f"{error.detail}; ask again with the same key"
-        raise RequestError(ErrorKind.KEY_UNAVAILABLE, detail) from None
+    if KEY_HEADER not in request.headers:
+        return error
+    detail = f"{error.detail}; ask again with the same key"
+    return RequestError(ErrorKind.KEY_UNAVAILABLE, detail)
 
 
 async def _read_body(max_bytes: int) -> bytes:
--- a/cleatlink/serving/slow_bodies_test.py
+++ b/cleatlink/serving/slow_bodies_test.py
@@ -32,14 +32,17 @@
                 "more_body": self._remaining_chunks > 0,
             }
 
-        scope["headers"] = [(b"content-length", b"%d" % (_CHUNK_COUNT * len(self._chunk)))]
+        length = b"%d" % (_CHUNK_COUNT * len(self._chunk))
+        headers = [header for header in scope["headers"] if header[0] != b"content-length"]
+        scope["headers"] = [(b"content-length", length), *headers]
         await self._wrapped_app(scope, receive_chunk, send)
 
 
-async def call_slowly(world: World, chunk: bytes) -> Caller:
+async def call_slowly(world: World, chunk: bytes, key: str = "") -> Caller:
     """Call a plain service with a body that consists of repeated chunks, sent slowly."""
     caller = SlowCaller(world.entries["e1"].app, chunk)
-    return await caller.request("POST", "/services/orders/orders", b"", {})
+    headers = {"idempotency-key": key} if key else {}
+    return await caller.request("POST", "/services/orders/orders", b"", headers)
 
 
 def test_large_body_over_a_slow_connection_is_read() -> None:
@@ -60,3 +63,17 @@
         assert (answer.status, answer.error["code"]) == (408, "slow_sender")
 
     World().run(scenario)
+
+
+def test_slow_copy_of_a_call_says_that_its_key_did_not_run() -> None:
+    """The same call with the same key may have run through another instance."""
+
+    async def scenario(world: World) -> None:
+        key = world.make_idempotency_key()
+        assert (await world.call("e2", key, _CHUNK_COUNT * b"b")).status == 200
+        copy = await call_slowly(world, b"b", key)
+        assert (copy.error["code"], copy.error["ran"]) == ("key_unavailable", "unknown")
+        assert copy.headers["x-ran"] == "unknown"
+        assert world.executions() == {key: 1}
+
+    World().run(scenario, "e1/a", "e2/a")
