Serving: a stored answer doesn't say that its key didn't run

While versions are mixed, a later copy of a call with a key could see 408, 421, 429 or 503 for a key that had run.

Cause: an instance of an earlier version stores such an answer of a service at the key's owner, and the owner's answer was sent again whatever its status.

Now a stored answer with one of these statuses becomes key_outcome_unknown.

Two versions side by side were not run.

--- a/cleatlink/serving/plain_call_driver.py
+++ b/cleatlink/serving/plain_call_driver.py
@@ -7,10 +7,7 @@
 import xxhash
 
 from cleatlink.core.data import Endpoint, ExecutionStatus, Refusal, Request, RequestClass
-from cleatlink.core.errors import (
-    EndpointError,
-    ErrorKind,
-)
+from cleatlink.core.errors import NOT_RUN_STATUSES, EndpointError, ErrorKind
 from cleatlink.request import CallMachine, ClaimResult, ClaimState, StoredAnswer
 from cleatlink.request.call_machine import (
     AnswerReceived,
@@ -184,7 +181,7 @@
 
 def _answer_ungranted_claim(claim: ClaimResult) -> PlainAnswer | Refusal:
     """Return the stored answer or the refusal for a claim that was not granted."""
-    if claim.answer is not None:
+    if claim.answer is not None and claim.answer.status not in NOT_RUN_STATUSES:
         headers = {"content-type": claim.answer.content_type, "x-replayed": "true"}
         return PlainAnswer(claim.answer.status, headers, claim.answer.body)
     if claim.state is ClaimState.MISMATCH:
