Serving: JSON of an unexpected structure doesn't end the instance

An endpoint whose load report is a list, or lists a cache event without its fields, raised an error that isn't an endpoint's. The task that asks for reports doesn't expect one, so it would end the instance, and with it all requests in progress. Deeply nested JSON in an engine's answer ended the request with 500 instead of another attempt.

Cause: the parsers expected an object, and only some of the exceptions that another structure raises were handled.

Now the data has to be a JSON object, and each such exception makes the report fail or the outcome of the order unknown.

That an instance ends is read from Entry._poll_endpoint; none was run for it.

--- a/cleatlink/serving/endpoints.py
+++ b/cleatlink/serving/endpoints.py
@@ -61,6 +61,8 @@
     httpx.PoolTimeout,
     httpx.UnsupportedProtocol,
 )
+# Exceptions for JSON that has another structure than expected.
+_STRUCTURE_ERRORS = (LookupError, OverflowError, TypeError, ValueError)
 # Headers that apply to one connection and are not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -315,7 +317,7 @@
         transfer = {"do_remote_decode": True, "do_remote_prefill": False}
         response = await self._post(order, transfer, max_tokens=1, stream=False)
         try:
-            body = msgspec.json.decode(await _read_body(response, _MAX_ANSWER_BYTES))
+            body = _decode_object(await _read_body(response, _MAX_ANSWER_BYTES))
             handle = body["kv_transfer_params"]
             return KvHandle(
                 str(handle["remote_engine_id"]),
@@ -325,7 +327,7 @@
             )
         except httpx.HTTPError as error:
             raise OutcomeUnknownError(f"failed to read the prefill response: {error!r}") from error
-        except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as error:
+        except _STRUCTURE_ERRORS as error:
             raise OutcomeUnknownError(
                 f"prefill response has no valid kv_transfer_params: {error!r}"
             ) from error
@@ -369,11 +371,11 @@
                 f"http://{endpoint.address}/load?events_after={after}",
                 timeout=_REPORT_TIMEOUT_S,
             ) as response:
-                data = msgspec.json.decode(await _read_body(response, _MAX_ANSWER_BYTES))
+                data = _decode_object(await _read_body(response, _MAX_ANSWER_BYTES))
             return EndpointReport(
                 parse_load_report(endpoint, role, data), parse_cache_update(data, after)
             )
-        except (httpx.HTTPError, msgspec.MsgspecError, TypeError, ValueError) as error:
+        except (httpx.HTTPError, *_STRUCTURE_ERRORS) as error:
             raise EndpointError(f"failed to read the load report: {error!r}") from error
 
     async def send_command(self, endpoint: Endpoint, command: FencedCommand) -> None:
@@ -458,6 +460,18 @@
     return bytes(body)
 
 
+def _decode_object(data: bytes) -> dict[str, Any]:
+    """Decode a JSON object.
+
+    Raises:
+        ValueError: The data isn't a JSON object.
+    """
+    try:
+        return msgspec.json.decode(data, type=dict[str, Any])
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise ValueError(f"not a JSON object: {error}") from error
+
+
 async def _read_plain_answer(response: httpx.Response) -> PlainAnswer:
     """Read the answer of a plain service.
 
@@ -478,12 +492,12 @@
 async def _parse_error_response(response: httpx.Response) -> EndpointError:
     """Return the exception for an error response: a refusal, or an unknown outcome."""
     try:
-        error = msgspec.json.decode(await _read_body(response, _MAX_ERROR_BYTES))["error"]
+        error = _decode_object(await _read_body(response, _MAX_ERROR_BYTES))["error"]
         if error["ran"] == "no":
             values = (value.encode() for value in response.headers.get_list("retry-after"))
             leaving = error["code"] == "leaving"
             return EndpointRefusedError(str(error["code"]), leaving, parse_backoff_s(values))
-    except (httpx.HTTPError, msgspec.MsgspecError, KeyError, TypeError):
+    except (httpx.HTTPError, *_STRUCTURE_ERRORS):
         pass
     return OutcomeUnknownError(f"endpoint responded with status {response.status_code}")
 
