Serving: a cookie of one caller isn't sent with the calls of others

A service that set a cookie in the answer to one caller received it with later calls of other callers who sent no cookie.

Cause: the client library keeps the cookies of answers and adds them to later requests to the same host; all callers share one client.

Now no client keeps cookies. The answer's Set-Cookie and a caller's own Cookie are passed on as before.

--- a/cleatlink/serving/endpoints.py
+++ b/cleatlink/serving/endpoints.py
@@ -13,6 +13,7 @@
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import AsyncGenerator, Mapping
+from http.cookiejar import CookieJar, DefaultCookiePolicy
 from typing import Any, NamedTuple, cast
 
 import httpx
@@ -309,7 +310,12 @@
             max_connections=_MAX_CONNECTIONS, max_keepalive_connections=max_idle_connections
         )
         return httpx.AsyncClient(
-            timeout=self._timeout, limits=limits, trust_env=False, verify=self._ssl_context
+            timeout=self._timeout,
+            limits=limits,
+            trust_env=False,
+            verify=self._ssl_context,
+            # Keeps none: a cookie belongs to the caller whose answer sets it.
+            cookies=CookieJar(DefaultCookiePolicy(allowed_domains=())),
         )
 
     async def prefill(self, order: Order) -> KvHandle:
