--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -6,6 +6,7 @@
 
 from cleatlink.core.data import ExecutionStatus, Refusal, Role
 from cleatlink.core.errors import (
+    NOT_RUN_STATUSES,
     EndpointTimeoutError,
     EndpointUnreachableError,
     ErrorKind,
@@ -17,11 +18,7 @@
 from cleatlink.relay.calls.components import RelayComponents
 from cleatlink.relay.calls.plain_call_admission import PlainCallAdmission
 from cleatlink.relay.endpoints.pool import IDLE_LIMIT_S, UNREPEATABLE_IDLE_LIMIT_S, Response
-from cleatlink.relay.endpoints.protocol import (
-    NOT_EXECUTED_STATUSES,
-    OutgoingRequest,
-    ResponseHead,
-)
+from cleatlink.relay.endpoints.protocol import OutgoingRequest, ResponseHead
 from cleatlink.relay.tasks import run_watched, sleep_until_sockets_read
 from cleatlink.routing.endpoint_speeds import SpeedSampleKind
 from cleatlink.routing.mechanisms import Mechanism
@@ -78,7 +75,7 @@
     async def run(self) -> Response | Refusal:
         """Return the caller's answer: that of an endpoint, or a refusal."""
         result = await self._run_attempts()
-        if isinstance(result, Refusal) or result.head.status not in NOT_EXECUTED_STATUSES:
+        if isinstance(result, Refusal) or result.head.status not in NOT_RUN_STATUSES:
             return result
         return self._call.refuse_for_status(result.head.status)
 
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -7,6 +7,7 @@
 
 from cleatlink.core.data import ExecutionStatus, Refusal
 from cleatlink.core.errors import (
+    NOT_RUN_STATUSES,
     EndpointError,
     EndpointTimeoutError,
     ErrorKind,
@@ -23,7 +24,7 @@
 from cleatlink.relay.calls.stream_meter import StreamMeter
 from cleatlink.relay.calls.stream_origin import StreamOrigin
 from cleatlink.relay.endpoints.connection import EndpointConnection
-from cleatlink.relay.endpoints.protocol import NOT_EXECUTED_STATUSES, ResponseHead
+from cleatlink.relay.endpoints.protocol import ResponseHead
 from cleatlink.relay.exchange import Exchange
 from cleatlink.relay.tasks import run_watched
 from cleatlink.routing.rejection_plan import RejectionAction, RejectionPlan, plan_after_rejection
@@ -244,7 +245,7 @@
             )
             self._target.release_and_exclude()
             return None
-        if head.status in NOT_EXECUTED_STATUSES:
+        if head.status in NOT_RUN_STATUSES:
             return StreamResult(self._call.refuse_for_status(head.status))
         headers = self._components.protocol.filter_response_headers(head)
         await self._exchange.answer(head.status, headers, body)
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from cleatlink.core.data import Role
+from cleatlink.core.errors import NOT_RUN_STATUSES
 from cleatlink.core.notices import (
     EMPTY_NOTICE,
     EndpointNotice,
@@ -22,7 +23,6 @@
 
 __all__ = [
     "MISDIRECTED_REQUEST",
-    "NOT_EXECUTED_STATUSES",
     "REJECTION_STATUSES",
     "EndpointPaths",
     "HeaderNames",
@@ -56,8 +56,6 @@
 MISDIRECTED_REQUEST = 421
 # Statuses with which an endpoint rejects work; the response may say when to retry.
 REJECTION_STATUSES = frozenset({429, 503})
-# Statuses that tell a caller that its request did not run and never will.
-NOT_EXECUTED_STATUSES = REJECTION_STATUSES | {408, MISDIRECTED_REQUEST}
 _LOWEST_ERROR_STATUS = 400
 # "Too Early": the endpoint had not received the request in time.
 _TOO_EARLY = 425
@@ -432,7 +430,7 @@
 
         Another endpoint may succeed, unlike with a request that is wrong itself.
         """
-        return head.status >= 500 or head.status in NOT_EXECUTED_STATUSES | {_TOO_EARLY}
+        return head.status >= 500 or head.status in NOT_RUN_STATUSES | {_TOO_EARLY}
 
     def accepts_work(self, head: ResponseHead) -> bool:
         """Check whether a response shows that its endpoint accepts work."""
--- a/cleatlink/relay/endpoints/response_notices.py
+++ b/cleatlink/relay/endpoints/response_notices.py
@@ -9,10 +9,10 @@
 import eliot
 import trio
 
+from cleatlink.core.errors import NOT_RUN_STATUSES
 from cleatlink.core.notices import EMPTY_NOTICE, EndpointNotice
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.endpoints.protocol import (
-    NOT_EXECUTED_STATUSES,
     Protocol,
     ReceivedHead,
     ResponseHead,
@@ -150,7 +150,7 @@
         """Count and log a response that says, or seems to say, that its request did not run."""
         protocol, head = self._protocol, received.head
         is_marked = protocol.is_marked_not_executed(head)
-        if not is_marked and head.status not in NOT_EXECUTED_STATUSES:
+        if not is_marked and head.status not in NOT_RUN_STATUSES:
             return
         owner = protocol.owner(head, received.request_id)
         self._metrics.count_endpoint_rejection(owner.value, is_marked=is_marked)
