Stand-ins: answers without end are recorded, and runs have the status of their answer

Events without end are numbered like those of other streams, so that a test of their order holds for them as well.

--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -18,8 +18,10 @@
 from standins.relay.rejections import Rejections
 from standins.relay.stream_builds import mark_event
 
-__all__ = ["Fault", "Run", "Worker", "prompt_parts"]
+__all__ = ["SIGNATURE_PREFIX", "Fault", "Run", "Worker", "prompt_parts"]
 
+# A signature consists of this and the name of the worker.
+SIGNATURE_PREFIX = "stamp."
 _NAME_NUMBERS = itertools.count(1)
 _HANDLE_LIFETIME_S = 0.5
 _READ_BYTES = 65_536
@@ -51,7 +53,16 @@
 
 
 class Run:
-    """A run of a request; ``connection_closed`` is set if its connection closed before the end."""
+    """A run of a request.
+
+    Attributes:
+        request: ID of the request.
+        call: The request.
+        began_at: When the run began.
+        ended_at: When it ended; None until then.
+        connection_closed: Whether its connection closed before the end.
+        status: Status that the worker returned; None if it returned none.
+    """
 
     def __init__(self, request: str, call: RawCall, began_at: float) -> None:
         self.request = request
@@ -59,6 +70,7 @@
         self.began_at = began_at
         self.ended_at: float | None = None
         self.connection_closed = False
+        self.status: int | None = None
 
 
 class Worker(RawServer):
@@ -247,11 +259,24 @@
             self.rejections.repeat_later(stream, headers)
         return await self._send_answer(stream, self.rejections.status, headers)
 
-    async def _send_own_status(self, call: RawCall, stream: trio.SocketStream) -> bool:
+    async def _send_own_status(self, run: Run, stream: trio.SocketStream) -> bool:
         """Answer a call that ran with a status of rejections, without their mark."""
-        headers = {**self._signed_headers(call), **self._backoff_headers()}
+        run.status, run.ended_at = self.own_status, trio.current_time()
+        headers = {**self._signed_headers(run.call), **self._backoff_headers()}
         return await self._send_answer(stream, self.own_status, headers, b"failed")
 
+    async def _run_without_end(
+        self, run: Run, stream: trio.SocketStream, body: bytes, first_event: int = 1
+    ) -> None:
+        """Answer a call that ran with bytes without end; the body is that of a whole answer."""
+        part, headers = self.choose_endless_part(run.call), self._signed_headers(run.call)
+        run.status = None if part in (EndlessPart.INTERIM, EndlessPart.GARBAGE) else 200
+        try:
+            whole = answer(200, headers, body)
+            await self.endless.send(stream, part, headers, whole, first_event)
+        finally:
+            run.ended_at = trio.current_time()
+
     async def _send_answer(
         self, stream: trio.SocketStream, status: int, headers: dict[str, str], body: bytes = b""
     ) -> bool:
@@ -330,7 +355,7 @@
         """Return the headers of a signed response, including those of notices."""
         signature_headers = {
             "Attempt-Id": call.headers["attempt-id"],
-            "Server-Stamp": f"stamp.{self.name}",
+            "Server-Stamp": f"{SIGNATURE_PREFIX}{self.name}",
         }
         return {**signature_headers, **self._notice_headers()}
 
@@ -376,10 +401,8 @@
     async def _serve_plain(
         self, call: RawCall, stream: trio.SocketStream, fault: Fault | None
     ) -> bool:
-        if (
-            await self._run(call, stream, self.plain_duration_s(call)) is None
-            or fault is Fault.RESET_AFTER
-        ):
+        run = await self._run(call, stream, self.plain_duration_s(call))
+        if run is None or fault is Fault.RESET_AFTER:
             return False
         if fault is Fault.NO_RESPONSE:
             await trio.sleep_forever()
@@ -387,13 +410,14 @@
             await stream.send_all(b"\x00\x01 this is no answer \r\n\r\n")
             return False
         if fault is Fault.ENDLESS:
-            await self._send_without_end(stream, self._signed_headers(call), self.body)
+            await self._run_without_end(run, stream, self.body)
         if fault is Fault.OWN_STATUS:
-            return await self._send_own_status(call, stream)
+            return await self._send_own_status(run, stream)
         headers = self._signed_headers(call)
         status, body = 200, self.body
         if fault is Fault.ERROR:
             status = 500
+        run.status = status
         if fault is Fault.WRONG_REQUEST_ID:
             headers["Attempt-Id"] = "another"
         if fault is Fault.UNSIGNED:
@@ -421,6 +445,10 @@
         """Return the duration of a plain call, in seconds."""
         return self.run_duration_s
 
+    def choose_endless_part(self, call: RawCall) -> EndlessPart:
+        """Return the part that has no end in the answer to a call."""
+        return self.endless_part
+
     def stream_event_interval_s(self, request: str) -> float:
         """Return the interval between two events of a request's stream, in seconds."""
         return self.event_interval_s
@@ -436,9 +464,10 @@
             await trio.sleep_forever()
         if fault is Fault.ENDLESS:
             event = b"id: %d\ndata: more\n\n" % first_event
-            await self._send_without_end(stream, self._signed_headers(call), event)
+            await self._run_without_end(run, stream, event, first_event)
         if fault is Fault.OWN_STATUS:
-            return await self._send_own_status(call, stream)
+            return await self._send_own_status(run, stream)
+        run.status = 200
         lines = ["HTTP/1.1 200 X", "Content-Type: text/event-stream"]
         has_chunks = not self.ends_with_connection
         lines += ["Transfer-Encoding: chunked"] if has_chunks else []
