Soak: workers answer with statuses of rejections, reject twice and don't end

Callers were told by 408, 421, 429 or 503 that their requests had not run, though they had. No kind of fault of the soak made workers answer so. After rejections with 421 a worker changes its entry: instances take that status for the one of another worker at the address until then.

--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -3,6 +3,7 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractContextManager
 from typing import NamedTuple
 
 import trio
@@ -22,6 +23,11 @@
     Withdrawal,
     WorkerLeavingNotice,
 )
+from soak.rejecting_workers import (
+    bytes_without_end,
+    rejections_sent_twice,
+    statuses_of_rejections,
+)
 from soak.workers import SoakWorker, other_build
 from standins.relay import Fault, StoreMode
 from standins.relay.cut_paths import PathCut
@@ -79,6 +85,8 @@
 _EXTRA_FAILURE_S = 3.0
 _FAILURE_COUNT = 500
 _SERVICE_FAULTS = (Fault.FULL, Fault.ERROR, Fault.RESET_BEFORE)
+# Seconds by which wrong answers of the workers of a service last longer than other faults.
+_EXTRA_SERVICE_S = 1.0
 # Number of parts of prompts that crash workers at the same time.
 _MAX_CRASHING_PARTS = 2
 # Seconds by which a skew of connections lasts longer than other faults.
@@ -101,6 +109,15 @@
     FaultKind.WORKER_LINK_ONE_WAY: LinkFault.ONE_WAY,
 }
 
+# How all workers of a service answer for a while.
+_SERVICE_ACTIONS: dict[
+    FaultKind, Callable[[SoakFleet, str, random.Random], AbstractContextManager[None]]
+] = {
+    FaultKind.WORKERS_OWN_STATUS: statuses_of_rejections,
+    FaultKind.WORKERS_REPEAT: rejections_sent_twice,
+    FaultKind.WORKERS_ENDLESS: bytes_without_end,
+}
+
 # Kinds that are not recorded as disturbances of their target, during which checks are suspended:
 # they must not affect requests, or they record the disturbance themselves.
 _UNRECORDED_KINDS = frozenset(
@@ -121,6 +138,7 @@
         FaultKind.LIMIT,
         FaultKind.WORKER_UNFRAMED,
         FaultKind.CONNECTIONS_SKEWED,
+        *_SERVICE_ACTIONS,
     }
 )
 
@@ -163,6 +181,9 @@
             await self._kill_herd(fault)
         elif kind is FaultKind.UPGRADE:
             await self._upgrade_instances(fault)
+        elif kind in _SERVICE_ACTIONS:
+            service = self._pick_worker(fault).service
+            await self._inject_exclusively(f"service {service}", fault, self._change_service)
         elif kind in _NAMED_ACTIONS:
             named = _NAMED_ACTIONS[kind]
             await self._inject_exclusively(named.target_name(fault), fault, named.action(self))
@@ -461,6 +482,12 @@
             worker.faults.clear()
             self._fleet.note_disturbance(worker.name, trio.current_time() - fault.duration_s)
 
+    async def _change_service(self, fault: PlannedFault) -> None:
+        """Make all workers of a service mishandle requests for a while."""
+        service = self._pick_worker(fault).service
+        with _SERVICE_ACTIONS[fault.kind](self._fleet, service, self._rng):
+            await trio.sleep(_EXTRA_SERVICE_S + fault.duration_s)
+
     async def _crash_worker(self, fault: PlannedFault) -> None:
         """Crash a worker; another worker of its service starts at its address later."""
         fleet, worker = self._fleet, self._pick_worker(fault)
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -16,6 +16,7 @@
     "NOTICE_KINDS",
     "ORGANISATION_KINDS",
     "PATH_KINDS",
+    "REJECTION_KINDS",
     "RESTORE_KINDS",
     "STOP_KINDS",
     "UNFRAMED_KINDS",
@@ -78,6 +79,9 @@
     CRASHING_PART = "different requests are sent whose prompts have a part that crashes workers"
     WORKER_UNFRAMED = "a worker's responses have no length and end with their connection"
     CONNECTIONS_SKEWED = "most new connections go to one instance, and callers open more of them"
+    WORKERS_OWN_STATUS = "workers of a service run requests and answer with statuses of rejections"
+    WORKERS_REPEAT = "workers of a service reject requests, and send rejections again later"
+    WORKERS_ENDLESS = "workers of a service send bytes without end"
 
 
 # Planned operations only; none of them may interrupt a request.
@@ -211,6 +215,25 @@
     FaultKind.CONFIGURATION,
     FaultKind.STORE_LINK_SILENCE,
 )
+# Statuses of rejections that are none, rejections that are sent twice, and bytes without end,
+# combined with instances that are stopped, killed, paused and lose their paths, with workers that
+# crash and leave, and with a route that moves.
+REJECTION_KINDS = (
+    FaultKind.WORKERS_OWN_STATUS,
+    FaultKind.WORKERS_REPEAT,
+    FaultKind.WORKERS_ENDLESS,
+    FaultKind.WORKERS_OWN_STATUS,
+    FaultKind.WORKERS_REPEAT,
+    FaultKind.WORKERS_ENDLESS,
+    FaultKind.INSTANCE_STOP,
+    FaultKind.INSTANCE_KILL,
+    FaultKind.INSTANCE_PAUSE,
+    FaultKind.WORKER_CRASH,
+    FaultKind.WORKER_DRAIN,
+    FaultKind.WORKER_LINK_RESET,
+    FaultKind.PATHS_CUT,
+    FaultKind.CONFIGURATION,
+)
 # Failures that instances retry, combined with instances that forget what they have sent.
 BUDGET_KINDS = (
     FaultKind.WORKERS_FAIL,
@@ -254,6 +277,9 @@
     FaultKind.CRASHING_PART,
     FaultKind.WORKER_UNFRAMED,
     FaultKind.CONNECTIONS_SKEWED,
+    FaultKind.WORKERS_OWN_STATUS,
+    FaultKind.WORKERS_REPEAT,
+    FaultKind.WORKERS_ENDLESS,
 )
 _DEFAULT_KINDS = tuple(kind for kind in FaultKind if kind not in _OPT_IN_KINDS)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -215,6 +215,11 @@
             self.platform.register(worker, state)
         self.platform.republish_newest()
 
+    def rewrite_entry(self, worker: SoakWorker) -> None:
+        """Write a worker's entry again, in its present state, unless it was deleted."""
+        if worker.name in self._registered:
+            self.register(worker, self._registered[worker.name][1])
+
     def expire_stale_entries(self) -> None:
         """Delete entries of stopped workers that came back when the store was restored."""
         self.platform.store.delete_all_except(
--- a/soak/records.py
+++ b/soak/records.py
@@ -5,6 +5,7 @@
 
 from typing import NamedTuple
 
+from standins.relay.endless_answers import EndlessPart
 from standins.relay.extra_arrivals import WorkerArrival
 
 __all__ = [
@@ -24,6 +25,7 @@
     "RequestedBackoff",
     "Disturbance",
     "Downtime",
+    "EndlessResponse",
     "SkewedConnections",
     "Stop",
     "RouteMove",
@@ -101,6 +103,7 @@
         resumes: ID of the request that began the stream that this one takes up; empty if none.
         first_event: Number of the first event that the answer must have, if it is a stream.
         builds: Build of the worker that made each event of the answer, if it is a stream.
+        signed_by: Name of the worker whose signature the answer carries; empty if it has none.
     """
 
     request_id: str
@@ -121,6 +124,7 @@
     resumes: str = ""
     first_event: int = 1
     builds: tuple[str, ...] = ()
+    signed_by: str = ""
 
 
 class Arrival(NamedTuple):
@@ -156,6 +160,7 @@
         began_at: When the run began.
         ended_at: When it ended; infinite while it continues.
         is_cancelled: Whether the connection closed before the run ended.
+        status: Status that the worker returned; None if it returned none.
     """
 
     request_id: str
@@ -164,6 +169,27 @@
     began_at: float
     ended_at: float
     is_cancelled: bool
+    status: int | None = None
+
+
+class EndlessResponse(NamedTuple):
+    """A response that a worker sent without end, until its connection broke.
+
+    Attributes:
+        request_id: ID of the request.
+        worker: Name of the worker.
+        part: The part of the response that had no end.
+        began_at: When the worker began to send it.
+        ended_at: When the connection broke; infinite if it was still open at the end.
+        sent_bytes: Number of bytes that the worker could send.
+    """
+
+    request_id: str
+    worker: str
+    part: EndlessPart
+    began_at: float
+    ended_at: float
+    sent_bytes: int
 
 
 class CrashingRun(NamedTuple):
@@ -370,6 +396,7 @@
         downtimes: Periods without a ready process of an instance.
         crashing_parts: Periods in which prompts with a part that crashes workers were sent.
         skewed_connections: Periods in which most new connections went to one instance.
+        endless_responses: Responses that workers sent without end.
         arrival_records: Arrivals at workers, to count them against the retry budgets.
         store_calls: Number of calls to the store, from all instances.
         instance_count: Number of instances.
@@ -398,6 +425,7 @@
     downtimes: tuple[Downtime, ...] = ()
     crashing_parts: tuple[CrashingPart, ...] = ()
     skewed_connections: tuple[SkewedConnections, ...] = ()
+    endless_responses: tuple[EndlessResponse, ...] = ()
     arrival_records: tuple[WorkerArrival, ...] = ()
     store_calls: int = 0
     instance_count: int = 1
--- a/soak/run.py
+++ b/soak/run.py
@@ -169,6 +169,9 @@
         downtimes=tuple(fleet.downtimes),
         crashing_parts=tuple(fleet.crashing_parts),
         skewed_connections=tuple(fleet.skewed_connections),
+        endless_responses=tuple(
+            response for worker in workers for response in worker.endless_responses()
+        ),
         store_calls=fleet.platform.store.calls,
         instance_count=len(fleet.instances),
         traffic_s=settings.seconds,
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -12,6 +12,7 @@
 from soak.workers import EVENTS_PER_STREAM
 from standins.relay.raw_client import Caller, Reply
 from standins.relay.stream_builds import MarkedStream, read_marks
+from standins.relay.worker import SIGNATURE_PREFIX
 
 __all__ = ["STREAM_HEADERS", "Traffic"]
 
@@ -169,6 +170,7 @@
             body=marked.body,
             retry_after=reply.headers.get("retry-after", ""),
             builds=marked.builds,
+            signed_by=reply.headers.get("server-stamp", "").removeprefix(SIGNATURE_PREFIX),
         )
         self.requests.append(request)
         if attempt.may_break_off and marked.builds and not reply.is_complete:
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -6,8 +6,8 @@
 
 import trio
 
-from soak.records import Arrival, CrashingRun, Order, WorkerRun
-from standins.relay import Worker
+from soak.records import Arrival, CrashingRun, EndlessResponse, Order, WorkerRun
+from standins.relay import EndlessPart, Worker
 from standins.relay.raw_server import RawCall
 from standins.relay.worker import prompt_parts
 
@@ -27,6 +27,7 @@
 # A part of a prompt, other than the last, whose name begins with this crashes the worker that
 # begins the answer.
 CRASHING_PART_PREFIX = "bad"
+_RESUMABLE_PREFIX = "/resume/"
 _EVENT_S = 0.04
 # Streams and unsafe calls with an ID divisible by this are long, so that a run that continues after
 # its caller has left is noticed.
@@ -88,6 +89,15 @@
             return _LONGEST_EVENT_S
         return _LONG_EVENT_S if _is_long(request) else self.event_interval_s
 
+    def choose_endless_part(self, call: RawCall) -> EndlessPart:
+        """Return the part that has no end in the answer to a call.
+
+        Another worker would end a stream that has more events than it sends itself.
+        """
+        part = super().choose_endless_part(call)
+        is_resumable = call.path.startswith(_RESUMABLE_PREFIX)
+        return EndlessPart.BODY if is_resumable and part is EndlessPart.EVENTS else part
+
     def _accept_role_change(self, order: dict[str, Any]) -> int:
         status = super()._accept_role_change(order)
         if status == 202:
@@ -112,7 +122,21 @@
         for run in self.runs:
             ended_at = math.inf if run.ended_at is None else run.ended_at
             yield WorkerRun(
-                run.request, self.name, self.service, run.began_at, ended_at, run.connection_closed
+                run.request,
+                self.name,
+                self.service,
+                run.began_at,
+                ended_at,
+                run.connection_closed,
+                run.status,
+            )
+
+    def endless_responses(self) -> Iterator[EndlessResponse]:
+        """Return records of the responses that this worker sent without end."""
+        for item in self.endless_answers:
+            ended_at = math.inf if item.ended_at is None else item.ended_at
+            yield EndlessResponse(
+                item.request, self.name, item.part, item.began_at, ended_at, item.sent_bytes
             )
 
 
