Soak: checks of signatures, of failures of other requests, of bytes without end

An answer with a worker's signature must have the status that this worker returned for the request, and no failure may carry the ID of another request. Bytes without end must be cut off by time and by size, and their caller must have an answer by its deadline. The check of planned stops leaves out the requests that got bytes without end, which can't end properly; the new checks bound them. Each check has a history that breaks it and one that holds.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,6 +4,11 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+from soak.answer_checks import (
+    check_endless_responses,
+    check_returned_statuses,
+    check_waits_for_endless,
+)
 from soak.connection_checks import check_skewed_connections
 from soak.notice_checks import check_announced_limits, check_backoffs, check_leaving_notices
 from soak.prompt_checks import check_crashing_parts, check_sound_prompts
@@ -86,7 +91,10 @@
 
 
 def _check_answer_contents(history: History) -> Iterator[Violation]:
-    """Check that a success is a worker's complete answer to this request, without extra bytes."""
+    """Check that a success is a worker's complete answer to this request, without extra bytes.
+
+    No answer carries the ID of another request, whatever its status.
+    """
     for request in history.requests:
         if request.extra_bytes:
             yield Violation(
@@ -94,6 +102,13 @@
                 f"extra bytes {request.extra_bytes[:40]!r} on the connection",
                 (request.request_id,),
             )
+        if request.answer_id not in ("", request.request_id):
+            yield Violation(
+                "",
+                f"answer with status {request.status} has the ID {request.answer_id!r}",
+                (request.request_id,),
+            )
+            continue
         if not 200 <= request.status < 300 or request.caller_left:
             continue
         if request.answer_id != request.request_id or not request.is_signed:
@@ -277,6 +292,7 @@
 def _check_planned_stops(history: History) -> Iterator[Violation]:
     """Check that a planned stop interrupts no request and that its process exits with 0."""
     executed_ids = {run.request_id for run in history.runs}
+    endless_ids = {response.request_id for response in history.endless_responses}
     for stop in history.stops:
         instance = f"instance {stop.instance}"
         if stop.code != 0:
@@ -288,6 +304,9 @@
                 continue
             if request.caller_left or request.is_complete or request.ended_at < stop.began_at:
                 continue
+            if request.request_id in endless_ids:
+                # Its answer can't be complete; `check_waits_for_endless` bounds its duration.
+                continue
             if not _workers_undisturbed(history, since, request.ended_at):
                 continue
             if not history.is_undisturbed(instance, since, request.ended_at):
@@ -520,6 +539,9 @@
     "'not run' is true": _check_not_executed_answers,
     "refusals say when to come back": _check_retry_after,
     "the whole answer to its own request": _check_answer_contents,
+    "a worker's status goes with its signature": check_returned_statuses,
+    "bytes without end are cut off": check_endless_responses,
+    "no caller waits for bytes without end": check_waits_for_endless,
     "events in order": _check_stream_events,
     "a stream is of one build": _check_builds,
     "a leaving worker gets nothing": _check_leaving_workers,
--- a/soak/checks_test.py
+++ b/soak/checks_test.py
@@ -4,6 +4,11 @@
 
 import pytest
 
+from soak.answer_checks import (
+    check_endless_responses,
+    check_returned_statuses,
+    check_waits_for_endless,
+)
 from soak.checks import CHECKS, check_history
 from soak.connection_checks import check_skewed_connections
 from soak.records import (
@@ -14,6 +19,7 @@
     CrashingRun,
     Disturbance,
     Downtime,
+    EndlessResponse,
     History,
     KeyChange,
     LimitChange,
@@ -29,6 +35,7 @@
     WorkerLeavingNotice,
     WorkerRun,
 )
+from standins.relay.endless_answers import EndlessPart
 from standins.relay.extra_arrivals import WorkerArrival
 
 EMPTY_HISTORY = History([], [], [], [], [], [], [], [], [], [], 5.0, 100.0)
@@ -43,6 +50,10 @@
     return WorkerRun(request_id, "i-1", "plain", began_at, ended_at, False)
 
 
+def endless(part: EndlessPart, ended_at: float, sent_bytes: int = 70_000) -> EndlessResponse:
+    return EndlessResponse("r1", "i-1", part, 50.1, ended_at, sent_bytes)
+
+
 def arrival(request_id: str, at: float, service: str = "plain") -> Arrival:
     return Arrival(request_id, "i-1", service, at, False)
 
@@ -51,6 +62,7 @@
 STREAM = SUCCESS._replace(kind=RequestKind.RESUMABLE, body=stream("r1", *range(1, 9)))
 SWITCH = SUCCESS._replace(kind=RequestKind.SWITCH)
 INTERRUPTED = SUCCESS._replace(status=0, answer_id="", is_signed=False, is_complete=False, body=b"")
+FAILURE = SUCCESS._replace(status=502, is_signed=False)
 ROUTE_MOVES = [RouteMove("s0", 10.0), RouteMove("s1", 40.0)]
 
 VIOLATING_HISTORIES = {
@@ -94,6 +106,17 @@
     "the whole answer to its own request": EMPTY_HISTORY._replace(
         requests=[SUCCESS._replace(answer_id="r2")]
     ),
+    "a worker's status goes with its signature": EMPTY_HISTORY._replace(
+        requests=[SUCCESS._replace(status=500, signed_by="i-1")],
+        runs=[run("r1")._replace(status=200)],
+    ),
+    "bytes without end are cut off": EMPTY_HISTORY._replace(
+        requests=[FAILURE], endless_responses=(endless(EndlessPart.BODY, 56.0),)
+    ),
+    "no caller waits for bytes without end": EMPTY_HISTORY._replace(
+        requests=[FAILURE._replace(ended_at=56.0)],
+        endless_responses=(endless(EndlessPart.BODY, 52.0),),
+    ),
     "events in order": EMPTY_HISTORY._replace(
         requests=[STREAM._replace(is_complete=False, body=stream("r1", 1, 2, 2))]
     ),
@@ -219,6 +242,8 @@
         ("a planned stop cuts nothing off", Disturbance("i-7", 48.0, 49.0)),
         ("limits of workers hold", Disturbance("instance 1", 43.5, 44.5)),
         ("no work for callers that are gone", Disturbance("i-1", 49.0, 51.0)),
+        ("bytes without end are cut off", Disturbance("instance 1", 49.0, 51.0)),
+        ("no caller waits for bytes without end", Disturbance("i-1", 49.0, 51.0)),
     ],
 )
 def test_disturbance_excuses_only_the_component_and_time_it_affects(
@@ -317,3 +342,87 @@
     assert not list(check_skewed_connections(history))
     history = skewed_history(*failed, *served, *others, disturbed=("instance 1",))
     assert not list(check_skewed_connections(history))
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+@pytest.mark.parametrize("kind", [RequestKind.UNSAFE, RequestKind.STREAM])
+def test_each_status_of_rejections_promises_that_the_request_never_runs(
+    kind: RequestKind, status: int
+) -> None:
+    rejected = FAILURE._replace(kind=kind, status=status, retry_after="1")
+    history = EMPTY_HISTORY._replace(requests=[rejected])
+    assert check_history(history) == []
+    later = history._replace(runs=[run("r1", 60.0, 60.1)])
+    assert [item.check for item in check_history(later)] == ["'not run' is true"]
+    for other_status in (0, 502, 504):
+        other = later._replace(requests=[rejected._replace(status=other_status)])
+        assert check_history(other) == []
+
+
+@pytest.mark.parametrize("status", [404, 500, 502, 503])
+def test_failure_with_the_id_of_another_request_is_reported(status: int) -> None:
+    failure = FAILURE._replace(status=status, retry_after="1")
+    assert check_history(EMPTY_HISTORY._replace(requests=[failure])) == []
+    assert check_history(EMPTY_HISTORY._replace(requests=[failure._replace(answer_id="")])) == []
+    other = EMPTY_HISTORY._replace(requests=[failure._replace(answer_id="r2")])
+    assert [item.check for item in check_history(other)] == ["the whole answer to its own request"]
+
+
+def test_signature_belongs_to_the_worker_that_returned_the_status() -> None:
+    signed = SUCCESS._replace(status=500, signed_by="i-1")
+    history = EMPTY_HISTORY._replace(requests=[signed], runs=[run("r1")._replace(status=500)])
+    assert not list(check_returned_statuses(history))
+    of_other_worker = signed._replace(signed_by="i-2")
+    assert list(check_returned_statuses(history._replace(requests=[of_other_worker])))
+    of_other_request = signed._replace(request_id="r2")
+    assert list(check_returned_statuses(history._replace(requests=[of_other_request])))
+    unanswered = run("r1")._replace(status=None)
+    assert list(check_returned_statuses(history._replace(runs=[unanswered])))
+    again = run("r1", 51.0, 51.1)._replace(worker="i-2", status=200)
+    assert not list(check_returned_statuses(history._replace(runs=[*history.runs, again])))
+
+
+@pytest.mark.parametrize(
+    ("part", "kind", "closes_at", "max_bytes"),
+    [
+        (EndlessPart.HEAD, RequestKind.UNSAFE, 51.5, 16_000_000),
+        (EndlessPart.GARBAGE, RequestKind.STREAM, 51.5, 16_000_000),
+        (EndlessPart.BODY, RequestKind.UNSAFE, 53.4, 33_000_000),
+        (EndlessPart.UNFRAMED_BODY, RequestKind.SAFE, 53.4, 33_000_000),
+        (EndlessPart.UNFRAMED_BODY, RequestKind.RESUMABLE, 58.4, 17_000_000),
+        (EndlessPart.INTERIM, RequestKind.UNSAFE, 53.4, 33_000_000),
+        (EndlessPart.EVENTS, RequestKind.STREAM, 58.4, 33_000_000),
+    ],
+)
+def test_endless_bytes_are_bounded_by_time_and_size(
+    part: EndlessPart, kind: RequestKind, closes_at: float, max_bytes: int
+) -> None:
+    history = EMPTY_HISTORY._replace(requests=[FAILURE._replace(kind=kind)])
+
+    def is_reported(response: EndlessResponse) -> bool:
+        return bool(list(check_endless_responses(history._replace(endless_responses=(response,)))))
+
+    assert not is_reported(endless(part, closes_at, max_bytes))
+    assert is_reported(endless(part, closes_at + 0.2, max_bytes))
+    assert is_reported(endless(part, closes_at, max_bytes + 2_000_000))
+    assert is_reported(endless(part, math.inf))
+
+
+def test_endless_bytes_end_soon_after_their_caller_has_left() -> None:
+    left = FAILURE._replace(kind=RequestKind.STREAM, status=0, caller_left=True)
+    history = EMPTY_HISTORY._replace(requests=[left])
+    soon = endless(EndlessPart.EVENTS, 51.0)
+    assert not list(check_endless_responses(history._replace(endless_responses=(soon,))))
+    late = endless(EndlessPart.EVENTS, 51.2)
+    assert list(check_endless_responses(history._replace(endless_responses=(late,))))
+
+
+def test_answer_by_the_deadline_is_late_for_no_caller() -> None:
+    body = endless(EndlessPart.BODY, 52.0)
+    for kind, in_time, late in ((RequestKind.SAFE, 53.4, 53.6), (RequestKind.STREAM, 58.4, 58.6)):
+        request = FAILURE._replace(kind=kind)
+        for ended_at, is_late in ((in_time, False), (late, True)):
+            requests = [request._replace(ended_at=ended_at)]
+            history = EMPTY_HISTORY._replace(requests=requests, endless_responses=(body,))
+            assert bool(list(check_waits_for_endless(history))) is is_late
+            assert not list(check_waits_for_endless(history._replace(endless_responses=())))
