Soak: a short run with rejections of requests that ran, and an ablation

The run has the three new kinds beside stops, kills, pauses, crashes, drains, resets, lost paths and moving routes. It fails on this code: requests run whose callers get 408, 421, 429 or 503. Without the check of a response's owner, rejections that are sent twice are reported by "'not run' is true".

--- a/soak/ablations.py
+++ b/soak/ablations.py
@@ -177,6 +177,11 @@
         "the whole answer to its own request",
         (FaultKind.WORKER_FAULTS,),
     ),
+    "rejected-request": Ablation(
+        _make_patch(Protocol, "matches_request", _return_true),
+        "'not run' is true",
+        (FaultKind.WORKERS_REPEAT,),
+    ),
     "planned-stop": Ablation(
         _make_patch(RelayInstance, "_stop", _stop_immediately),
         "a planned stop cuts nothing off",
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -20,6 +20,7 @@
     NOTICE_KINDS,
     ORGANISATION_KINDS,
     PATH_KINDS,
+    REJECTION_KINDS,
     RESTORE_KINDS,
     UNFRAMED_KINDS,
     WORKER_LIMIT_KINDS,
@@ -56,6 +57,9 @@
         FaultKind.CRASHING_PART,
         FaultKind.WORKER_UNFRAMED,
         FaultKind.CONNECTIONS_SKEWED,
+        FaultKind.WORKERS_OWN_STATUS,
+        FaultKind.WORKERS_REPEAT,
+        FaultKind.WORKERS_ENDLESS,
     }
     assert default_kinds == set(FaultKind) - opt_in_kinds
     kinds = tuple(FaultKind)
@@ -219,6 +223,7 @@
     "endpoint-limits",
     "stream-builds",
     "prompt-parts",
+    "rejected-request",
 ]
 _OTHER_ABLATIONS = sorted(ABLATIONS.keys() - {*_ORGANISATION_ABLATIONS, *_SEPARATE_ABLATIONS})
 
@@ -236,6 +241,7 @@
         pytest.param(_ORGANISATION_ABLATIONS[2:], marks=pytest.mark.alone),
         ["stream-builds"],
         ["prompt-parts"],
+        ["rejected-request"],
     ],
 )
 async def test_disabled_mechanism_is_detected(names: list[str]) -> None:
@@ -336,3 +342,19 @@
     result = await run_soak(settings)
     assert result.violations == []
     assert any(fault.kind is FaultKind.CONNECTIONS_SKEWED for fault in result.faults)
+
+
+@pytest.mark.alone
+async def test_requests_that_ran_are_not_reported_as_rejected_under_other_faults() -> None:
+    settings = RunSettings(
+        CI_SEED, seconds=15.0, instances=4, callers=16, rate=2.0, kinds=REJECTION_KINDS
+    )
+    result = await run_soak(settings)
+    assert result.violations == []
+    kinds = {fault.kind for fault in result.faults}
+    assert {
+        FaultKind.WORKERS_OWN_STATUS,
+        FaultKind.WORKERS_REPEAT,
+        FaultKind.WORKERS_ENDLESS,
+    } <= kinds
+    assert len(kinds) > 4
