Soak: the ablation of a response's owner switches all of its checks off

Without `is_response_to` alone, a rejection that is sent twice is still told apart: extra responses are skipped, and connections are not used again after rejections that name no request. With all three switched off, requests run whose callers are told that they didn't.

--- a/soak/ablations.py
+++ b/soak/ablations.py
@@ -18,6 +18,7 @@
 from cleatlink.relay.calls.event_parser import EventParser
 from cleatlink.relay.calls.planned_stop import PlannedStop
 from cleatlink.relay.calls.stream_origin import StreamOrigin
+from cleatlink.relay.endpoints.attribution import ResponseAttribution
 from cleatlink.relay.endpoints.protocol import Protocol
 from cleatlink.relay.following.follower import Follower
 from cleatlink.relay.following.store_client import StoreClient
@@ -55,6 +56,10 @@
     return True
 
 
+def _return_false(*_: object, **__: object) -> bool:
+    return False
+
+
 def _accept_any_table(self: FleetRecords, table: Any) -> bool:
     self._table = table
     return True
@@ -144,6 +149,17 @@
     return 0.0
 
 
+def _attribute_all_responses() -> None:
+    """Take each response for the one to the request that was sent last on its connection."""
+    ResponseAttribution.check = _accept_response  # type: ignore[method-assign]
+    ResponseAttribution.is_extra_response = _return_false  # type: ignore[method-assign]
+    _make_patch(ResponseAttribution, "allows_reuse", property(_return_true))()
+
+
+def _accept_response(self: ResponseAttribution, head: Any) -> None:
+    return None
+
+
 _original_read_notice = Protocol.read_notice
 
 ABLATIONS = {
@@ -178,7 +194,7 @@
         (FaultKind.WORKER_FAULTS,),
     ),
     "rejected-request": Ablation(
-        _make_patch(Protocol, "matches_request", _return_true),
+        _attribute_all_responses,
         "'not run' is true",
         (FaultKind.WORKERS_REPEAT,),
     ),
