--- a/soak/rejecting_workers.py
+++ b/soak/rejecting_workers.py
@@ -23,6 +23,15 @@
 _REJECTION_STATUSES = (_MISDIRECTED_STATUS, 429, 503)
 # Backoff that a status of rejections requests; most request none.
 _BACKOFFS_S = (None, None, 1.0)
+# Parts that have no end, of answers whose other content is that of usual ones.
+_ENDLESS_PARTS = (
+    EndlessPart.HEAD,
+    EndlessPart.BODY,
+    EndlessPart.UNFRAMED_BODY,
+    EndlessPart.EVENTS,
+    EndlessPart.INTERIM,
+    EndlessPart.GARBAGE,
+)
 # Pause after each event or interim response that is sent without end.
 _ENDLESS_PAUSE_S = 0.005
 
@@ -87,8 +96,8 @@
     """
     workers = _find_workers(fleet, service)
     for worker in workers:
-        worker.endless_part = rng.choice(list(EndlessPart))
-        worker.endless_pause_s = _ENDLESS_PAUSE_S
+        worker.endless_part = rng.choice(_ENDLESS_PARTS)
+        worker.endless.item_interval_s = _ENDLESS_PAUSE_S
         worker.faults += _mix(rng, Fault.ENDLESS, _ENDLESS_SHARE, _ENDLESS_REQUEST_COUNT)
     try:
         yield
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -133,10 +133,9 @@
 
     def endless_responses(self) -> Iterator[EndlessResponse]:
         """Return records of the responses that this worker sent without end."""
-        for item in self.endless_answers:
-            ended_at = math.inf if item.ended_at is None else item.ended_at
+        for item in self.endless.records:
             yield EndlessResponse(
-                item.request, self.name, item.part, item.began_at, ended_at, item.sent_bytes
+                item.request, self.name, item.part, item.began_at, item.ended_at, item.sent_bytes
             )
 
 
