--- a/cleatlink/relay/endpoints/response_owner_test.py
+++ b/cleatlink/relay/endpoints/response_owner_test.py
@@ -10,7 +10,7 @@
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ResponseHead
 from cleatlink.relay.endpoints.streams import TcpConnector
-from standins.relay import Fault, RawCall, RawServer, Worker
+from standins.relay import Fault, RawCall, RawServer, Run, Worker
 from standins.relay.example_fleet import runs, start
 from standins.relay.fleet import open_fleet
 from standins.relay.raw_server import answer
@@ -111,11 +111,11 @@
     # Trailers of answers that name the call; None if answers don't name it.
     trailers: bytes | None = None
 
-    async def _send_own_status(self, call: RawCall, stream: trio.SocketStream) -> bool:
+    async def _send_own_status(self, run: Run, stream: trio.SocketStream) -> bool:
         if self.trailers is None:
             await stream.send_all(answer(503, {"Retry-After": "60"}))
             return True
-        names = {**self._signed_headers(call), "Transfer-Encoding": "chunked"}
+        names = {**self._signed_headers(run.call), "Transfer-Encoding": "chunked"}
         head = answer(503, names, has_length=False)
         await stream.send_all(head + b"1\r\nx\r\n0\r\n" + self.trailers + b"\r\n")
         return True
