A direct connection whose call is cancelled at that moment is closed

What was seen: three tests that followed others in their process failed once each, with the warning of a socket that was not closed (refused_though_run_test in a run whose output was kept; parsers_test and buffered_bytes_test, whose outputs were not).

Cause found by reading: a direct connection and a tunnel are opened side by side. If the call is cancelled from outside after the connection is open, and before the task of the other one has ended, the connection was the result of a task that nobody got. It stayed open until it was collected.

Evidence: the new test cancels at that moment; the connection stayed open before, and is closed now. That this is the socket of the three tests is suspected, not shown.

--- a/cleatlink/relay/tunnels/dialer.py
+++ b/cleatlink/relay/tunnels/dialer.py
@@ -20,7 +20,7 @@
 _TUNNEL_TIMEOUT_S = 0.25
 
 
-_Work = Callable[[], Awaitable[EndpointStream | None]]
+_Work = Callable[[], Awaitable[None]]
 _Watch = Callable[[trio.CancelScope], Awaitable[None]]
 
 
@@ -99,6 +99,7 @@
         self._ack_timeout_s = ack_timeout_s
         self._timeout_s = timeout_s
         self._tunnel_ends_at = trio.current_time() + timeout_s + allowance_s
+        self._direct: EndpointStream | None = None
         self._tunnel: EndpointStream | None = None
         self._tunnel_failure: PeerFailure | None = None
         self._direct_error: EndpointUnreachableError | None = None
@@ -133,30 +134,31 @@
         return await self._run(self._tunnel_failed.wait, self._open_tunnel)
 
     async def _run(self, work: _Work, watch: _Watch) -> EndpointStream:
-        direct: EndpointStream | None = None
         try:
-            direct = await run_watched(work, watch)
+            await run_watched(work, watch)
         except BaseException:
+            # A connection may be open already, since its task ends before that of the other one.
+            if self._direct is not None:
+                self._direct.close()
             self._close_tunnel()
             raise
-        if direct is not None:
+        if self._direct is not None:
             self._close_tunnel()
-            return direct
+            return self._direct
         if self._tunnel is not None:
             return self._tunnel
         raise self._error()
 
-    async def _connect(self) -> EndpointStream | None:
+    async def _connect(self) -> None:
         """Connect directly; if that fails, wait for the end of the tunnel's attempt."""
         try:
-            return await self._dialer.dial_directly(
+            self._direct = await self._dialer.dial_directly(
                 self._endpoint, self._ack_timeout_s, self._timeout_s
             )
         except EndpointUnreachableError as error:
             self._direct_error = error
             self._direct_failed.set()
             await self._tunnel_failed.wait()
-            return None
 
     async def _open_tunnel(self, scope: trio.CancelScope) -> None:
         timeout_s = max(0.0, self._tunnel_ends_at - trio.current_time())
