--- a/standins/relay/raw_server.py
+++ b/standins/relay/raw_server.py
@@ -8,6 +8,8 @@
 
 import trio
 
+from standins.relay.late_copies import LateCopies
+
 __all__ = ["RawCall", "RawServer", "answer", "chunk", "close_connections", "reset"]
 
 _READ_BYTES = 65_536
@@ -59,6 +61,8 @@
         self.body_bytes_before_response = math.inf
         # Parts of bodies that were read after the response.
         self.late_body_parts: list[bytes] = []
+        # Chooses the answers that are sent a second time; None for none.
+        self.late_copies: LateCopies | None = None
         # Number of requests whose head was read, including those whose body was incomplete.
         self.heads_read = 0
         self._listener: trio.SocketListener | None = None
@@ -92,6 +96,12 @@
     async def serve(self, call: RawCall, stream: trio.SocketStream) -> bool:
         """Respond to one call; return whether the connection stays open."""
 
+    async def send(self, stream: trio.SocketStream, data: bytes) -> None:
+        """Send a part of an answer."""
+        if self.late_copies is not None:
+            self.late_copies.record(stream, data)
+        await stream.send_all(data)
+
     async def _accept(self) -> None:
         assert self._listener is not None
         async with trio.open_nursery() as nursery:
@@ -156,8 +166,12 @@
                 if result is None:
                     return
                 call, buffer = result
+                if self.late_copies is not None:
+                    await self.late_copies.send_due(stream)
                 if not await self.serve(call, stream):
                     return
+                if self.late_copies is not None:
+                    self.late_copies.end_answer(stream, call.path)
                 await self._read_rest(stream, call)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
--- a/standins/relay/worker.py
+++ b/standins/relay/worker.py
@@ -216,12 +216,12 @@
             return await self._serve_reservation(call, stream)
         if call.path == "/order":
             status = self._accept_role_change(json.loads(call.body))
-            await stream.send_all(answer(status, self._notice_headers()))
+            await self.send(stream, answer(status, self._notice_headers()))
             return True
         if "attempt-id" not in call.headers:
             # The sender takes the address for that of another server.
             self.calls_without_id.append(call)
-            await stream.send_all(answer(400, {"Not-Executed": "1", **self._notice_headers()}))
+            await self.send(stream, answer(400, {"Not-Executed": "1", **self._notice_headers()}))
             return True
         self.arrivals.append(call)
         now = trio.current_time()
@@ -230,7 +230,7 @@
         self.arrival_records.append(WorkerArrival(call.headers["attempt-id"], self.service, now))
         expected = call.headers.get("expected-instance", self.name)
         if expected != self.name:
-            await stream.send_all(answer(421, {"Instance-Id": self.name}))
+            await self.send(stream, answer(421, {"Instance-Id": self.name}))
             return True
         fault = self.faults.pop(0) if self.faults else None
         is_repeated = fault is Fault.REPEATED_REJECTION
@@ -363,7 +363,7 @@
         self, call: RawCall, stream: trio.SocketStream, arrival_number: int, fault: Fault | None
     ) -> bool:
         if self.stage != "prefill":
-            await stream.send_all(answer(421, {"Instance-Id": self.name}))
+            await self.send(stream, answer(421, {"Instance-Id": self.name}))
             return True
         record = self.arrival_records[arrival_number]
         self.arrival_records[arrival_number] = record._replace(has_begun_prefill=True)
@@ -407,7 +407,7 @@
         if fault is Fault.NO_RESPONSE:
             await trio.sleep_forever()
         if fault is Fault.GARBAGE:
-            await stream.send_all(b"\x00\x01 this is no answer \r\n\r\n")
+            await self.send(stream, b"\x00\x01 this is no answer \r\n\r\n")
             return False
         if fault is Fault.ENDLESS:
             await self._run_without_end(run, stream, self.body)
@@ -425,7 +425,7 @@
         has_length = not self.ends_with_connection
         data = answer(status, headers, body, has_length=has_length)
         if fault is Fault.TRUNCATED:
-            await stream.send_all(data[:-2])
+            await self.send(stream, data[:-2])
             if not has_length:
                 reset(stream)
             return False
@@ -439,7 +439,7 @@
         for begin in range(0, len(data), size):
             if begin:
                 await trio.sleep(self.part_pause_s)
-            await stream.send_all(data[begin : begin + size])
+            await self.send(stream, data[begin : begin + size])
 
     def plain_duration_s(self, call: RawCall) -> float:
         """Return the duration of a plain call, in seconds."""
@@ -474,7 +474,7 @@
         encode = chunk if has_chunks else bytes
         lines += [f"{name}: {value}" for name, value in self._signed_headers(call).items()]
         try:
-            await stream.send_all(("\r\n".join(lines) + "\r\n\r\n").encode())
+            await self.send(stream, ("\r\n".join(lines) + "\r\n\r\n").encode())
             for number in range(first_event, self.events + 1):
                 await trio.sleep(self.stream_event_interval_s(run.request))
                 if number == self.silent_from_event:
@@ -483,14 +483,14 @@
                 if fault is Fault.ENDLESS_WITHIN and number == self.events // 2 + 1:
                     await self.endless.send(stream, EndlessPart.WITHIN_EVENT, {})
                 if fault is Fault.TRUNCATED and number == self.events // 2 + 1:
-                    await stream.send_all(encode(event[:7]))
+                    await self.send(stream, encode(event[:7]))
                     return False
                 if self.marks_events:
                     event = mark_event(event, self.build)
-                await stream.send_all(encode(event))
+                await self.send(stream, encode(event))
             if not has_chunks:
                 return False
-            await stream.send_all(LAST_CHUNK)
+            await self.send(stream, LAST_CHUNK)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             run.connection_closed = True
             return False
