One decision whose a response is; words of responses without an owner aren't believed

What callers saw: after a response that belongs to no known request, such as a late rejection without an ID on a used connection, calls to the endpoint were held back by the rate limit or the back-off that this response named, though no rejection of any of their requests said so.

Cause: two layers decided. ResponseAttribution.check raised for the caller's code, while ResponseNoticeReader had already read the words of the same head by a rule of its own (Protocol.owner, Protocol.is_response_to), which took a response without an ID for the request's own one.

Ruled out: order alone. Reading the words after the check would still leave two rules that can disagree.

Now ResponseAttribution.note_response decides once for each head; the connection, the notices and the logs use its result, and the ID is searched once. Of a response with another or an unknown owner only a shutdown is read, which holds for the endpoint as such. Trailers have the owner of their response.

The log line of rejections also has the owner.

--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -16,13 +16,9 @@
     OutcomeUnknownError,
     StreamBrokenError,
 )
-from cleatlink.relay.endpoints.attribution import ResponseAttribution
-from cleatlink.relay.endpoints.protocol import (
-    OutgoingRequest,
-    Protocol,
-    ReceivedHead,
-    ResponseHead,
-)
+from cleatlink.relay.endpoints.attribution import ResponseAttribution, ResponseOwner
+from cleatlink.relay.endpoints.protocol import OutgoingRequest, Protocol, ResponseHead
+from cleatlink.relay.endpoints.received_head import ReceivedHead
 from cleatlink.relay.endpoints.streams import EndpointStream, TcpConnector, connect_within
 from cleatlink.relay.tasks import run_watched
 from cleatlink.routing.buffered_bytes import BufferedBytes, BufferKind
@@ -119,10 +115,13 @@
         """Whether the connection is open, with neither data nor its end waiting to be read."""
         return self._stream.is_open_without_input
 
-    @property
-    def last_request_id(self) -> str | None:
-        """ID of the caller's request that was sent last; None for one of the relay itself."""
-        return self._attribution.request_id
+    def allows_request(self, request_id: str | None) -> bool:
+        """Check whether the response to a next request could be told from a copy of the last one.
+
+        Args:
+            request_id: ID of the caller's next request; None for one of the relay itself.
+        """
+        return self._attribution.allows_request(request_id)
 
     async def wait_readable(self) -> None:
         """Wait until data or the end can be read, or until this side closes the connection."""
@@ -179,13 +178,13 @@
             StreamBrokenError,
         ) as error:
             raise OutcomeUnknownError(repr(error)) from error
-        self._attribution.check(response_head)
+        self._attribution.check()
         return response_head
 
     async def _read_own_head(self) -> ResponseHead:
         """Read the head of the response, after an extra response if there is one."""
         head = await self._read_head()
-        if not self._attribution.is_extra_response(head):
+        if self._attribution.owner is not ResponseOwner.PREVIOUS_REQUEST:
             return head
         await self.read_body(_MAX_EXTRA_BODY_BYTES)
         self._attribution.note_extra_response()
@@ -263,13 +262,21 @@
             if name.lower() == b"timeout" and value.isdigit():
                 self._keep_alive_s = float(value)
         self._status = head.status
+        self._attribution.note_response(head)
         self._report_head(head)
         return head
 
     def _report_head(self, head: ResponseHead, *, is_trailer: bool = False) -> None:
         if self._on_head is not None:
-            sent = self._attribution
-            received = ReceivedHead(head, sent.request_id, sent.exchange_number, is_trailer)
+            attribution = self._attribution
+            received = ReceivedHead(
+                head,
+                attribution.owner,
+                attribution.named_request,
+                attribution.request_id,
+                attribution.exchange_number,
+                is_trailer,
+            )
             self._on_head(received)
 
     async def read_chunk(self) -> bytes | None:
--- a/cleatlink/relay/endpoints/pool.py
+++ b/cleatlink/relay/endpoints/pool.py
@@ -12,12 +12,8 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.dialer import Dialer, DirectDialer
-from cleatlink.relay.endpoints.protocol import (
-    OutgoingRequest,
-    Protocol,
-    ReceivedHead,
-    ResponseHead,
-)
+from cleatlink.relay.endpoints.protocol import OutgoingRequest, Protocol, ResponseHead
+from cleatlink.relay.endpoints.received_head import ReceivedHead
 from cleatlink.relay.endpoints.streams import TcpConnector
 from cleatlink.routing.buffered_bytes import BufferedBytes
 from cleatlink.routing.uploads import Upload
@@ -111,8 +107,9 @@
             idle_limit_s: Longest idle time of a connection that may be used.
             must_be_direct: Whether no peer may hold the connection on behalf of this instance.
             must_be_new: Whether to open a connection also if there is an idle one.
-            request_id: ID of the caller's request. A connection whose last request had the same ID
-                is not used, since an extra response to that request could not be told apart.
+            request_id: ID of the caller's request that is sent first; None for one of the relay
+                itself. A connection is not used if a second response to its last request could not
+                be told from the response to this one.
 
         Raises:
             EndpointUnreachableError: No connection could be established.
@@ -122,10 +119,9 @@
         while idle and not must_be_new:
             connection = idle.pop()
             is_usable = connection.is_direct or not must_be_direct
-            is_ambiguous = request_id is not None and connection.last_request_id == request_id
             if (
                 is_usable
-                and not is_ambiguous
+                and connection.allows_request(request_id)
                 and connection.is_within_idle_limit(now, idle_limit_s)
                 and connection.is_reusable
             ):
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -26,13 +26,12 @@
     "REJECTION_STATUSES",
     "EndpointPaths",
     "HeaderNames",
-    "ReservationFields",
-    "RoleChangeFields",
+    "NamedRequest",
     "OutgoingRequest",
     "Protocol",
-    "ReceivedHead",
+    "ReservationFields",
     "ResponseHead",
-    "ResponseOwner",
+    "RoleChangeFields",
 ]
 
 # Hop-by-hop headers, and headers that message framing sets anew on each connection.
@@ -61,12 +60,12 @@
 _TOO_EARLY = 425
 
 
-class ResponseOwner(StrEnum):
+class NamedRequest(StrEnum):
     """Which request a response names; the value is used in logs and metrics."""
 
     THIS_REQUEST = "this request"
     OTHER_REQUEST = "another request"
-    UNNAMED = "no request"
+    NONE = "no request"
 
 
 class HeaderNames(NamedTuple):
@@ -175,22 +174,6 @@
     request_id: str | None = None
 
 
-class ReceivedHead(NamedTuple):
-    """The head of a response, and the request after which it arrived.
-
-    Attributes:
-        head: The head.
-        request_id: ID of the caller's request; None for requests of the relay itself.
-        exchange_number: Number of the request on its connection, from 1.
-        is_trailer: Whether the headers followed the body of the response.
-    """
-
-    head: ResponseHead
-    request_id: str | None
-    exchange_number: int
-    is_trailer: bool = False
-
-
 # The largest priority value, for the least urgent requests, that endpoints support.
 _LOWEST_PRIORITY = 9
 
@@ -374,38 +357,10 @@
             dropped |= {token.strip().lower() for token in connection.split(b",")}
         return tuple((name, value) for name, value in head.headers if name.lower() not in dropped)
 
-    def owner(self, head: ResponseHead, request_id: str | None) -> ResponseOwner:
-        """Return which request a response names.
-
-        Args:
-            head: The head of the response.
-            request_id: ID of the caller's request that was sent; None for a request of the relay.
-        """
+    def read_named_id(self, head: ResponseHead) -> str | None:
+        """Return the ID of the caller's request that a response names, or None if it names none."""
         named_id = head.get(self.names.request_id)
-        if named_id is None:
-            return ResponseOwner.UNNAMED
-        if named_id.decode("latin-1") == request_id:
-            return ResponseOwner.THIS_REQUEST
-        return ResponseOwner.OTHER_REQUEST
-
-    def is_response_to(self, head: ResponseHead, request_id: str | None) -> bool:
-        """Check whether a response is the one to a request.
-
-        A rejection may name no request. It is not an extra copy of an earlier one, since no
-        connection is used again after a rejection that names no request.
-
-        Args:
-            head: The head of the response.
-            request_id: ID of the caller's request that was sent; None for a request of the relay.
-        """
-        owner = self.owner(head, request_id)
-        if owner is not ResponseOwner.UNNAMED:
-            return owner is ResponseOwner.THIS_REQUEST
-        return request_id is None or self.reports_not_executed(head)
-
-    def is_unnamed_rejection(self, head: ResponseHead) -> bool:
-        """Check whether a response is a rejection that names no request."""
-        return self.reports_not_executed(head) and not self.is_response_to_caller(head)
+        return None if named_id is None else named_id.decode("latin-1")
 
     def is_marked_not_executed(self, head: ResponseHead) -> bool:
         """Check whether a response has the mark of a rejection."""
@@ -436,10 +391,6 @@
         """Check whether a response shows that its endpoint accepts work."""
         return head.status not in REJECTION_STATUSES and head.status != MISDIRECTED_REQUEST
 
-    def is_response_to_caller(self, head: ResponseHead) -> bool:
-        """Check whether a response is to a caller's request, not to one of the relay itself."""
-        return head.get(self.names.request_id) is not None
-
     def read_notice(self, head: ResponseHead, request_id: str | None = None) -> EndpointNotice:
         """Read an endpoint's notice from a response head; malformed values are ignored.
 
--- a/cleatlink/relay/endpoints/protocol_test.py
+++ b/cleatlink/relay/endpoints/protocol_test.py
@@ -1,9 +1,9 @@
-"""Tests of which request a response belongs to, and of what it says about that request."""
+"""Tests of what a response says about its request."""
 
 import pytest
 
 from cleatlink.platform import PROTOCOL
-from cleatlink.relay.endpoints.protocol import ResponseHead, ResponseOwner
+from cleatlink.relay.endpoints.protocol import ResponseHead
 
 _OWN = (b"Attempt-Id", b"a")
 _OTHER = (b"Attempt-Id", b"b")
@@ -13,44 +13,6 @@
 _Headers = tuple[tuple[bytes, bytes], ...]
 
 
-@pytest.mark.parametrize(
-    ("headers", "request_id", "expected"),
-    [
-        ((_OWN,), "a", ResponseOwner.THIS_REQUEST),
-        ((_OTHER,), "a", ResponseOwner.OTHER_REQUEST),
-        ((), "a", ResponseOwner.UNNAMED),
-        ((), None, ResponseOwner.UNNAMED),
-        ((_OTHER,), None, ResponseOwner.OTHER_REQUEST),
-    ],
-)
-def test_owner_is_the_request_that_a_response_names(
-    headers: _Headers, request_id: str | None, expected: ResponseOwner
-) -> None:
-    assert PROTOCOL.owner(ResponseHead(200, headers), request_id) is expected
-
-
-@pytest.mark.parametrize(
-    ("status", "headers", "request_id", "expected"),
-    [
-        (200, (_OWN, _STAMP), "a", True),
-        (200, (_OTHER, _STAMP), "a", False),
-        (503, (_OTHER, _MARK), "a", False),
-        (421, (_OTHER, _INSTANCE), "a", False),
-        (503, (_MARK,), "a", True),
-        (421, (_INSTANCE,), "a", True),
-        (503, (), "a", False),
-        (200, (), "a", False),
-        (200, (), None, True),
-        (503, (_MARK,), None, True),
-        (200, (_OTHER,), None, False),
-    ],
-)
-def test_response_belongs_to_a_request_that_it_names_or_rejects(
-    status: int, headers: _Headers, request_id: str | None, expected: bool
-) -> None:
-    assert PROTOCOL.is_response_to(ResponseHead(status, headers), request_id) is expected
-
-
 @pytest.mark.parametrize(
     ("status", "headers", "expected"),
     [
--- a/cleatlink/relay/endpoints/response_notices.py
+++ b/cleatlink/relay/endpoints/response_notices.py
@@ -1,7 +1,7 @@
 """Reads the notices that endpoints put into the headers of their responses.
 
 Every response is read. A notice says that the endpoint is shutting down, asks for a back-off, or
-names a rate limit. Of a response that belongs to an earlier request only a shutdown still holds.
+names a rate limit. Of a response that belongs to another request only a shutdown still holds.
 """
 
 from collections.abc import Callable
@@ -10,14 +10,10 @@
 import trio
 
 from cleatlink.core.errors import NOT_RUN_STATUSES
-from cleatlink.core.notices import EMPTY_NOTICE, EndpointNotice
+from cleatlink.core.notices import EndpointNotice
 from cleatlink.core.routes import RoutedEndpoint
-from cleatlink.relay.endpoints.protocol import (
-    Protocol,
-    ReceivedHead,
-    ResponseHead,
-    ResponseOwner,
-)
+from cleatlink.relay.endpoints.protocol import Protocol, ResponseHead
+from cleatlink.relay.endpoints.received_head import ReceivedHead
 from cleatlink.relay.logs import LogRateLimit
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.routing.endpoint_limits import EndpointLimits
@@ -109,24 +105,15 @@
         self._log_unknown_headers(endpoint, head)
         if not received.is_trailer:
             self._record_rejection(endpoint, received, now)
-        if self._protocol.owner(head, received.request_id) is ResponseOwner.OTHER_REQUEST:
-            self._process_late_head(endpoint, head, now)
-            return
-        if self._protocol.accepts_work(head):
-            self._notices.note_served(endpoint.name, now)
         notice = self._protocol.read_notice(head, received.request_id)
-        self._record_limit(endpoint, head, notice, now)
-        if notice == EMPTY_NOTICE:
-            return
+        if received.is_own:
+            if self._protocol.accepts_work(head):
+                self._notices.note_served(endpoint.name, now)
+            self._record_limit(endpoint, received, notice, now)
+            if notice.backoff_s:
+                self._record_backoff(endpoint, notice.backoff_s, now)
         if notice.leaving:
             self._record_leaving(endpoint, head.status, now)
-        if notice.backoff_s:
-            self._record_backoff(endpoint, notice.backoff_s, now)
-
-    def _process_late_head(self, endpoint: RoutedEndpoint, head: ResponseHead, now: float) -> None:
-        """Process the notice in a response that is late, of which only a shutdown still holds."""
-        if self._protocol.read_notice(head).leaving:
-            self._record_leaving(endpoint, head.status, now)
 
     def _log_unknown_headers(self, endpoint: RoutedEndpoint, head: ResponseHead) -> None:
         """Log headers that the relay does not read, since they may carry an unsupported notice."""
@@ -152,8 +139,8 @@
         is_marked = protocol.is_marked_not_executed(head)
         if not is_marked and head.status not in NOT_RUN_STATUSES:
             return
-        owner = protocol.owner(head, received.request_id)
-        self._metrics.count_endpoint_rejection(owner.value, is_marked=is_marked)
+        named_request = received.named_request.value
+        self._metrics.count_endpoint_rejection(named_request, is_marked=is_marked)
         if self._rejection_log_limit.allow(now):
             eliot.log_message(
                 message_type="endpoint: response has a status or the mark of a rejection",
@@ -162,7 +149,8 @@
                 request=received.request_id,
                 status=head.status,
                 marked=is_marked,
-                names=owner.value,
+                names=named_request,
+                owner=received.owner.value,
                 exchange=received.exchange_number,
             )
 
@@ -192,7 +180,11 @@
             )
 
     def _record_limit(
-        self, endpoint: RoutedEndpoint, head: ResponseHead, notice: EndpointNotice, now: float
+        self,
+        endpoint: RoutedEndpoint,
+        received: ReceivedHead,
+        notice: EndpointNotice,
+        now: float,
     ) -> None:
         """Set, change or remove the rate limit that an endpoint names for all instances together.
 
@@ -205,7 +197,7 @@
             self._metrics.count_endpoint_notice("limit")
             if notice.rate_per_s is None:
                 return
-        elif before is None or not self._protocol.is_response_to_caller(head):
+        elif before is None or received.is_trailer or not received.is_to_caller:
             return
         if not self._limits.note_response(endpoint.name, notice.rate_per_s, now):
             return
--- a/cleatlink/relay/late_copies_test.py
+++ b/cleatlink/relay/late_copies_test.py
@@ -7,12 +7,13 @@
 import pytest
 import trio
 
-from standins.relay import Fault, Worker
+from standins.relay import Fault, RawCall, Worker
 from standins.relay.cut_paths import PathCut
 from standins.relay.example_fleet import STREAM, engines, runs, start
 from standins.relay.fleet import Fleet, open_fleet
 from standins.relay.late_copies import LateCopies
 from standins.relay.raw_client import Reply
+from standins.relay.raw_server import answer
 
 pytestmark = pytest.mark.virtual_time
 
@@ -146,3 +147,24 @@
         assert broken == []
         assert count_copies(fleet) > CALLERS
         assert sum(served.values())
+
+
+class _SpeakingWorker(Worker):
+    """Sends a rejection that names no request, after the second request has come in."""
+
+    async def serve(self, call: RawCall, stream: trio.SocketStream) -> bool:
+        if len(self.arrivals) == 1:
+            words = {"Server-Limit": "0.5", "Retry-After": "2", "Not-Executed": "1"}
+            await self.send(stream, answer(503, words))
+        return await super().serve(call, stream)
+
+
+async def test_response_without_an_owner_set_a_rate_limit_and_asked_for_a_backoff() -> None:
+    async with open_fleet() as fleet:
+        worker = _SpeakingWorker("plain")
+        await start(fleet, worker)
+        caller = fleet.caller()
+        replies = [await caller.ask("/unsafe/x", "POST", body=b"p") for _ in range(3)]
+        limits = fleet.instances[0].capacity.endpoint_limits
+        assert limits.rate_per_s(worker.name) is None
+        assert [reply.status for reply in replies] == [200, 502, 200]
--- a/soak/ablations.py
+++ b/soak/ablations.py
@@ -18,7 +18,7 @@
 from cleatlink.relay.calls.event_parser import EventParser
 from cleatlink.relay.calls.planned_stop import PlannedStop
 from cleatlink.relay.calls.stream_origin import StreamOrigin
-from cleatlink.relay.endpoints.attribution import ResponseAttribution
+from cleatlink.relay.endpoints.attribution import ResponseAttribution, ResponseOwner
 from cleatlink.relay.endpoints.protocol import Protocol
 from cleatlink.relay.following.follower import Follower
 from cleatlink.relay.following.store_client import StoreClient
@@ -56,10 +56,6 @@
     return True
 
 
-def _return_false(*_: object, **__: object) -> bool:
-    return False
-
-
 def _accept_any_table(self: FleetRecords, table: Any) -> bool:
     self._table = table
     return True
@@ -151,12 +147,17 @@
 
 def _attribute_all_responses() -> None:
     """Take each response for the one to the request that was sent last on its connection."""
-    ResponseAttribution.check = _accept_response  # type: ignore[method-assign]
-    ResponseAttribution.is_extra_response = _return_false  # type: ignore[method-assign]
+    _make_patch(ResponseAttribution, "owner", property(_return_this_request))()
+    _make_patch(ResponseAttribution, "check", _accept_response)()
     _make_patch(ResponseAttribution, "allows_reuse", property(_return_true))()
+    _make_patch(ResponseAttribution, "allows_request", _return_true)()
+
+
+def _return_this_request(self: ResponseAttribution) -> ResponseOwner:
+    return ResponseOwner.THIS_REQUEST
 
 
-def _accept_response(self: ResponseAttribution, head: Any) -> None:
+def _accept_response(self: ResponseAttribution) -> None:
     return None
 
 
@@ -189,7 +190,7 @@
         (FaultKind.WORKER_LINK_RESET, FaultKind.WORKER_FAULTS),
     ),
     "whose-answer": Ablation(
-        _make_patch(Protocol, "is_response_to", _return_true),
+        _make_patch(ResponseAttribution, "check", _accept_response),
         "the whole answer to its own request",
         (FaultKind.WORKER_FAULTS,),
     ),
