A late copy of a reply isn't taken for the reply to a role order or a reservation

What operators saw: nothing directly. A role order whose connection had carried another request of the relay itself, such as the free of a handle, took a late copy of that reply for its own: a copied 200 counted as accepted where the engine refused, a copied 412 raised the fencing token, a copied 503 said "full". Reservations took copies of earlier refusals, and the capacity that the engine had granted stayed reserved for nobody until it expired.

Cause: requests of the relay itself have no ID and neither have their replies, so nothing tells the reply to one from a copy of the reply to the last. The pool avoided connections whose last request had the same ID, but treated "no ID" as different from "no ID".

Ruled out: IDs of the callers' requests on reservations. An endpoint may count such a request as one of the caller's.

Now a connection whose last request had no ID carries a caller's request next, or is closed; a reply without an ID after another one has no owner.

--- a/cleatlink/relay/calls/decode_target.py
+++ b/cleatlink/relay/calls/decode_target.py
@@ -79,7 +79,8 @@
             if isinstance(placement, Refusal):
                 return placement
             self._placement, self._is_sent = placement, False
-            if not await self.connect() or not await self._reserve_at_endpoint():
+            reserves = self.reservation.is_requested_at(self.endpoint)
+            if not await self.connect(reserves=reserves) or not await self._reserve_at_endpoint():
                 continue
             if placement.computes_prompt:
                 return None
@@ -116,14 +117,18 @@
         self._is_sent = True
         return connection
 
-    async def connect(self) -> bool:
-        """Connect to the endpoint first, so that no prompt is computed for an unreachable one."""
+    async def connect(self, *, reserves: bool = False) -> bool:
+        """Connect to the endpoint first, so that no prompt is computed for an unreachable one.
+
+        Args:
+            reserves: Whether a reservation is requested on the connection before the stream.
+        """
         self._close_connection()
         try:
             self._connection = await self._components.pool.acquire(
                 self.endpoint,
                 UNREPEATABLE_IDLE_LIMIT_S,
-                request_id=self._call.inbound.request_id,
+                request_id=None if reserves else self._call.inbound.request_id,
             )
         except EndpointUnreachableError as error:
             self._call.note_failure(self.endpoint, error)
--- a/cleatlink/relay/calls/endpoint_reservation.py
+++ b/cleatlink/relay/calls/endpoint_reservation.py
@@ -72,6 +72,23 @@
         if trio.current_time() < self._valid_until:
             self._components.spawn(self._cancel, endpoint, self._reservation_id)
 
+    def is_requested_at(self, endpoint: RoutedEndpoint) -> bool:
+        """Check whether capacity is reserved at an endpoint before a stream is sent there."""
+        return self._lifetime_s(endpoint) > 0.0
+
+    def _lifetime_s(self, endpoint: RoutedEndpoint) -> float:
+        """Return how long a reservation at an endpoint lasts, in seconds; 0 without one."""
+        engine_properties = self._call.service.engine
+        capacity = self._components.capacity
+        if engine_properties is None:
+            return 0.0
+        if not capacity.switches.is_enabled(Mechanism.CAPACITY_RESERVATIONS):
+            return 0.0
+        if capacity.endpoint_limits.rate_per_s(endpoint.name) is not None:
+            # A reservation request would count against the endpoint's rate limit like the stream.
+            return 0.0
+        return engine_properties.hold_s
+
     async def request(
         self, endpoint: RoutedEndpoint, connection: EndpointConnection, output_tokens: int
     ) -> ReservationOutcome:
@@ -82,18 +99,12 @@
             connection: A connection to it; closed if the request fails.
             output_tokens: Estimated length of the answer, in tokens.
         """
-        engine_properties = self._call.service.engine
-        is_enabled = self._components.capacity.switches.is_enabled(Mechanism.CAPACITY_RESERVATIONS)
-        if engine_properties is None or not engine_properties.hold_s or not is_enabled:
-            return ReservationOutcome.NOT_OFFERED
-        if self._components.capacity.endpoint_limits.rate_per_s(endpoint.name) is not None:
-            # A reservation request would count against the endpoint's rate limit like the stream.
+        lifetime_s = self._lifetime_s(endpoint)
+        if not lifetime_s:
             return ReservationOutcome.NOT_OFFERED
         self.cancel()
         tokens = self._call.inbound.prompt_tokens + int(_OUTPUT_SHARE * output_tokens)
-        request = self._components.protocol.make_reservation_request(
-            endpoint, tokens, engine_properties.hold_s
-        )
+        request = self._components.protocol.make_reservation_request(endpoint, tokens, lifetime_s)
         began_at = trio.current_time()
         try:
             with trio.fail_after(_TIMEOUT_S):
@@ -105,7 +116,7 @@
             return ReservationOutcome.FAILED
         connection.end_exchange(trio.current_time())
         outcome = self._handle_reply(endpoint, Response(head, body))
-        self._valid_until = began_at + _USABLE_SHARE * engine_properties.hold_s
+        self._valid_until = began_at + _USABLE_SHARE * lifetime_s
         self._call.log(
             "reservation requested at the endpoint",
             endpoint=endpoint.name,
--- a/cleatlink/relay/endpoints/attribution.py
+++ b/cleatlink/relay/endpoints/attribution.py
@@ -101,7 +101,7 @@
         Args:
             request_id: ID of the caller's next request; None for one of the relay itself.
         """
-        return request_id is None or self._request is None or self.request_id != request_id
+        return self._request is None or self.request_id != request_id
 
     def note_sent(self, request: OutgoingRequest) -> None:
         """Record that a request is sent."""
@@ -157,8 +157,9 @@
         that one's. A misdirected one is not: it comes from another endpoint.
         """
         assert self._protocol is not None, "responses name requests"
+        has_copy = self._previous is not None and self._previous.request_id is None
         if self.request_id is None:
-            return ResponseOwner.THIS_REQUEST
+            return ResponseOwner.UNKNOWN if has_copy else ResponseOwner.THIS_REQUEST
         is_rejection = self._protocol.reports_not_executed(head)
         is_new = self._previous is None
         is_misdirected = head.status == MISDIRECTED_REQUEST and not self._has_extra_response
--- a/cleatlink/relay/endpoints/attribution_test.py
+++ b/cleatlink/relay/endpoints/attribution_test.py
@@ -72,6 +72,7 @@
 
 
 _REPLY = ResponseHead(200, ((b"Content-Type", b"application/json"),))
+_FULL = ResponseHead(503, ((b"Retry-After", b"2"),))
 
 
 @pytest.mark.parametrize(
@@ -82,8 +83,20 @@
         ("b", ResponseHead(503, (_OTHER, _MARK)), "a", ResponseHead(503, (_OTHER,)), _PREVIOUS),
         ("b", ResponseHead(200, (_OTHER, _STAMP)), None, ResponseHead(200, (_OTHER,)), _PREVIOUS),
         ("c", ResponseHead(200, ()), "a", ResponseHead(200, (_OTHER,)), _ANOTHER),
+        # Copies of the reply to a request of the relay itself.
+        (None, _REPLY, "a", _FULL, _UNKNOWN),
+        (None, _REPLY, None, _REPLY, _UNKNOWN),
+        (None, _REPLY, None, _FULL, _UNKNOWN),
         # Rejections that name no request.
         ("b", ResponseHead(200, (_OTHER, _STAMP)), "a", ResponseHead(503, (_MARK,)), _UNKNOWN),
+        (None, _REPLY, "a", ResponseHead(503, (_MARK,)), _UNKNOWN),
+        (
+            None,
+            ResponseHead(503, (_MARK,)),
+            "a",
+            ResponseHead(503, (_MARK,)),
+            _UNKNOWN,
+        ),
         ("b", ResponseHead(200, (_OTHER, _STAMP)), "a", ResponseHead(421, (_INSTANCE,)), _THIS),
         # Replies to requests of the relay itself.
         ("b", ResponseHead(200, (_OTHER, _STAMP)), None, _REPLY, _THIS),
@@ -112,6 +125,7 @@
 def test_copy_with_another_framing_is_not_skipped() -> None:
     copy = ResponseHead(200, (_OTHER, _STAMP))
     assert attribute([("b", copy), ("a", copy)], b"HEAD").owner is _ANOTHER
+    assert attribute([(None, _REPLY), ("a", _REPLY)], b"HEAD").owner is _UNKNOWN
 
 
 @pytest.mark.parametrize(
@@ -121,6 +135,7 @@
         ("a", None, True),
         (None, "a", True),
         ("a", "a", False),
+        (None, None, False),
     ],
 )
 def test_connection_carries_no_request_whose_response_looks_like_the_last(
--- a/cleatlink/relay/late_copies_test.py
+++ b/cleatlink/relay/late_copies_test.py
@@ -7,6 +7,11 @@
 import pytest
 import trio
 
+from cleatlink.core.data import Role
+from cleatlink.core.routes import RoutedEndpoint
+from cleatlink.platform import PROTOCOL
+from cleatlink.relay.endpoints.pool import IDLE_LIMIT_S, ConnectionPool, Response
+from cleatlink.relay.endpoints.protocol import OutgoingRequest
 from standins.relay import Fault, RawCall, Worker
 from standins.relay.cut_paths import PathCut
 from standins.relay.example_fleet import STREAM, engines, runs, start
@@ -30,6 +35,7 @@
 CUT_AGE_S = 5.0
 # Interval between the ends of peers that carry tunnels, in seconds.
 PEER_END_INTERVAL_S = 0.15
+MAX_REPLY_BYTES = 1000
 SEED = 11
 
 MakeCopies = Callable[[Callable[[str], bool]], LateCopies]
@@ -149,6 +155,58 @@
         assert sum(served.values())
 
 
+class _ScriptedWorker(Worker):
+    """Sends given answers to the next calls, whatever they are."""
+
+    def __init__(self, *answers: bytes) -> None:
+        super().__init__("plain")
+        self._answers = list(answers)
+
+    async def serve(self, call: RawCall, stream: trio.SocketStream) -> bool:
+        await self.send(stream, self._answers.pop(0))
+        return True
+
+
+async def _call_in_a_row(
+    worker: Worker, make_requests: Callable[[RoutedEndpoint], list[OutgoingRequest]]
+) -> list[Response]:
+    """Send requests to a worker through one pool, one after the other."""
+    responses = []
+    async with trio.open_nursery() as nursery:
+        await worker.start(nursery)
+        endpoint = RoutedEndpoint(worker.name, worker.address, "a", "plain", Role.PLAIN, 6)
+        pool = ConnectionPool(protocol=PROTOCOL)
+        for request in make_requests(endpoint):
+            response = await pool.call(
+                endpoint,
+                IDLE_LIMIT_S,
+                lambda request=request: request,  # type: ignore[misc]
+                MAX_REPLY_BYTES,
+                request_id=request.request_id,
+            )
+            responses.append(response)
+        pool.close()
+        worker.close()
+        nursery.cancel_scope.cancel()
+    return responses
+
+
+@pytest.mark.parametrize("copied_status", [200, 412, 503])
+async def test_late_copy_of_another_reply_was_taken_for_the_reply_to_a_role_order(
+    copied_status: int,
+) -> None:
+    worker = _ScriptedWorker(answer(copied_status, {}), answer(202, {}))
+    worker.late_copies = LateCopies(lambda _: True)
+
+    def make_requests(endpoint: RoutedEndpoint) -> list[OutgoingRequest]:
+        free = PROTOCOL.make_relay_request(b"DELETE", "/kv-handle/h", endpoint)
+        order = PROTOCOL.make_role_change_request(endpoint, Role.PREFILL, "n1", 7)
+        return [free, order]
+
+    responses = await _call_in_a_row(worker, make_requests)
+    assert [item.head.status for item in responses] == [copied_status, 202]
+
+
 class _SpeakingWorker(Worker):
     """Sends a rejection that names no request, after the second request has come in."""
 
