A stream isn't failed by a late copy of the reply to its reservation

What callers saw: 502 for streams whose reservation's reply came a second time, although the endpoint ran them: the copy stood where the stream's answer should come, names no request, and so the outcome was unknown.

Cause: an extra response was skipped only if it named the previous request; replies to requests of the relay itself name none.

Now a response without an ID is skipped as well if it equals the last reply to a request of the relay itself and is no rejection of this one. Equality is needed: any other response without an ID may be a gateway's, after which no second one comes.

--- a/cleatlink/relay/endpoints/attribution.py
+++ b/cleatlink/relay/endpoints/attribution.py
@@ -53,7 +53,9 @@
         self._protocol = protocol
         self._request: OutgoingRequest | None = None
         self._previous: OutgoingRequest | None = None
+        # The last response, and the one to the request before the last.
         self._head: ResponseHead | None = None
+        self._previous_head: ResponseHead | None = None
         self._named = NamedRequest.NONE
         self._owner = ResponseOwner.UNKNOWN
         self._is_unnamed_rejection = False
@@ -106,6 +108,7 @@
     def note_sent(self, request: OutgoingRequest) -> None:
         """Record that a request is sent."""
         self._previous, self._request = self._request, request
+        self._previous_head, self._head = self._head, None
         self._exchange_number += 1
 
     def note_response(self, head: ResponseHead) -> None:
@@ -165,6 +168,8 @@
         is_misdirected = head.status == MISDIRECTED_REQUEST and not self._has_extra_response
         if is_rejection and (is_new or is_misdirected):
             return ResponseOwner.THIS_REQUEST
+        if has_copy and not is_rejection and head == self._previous_head and self._may_skip():
+            return ResponseOwner.PREVIOUS_REQUEST
         return ResponseOwner.UNKNOWN
 
     def _may_skip(self) -> bool:
--- a/cleatlink/relay/endpoints/attribution_test.py
+++ b/cleatlink/relay/endpoints/attribution_test.py
@@ -84,6 +84,8 @@
         ("b", ResponseHead(200, (_OTHER, _STAMP)), None, ResponseHead(200, (_OTHER,)), _PREVIOUS),
         ("c", ResponseHead(200, ()), "a", ResponseHead(200, (_OTHER,)), _ANOTHER),
         # Copies of the reply to a request of the relay itself.
+        (None, _REPLY, "a", _REPLY, _PREVIOUS),
+        (None, _FULL, "a", _FULL, _PREVIOUS),
         (None, _REPLY, "a", _FULL, _UNKNOWN),
         (None, _REPLY, None, _REPLY, _UNKNOWN),
         (None, _REPLY, None, _FULL, _UNKNOWN),
--- a/cleatlink/relay/late_copies_test.py
+++ b/cleatlink/relay/late_copies_test.py
@@ -155,6 +155,22 @@
         assert sum(served.values())
 
 
+async def test_stream_was_failed_by_a_late_copy_of_the_reply_to_its_reservation() -> None:
+    async with open_fleet() as fleet:
+        await start(fleet, *engines())
+        version = fleet.configure(HOLDS)
+        records = fleet.instances[0].records
+        await fleet.wait_until(lambda: records.table_revision == version)
+        for worker in fleet.workers:
+            worker.late_copies = LateCopies(lambda path: path.startswith("/hold-"))
+        caller = fleet.caller()
+        replies = [
+            await caller.ask("/stream/x", "POST", body=b"p", headers=STREAM) for _ in range(10)
+        ]
+        assert count_copies(fleet) >= 10
+        assert [reply.status for reply in replies] == [200] * 10
+
+
 class _ScriptedWorker(Worker):
     """Sends given answers to the next calls, whatever they are."""
 
