A plain service that rejects a request with 421 and its own name keeps its other work

Cause: each 421 was read as "another endpoint has this address", whichever endpoint it names. That holds if it names another one, and for engines, which answer 421 in the wrong role until their entry has the new one. A plain service that names itself has neither: it rejects this request.

Now such a 421 counts as a rejection like 429 and 503. Its request did not run, as before.

Evidence: the new test fails before (503 for the second call, after 1 s) and passes now.

--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -19,7 +19,7 @@
 from cleatlink.organisations import ANONYMOUS, Admission, CallerIdentity
 from cleatlink.quarantine import NO_PROMPT, PromptParts, Suspect, digest_prompt, select_parts
 from cleatlink.relay.calls.components import RelayComponents
-from cleatlink.relay.endpoints.protocol import MISDIRECTED_REQUEST, ResponseHead
+from cleatlink.relay.endpoints.protocol import ResponseHead
 from cleatlink.relay.peers.messages import HintKind
 from cleatlink.request.arrival_ledger import ArrivalLedger
 from cleatlink.routing.mechanisms import Mechanism
@@ -350,7 +350,7 @@
             status=head.status,
             rest_s=backoff_s,
         )
-        if head.status == MISDIRECTED_REQUEST:
+        if self._components.protocol.is_misdirected(head, endpoint):
             self.note_address_reused(endpoint)
             capacity.note_address_mismatch(endpoint.name)
         else:
--- a/cleatlink/relay/calls/refused_though_run_test.py
+++ b/cleatlink/relay/calls/refused_though_run_test.py
@@ -9,7 +9,7 @@
 import pytest
 import trio
 
-from standins.relay import Fault, Worker
+from standins.relay import Fault, RawCall, Worker
 from standins.relay.cut_paths import PathCut
 from standins.relay.example_fleet import STREAM, engines, runs, start
 from standins.relay.fleet import Fleet, open_fleet
@@ -204,3 +204,22 @@
         for path in (*PLAIN_PATHS, STREAM_PATH):
             answer_with_own_status(plain + decodes, status)
             assert (path, *(await ask(fleet, path))[0]) == (path, 502, 1)
+
+
+class _SelfNamingWorker(Worker):
+    """Rejects calls with 421 and its own name; its registration does not change."""
+
+    async def _reject(self, call: RawCall, stream: trio.SocketStream, *, is_repeated: bool) -> bool:
+        headers = {**self.rejections.headers(call), "Instance-Id": self.name}
+        return await self._send_answer(stream, 421, headers)
+
+
+async def test_421_that_names_the_endpoint_itself_kept_it_from_all_further_work() -> None:
+    async with open_fleet() as fleet:
+        worker = _SelfNamingWorker("plain")
+        await start(fleet, worker)
+        worker.faults = [Fault.FULL]
+        first, _ = await ask(fleet, "/unsafe/x")
+        assert first == Outcome(503, 0)
+        await trio.sleep(1.0)
+        assert (await ask(fleet, "/unsafe/x"))[0] == Outcome(200, 1)
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -380,6 +380,17 @@
             and not self.has_signature(head)
         )
 
+    def is_misdirected(self, head: ResponseHead, endpoint: RoutedEndpoint) -> bool:
+        """Check whether a response says that its request belongs elsewhere.
+
+        Another endpoint has the address, or the endpoint has another role now. A plain service that
+        names itself has neither: it rejects this request only.
+        """
+        if head.status != MISDIRECTED_REQUEST:
+            return False
+        named_endpoint = (head.get(self.names.endpoint) or b"").decode("latin-1")
+        return endpoint.role is not Role.PLAIN or named_endpoint != endpoint.registered_name
+
     def is_failure(self, head: ResponseHead) -> bool:
         """Check whether a response that is no rejection says that its endpoint failed the request.
 
