Soak: workers that send any of their answers twice

The soak doubled rejections (workers_repeat) and successes of an ID that no request had, but neither streams, handles, reservations nor frees, and not beside kills. The kind workers_copy doubles 30 in 100 of all answers of a service's workers, half of the workers after an interim response.

--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -24,6 +24,7 @@
     WorkerLeavingNotice,
 )
 from soak.rejecting_workers import (
+    answers_sent_twice,
     bytes_without_end,
     rejections_sent_twice,
     statuses_of_rejections,
@@ -116,6 +117,7 @@
     FaultKind.WORKERS_OWN_STATUS: statuses_of_rejections,
     FaultKind.WORKERS_REPEAT: rejections_sent_twice,
     FaultKind.WORKERS_ENDLESS: bytes_without_end,
+    FaultKind.WORKERS_COPY: answers_sent_twice,
 }
 
 # Kinds that are not recorded as disturbances of their target, during which checks are suspended:
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -82,6 +82,7 @@
     WORKERS_OWN_STATUS = "workers of a service run requests and answer with statuses of rejections"
     WORKERS_REPEAT = "workers of a service reject requests, and send rejections again later"
     WORKERS_ENDLESS = "workers of a service send bytes without end"
+    WORKERS_COPY = "workers of a service send any of their answers again later"
 
 
 # Planned operations only; none of them may interrupt a request.
@@ -280,6 +281,21 @@
     FaultKind.WORKERS_OWN_STATUS,
     FaultKind.WORKERS_REPEAT,
     FaultKind.WORKERS_ENDLESS,
+    FaultKind.WORKERS_COPY,
+)
+# Answers of all kinds that are sent twice, combined with instances that are stopped, killed, paused
+# and lose their paths, with reset links, and with workers that leave.
+COPY_KINDS = (
+    FaultKind.WORKERS_COPY,
+    FaultKind.WORKERS_COPY,
+    FaultKind.WORKERS_COPY,
+    FaultKind.WORKERS_REPEAT,
+    FaultKind.INSTANCE_STOP,
+    FaultKind.INSTANCE_KILL,
+    FaultKind.INSTANCE_PAUSE,
+    FaultKind.WORKER_LINK_RESET,
+    FaultKind.WORKER_RELEASE,
+    FaultKind.PATHS_CUT,
 )
 _DEFAULT_KINDS = tuple(kind for kind in FaultKind if kind not in _OPT_IN_KINDS)
 
--- a/soak/rejecting_workers.py
+++ b/soak/rejecting_workers.py
@@ -1,4 +1,4 @@
-"""Makes the workers of a service answer with statuses of rejections, reject twice, or not end."""
+"""Makes the workers of a service answer with statuses of rejections, twice, or without end."""
 
 import random
 from collections.abc import Iterator
@@ -7,14 +7,22 @@
 from soak.fleet import SoakFleet
 from soak.workers import SoakWorker
 from standins.relay import EndlessPart, Fault
+from standins.relay.late_copies import LateCopies
 
-__all__ = ["bytes_without_end", "rejections_sent_twice", "statuses_of_rejections"]
+__all__ = [
+    "answers_sent_twice",
+    "bytes_without_end",
+    "rejections_sent_twice",
+    "statuses_of_rejections",
+]
 
 # Number of requests that each worker may mishandle, and the share of them that it mishandles.
 _REQUEST_COUNT = 500
 _OWN_STATUS_SHARE = 0.4
 _REJECTION_SHARE = 0.3
 _ENDLESS_SHARE = 0.1
+# Share of all answers that are sent a second time.
+_COPIED_SHARE = 0.3
 # Number of requests among which a worker answers some without end.
 _ENDLESS_REQUEST_COUNT = 20
 # Statuses that tell a caller that its request has not run.
@@ -106,6 +114,27 @@
             worker.faults.clear()
 
 
+@contextmanager
+def answers_sent_twice(fleet: SoakFleet, service: str, rng: random.Random) -> Iterator[None]:
+    """Make workers send a share of all their answers again, when the next request has come in.
+
+    Args:
+        fleet: The fleet.
+        service: The service whose workers answer so.
+        rng: Chooses the answers, and for each worker what precedes them.
+    """
+    workers = _find_workers(fleet, service)
+    for worker in workers:
+        worker.late_copies = LateCopies(
+            lambda _: rng.random() < _COPIED_SHARE, follows_interim=rng.random() < 0.5
+        )
+    try:
+        yield
+    finally:
+        for worker in workers:
+            worker.late_copies = None
+
+
 def _find_workers(fleet: SoakFleet, service: str) -> list[SoakWorker]:
     return [worker for worker in fleet.active_workers if worker.service == service]
 
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -13,6 +13,7 @@
     BUILD_KINDS,
     CLOCK_KINDS,
     CONNECTION_KINDS,
+    COPY_KINDS,
     CRASH_KINDS,
     CRASHING_PART_KINDS,
     MIXED_BUILD_KINDS,
@@ -60,6 +61,7 @@
         FaultKind.WORKERS_OWN_STATUS,
         FaultKind.WORKERS_REPEAT,
         FaultKind.WORKERS_ENDLESS,
+        FaultKind.WORKERS_COPY,
     }
     assert default_kinds == set(FaultKind) - opt_in_kinds
     kinds = tuple(FaultKind)
@@ -358,3 +360,13 @@
         FaultKind.WORKERS_ENDLESS,
     } <= kinds
     assert len(kinds) > 4
+
+
+@pytest.mark.alone
+async def test_late_copies_of_answers_are_not_taken_for_others_under_other_faults() -> None:
+    settings = RunSettings(
+        CI_SEED, seconds=12.0, instances=4, callers=16, rate=1.2, kinds=COPY_KINDS
+    )
+    result = await run_soak(settings)
+    assert result.violations == []
+    assert FaultKind.WORKERS_COPY in {fault.kind for fault in result.faults}
