A lost connection to the configuration service isn't an outage: missed removals apply at once

Cause: each failed call counted as an outage of the service, after which removals are delayed by 1.2 s, since registrations may have expired in it. The delay counted from the reading of the removal, on top of the 2 to 3 s in which a silent connection goes unnoticed. A reset of one connection was delayed alike.

Ruled out: a faster keep-alive alone; the delay stays on top of it.

Now a call that ends without an answer on an open connection, followed by one that is answered, is the loss of a connection: what was read then has happened before, and applies at once. Changes that remove more than half of a service's endpoints still count as an outage, which may be as long as a wait for changes.

--- a/cleatlink/relay/following/follower.py
+++ b/cleatlink/relay/following/follower.py
@@ -16,6 +16,7 @@
 from cleatlink.relay.following.registrations import RECOVERY_S, Registrations
 from cleatlink.relay.following.source import (
     ConfigurationSource,
+    ConnectionLostError,
     HistoryUnavailableError,
     SourceChange,
 )
@@ -24,7 +25,7 @@
 from cleatlink.relay.peers.messages import RegistrationUpdate
 from cleatlink.relay.peers.snapshots import Snapshot
 from cleatlink.routing.capacity import Capacity
-from cleatlink.routing.fleet_records import FleetRecords
+from cleatlink.routing.fleet_records import EndpointRecord, FleetRecords
 from cleatlink.routing.table_tracker import TableTracker
 
 __all__ = ["Follower", "FollowerHooks"]
@@ -132,6 +133,11 @@
         # Full reads because of missing history, since the last incremental change.
         self._consecutive_full_reads = 0
         self._connected = False
+        # Whether the calls that failed last show an outage of the service, not just the loss of one
+        # connection to it.
+        self._is_outage = True
+        # Whether the change that is applied next is the first one after failed calls.
+        self._has_reconnected = False
         # Whether this instance watched the service at its last check.
         self._has_watched = True
         self._reconnected_at = -math.inf
@@ -297,6 +303,8 @@
 
     def _mark_disconnected(self, error: Exception) -> None:
         self._metrics.count_configuration_call("failed")
+        # If the next call is answered on a new connection, only this connection was lost.
+        self._is_outage = not (self._connected and isinstance(error, ConnectionLostError))
         if self._connected:
             self._connected = False
             eliot.log_message(
@@ -311,9 +319,7 @@
         self._table_tracker.note_service_response(trio.current_time())
         if not self._connected:
             self._connected = True
-            self._reconnected_at = trio.current_time()
-            if self._has_endpoint_list:
-                self._registrations.note_reconnected()
+            self._has_reconnected = True
             eliot.log_message(
                 message_type="source: configuration service answers",
                 revision=change.revision.number,
@@ -324,14 +330,35 @@
         self._log_era_change(change.revision, "source")
         records = list(change.records)
         if change.is_full:
-            self._has_endpoint_list = True
             records = self.records.changes_in_full_list(records, change.revision)
+        if self._has_reconnected:
+            self._has_reconnected = False
+            self._note_reconnected(records)
+        self._has_endpoint_list = self._has_endpoint_list or change.is_full
         self._registrations.apply(records)
         self.records.note_complete(change.revision)
         if change.table is not None:
             self.apply_table_if_newer(change.table, "source")
         self._log_table_fault(change.table_fault)
 
+    def _note_reconnected(self, records: list[EndpointRecord]) -> None:
+        """Record whether the service was unreachable, or just one connection to it was lost.
+
+        After the loss of a connection, removals have happened while it was silent, and are not
+        delayed. In an outage registrations expire, most of a service at once.
+        """
+        is_outage = self._is_outage or self._registrations.removes_most_of_a_service(records)
+        if is_outage:
+            self._reconnected_at = trio.current_time()
+            if self._has_endpoint_list:
+                self._registrations.note_reconnected()
+        eliot.log_message(
+            message_type="source: reconnected to the configuration service",
+            outage=is_outage,
+            calls_failed=self._is_outage,
+            changes=len(records),
+        )
+
     def _log_table_fault(self, fault: ReadFault | None) -> None:
         """Log an unusable route table, at a limited rate; the previous table stays in force."""
         if fault is None:
--- a/cleatlink/relay/following/registrations.py
+++ b/cleatlink/relay/following/registrations.py
@@ -5,6 +5,7 @@
 live endpoints and contain endpoints that were removed. Such changes are delayed before they apply.
 """
 
+from collections import Counter
 from collections.abc import Callable
 
 import eliot
@@ -79,6 +80,21 @@
         """Note that the service is reachable again; registrations may have expired meanwhile."""
         self._reconnected_at = trio.current_time()
 
+    def removes_most_of_a_service(self, records: list[EndpointRecord]) -> bool:
+        """Check whether changes remove more than half of the endpoints of a service.
+
+        Endpoints that announced their shutdown don't count; those that the changes add do.
+        """
+        services = {
+            record.name: record.endpoint.service
+            for record in (*self._records.records, *records)
+            if record.endpoint is not None and not record.endpoint.leaving
+        }
+        removed_names = {record.name for record in records if record.endpoint is None}
+        removed = Counter(services[name] for name in removed_names if name in services)
+        totals = Counter(services.values())
+        return any(2 * count > totals[service] for service, count in removed.items())
+
     def apply(self, records: list[EndpointRecord]) -> None:
         """Apply registrations and removals that are newer than the known ones."""
         for record in records:
--- a/cleatlink/relay/following/source.py
+++ b/cleatlink/relay/following/source.py
@@ -9,7 +9,17 @@
 from cleatlink.core.routes import RouteTable
 from cleatlink.routing.fleet_records import EndpointRecord
 
-__all__ = ["ConfigurationSource", "HistoryUnavailableError", "SourceChange", "SourceTable"]
+__all__ = [
+    "ConfigurationSource",
+    "ConnectionLostError",
+    "HistoryUnavailableError",
+    "SourceChange",
+    "SourceTable",
+]
+
+
+class ConnectionLostError(PlatformError):
+    """A connection ended or went silent during a call; the service itself may be well."""
 
 
 class HistoryUnavailableError(PlatformError):
--- a/cleatlink/relay/following/store_client.py
+++ b/cleatlink/relay/following/store_client.py
@@ -6,10 +6,10 @@
 import trio
 
 from cleatlink.core.address import Address
-from cleatlink.core.errors import EndpointError, PlatformError
+from cleatlink.core.errors import EndpointError, EndpointUnreachableError, PlatformError
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.protocol import OutgoingRequest, ResponseHead
-from cleatlink.relay.following.source import HistoryUnavailableError
+from cleatlink.relay.following.source import ConnectionLostError, HistoryUnavailableError
 
 __all__ = ["StoreAnswer", "StoreClient"]
 
@@ -99,13 +99,17 @@
 
         Raises:
             HistoryUnavailableError: The store no longer keeps the requested history.
+            ConnectionLostError: The connection ended or was silent for too long.
             PlatformError: There was no answer, or an answer of an earlier era.
         """
         try:
             return await self._request(path, timeout_s)
-        except (EndpointError, trio.TooSlowError) as error:
+        except EndpointUnreachableError as error:
             self.close()
             raise PlatformError(repr(error)) from error
+        except (EndpointError, trio.TooSlowError) as error:
+            self.close()
+            raise ConnectionLostError(repr(error)) from error
         except BaseException:
             self.close()
             raise
--- a/standins/relay/store.py
+++ b/standins/relay/store.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from standins.relay.raw_server import RawCall, RawServer, answer
+from standins.relay.raw_server import RawCall, RawServer, answer, reset
 
 __all__ = ["Store", "StoreCopy", "StoreMode"]
 
@@ -52,6 +52,8 @@
         self._dropped_revision = 0
         self._last_abandoned_call = 0
         self._changed = trio.Event()
+        # Connections on which nothing is sent any more.
+        self._silent_streams: set[trio.SocketStream] = set()
 
     @property
     def _is_silent(self) -> bool:
@@ -108,6 +110,15 @@
         self._changed = trio.Event()
         self._last_abandoned_call = self.calls
 
+    def reset_connections(self) -> None:
+        """Reset the connections that are open now; new ones work."""
+        for stream in list(self._streams):
+            reset(stream)
+
+    def silence_connections(self) -> None:
+        """Send nothing more on the connections that are open now; new ones work."""
+        self._silent_streams |= self._streams
+
     def _record_event(self, event: dict[str, Any]) -> None:
         self._history.append(event)
         self._changed.set()
@@ -128,7 +139,7 @@
             await stream.send_all(answer(503, self._era_header()))
             return True
         status, value = await self._read(call)
-        if self._is_silent:
+        if self._is_silent or stream in self._silent_streams:
             await trio.sleep_forever()
         headers = {"Content-Type": "application/json", **self._era_header()}
         if self.response_body_override is not None:
