No request, event or error in one connection ends an instance

What callers saw: one request with Token-Counts: inf (also Length-Hint, Last-Event-Id; 1e999, 400 digits) ended the whole instance, with all of its other requests. So did an event of an endpoint whose id has 5,000 digits, and any other unexpected exception while a request is served.

Cause: numbers in headers were decoded as floats without a bound and then converted to integers, which raises OverflowError; an exception in the task of one connection of a caller ended the listener's nursery, and with it the process. Only tunnels were guarded.

Now each number is decoded once, with a bound; a request above it gets 400 with the header's name. Ids of events have at most 15 digits. An unexpected exception in the task of any listener's connection is logged and ends this connection alone (accept_connections). Values that are no numbers are ignored, as before.

--- a/cleatlink/relay/callers/service.py
+++ b/cleatlink/relay/callers/service.py
@@ -11,7 +11,7 @@
 import trio
 
 from cleatlink.core.data import ExecutionStatus, Refusal
-from cleatlink.core.errors import ERROR_RESPONSES, ErrorKind
+from cleatlink.core.errors import ERROR_RESPONSES, ErrorKind, RequestError
 from cleatlink.core.routes import (
     CallerLimits,
     Headers,
@@ -169,7 +169,14 @@
     async def _serve(self, exchange: Exchange) -> None:
         raw, components = exchange.request, self._components
         arrived_at = now = trio.current_time()
-        inbound = self._read_inbound(raw, arrived_at)
+        try:
+            inbound = self._read_inbound(raw, arrived_at)
+        except RequestError as error:
+            eliot.log_message(
+                message_type="relay: refuses a request with an invalid header", error=error.detail
+            )
+            await self._send_refusal(exchange, Refusal(error.kind, error.detail, None))
+            return
         routed = self._route_request(inbound, raw.headers)
         if isinstance(routed, Refusal):
             route_again = partial(self._route_request, inbound, raw.headers)
--- a/cleatlink/relay/calls/event_parser.py
+++ b/cleatlink/relay/calls/event_parser.py
@@ -7,6 +7,8 @@
 _EVENT_END = b"\n\n"
 # Maximum size of an event; real events are far smaller.
 _MAX_EVENT_BYTES = 1_048_576
+# An id with more digits is not a number.
+_MAX_NUMBER_DIGITS = 15
 
 
 class StreamEvent(NamedTuple):
@@ -64,5 +66,6 @@
     for line in block.split(b"\n"):
         if line.startswith(b"id:"):
             text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= _MAX_NUMBER_DIGITS
+            return int(text) if is_number else None
     return None
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from cleatlink.core.data import Role
-from cleatlink.core.errors import NOT_RUN_STATUSES
+from cleatlink.core.errors import NOT_RUN_STATUSES, ErrorKind, RequestError
 from cleatlink.core.notices import (
     EMPTY_NOTICE,
     EndpointNotice,
@@ -174,6 +174,8 @@
     request_id: str | None = None
 
 
+# Largest number in a caller's header. All integers up to it are exact as floats.
+_MAX_HEADER_NUMBER = 1e15
 # The largest priority value, for the least urgent requests, that endpoints support.
 _LOWEST_PRIORITY = 9
 
@@ -222,12 +224,22 @@
             now: Time at which the request's head was read.
             removes_api_key: Whether this process checks the caller's API key itself, so that the
                 key is not forwarded to the endpoint.
+
+        Raises:
+            RequestError: A header has a number that is not finite or too large.
         """
         values = {name.lower(): value for name, value in headers}
         host = values.get(b"host", b"").decode("latin-1")
-        deadline_s = _parse_number(values.get(self.names.deadline_ms), math.inf) / _MS_PER_S
-        prompt, _, max_output = values.get(self.names.token_counts, b"").partition(b",")
-        last_event = values.get(self.names.last_event_id)
+        names = self.names
+
+        def read_number(name: bytes, default: float = 0.0) -> float:
+            return _parse_number(name, values.get(name), default)
+
+        deadline_s = read_number(names.deadline_ms, math.inf) / _MS_PER_S
+        prompt, _, max_output = values.get(names.token_counts, b"").partition(b",")
+        last_event = None
+        if names.last_event_id in values:
+            last_event = int(read_number(names.last_event_id))
         return InboundRequest(
             request_id=values.get(self.names.request_id, b"").decode("latin-1"),
             method=method,
@@ -237,10 +249,10 @@
             body=body,
             arrived_at=now,
             deadline=now + deadline_s,
-            prompt_tokens=int(_parse_number(prompt, 0)),
-            max_output_tokens=int(_parse_number(max_output, 0)),
-            estimated_output_tokens=int(_parse_number(values.get(self.names.output_hint), 0)),
-            last_event=None if last_event is None else int(_parse_number(last_event, 0)),
+            prompt_tokens=int(_parse_number(names.token_counts, prompt, 0)),
+            max_output_tokens=int(_parse_number(names.token_counts, max_output, 0)),
+            estimated_output_tokens=int(read_number(names.output_hint)),
+            last_event=last_event,
             resumes=values.get(self.names.resumes, b"").strip().decode("latin-1"),
             prompt_parts=_parse_shared_parts(values.get(self.names.prompt_parts, b"")),
         )
@@ -428,11 +440,20 @@
         return head.get(self.names.signature) is not None
 
 
-def _parse_number(value: bytes | None, default: float) -> float:
+def _parse_number(name: bytes, value: bytes | None, default: float) -> float:
+    """Return the number in a caller's header, or the default if it contains no number.
+
+    Raises:
+        RequestError: The number is not finite, or larger than any that has a meaning.
+    """
     try:
-        return max(0.0, float(value)) if value else default
+        number = float(value) if value else default
     except ValueError:
         return default
+    if value and not abs(number) <= _MAX_HEADER_NUMBER:
+        detail = f"{name.decode('latin-1')} is not a number up to {_MAX_HEADER_NUMBER:.0e}"
+        raise RequestError(ErrorKind.BAD_REQUEST, detail)
+    return max(0.0, number)
 
 
 def _parse_shared_parts(value: bytes) -> tuple[str, ...]:
--- a/cleatlink/relay/sockets.py
+++ b/cleatlink/relay/sockets.py
@@ -7,6 +7,7 @@
 import trio
 
 from cleatlink.core.errors import ListenError
+from cleatlink.relay.tasks import run_and_log_errors
 
 __all__ = ["accept_connections", "bind", "connect", "listen", "set_connection_options"]
 
@@ -101,7 +102,7 @@
 
     Args:
         listener: Accepts the connections.
-        serve: Serves one connection.
+        serve: Serves one connection, and closes it; an unexpected exception ends it alone.
         admits: Decides whether a new connection is served; if not, it is closed unread.
     """
     # A listener accepts one connection each time that the event loop runs its tasks. While the loop
@@ -119,7 +120,7 @@
                     continue
                 for stream in (first, *_accept_waiting(waiting)):
                     if admits():
-                        nursery.start_soon(serve, stream)
+                        nursery.start_soon(run_and_log_errors, serve, stream)
                     else:
                         stream.socket.close()
     finally:
--- a/cleatlink/relay/tunnels/server.py
+++ b/cleatlink/relay/tunnels/server.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from contextlib import suppress
-from functools import partial
 
 import eliot
 import h11
@@ -15,7 +14,6 @@
 from cleatlink.relay.endpoints.streams import EndpointStream
 from cleatlink.relay.metrics import RelayMetrics
 from cleatlink.relay.sockets import accept_connections, set_connection_options
-from cleatlink.relay.tasks import run_and_log_errors
 from cleatlink.relay.tunnels.channel import TunnelChannel
 from cleatlink.relay.tunnels.messages import (
     TUNNEL_METHOD,
@@ -80,7 +78,7 @@
 
     async def serve(self, listener: trio.SocketListener) -> None:
         """Accept and carry tunnels until cancelled."""
-        await accept_connections(listener, partial(run_and_log_errors, self._serve_peer))
+        await accept_connections(listener, self._serve_peer)
 
     async def _serve_peer(self, stream: trio.SocketStream) -> None:
         channel = TunnelChannel(stream, h11.SERVER)
