A request that an endpoint rejects as invalid doesn't make its service look full

What callers saw: 503 "no endpoint may be tried" for up to 2 s, without a send, because another caller had sent requests that the endpoint rejects with 400 and the mark, such as requests without an ID. One such caller kept the service of all others away; it was told 503 itself, and came back.

Cause: each marked rejection was counted as "full", with a back-off that doubles in a row, whatever its status.

Now a rejection with another 4xx than 408, 421 and 429 is passed on unchanged, as the endpoint's word on that request, and says nothing about its load. Streams look for another endpoint as before, without marking the first one as full.

The new test, 20 proper calls between 20 invalid ones on three kinds of routes, fails before and passes now.

--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -353,7 +353,7 @@
         if self._components.protocol.is_misdirected(head, endpoint):
             self.note_address_reused(endpoint)
             capacity.note_address_mismatch(endpoint.name)
-        else:
+        elif not self._components.protocol.rejects_as_invalid(head):
             capacity.note_full(endpoint.name, trio.current_time())
 
     def note_failure(
--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -174,8 +174,7 @@
                 lambda scope: self._cancel_when_silent(endpoint, scope),
             )
             if answer is not None:
-                not_run = components.protocol.reports_not_executed(answer.head)
-                outcome = CallOutcome.REFUSED if not_run else CallOutcome.COMPLETED
+                outcome = self._outcome(answer.head)
         finally:
             components.capacity.release(key)
             components.capacity.endpoint_limits.cancel_reservation(key, trio.current_time())
@@ -191,6 +190,14 @@
             self._record_duration(endpoint, started_at)
         return self._check_answer(endpoint, answer)
 
+    def _outcome(self, head: ResponseHead) -> CallOutcome:
+        protocol = self._components.protocol
+        if not protocol.reports_not_executed(head):
+            return CallOutcome.COMPLETED
+        # An endpoint that rejects an invalid request tells nothing about its load.
+        is_invalid = protocol.rejects_as_invalid(head)
+        return CallOutcome.NO_ANSWER if is_invalid else CallOutcome.REFUSED
+
     def _own_delay_s(self, started_at: float, now: float) -> float:
         """Return for how many seconds of a call until now the endpoint was not at work on it."""
         if self._sent_at is None:
@@ -315,7 +322,7 @@
         head = answer.head
         if components.protocol.reports_not_executed(head):
             self._note_refusal(endpoint, head)
-            return None
+            return answer if components.protocol.rejects_as_invalid(head) else None
         if head.status < 300 and not components.protocol.has_signature(head):
             raise OutcomeUnknownError("the answer has no signature")
         call.ran = ExecutionStatus.YES
--- a/cleatlink/relay/calls/refused_though_run_test.py
+++ b/cleatlink/relay/calls/refused_though_run_test.py
@@ -223,3 +223,23 @@
         assert first == Outcome(503, 0)
         await trio.sleep(1.0)
         assert (await ask(fleet, "/unsafe/x"))[0] == Outcome(200, 1)
+
+
+class _StrictWorker(Worker):
+    """Rejects calls of a path as invalid."""
+
+    async def serve(self, call: RawCall, stream: trio.SocketStream) -> bool:
+        if call.path.endswith("/invalid"):
+            headers = {"Not-Executed": "1", "Attempt-Id": call.headers["attempt-id"]}
+            return await self._send_answer(stream, 400, headers, b"invalid")
+        return await super().serve(call, stream)
+
+
+@pytest.mark.parametrize("prefix", ["/safe", "/unsafe", "/unsafe2"])
+async def test_rejections_of_invalid_requests_made_the_service_look_full(prefix: str) -> None:
+    async with open_fleet() as fleet:
+        await start(fleet, _StrictWorker("plain"))
+        for _ in range(20):
+            outcome, reply = await ask(fleet, f"{prefix}/invalid")
+            assert (outcome, reply.body) == (Outcome(400, 0), b"invalid")
+            assert (await ask(fleet, f"{prefix}/x"))[0] == Outcome(200, 1)
--- a/cleatlink/relay/endpoints/protocol.py
+++ b/cleatlink/relay/endpoints/protocol.py
@@ -56,6 +56,7 @@
 # Statuses with which an endpoint rejects work; the response may say when to retry.
 REJECTION_STATUSES = frozenset({429, 503})
 _LOWEST_ERROR_STATUS = 400
+_LOWEST_SERVER_ERROR_STATUS = 500
 # "Too Early": the endpoint had not received the request in time.
 _TOO_EARLY = 425
 
@@ -392,6 +393,15 @@
             and not self.has_signature(head)
         )
 
+    def rejects_as_invalid(self, head: ResponseHead) -> bool:
+        """Check whether a rejection says that its request is invalid, wherever it is sent."""
+        is_client_error = _LOWEST_ERROR_STATUS <= head.status < _LOWEST_SERVER_ERROR_STATUS
+        return (
+            is_client_error
+            and head.status not in NOT_RUN_STATUSES
+            and self.reports_not_executed(head)
+        )
+
     def is_misdirected(self, head: ResponseHead, endpoint: RoutedEndpoint) -> bool:
         """Check whether a response says that its request belongs elsewhere.
 
@@ -408,7 +418,9 @@
 
         Another endpoint may succeed, unlike with a request that is wrong itself.
         """
-        return head.status >= 500 or head.status in NOT_RUN_STATUSES | {_TOO_EARLY}
+        return head.status >= _LOWEST_SERVER_ERROR_STATUS or head.status in NOT_RUN_STATUSES | {
+            _TOO_EARLY
+        }
 
     def accepts_work(self, head: ResponseHead) -> bool:
         """Check whether a response shows that its endpoint accepts work."""
