--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -62,6 +62,7 @@
 [zones]
 hotel-ville = "mauricie"
 garage-nord = "mauricie"
+centre-sud = "mauricie"
 [listen]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
@@ -80,10 +81,10 @@
 [bounds]
 seed_lag_s = 3
 address_reuse_s = 2
-contact_ms = 3000
+contact_ms = {contact_ms}
 ack_ms = 4000
 catch_up_s = 4
-drain_ms = 2000
+drain_ms = {drain_ms}
 grace_s = 8
 loss_slack_ms = 200
 config_apply_ms = 2000
@@ -167,6 +168,8 @@
     def __init__(self) -> None:
         self.address = ""
         self.is_stopped = False
+        # Connections on which nothing is sent any more.
+        self._silent: set[asyncio.StreamWriter] = set()
         self._listener: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -184,6 +187,10 @@
         for writer in list(self._writers):
             _reset(writer)
 
+    def silence(self) -> None:
+        """Send nothing more on the connections that are open now; new ones work."""
+        self._silent |= self._writers
+
     async def respond(self, request: Request) -> bytes | None:
         """Return the bytes of the answer; None closes the connection without one."""
         raise NotImplementedError
@@ -193,6 +200,9 @@
         try:
             while True:
                 data = await self.respond(await _read_request(reader))
+                if writer in self._silent:
+                    await reader.read()
+                    return
                 if data is None:
                     _reset(writer)
                     return
@@ -394,6 +404,7 @@
         fields = dict(case.ports._asdict(), name=self.name, ip=self.ip, zone=self._zone)
         seeds = ",".join(f'"{ip}:{case.ports.control}"' for ip in case.seeds)
         fields.update(seeds=seeds, first=str(first).lower(), store=self._face.address)
+        fields.update(drain_ms=case.drain_ms, contact_ms=case.contact_ms)
         self._file.write_text(_SETTINGS.format(**fields))
         role = tomllib.loads((_ROOT / "deploy/system.toml").read_text())["roles"]["entry"]
         command = role["run"].replace("{{ip}}:9100", f"{self.ip}:{case.ports.metrics}").split()
@@ -450,6 +461,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.machines: list[Machine] = []
         self.seeds: list[str] = []
+        self.drain_ms, self.contact_ms = 2000, 3000
         self.ports = Ports(*(_free_port() for _ in Ports._fields))
         self.store = Store(self.log)
         self._record = (folder / "record.txt").open("w")
@@ -586,7 +598,7 @@
         loop = asyncio.get_running_loop()
         if not self._bytes_per_s:
             return await loop.sock_recv(sock, 65536)
-        part = await loop.sock_recv(sock, 4096)
+        part = await loop.sock_recv(sock, 16384)
         await asyncio.sleep(len(part) / self._bytes_per_s)
         return part
 
