--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -504,13 +504,20 @@
         }
         self.store.put("op/config", value)
 
-    async def close(self) -> None:
-        """End all processes and remove the temporary folder."""
+    async def end_machines(self) -> None:
+        """End all processes, and forget the machines and the store."""
         for machine in self.machines:
             process = machine.process
             if process is not None and process.returncode is None:
                 process.kill()
                 await process.wait()
+        self.machines, self.seeds = [], []
+        self.ports = Ports(*(_free_port() for _ in Ports._fields))
+        self.store = Store(self.log)
+
+    async def close(self) -> None:
+        """End all processes and remove the temporary folder."""
+        await self.end_machines()
         self._record.close()
         if "KEEP" not in os.environ:
             shutil.rmtree(self.folder)
