A part of an endpoint's answer isn't passed on as the whole one

Resumable streams ended instead of going on elsewhere, and a prefill's broken answer was used.

Cause: the end of the connection was taken for the regular end whenever a receive found one. The kernel reports the failure of a connection once. The send of the upload got the report and ignored it, since a response that has arrived can still be read; the receive after it found the end. Both ends of a tunnel ignored it as well. An endpoint that closes with the upload unread looks the same: the reset follows the end.

Ruled out: the error number of the failed send. After an end it differs from that of a plain reset, but the answer is as incomplete. Requiring a length: answers may end with their connection.

Now the end is the regular one only if no send has failed, none is in progress and nothing sent is unacknowledged (SocketStream), if the whole request was sent (EndpointConnection), and if the peer has taken all data (TunnelChannel). Trio yields between a failed system call and its exception, so the check lets two turns pass. Answers with a length or chunks are read as before; a rejection with its mark still says "not run" when its body is cut. RFC 9112, section 8: such an answer is complete unless the connection indicated an error.

Answers to reservations, frees and role orders, of the store and of peers held before: their requests are short, so the receive gets the report.

--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -357,6 +357,9 @@
                 return event
             self._parts_in_turn = 0
             data = await self._stream.receive_some()
+            if not data and not self._is_request_sent:
+                # The same as a reset: the endpoint no longer takes the rest of the request.
+                raise trio.BrokenResourceError("the connection ended within the request")
             if data and self._on_bytes is not None:
                 self._on_bytes(len(data))
             self._http.receive_data(data)
--- a/cleatlink/relay/endpoints/streams.py
+++ b/cleatlink/relay/endpoints/streams.py
@@ -12,6 +12,9 @@
 
 # Bytes to read at a time: the usual size of a socket's buffer.
 _READ_BYTES = 65_536
+# Turns of the event loop within which a send that met an error raises its exception: trio yields
+# once between the system call and the exception.
+_TURNS_TO_RAISE = 2
 
 
 class EndpointStream(ABC):
@@ -38,10 +41,11 @@
 
     @abstractmethod
     async def receive_some(self) -> bytes:
-        """Receive data; empty at the end that the endpoint sent.
+        """Receive data; empty at the end that the endpoint sent after it had taken all data.
 
         Raises:
-            trio.BrokenResourceError: The connection failed.
+            trio.BrokenResourceError: The connection failed, or ended before the endpoint had taken
+                all data that was sent.
             trio.ClosedResourceError: This side has closed the stream.
         """
 
@@ -59,7 +63,12 @@
 
 
 class SocketStream(EndpointStream):
-    """A stream over a TCP connection to the endpoint itself."""
+    """A stream over a TCP connection to the endpoint itself.
+
+    A receive that finds the end of a connection does not tell whether the connection failed. The
+    kernel reports a failure once, and a send may have got the report. An endpoint that closes its
+    connection with data unread resets it, but the reset may arrive after the end.
+    """
 
     def __init__(self, stream: trio.SocketStream, read_bytes: int = _READ_BYTES) -> None:
         """Create a stream over an open connection.
@@ -70,6 +79,8 @@
         """
         self._stream = stream
         self._read_bytes = read_bytes
+        self._has_send_failed = False
+        self._is_sending = False
 
     @property
     def is_direct(self) -> bool:
@@ -86,11 +97,34 @@
 
     async def send_all(self, data: bytes) -> None:
         """Send data."""
-        await self._stream.send_all(data)
+        self._is_sending = True
+        try:
+            await self._stream.send_all(data)
+        except trio.BrokenResourceError:
+            self._has_send_failed = True
+            raise
+        finally:
+            self._is_sending = False
 
     async def receive_some(self) -> bytes:
         """Receive data; empty at the end of the connection."""
-        return bytes(await self._stream.receive_some(self._read_bytes))
+        data = bytes(await self._stream.receive_some(self._read_bytes))
+        if not data:
+            await self._check_end()
+        return data
+
+    async def _check_end(self) -> None:
+        """Check that the end of the connection, which a receive found, is the regular one.
+
+        Raises:
+            trio.BrokenResourceError: It is not.
+        """
+        for _ in range(_TURNS_TO_RAISE):
+            await trio.lowlevel.cancel_shielded_checkpoint()
+        if self._has_send_failed:
+            raise trio.BrokenResourceError("the connection failed while data was sent")
+        if self._is_sending or self.count_unacknowledged():
+            raise trio.BrokenResourceError("the connection ended before all data was taken")
 
     async def wait_readable(self) -> None:
         """Wait until data or the end can be read, or until this side closes the connection."""
--- a/cleatlink/relay/tunnels/channel.py
+++ b/cleatlink/relay/tunnels/channel.py
@@ -89,7 +89,7 @@
         return event.status_code
 
     async def receive_some(self) -> bytes:
-        """Receive data; empty at the regular end.
+        """Receive data; empty at the regular end, after the other instance had taken all data.
 
         Raises:
             trio.BrokenResourceError: The tunnel ended in any other way.
@@ -98,6 +98,8 @@
         while not self._received and not self._has_ended:
             await self._receive_more()
             self._read_events()
+        if not self._received and self._stream.count_unacknowledged():
+            raise trio.BrokenResourceError("the tunnel ended before all data was taken")
         data, self._received = self._received, b""
         return data
 
--- a/cleatlink/relay/tunnels/server_test.py
+++ b/cleatlink/relay/tunnels/server_test.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import NamedTuple
 
 import h11
 import pytest
@@ -155,11 +156,17 @@
         nursery.cancel_scope.cancel()
 
 
-async def test_killed_peer_makes_no_answer_look_complete() -> None:
-    """A peer that ends closes its connection without the regular end of the tunnel."""
-    listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
-    port = listener.socket.getsockname()[1]
-    stream = await trio.open_tcp_stream("127.0.0.1", port)
+class _OpenTunnel(NamedTuple):
+    """Both sides of a tunnel through which the first part of an answer was sent."""
+
+    channel: TunnelChannel
+    peer: TunnelChannel
+
+
+@asynccontextmanager
+async def open_tunnel() -> AsyncIterator[_OpenTunnel]:
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    stream = await trio.open_tcp_stream("127.0.0.1", listener.socket.getsockname()[1])
     peer = TunnelChannel(await listener.accept(), h11.SERVER)
     channel = TunnelChannel(stream, h11.CLIENT)
     request = TunnelRequest("e", "127.0.0.1:1", PEER, 0.1)
@@ -167,13 +174,39 @@
     await peer.receive_request()
     await peer.send_status(TunnelStatus.OPEN)
     await peer.send_all(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+    try:
+        yield _OpenTunnel(channel, peer)
+    finally:
+        channel.close()
+        peer.close()
+        listener.socket.close()
+
+
+async def receive_first_part(channel: TunnelChannel) -> None:
     assert await channel.receive_status() == TunnelStatus.OPEN
     assert await channel.receive_some() == b"HTTP/1.1 200 OK\r\n\r\nhalf"
-    peer.close()
-    with pytest.raises(trio.BrokenResourceError):
-        await channel.receive_some()
-    channel.close()
-    listener.socket.close()
+
+
+async def test_killed_peer_makes_no_answer_look_complete() -> None:
+    """A peer that ends closes its connection without the regular end of the tunnel."""
+    async with open_tunnel() as (channel, peer):
+        await receive_first_part(channel)
+        peer.close()
+        with pytest.raises(trio.BrokenResourceError):
+            await channel.receive_some()
+
+
+async def test_end_before_the_peer_took_all_data_makes_an_answer_look_complete() -> None:
+    """The endpoint closes its connection while more of the request is on its way to the peer."""
+    async with open_tunnel() as (channel, peer), trio.open_nursery() as nursery:
+        await peer.send_end()
+        nursery.start_soon(channel.send_all, b"x" * 20_000_000)
+        while not channel.count_unacknowledged():
+            await trio.sleep(0.01)
+        await receive_first_part(channel)
+        with pytest.raises(trio.BrokenResourceError):
+            await channel.receive_some()
+        nursery.cancel_scope.cancel()
 
 
 @pytest.mark.parametrize("timeout", [b"\xb2", b"\xc2\xb2", b"9" * 400, b"-1", b"", b"1.5"])
