Serving: a part of a response isn't taken as the whole one

What callers saw: nothing was reported. Calls to plain services, prefills and requests to peers with long bodies took a part of a response without a length for the whole one where the server reset or closed the connection while the request was still being sent.

Cause: the same as in the relay. httpcore ignores a failed send and reads the response; the send has taken the kernel's only report of the reset, so that the response ends as if the server had closed the connection.

Now all clients of `serving` come from http_client.py, whose streams raise an error at an end after a failed send, or with sent data unacknowledged. The clients of peers and of the platform keep no cookies any more, like those of endpoints. unacknowledged_bytes.py moved out of the relay, unchanged; httpcore, which httpx needs in any case, is named as a direct dependency.

Load reports, the platform and short requests to peers held before: the receive gets the report there. Their tests say so.

--- a/cleatlink/relay/endpoints/streams.py
+++ b/cleatlink/relay/endpoints/streams.py
@@ -5,8 +5,8 @@
 import trio
 
 from cleatlink.core.errors import EndpointUnreachableError
-from cleatlink.relay.endpoints.unacknowledged_bytes import count_unacknowledged
 from cleatlink.relay.sockets import connect
+from cleatlink.unacknowledged_bytes import count_unacknowledged
 
 __all__ = ["Connector", "EndpointStream", "SocketStream", "TcpConnector", "connect_within"]
 
--- a/cleatlink/serving/endpoints.py
+++ b/cleatlink/serving/endpoints.py
@@ -13,7 +13,6 @@
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import AsyncGenerator, Mapping
-from http.cookiejar import CookieJar, DefaultCookiePolicy
 from typing import Any, NamedTuple, cast
 
 import httpx
@@ -30,6 +29,7 @@
     StreamBrokenError,
 )
 from cleatlink.core.notices import parse_backoff_s
+from cleatlink.serving.http_client import create_client
 
 __all__ = [
     "EndpointClient",
@@ -309,14 +309,7 @@
         limits = httpx.Limits(
             max_connections=_MAX_CONNECTIONS, max_keepalive_connections=max_idle_connections
         )
-        return httpx.AsyncClient(
-            timeout=self._timeout,
-            limits=limits,
-            trust_env=False,
-            verify=self._ssl_context,
-            # Keeps none: a cookie belongs to the caller whose answer sets it.
-            cookies=CookieJar(DefaultCookiePolicy(allowed_domains=())),
-        )
+        return create_client(self._timeout, limits=limits, ssl_context=self._ssl_context)
 
     async def prefill(self, order: Order) -> KvHandle:
         """Have the engine compute a prompt's KV cache and keep it for export."""
--- a/cleatlink/serving/peer_link.py
+++ b/cleatlink/serving/peer_link.py
@@ -16,6 +16,7 @@
 from cleatlink.core.errors import PeerError, PeerUnreachableError
 from cleatlink.members import Heartbeat
 from cleatlink.request import InFlightNote
+from cleatlink.serving.http_client import create_client
 from cleatlink.serving.settings import Address, parse_address
 
 __all__ = ["HttpPeerLink", "Message", "PeerLink", "decode_message", "encode_message"]
@@ -83,7 +84,7 @@
         self._socket.setblocking(False)
         self._socket.bind((listen.host.strip("[]"), listen.port))
         self._trio_socket = trio.socket.from_stdlib_socket(self._socket)
-        self._client = httpx.AsyncClient(timeout=_HTTP_TIMEOUT_S, trust_env=False)
+        self._client = create_client(httpx.Timeout(_HTTP_TIMEOUT_S))
 
     @property
     def address(self) -> str:
--- a/cleatlink/serving/platform.py
+++ b/cleatlink/serving/platform.py
@@ -9,6 +9,7 @@
 
 from cleatlink.core.data import Endpoint, Fleet, Instance
 from cleatlink.core.errors import PlatformError
+from cleatlink.serving.http_client import create_client
 from cleatlink.serving.settings import Address
 
 __all__ = ["Document", "DocumentKind", "HttpPlatform", "Platform", "parse_fleet"]
@@ -57,7 +58,7 @@
 
     def __init__(self, address: Address) -> None:
         self._base = f"http://{address}/v1"
-        self._client = httpx.AsyncClient(trust_env=False)
+        self._client = create_client(httpx.Timeout(_READ_TIMEOUT_S))
 
     async def close(self) -> None:
         """Close all connections."""
--- a/cleatlink/relay/endpoints/unacknowledged_bytes_test.py
+++ b/cleatlink/unacknowledged_bytes_test.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from cleatlink.relay.endpoints import unacknowledged_bytes
-from cleatlink.relay.endpoints.unacknowledged_bytes import count_unacknowledged
+from cleatlink import unacknowledged_bytes
+from cleatlink.unacknowledged_bytes import count_unacknowledged
 
 
 def test_bytes_that_the_receiver_has_no_buffer_for_stay_unacknowledged() -> None:
