An answer whose head is invalid isn't passed on

What callers saw: an endpoint's answer with status 600 or 999, with a folded line (also one whose name begins with a blank: it became part of the field before it, and a length in it was lost, so that the body was another), with a control byte in a value or in the reason, or with both a length and chunks.

Cause: h11 accepts these, and nothing else looked at a head before it was passed on.

Now ResponseHeadChecker reads the heads of a connection as they arrive, before h11, and the connection fails with an unknown outcome if one is invalid by RFC 9110 (section 5.5, 15) or RFC 9112 (section 4, 5; section 6.1 for both framings). Folded lines may be replaced or rejected; they are rejected, since the worker's next hop may unfold them in another way. Trailers aren't passed on, and are read as before. Ruled out: checking what h11 has parsed, since it unfolds lines first.

--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -21,6 +21,7 @@
 from cleatlink.relay.endpoints.received_head import ReceivedHead
 from cleatlink.relay.endpoints.streams import EndpointStream, TcpConnector, connect_within
 from cleatlink.relay.tasks import run_watched
+from cleatlink.response_heads import InvalidHeadError, ResponseHeadChecker
 from cleatlink.routing.buffered_bytes import BufferedBytes, BufferKind
 from cleatlink.routing.uploads import AcceptedBytes, Upload
 
@@ -71,6 +72,7 @@
         self._attribution = ResponseAttribution(protocol)
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
+        self._head_checker = ResponseHeadChecker()
         self._is_request_sent = True
         # Bytes of the request that this machine's kernel has accepted.
         self._accepted_bytes = 0
@@ -153,6 +155,7 @@
         """
         self._on_bytes = on_bytes
         self._attribution.note_sent(request)
+        self._head_checker.expect_response()
         if self._on_send is not None:
             self._on_send()
         try:
@@ -175,6 +178,7 @@
             trio.BrokenResourceError,
             trio.ClosedResourceError,
             h11.ProtocolError,
+            InvalidHeadError,
             StreamBrokenError,
         ) as error:
             raise OutcomeUnknownError(repr(error)) from error
@@ -198,7 +202,9 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._http.send(h11.Request(method=method, target="/", headers=[("Host", "endpoint")]))
         self._http.send(h11.EndOfMessage())
+        self._head_checker.expect_response()
         if data:
+            self._head_checker.feed(data)
             self._http.receive_data(data)
         if is_closed:
             self._http.receive_data(b"")
@@ -362,6 +368,7 @@
                 raise trio.BrokenResourceError("the connection ended within the request")
             if data and self._on_bytes is not None:
                 self._on_bytes(len(data))
+            self._head_checker.feed(data)
             self._http.receive_data(data)
 
     def end_exchange(self, now: float) -> bool:
