Serving: a response whose head is invalid isn't used

What callers saw: nothing was reported. The same heads as in the relay reached callers of plain services, and orders, load reports, peers' and the platform's answers were used; status 000 in a load report or a peer's answer raised an exception that nothing expected.

Cause: httpcore parses heads with h11, which accepts them, and nothing else looked at them.

Now the streams of http_client.py check heads with ResponseHeadChecker, like the connections of the relay. The error is one of httpx, so that the outcome of the request is unknown as after any invalid response.

--- a/cleatlink/serving/http_client.py
+++ b/cleatlink/serving/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP clients whose responses count as complete only if they are.
+"""HTTP clients whose responses count as complete only if they are, and whose heads are checked.
 
 httpcore reads the response to a request that it failed to send, since a server may respond before
 it has read the request. The failed send has then taken the kernel's only report of a reset, and a
@@ -13,6 +13,7 @@
 import httpcore
 import httpx
 
+from cleatlink.response_heads import InvalidHeadError, ResponseHeadChecker
 from cleatlink.unacknowledged_bytes import count_unacknowledged
 
 __all__ = ["create_client"]
@@ -83,15 +84,23 @@
 
 
 class _Stream(httpcore.AsyncNetworkStream):
-    """A stream that is read to its regular end only if the server took all data."""
+    """A stream that is read to its regular end only if the server took all data.
+
+    Heads of responses are checked as they arrive.
+    """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
         self._has_write_failed = False
+        self._head_checker = ResponseHeadChecker()
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read data; empty at the regular end."""
         data = await self._stream.read(max_bytes, timeout)
+        try:
+            self._head_checker.feed(data)
+        except InvalidHeadError as error:
+            raise httpcore.RemoteProtocolError(str(error)) from error
         if not data and (self._has_write_failed or self._count_unacknowledged()):
             raise httpcore.ReadError("the connection failed or ended before all data was taken")
         return data
@@ -103,7 +112,8 @@
         return 0 if file_descriptor < 0 else count_unacknowledged(file_descriptor) or 0
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Write data."""
+        """Write data, after which a response is expected."""
+        self._head_checker.expect_response()
         try:
             await self._stream.write(buffer, timeout)
         except httpcore.WriteError:
