A planned stop leaves callers the time that is left to read their answers

What callers saw: in a planned stop, an answer that its caller couldn't read within 0.1 s was cut off, with most of the grace period left.

Cause: RelayService._send_complete gave each complete answer 0.1 s from the beginning of a stop on. That limit was meant for the moment at which the stop ends, when an answer that is ready is still sent.

Now the limit is the end of the stop, and 0.1 s at least. A caller that leaves meanwhile doesn't prolong the stop: the buffer of its answer records that its task was cancelled, and the sender, which is shielded, ends.

Evidence: both cases of the new test of slow callers fail before; the test of a caller that leaves fails with the new limit alone. All tests of stops and callers pass now.

--- a/cleatlink/relay/callers/answer_buffer.py
+++ b/cleatlink/relay/callers/answer_buffer.py
@@ -102,6 +102,10 @@
                 self._notify_progress()
         except (OSError, trio.TooSlowError, trio.ClosedResourceError) as error:
             self._record_failure(error)
+        except trio.Cancelled:
+            # The caller closed the connection. A sender that is shielded does not learn it itself.
+            self._failure = trio.ClosedResourceError("the caller closed the connection")
+            raise
         finally:
             self._is_writing = False
             self._notify_progress()
--- a/cleatlink/relay/callers/service.py
+++ b/cleatlink/relay/callers/service.py
@@ -417,10 +417,13 @@
     async def _send_complete(
         self, exchange: Exchange, status: int, headers: Headers, body: bytes
     ) -> None:
-        """Send a complete answer; during a planned stop it is shielded from cancellation."""
-        is_stopping = self._components.planned_stop.has_begun
+        """Send a complete answer; during a planned stop it is shielded from cancellation.
+
+        A caller may need as long to read the answer as the stop lasts.
+        """
+        stop = self._components.planned_stop
         # Shielded: otherwise the end of the stop could cut off an answer that is ready to be sent.
-        with trio.CancelScope(shield=is_stopping) as scope:
-            if is_stopping:
-                scope.deadline = trio.current_time() + ANSWER_SEND_S
+        with trio.CancelScope(shield=stop.has_begun) as scope:
+            if stop.has_begun:
+                scope.deadline = max(stop.ends_at, trio.current_time() + ANSWER_SEND_S)
             await exchange.answer(status, headers, body)
--- a/cleatlink/relay/calls/planned_stop.py
+++ b/cleatlink/relay/calls/planned_stop.py
@@ -4,7 +4,7 @@
 
 __all__ = ["ANSWER_SEND_S", "PlannedStop"]
 
-# Time to send an answer before the process exits, in seconds.
+# Shortest time to send an answer before the process exits, in seconds.
 ANSWER_SEND_S = 0.1
 # Time until the platform routes new callers to other instances, in seconds: it polls readiness
 # every second and removes an instance after two failures. A later caller uses a connection from
--- a/cleatlink/relay/calls/planned_stop_test.py
+++ b/cleatlink/relay/calls/planned_stop_test.py
@@ -190,6 +190,67 @@
         assert exchange.answers == [503]
 
 
+# An answer that fits into no kernel's buffers, and a pace at which its caller reads it in 2 s.
+_LONG_ANSWER = b"a" * 14_000_000
+_CALLER_BYTES_PER_S = 7_000_000.0
+_READ_BYTES = 65_536
+
+
+async def _read_slowly(caller: Caller, path: str, replies: list[Reply]) -> None:
+    """Make a call, read its answer at a caller's pace, and store the reply."""
+    await caller.open()
+    stream = caller._stream
+    assert stream is not None
+    receive = stream.receive_some
+
+    async def receive_slowly(_: int | None = None) -> bytes | bytearray:
+        await trio.sleep(_READ_BYTES / _CALLER_BYTES_PER_S)
+        return await receive(_READ_BYTES)
+
+    stream.receive_some = receive_slowly  # type: ignore[method-assign]
+    headers = {"Deadline-Milliseconds": "9000"}
+    replies.append(await caller.ask(path, "POST", body=b"b", headers=headers))
+
+
+@pytest.mark.real_time
+@pytest.mark.parametrize("path", ["/unsafe/x", "/safe/x"])
+async def test_answer_that_a_caller_reads_for_longer_than_a_moment_is_cut_off_by_a_stop(
+    path: str,
+) -> None:
+    async with open_fleet() as fleet:
+        await _start(fleet)
+        worker = fleet.workers[-1]
+        worker.body, worker.run_duration_s = _LONG_ANSWER, 0.3
+        replies: list[Reply] = []
+        async with trio.open_nursery() as nursery:
+            for _ in range(2):
+                nursery.start_soon(_read_slowly, fleet.caller(), path, replies)
+            await fleet.wait_until(lambda: len(worker.runs) == 2)
+            fleet.stop_events[0].set()
+        assert [(reply.status, reply.is_complete) for reply in replies] == [(200, True)] * 2
+        assert {len(reply.body) for reply in replies} == {len(_LONG_ANSWER)}
+
+
+@pytest.mark.parametrize("reads_on", [False, True])
+async def test_caller_that_leaves_while_its_answer_is_sent_prolongs_a_stop(reads_on: bool) -> None:
+    async with open_fleet() as fleet:
+        await _start(fleet)
+        worker = fleet.workers[-1]
+        worker.body, worker.run_duration_s = _LONG_ANSWER, 0.3
+        (caller,) = await _open_callers(fleet, 1)
+        await caller.send("/unsafe/x", "POST", body=b"b", headers={"Deadline-Milliseconds": "9000"})
+        await fleet.wait_until(lambda: len(worker.runs) == 1)
+        fleet.stop_events[0].set()
+        await trio.sleep(1.0)
+        assert fleet.instances[0].service.in_flight == 1
+        if reads_on:
+            assert caller._stream is not None
+            await caller._stream.send_eof()
+        else:
+            caller.close()
+        await fleet.wait_until(lambda: fleet.instances[0].service.in_flight == 0, 0.5)
+
+
 @given(st.floats(0, 10), st.floats(0, 20), st.floats(0, 20))
 def test_every_stream_is_accepted_before_a_stop(
     arrived_at: float, max_duration_s: float, now: float
