A late request that must not be repeated isn't taken in a planned stop

What callers saw: an unsafe request that came late in the grace period on an open connection was taken and passed on; where its answer couldn't be read by the end of the stop it was cut off, though it had run (LOST). Where its work didn't end in time its caller got 502, and couldn't repeat it.

Cause: plain calls were served until the end of a stop, whatever they needed. Only streams were compared with the time that is left.

Now a call that must not be repeated is refused at once, with Retry-After 0, if it arrives after the platform has removed the instance (2.2 s) and its deadline lies beyond the end of the stop: it has not run, and its caller reaches other instances. Safe calls are served as before, since a caller may repeat them. Ruled out: comparing with usual times; they don't tell how long a caller needs to read its answer.

Evidence: four of the new tests fail before (502 three times, an answer that is cut off). Held before, and kept as tests: late streams, resumable or not, are refused and don't run; late safe calls whose work doesn't end get a complete 502; a late call whose deadline lies within the stop is served.

--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -492,6 +492,12 @@
             arrived_at, self.deadline, max_duration_s, now
         )
 
+    def arrived_early_enough_in_stop(self) -> bool:
+        """Check whether the call may be sent in a planned stop though it must not be repeated."""
+        return self._components.planned_stop.accepts_unrepeatable(
+            self.inbound.arrived_at, self.deadline
+        )
+
     def refuse_for_stop(self, max_duration_s: float) -> Refusal:
         """Refuse a call that has not run; its caller can retry at another instance at once."""
         stop_left_s = self._components.planned_stop.ends_at - trio.current_time()
--- a/cleatlink/relay/calls/planned_stop.py
+++ b/cleatlink/relay/calls/planned_stop.py
@@ -68,11 +68,21 @@
         """
         # Accepting every call for 3.2 s cut off 43 requests that arrived after the signal, in 84
         # stops in series at 1.6 times the usual traffic; this rule cut off 3.
-        if deadline <= self.answer_deadline:
-            return True
-        if arrived_at - self._began_at > _REMOVAL_S:
+        if not self.accepts_unrepeatable(arrived_at, deadline):
             return False
-        return now + max_duration_s <= self._ends_at
+        return deadline <= self.answer_deadline or now + max_duration_s <= self._ends_at
+
+    def accepts_unrepeatable(self, arrived_at: float, deadline: float) -> bool:
+        """Check whether a request that must not be repeated may be sent to an endpoint.
+
+        Its answer may take longer than the stop, to be made or to be read. A late caller can send
+        the request to another instance instead.
+
+        Args:
+            arrived_at: When it arrived.
+            deadline: When it gets its final answer in any case.
+        """
+        return deadline <= self.answer_deadline or arrived_at - self._began_at <= _REMOVAL_S
 
     def age_s(self, now: float) -> float:
         """Return the seconds since the stop began; minus infinity before."""
--- a/cleatlink/relay/calls/planned_stop_test.py
+++ b/cleatlink/relay/calls/planned_stop_test.py
@@ -196,6 +196,18 @@
 _READ_BYTES = 65_536
 
 
+async def _prolong_stop(fleet: Fleet) -> None:
+    """Begin a stop, with a call in progress that lasts until its end."""
+    plain = fleet.workers[-1]
+    duration_s, plain.run_duration_s = plain.run_duration_s, 30.0
+    headers = {"Deadline-Milliseconds": "9000"}
+    await fleet.caller().send("/unsafe/x", "POST", body=b"b", headers=headers)
+    await fleet.wait_until(lambda: len(plain.runs) == 1)
+    plain.run_duration_s = duration_s
+    plain.runs.clear()
+    fleet.stop_events[0].set()
+
+
 async def _read_slowly(caller: Caller, path: str, replies: list[Reply]) -> None:
     """Make a call, read its answer at a caller's pace, and store the reply."""
     await caller.open()
@@ -251,6 +263,55 @@
         await fleet.wait_until(lambda: fleet.instances[0].service.in_flight == 0, 0.5)
 
 
+@pytest.mark.real_time
+async def test_late_call_that_may_not_be_repeated_is_cut_off_by_a_stop() -> None:
+    """Its caller needs longer to read the answer than is left of the stop."""
+    async with open_fleet() as fleet:
+        await _start(fleet)
+        worker = fleet.workers[-1]
+        worker.body = _LONG_ANSWER
+        (caller,) = await _open_callers(fleet, 1)
+        await _prolong_stop(fleet)
+        await trio.sleep(2.5)
+        replies: list[Reply] = []
+        await _read_slowly(caller, "/unsafe/x", replies)
+        (reply,) = replies
+        # It has not run, and its caller may retry at another instance at once.
+        assert (reply.status, reply.is_complete, worker.runs) == (503, True, [])
+        assert (reply.headers["retry-after"], reply.headers["connection"]) == ("0.00", "close")
+
+
+async def test_late_call_with_a_deadline_before_the_end_of_a_stop_is_served() -> None:
+    async with open_fleet() as fleet:
+        await _start(fleet)
+        (caller,) = await _open_callers(fleet, 1)
+        await _prolong_stop(fleet)
+        await trio.sleep(2.5)
+        headers = {"Deadline-Milliseconds": "500"}
+        reply = await caller.ask("/unsafe/x", "POST", body=b"b", headers=headers)
+        assert (reply.status, reply.body) == (200, b"served")
+
+
+@pytest.mark.parametrize("path", ["/unsafe/x", "/safe/x", "/stream/x", "/resume/x"])
+@pytest.mark.parametrize("late_s", [2.3, 3.0, 3.3])
+async def test_late_request_whose_work_does_not_end_in_time_gets_a_complete_answer(
+    late_s: float, path: str
+) -> None:
+    async with open_fleet() as fleet:
+        await _start(fleet)
+        (caller,) = await _open_callers(fleet, 1)
+        await _prolong_stop(fleet)
+        for worker in fleet.workers:
+            worker.run_duration_s, worker.event_interval_s = 30.0, 30.0
+        await trio.sleep(late_s)
+        name = await caller.send(path, "POST", body=b"b", headers=_LONG_DEADLINE)
+        reply = await caller.receive()
+        assert reply.is_complete
+        assert (reply.status, runs(fleet, name)) in ((503, 0), (502, 1))
+        if path != "/safe/x":
+            assert reply.status == 503
+
+
 @given(st.floats(0, 10), st.floats(0, 20), st.floats(0, 20))
 def test_every_stream_is_accepted_before_a_stop(
     arrived_at: float, max_duration_s: float, now: float
