A stream isn't joined from two builds after all instances were killed

What callers saw: two builds served or the old one had just left when all instances were killed and came back. Streams that were taken up by name were answered 200 and ran to the end, but the first part was of one build and the rest of another. At first they were refused; with a route's timeout of 2 s they went on at the wrong build from about 5 s after the restart.

Cause: a stream that nobody remembers went on at the only build that this instance had seen for twice the route's timeout. A caller that is refused, waits and comes back is older than that: what bounds a stream's age is its caller's patience, not the timeout of one attempt.

Ruled out: the deadline in the request, since it is what is left and not what there was, and some callers send the same one each time; the longest deadline that an instance has seen since its start, since it may not have seen that caller's; marks on events or answers, since callers send nothing back but the ID that they chose; the configuration service's history, which covers some seconds.

Now such a stream goes on only if the instance has seen one build alone for 600 s, the time for which records of streams are kept whatever the deadline. A stream that its caller doesn't name goes on at the only build of these 600 s, as far as the instance has seen them; before, it was the only build present, so that it was joined right after a release.

--- a/cleatlink/relay/calls/stream_origin.py
+++ b/cleatlink/relay/calls/stream_origin.py
@@ -12,14 +12,10 @@
 from cleatlink.core.routes import RoutedEndpoint
 from cleatlink.relay.calls.call import Call
 from cleatlink.relay.calls.components import RelayComponents
-from cleatlink.request.stream_builds import StreamBuild, stream_key
+from cleatlink.request.stream_builds import MAX_STREAM_AGE_S, StreamBuild, stream_key
 
 __all__ = ["StreamOrigin"]
 
-# A stream that is taken up began at most this many times the route's timeout ago: its first attempt
-# may last for one timeout, and its caller doesn't wait much longer.
-_MAX_AGE_TIMEOUTS = 2.0
-
 
 class StreamOrigin:
     """The build that began a call's stream."""
@@ -75,14 +71,18 @@
         return await self._components.find_stream_builds(key)
 
     def _possible_builds(self) -> tuple[str, ...]:
-        """Return the only build that can have begun a stream that nobody remembers.
+        """Return the builds that can have begun a stream that nobody remembers.
 
-        A caller that doesn't name the stream takes it up at the only build that serves now.
+        A stream that is named was begun by an instance that kept a record. If no one has it, the
+        stream is probably older than all instances, and the builds are known only if this instance
+        has seen the service for as long as any caller may wait: no caller says when its stream
+        began. A stream that isn't named has no record; the builds that this instance has seen are
+        all that is known.
         """
         call, capacity = self._call, self._components.capacity
-        service = call.service.name
-        if not call.inbound.resumes:
-            return tuple(capacity.builds(service))
-        max_age_s = _MAX_AGE_TIMEOUTS * call.route.timeout_s
-        build = capacity.build_history.only_build(service, max_age_s, trio.current_time())
-        return () if build is None else (build,)
+        service, now = call.service.name, trio.current_time()
+        history = capacity.build_history
+        if call.inbound.resumes and not history.covers(MAX_STREAM_AGE_S, now):
+            return ()
+        seen = history.builds_within(service, MAX_STREAM_AGE_S, now)
+        return tuple(seen | capacity.builds(service))
--- a/cleatlink/request/stream_builds.py
+++ b/cleatlink/request/stream_builds.py
@@ -5,14 +5,14 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-__all__ = ["StreamBuild", "StreamBuildRecords", "stream_key"]
+__all__ = ["MAX_STREAM_AGE_S", "StreamBuild", "StreamBuildRecords", "stream_key"]
 
 # Two of a million streams have the same key with a probability of one in thirty million.
 _KEY_BYTES = 8
 # Maximum number of records; the oldest are removed first.
 _MAX_RECORDS = 50_000
-# Longest time for which a record is kept, in seconds, whatever its caller's deadline is.
-_MAX_LIFETIME_S = 600.0
+# Longest time for which a stream can be taken up, in seconds, whatever its caller's deadline is.
+MAX_STREAM_AGE_S = 600.0
 
 
 class StreamBuild(NamedTuple):
@@ -62,7 +62,7 @@
 
         If a caller uses one identifier for streams of several builds, all of them are kept.
         """
-        lifetime_s = min(stream.expires_in_s, _MAX_LIFETIME_S)
+        lifetime_s = min(stream.expires_in_s, MAX_STREAM_AGE_S)
         if lifetime_s <= 0 or math.isnan(lifetime_s):
             return
         known = self.find(stream.key, now)
--- a/cleatlink/routing/build_history.py
+++ b/cleatlink/routing/build_history.py
@@ -22,22 +22,25 @@
             self._observed_since = min(self._observed_since, now)
             self._last_seen.setdefault(endpoint.service, {})[endpoint.build] = now
 
-    def only_build(self, service: str, within_s: float, now: float) -> str | None:
-        """Return the only build that a service has had within a time.
+    def covers(self, seconds: float, now: float) -> bool:
+        """Check whether the endpoints have been known for some time.
+
+        Args:
+            seconds: Length of the time.
+            now: The current time.
+        """
+        return self._observed_since <= now - seconds
+
+    def builds_within(self, service: str, within_s: float, now: float) -> set[str]:
+        """Return the builds that a service was seen with within a time.
 
         Args:
             service: Name of the service.
             within_s: Length of the time in seconds.
             now: The current time.
-
-        Returns:
-            The build; None if there were several, or if the endpoints are not known for so long.
         """
-        if self._observed_since > now - within_s:
-            return None
         last_seen = self._last_seen.get(service, {})
-        builds = [build for build, at in last_seen.items() if at >= now - within_s]
-        return builds[0] if len(builds) == 1 else None
+        return {build for build, at in last_seen.items() if at >= now - within_s}
 
     def absent_s(self, service: str, build: str, now: float) -> float:
         """Return for how long a service has had no endpoint of a build; infinite if it had none."""
--- a/cleatlink/routing/build_history_test.py
+++ b/cleatlink/routing/build_history_test.py
@@ -12,18 +12,20 @@
 def test_only_build_is_certain_after_it_was_seen_alone_for_the_time() -> None:
     history = BuildHistory()
     history.note_present([endpoint("v1")], 100.0)
-    assert history.only_build("s", 10.0, 105.0) is None
+    assert not history.covers(10.0, 105.0)
     history.note_present([endpoint("v1")], 110.0)
-    assert history.only_build("s", 10.0, 110.0) == "v1"
-    assert history.only_build("other", 10.0, 110.0) is None
+    assert history.covers(10.0, 110.0)
+    assert history.builds_within("s", 10.0, 110.0) == {"v1"}
+    assert history.builds_within("other", 10.0, 110.0) == set()
 
 
 def test_build_that_left_within_the_time_still_counts() -> None:
     history = BuildHistory()
     history.note_present([endpoint("v1"), endpoint("v2")], 100.0)
     history.note_present([endpoint("v2")], 109.0)
-    assert history.only_build("s", 9.0, 109.0) is None
+    assert history.covers(9.0, 109.0)
+    assert history.builds_within("s", 9.0, 109.0) == {"v1", "v2"}
     history.note_present([endpoint("v2")], 111.0)
-    assert history.only_build("s", 9.0, 111.0) == "v2"
+    assert history.builds_within("s", 9.0, 111.0) == {"v2"}
     assert history.absent_s("s", "v1", 111.0) == 11.0
     assert history.absent_s("s", "v3", 111.0) == float("inf")
