Events without end of many streams stay within the memory for buffers

One event may be up to 1 MiB long, and the bytes of an incomplete one were counted nowhere: a faulty worker with 150 streams could fill a machine of 150 MB.

Cause: the limit on buffered bytes covers answers that are read whole and answers that callers read slowly. Streams were left out.

Now the parser of a stream counts the bytes of an incomplete event with the others. One of over 64 KiB that finds no memory is treated like one that is too long; smaller ones are kept whatever is left, so that a stream isn't broken because others use the memory.

--- a/cleatlink/relay/calls/components.py
+++ b/cleatlink/relay/calls/components.py
@@ -14,6 +14,7 @@
 from cleatlink.relay.peers.shared_quarantine import SharedQuarantine
 from cleatlink.request.shared_retry_budget import SharedRetryBudget
 from cleatlink.request.stream_builds import StreamBuild
+from cleatlink.routing.buffered_bytes import BufferedBytes
 from cleatlink.routing.capacity import Capacity
 from cleatlink.routing.endpoint_paths import EndpointPaths
 from cleatlink.routing.table_tracker import TableTracker
@@ -28,6 +29,7 @@
         data_centre: Data centre in which this instance runs.
         protocol: Header names, paths and message formats on the wire.
         pool: Connections to endpoints.
+        memory: Counts the bytes that are buffered for callers.
         capacity: Known state of the endpoints.
         planned_stop: The planned stop of this instance.
         organisation_access: Checks API keys and the limits of organisations.
@@ -54,6 +56,7 @@
     data_centre: str
     protocol: Protocol
     pool: ConnectionPool
+    memory: BufferedBytes
     capacity: Capacity
     planned_stop: PlannedStop
     organisation_access: OrganisationAccess
--- a/cleatlink/relay/calls/stream.py
+++ b/cleatlink/relay/calls/stream.py
@@ -68,7 +68,7 @@
         self._exchange = exchange
         self._admission = admission
         self._components = components
-        self._parser = EventParser(call.inbound.last_event)
+        self._parser = EventParser(call.inbound.last_event, components.memory)
         self._target = DecodeTarget(call, admission, components)
         self._failover = StreamFailover(call, admission, components)
         self._origin = StreamOrigin(call, components)
@@ -85,6 +85,7 @@
                 if result is not None:
                     return result
         finally:
+            self._parser.restart()
             self._target.close()
             if self._failover.replacement is not None:
                 self._failover.replacement.close()
--- a/cleatlink/relay/endless_answers_test.py
+++ b/cleatlink/relay/endless_answers_test.py
@@ -5,12 +5,15 @@
 """
 
 import math
+from typing import Any
 
 import pytest
 import trio
 
 from cleatlink.core.data import Role
 from cleatlink.core.errors import StreamBrokenError
+from cleatlink.relay.calls import stream
+from cleatlink.relay.calls.event_parser import EventParser
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.protocol import OutgoingRequest
 from cleatlink.routing.buffered_bytes import BufferedBytes, BufferKind
@@ -306,6 +309,55 @@
         assert memory.total == 0
 
 
+async def test_events_without_end_of_many_streams_took_more_than_the_memory_for_buffers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    stream_count, limit_bytes, peak_bytes = 20, 2_000_000, 0
+    parsers: list[EventParser] = []
+
+    class RecordedParser(EventParser):
+        """A parser whose buffer the test reads."""
+
+        def __init__(self, *arguments: Any) -> None:
+            super().__init__(*arguments)
+            parsers.append(self)
+
+    monkeypatch.setattr(stream, "EventParser", RecordedParser)
+    async with open_fleet() as fleet:
+        workers = [Worker("model", "decode", slots=100) for _ in range(2)]
+        await start(fleet, Worker("model", "prefill", slots=100), *workers)
+        version = fleet.configure({"kv_cache_tokens": 100_000, "slots": 100})
+        records_of_store = fleet.instances[0].records
+        await fleet.wait_until(lambda: records_of_store.table_revision == version)
+        memory = fleet.instances[0]._caller_memory
+        monkeypatch.setattr(memory, "_limit_bytes", limit_bytes)
+        for worker in workers:
+            worker.endless_part = EndlessPart.UNFRAMED_BODY
+            worker.endless.total_bytes = 900_000
+            worker.faults = [Fault.ENDLESS] * stream_count
+
+        async def ask() -> None:
+            reply = await fleet.caller().ask("/stream/x", "POST", headers=STREAM)
+            assert reply.status != 200 or not reply.is_complete
+
+        async def watch() -> None:
+            nonlocal peak_bytes
+            while True:
+                peak_bytes = max(peak_bytes, sum(len(parser._buffer) for parser in parsers))
+                await trio.sleep(0.001)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            async with trio.open_nursery() as calls:
+                for _ in range(stream_count):
+                    calls.start_soon(ask)
+            nursery.cancel_scope.cancel()
+        assert len(records(workers)) == stream_count
+        # Each stream may keep a small event whatever memory is left.
+        assert peak_bytes <= limit_bytes + stream_count * 65_536
+        assert memory.total == 0
+
+
 async def test_body_without_end_leaves_the_memory_for_buffers_to_others() -> None:
     worker, memory = Worker("plain"), BufferedBytes(4_000_000)
     worker.endless_part, worker.faults = EndlessPart.BODY, [Fault.ENDLESS]
--- a/cleatlink/relay/instance.py
+++ b/cleatlink/relay/instance.py
@@ -168,6 +168,7 @@
             settings.data_centre,
             protocol,
             self._pool,
+            self._caller_memory,
             self._capacity,
             self._planned_stop,
             self._organisation_access,
--- a/standins/relay/endless_answers.py
+++ b/standins/relay/endless_answers.py
@@ -66,6 +66,8 @@
         self.byte_interval_s = 0.0
         # Seconds between two events or interim responses, where bytes have no interval.
         self.item_interval_s = 0.0
+        # Bytes after which nothing more is sent, and the connection stays open.
+        self.total_bytes = math.inf
         # Beginnings of the paths of the relay's own calls that are answered without end.
         self.paths: tuple[str, ...] = ()
         self.records: list[EndlessAnswer] = []
@@ -97,6 +99,8 @@
                 await stream.send_all(item)
                 record.sent_bytes += len(item)
                 await trio.sleep(self.byte_interval_s or self._pause_s(part))
+                if record.sent_bytes >= self.total_bytes:
+                    await trio.sleep_forever()
         finally:
             record.ended_at = trio.current_time()
 
