The body of an extra response is skipped without being kept

What callers saw: nothing was reported. A copy of an earlier response, which the relay reads over, was kept whole until its end: up to 1 MiB for each connection, counted nowhere, so that a faulty worker that stalls within such copies could fill the machine.

Now the relay reads it without keeping it.

--- a/cleatlink/relay/endless_answers_test.py
+++ b/cleatlink/relay/endless_answers_test.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import tracemalloc
 from typing import Any
 
 import pytest
@@ -12,18 +13,20 @@
 
 from cleatlink.core.data import Role
 from cleatlink.core.errors import StreamBrokenError
+from cleatlink.platform import PROTOCOL
 from cleatlink.relay.calls import stream
 from cleatlink.relay.calls.event_parser import EventParser
 from cleatlink.relay.endpoints.connection import EndpointConnection
 from cleatlink.relay.endpoints.protocol import OutgoingRequest
 from cleatlink.routing.buffered_bytes import BufferedBytes, BufferKind
 from cleatlink.routing.role_planner import RoleChange
-from standins.relay import EndlessPart, Fault, Worker
+from standins.relay import EndlessPart, Fault, RawCall, Worker
 from standins.relay.cut_paths import PathCut
 from standins.relay.endless_answers import EndlessAnswer
 from standins.relay.example_fleet import STREAM, engines, start
 from standins.relay.fleet import Fleet, open_fleet
 from standins.relay.raw_client import Reply
+from standins.relay.raw_server import answer
 
 pytestmark = pytest.mark.virtual_time
 
@@ -358,6 +361,50 @@
         assert memory.total == 0
 
 
+async def test_extra_responses_of_many_connections_are_kept_in_memory() -> None:
+    """A copy of the last answer is read over, and as long as an answer may be."""
+    connection_count, extra_bytes = 20, 1_000_000
+
+    class RepeatingWorker(Worker):
+        """Sends a long copy of its first answer, then nothing."""
+
+        async def serve(self, call: RawCall, stream: trio.SocketStream) -> bool:
+            headers = {"Attempt-Id": "r0"}
+            if call.headers["attempt-id"] == "r0":
+                await self.send(stream, answer(200, headers))
+                return True
+            await self.send(stream, answer(200, headers, b"x" * extra_bytes)[:-1])
+            await trio.sleep_forever()
+            return False
+
+    async def skip(address: str) -> None:
+        opened = await EndpointConnection.open(address, 1.0, 1.0)
+        connection = EndpointConnection(opened._stream, 0.0, protocol=PROTOCOL)
+        for name in (b"r0", b"r1"):
+            headers = ((b"Host", b"h.example"), (b"Attempt-Id", name))
+            request = OutgoingRequest(b"GET", b"/a", headers, b"", name.decode())
+            with trio.move_on_after(2.0):
+                await connection.exchange(request)
+                await connection.read_body(0)
+                connection.end_exchange(0.0)
+        connection.close()
+
+    worker = RepeatingWorker("plain")
+    async with trio.open_nursery() as nursery:
+        await worker.start(nursery)
+        tracemalloc.start()
+        async with trio.open_nursery() as connections:
+            for _ in range(connection_count):
+                connections.start_soon(skip, worker.address)
+            # The stand-in keeps what it sends as well.
+            await trio.sleep(1.0)
+            kept_bytes = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        worker.close()
+        nursery.cancel_scope.cancel()
+    assert kept_bytes < connection_count * extra_bytes / 4
+
+
 async def test_body_without_end_leaves_the_memory_for_buffers_to_others() -> None:
     worker, memory = Worker("plain"), BufferedBytes(4_000_000)
     worker.endless_part, worker.faults = EndlessPart.BODY, [Fault.ENDLESS]
--- a/cleatlink/relay/endpoints/connection.py
+++ b/cleatlink/relay/endpoints/connection.py
@@ -190,11 +190,23 @@
         head = await self._read_head()
         if self._attribution.owner is not ResponseOwner.PREVIOUS_REQUEST:
             return head
-        await self.read_body(_MAX_EXTRA_BODY_BYTES)
+        await self._skip_body(_MAX_EXTRA_BODY_BYTES)
         self._attribution.note_extra_response()
         self._expect_next_response()
         return await self._read_head()
 
+    async def _skip_body(self, max_bytes: int) -> None:
+        """Read a response body without keeping it.
+
+        Raises:
+            StreamBrokenError: The body ended early, or is longer than ``max_bytes``.
+        """
+        skipped = 0
+        while (chunk := await self.read_chunk()) is not None:
+            skipped += len(chunk)
+            if skipped > max_bytes:
+                raise StreamBrokenError("the body of an extra response exceeds the size limit")
+
     def _expect_next_response(self) -> None:
         """Parse what follows an extra response as the response to the same request."""
         data, is_closed = self._http.trailing_data
