Serving: answers of peers and of the platform have a longest length

What callers saw: nothing was reported. A peer or a platform that sends a body without end filled the memory of the instance until it ended, with the requests of its callers.

Cause: httpx reads a body whole, whatever its length.

Now they are read by the same function, up to the same 16 MiB.

Evidence: the four new tests fail before (the whole 64 MB that the server offers were read); all pass now.

--- a/cleatlink/serving/endless_responses_test.py
+++ b/cleatlink/serving/endless_responses_test.py
@@ -7,8 +7,12 @@
 import trio
 
 from cleatlink.core.data import Endpoint, Role
-from cleatlink.core.errors import EndpointError, OutcomeUnknownError
+from cleatlink.core.errors import EndpointError, OutcomeUnknownError, PeerError, PlatformError
 from cleatlink.serving.endpoints import HttpEndpointClient
+from cleatlink.serving.peer_link import HttpPeerLink
+from cleatlink.serving.platform import DocumentKind, HttpPlatform
+from cleatlink.serving.settings import Address, parse_address
+from standins.ports import free_port
 from standins.socket_endpoint import build_order, serve_on_socket
 
 Send = Callable[[HttpEndpointClient, Endpoint], Awaitable[object]]
@@ -103,6 +107,36 @@
     assert endpoint.sent_bytes <= _BUFFER_BYTES
 
 
+async def ask_peer(address: str) -> object:
+    link = HttpPeerLink(Address("127.0.0.1", free_port()))
+    try:
+        return await link.send_request(address, "x", b"x")
+    finally:
+        await link.close()
+
+
+async def read_platform(address: str) -> object:
+    platform = HttpPlatform(parse_address(address))
+    try:
+        return await platform.read(DocumentKind.CONFIG)
+    finally:
+        await platform.close()
+
+
+@pytest.mark.parametrize("status", [200, 500])
+@pytest.mark.parametrize("ask", [ask_peer, read_platform])
+async def test_body_without_end_of_a_peer_or_the_platform_fills_the_memory(
+    ask: Callable[[str], Awaitable[object]], status: int
+) -> None:
+    endpoint = EndlessEndpoint(b"HTTP/1.1 %d x\r\n\r\n" % status)
+    async with trio.open_nursery() as nursery:
+        served = await serve_on_socket(nursery, endpoint.serve)
+        with trio.fail_after(_TIMEOUT_S), pytest.raises((PeerError, PlatformError)):
+            await ask(served.address)
+        nursery.cancel_scope.cancel()
+    assert endpoint.sent_bytes <= _MAX_ANSWER_BYTES + _BUFFER_BYTES
+
+
 async def test_outcome_of_a_call_with_an_answer_without_end_is_unknown() -> None:
     endpoint = EndlessEndpoint(b"HTTP/1.1 200 x\r\n\r\n")
     assert isinstance(await read_endless_response(endpoint, call), OutcomeUnknownError)
--- a/cleatlink/serving/endpoints.py
+++ b/cleatlink/serving/endpoints.py
@@ -29,7 +29,7 @@
     StreamBrokenError,
 )
 from cleatlink.core.notices import parse_backoff_s
-from cleatlink.serving.http_client import create_client
+from cleatlink.serving.http_client import MAX_ANSWER_BYTES, create_client, read_body
 
 __all__ = [
     "EndpointClient",
@@ -50,8 +50,7 @@
 # endpoint that is no longer listed may be completing streams until the longest deadline.
 _POOL_IDLE_TIMEOUT_S = 7_200.0
 _MAX_EVENT_BYTES = 1_000_000
-# Limits on response bodies, after decompression: of answers and reports, and of errors.
-_MAX_ANSWER_BYTES = 16_777_216
+# Longest body of an error that is read, after decompression.
 _MAX_ERROR_BYTES = 65_536
 _REPORT_TIMEOUT_S = 2.0
 _DONE_MARKER = b"[DONE]"
@@ -316,7 +315,7 @@
         transfer = {"do_remote_decode": True, "do_remote_prefill": False}
         response = await self._post(order, transfer, max_tokens=1, stream=False)
         try:
-            body = _decode_object(await _read_body(response, _MAX_ANSWER_BYTES))
+            body = _decode_object(await read_body(response, MAX_ANSWER_BYTES))
             handle = body["kv_transfer_params"]
             return KvHandle(
                 str(handle["remote_engine_id"]),
@@ -370,7 +369,7 @@
                 f"http://{endpoint.address}/load?events_after={after}",
                 timeout=_REPORT_TIMEOUT_S,
             ) as response:
-                data = _decode_object(await _read_body(response, _MAX_ANSWER_BYTES))
+                data = _decode_object(await read_body(response, MAX_ANSWER_BYTES))
             return EndpointReport(
                 parse_load_report(endpoint, role, data), parse_cache_update(data, after)
             )
@@ -437,28 +436,6 @@
             await response.aclose()
 
 
-async def _read_body(response: httpx.Response, max_bytes: int) -> bytes:
-    """Read and decompress the body of a response.
-
-    Raises:
-        httpx.HTTPError: The connection failed, or the body is invalid.
-        OutcomeUnknownError: The body has more than ``max_bytes`` bytes.
-    """
-    body = bytearray()
-    try:
-        async for chunk in response.aiter_bytes():
-            body += chunk
-            if len(body) > max_bytes:
-                # Makes the iteration end with an error, which also ends its nested generators.
-                await response.extensions["network_stream"].aclose()
-    except httpx.HTTPError:
-        if len(body) <= max_bytes:
-            raise
-    if len(body) > max_bytes:
-        raise OutcomeUnknownError(f"response body has more than {max_bytes} bytes")
-    return bytes(body)
-
-
 def _decode_object(data: bytes) -> dict[str, Any]:
     """Decode a JSON object.
 
@@ -480,7 +457,7 @@
     """
     if response.headers.get("x-ran") == "no":
         raise EndpointRefusedError(f"endpoint refused the call with status {response.status_code}")
-    body = await _read_body(response, _MAX_ANSWER_BYTES)
+    body = await read_body(response, MAX_ANSWER_BYTES)
     headers = {
         name: value for name, value in response.headers.items() if name not in _HOP_BY_HOP_HEADERS
     }
@@ -491,7 +468,7 @@
 async def _parse_error_response(response: httpx.Response) -> EndpointError:
     """Return the exception for an error response: a refusal, or an unknown outcome."""
     try:
-        error = _decode_object(await _read_body(response, _MAX_ERROR_BYTES))["error"]
+        error = _decode_object(await read_body(response, _MAX_ERROR_BYTES))["error"]
         if error["ran"] == "no":
             values = (value.encode() for value in response.headers.get_list("retry-after"))
             leaving = error["code"] == "leaving"
--- a/cleatlink/serving/http_client.py
+++ b/cleatlink/serving/http_client.py
@@ -13,10 +13,14 @@
 import httpcore
 import httpx
 
+from cleatlink.core.errors import OutcomeUnknownError
 from cleatlink.response_heads import InvalidHeadError, ResponseHeadChecker
 from cleatlink.unacknowledged_bytes import count_unacknowledged
 
-__all__ = ["create_client"]
+__all__ = ["MAX_ANSWER_BYTES", "create_client", "read_body"]
+
+# Longest body of an answer or a report that is read, after decompression.
+MAX_ANSWER_BYTES = 16_777_216
 
 # Connections of one client, and the idle ones among them that are kept open.
 _DEFAULT_LIMITS = httpx.Limits(max_connections=100, max_keepalive_connections=20)
@@ -44,6 +48,28 @@
     )
 
 
+async def read_body(response: httpx.Response, max_bytes: int) -> bytes:
+    """Read and decompress the body of a response that is not read yet.
+
+    Raises:
+        httpx.HTTPError: The connection failed, or the body is invalid.
+        OutcomeUnknownError: The body has more than ``max_bytes`` bytes.
+    """
+    body = bytearray()
+    try:
+        async for chunk in response.aiter_bytes():
+            body += chunk
+            if len(body) > max_bytes:
+                # Makes the iteration end with an error, which also ends its nested generators.
+                await response.extensions["network_stream"].aclose()
+    except httpx.HTTPError:
+        if len(body) <= max_bytes:
+            raise
+    if len(body) > max_bytes:
+        raise OutcomeUnknownError(f"response body has more than {max_bytes} bytes")
+    return bytes(body)
+
+
 class _Transport(httpx.AsyncHTTPTransport):
     """The transport of httpx, over streams that tell a failed connection from one that ended."""
 
--- a/cleatlink/serving/peer_link.py
+++ b/cleatlink/serving/peer_link.py
@@ -13,10 +13,10 @@
 import msgspec
 import trio
 
-from cleatlink.core.errors import PeerError, PeerUnreachableError
+from cleatlink.core.errors import OutcomeUnknownError, PeerError, PeerUnreachableError
 from cleatlink.members import Heartbeat
 from cleatlink.request import InFlightNote
-from cleatlink.serving.http_client import create_client
+from cleatlink.serving.http_client import MAX_ANSWER_BYTES, create_client, read_body
 from cleatlink.serving.settings import Address, parse_address
 
 __all__ = ["HttpPeerLink", "Message", "PeerLink", "decode_message", "encode_message"]
@@ -112,14 +112,16 @@
     async def send_request(self, address: str, path: str, body: bytes) -> bytes:
         """Send a request to a peer and return its answer."""
         try:
-            response = await self._client.post(f"http://{address}/peer/{path}", content=body)
+            async with self._client.stream(
+                "POST", f"http://{address}/peer/{path}", content=body
+            ) as response:
+                if response.status_code != httpx.codes.OK:
+                    raise PeerError(f"peer responded with status {response.status_code}")
+                return await read_body(response, MAX_ANSWER_BYTES)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             raise PeerUnreachableError(repr(error)) from error
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, OutcomeUnknownError) as error:
             raise PeerError(repr(error)) from error
-        if response.status_code != httpx.codes.OK:
-            raise PeerError(f"peer responded with status {response.status_code}")
-        return response.content
 
     async def close(self) -> None:
         """Close the socket and all connections."""
--- a/cleatlink/serving/platform.py
+++ b/cleatlink/serving/platform.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from cleatlink.core.data import Endpoint, Fleet, Instance
-from cleatlink.core.errors import PlatformError
-from cleatlink.serving.http_client import create_client
+from cleatlink.core.errors import OutcomeUnknownError, PlatformError
+from cleatlink.serving.http_client import MAX_ANSWER_BYTES, create_client, read_body
 from cleatlink.serving.settings import Address
 
 __all__ = ["Document", "DocumentKind", "HttpPlatform", "Platform", "parse_fleet"]
@@ -75,15 +75,16 @@
 
     async def _fetch(self, url: str, timeout_s: float) -> Document | None:
         try:
-            response = await self._client.get(url, timeout=timeout_s)
-        except httpx.HTTPError as error:
+            async with self._client.stream("GET", url, timeout=timeout_s) as response:
+                if response.status_code == httpx.codes.NO_CONTENT:
+                    return None
+                if response.status_code != httpx.codes.OK:
+                    raise PlatformError(f"platform responded with status {response.status_code}")
+                body = await read_body(response, MAX_ANSWER_BYTES)
+        except (httpx.HTTPError, OutcomeUnknownError) as error:
             raise PlatformError(repr(error)) from error
-        if response.status_code == httpx.codes.NO_CONTENT:
-            return None
-        if response.status_code != httpx.codes.OK:
-            raise PlatformError(f"platform responded with status {response.status_code}")
         try:
-            data = msgspec.json.decode(response.content)
+            data = msgspec.json.decode(body)
             return Document(int(data["revision"]), data["value"])
         except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as error:
             raise PlatformError(
