A body without end from the configuration service doesn't fill an instance

What callers saw: nothing was reported. An answer of the configuration service was read up to 64 MB, on two connections, on machines of 150 MB whose limit on buffered bytes doesn't count it.

Now the limit is 16 MiB, far above the pages of a list and the values there, which hold a megabyte at most. Answers of peers keep their 64 MB (docs/design/peers.md).

--- a/cleatlink/relay/following/store_client.py
+++ b/cleatlink/relay/following/store_client.py
@@ -20,8 +20,8 @@
 # Longest time without any byte of a body, and longest time for the whole body.
 _BODY_IDLE_TIMEOUT_S = 1.0
 _BODY_TIMEOUT_S = 10.0
-# Far above the largest table and list: a value in the store holds at most a megabyte.
-_MAX_BODY_BYTES = 64_000_000
+# Far above the largest table and page of a list: a value in the store holds at most a megabyte.
+_MAX_BODY_BYTES = 16_777_216
 _HTTP_OK = 200
 _HTTP_NOT_FOUND = 404
 _HTTP_GONE = 410
--- a/cleatlink/relay/following/store_client_test.py
+++ b/cleatlink/relay/following/store_client_test.py
@@ -58,6 +58,33 @@
             nursery.cancel_scope.cancel()
 
 
+class EndlessStore(SlowStore):
+    """A store whose answers have a body without end.
+
+    Attributes:
+        sent_bytes: Number of bytes that the kernel accepted.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(0.0, 1, 0.0)
+        self.sent_bytes = 0
+
+    async def serve(self, call: RawCall, stream: trio.SocketStream) -> bool:
+        """Send bytes until the connection breaks."""
+        await stream.send_all(b"HTTP/1.1 200 X\r\n\r\n")
+        while True:
+            await stream.send_all(bytes(65_536))
+            self.sent_bytes += 65_536
+
+
+async def test_body_without_end_takes_most_of_the_memory_of_an_instance() -> None:
+    store = EndlessStore()
+    async with open_client(store) as client:
+        with pytest.raises(PlatformError):
+            await client.get("/", 30.0)
+    assert store.sent_bytes <= 16_777_216 + 8_388_608
+
+
 async def test_body_that_takes_longer_than_timeout_is_read() -> None:
     """Guards against a large table that is never read over a link of low bandwidth.
 
