--- a/cleatlink/relay/cut_answers_test.py
+++ b/cleatlink/relay/cut_answers_test.py
@@ -121,6 +121,27 @@
         assert workers[0].cut_count
 
 
+@pytest.mark.parametrize("ending", list(CutEnding))
+@pytest.mark.parametrize("stage", ["", "decode"])
+async def test_rejection_that_is_cut_off_still_says_that_the_request_did_not_run(
+    stage: str, ending: CutEnding
+) -> None:
+    async with open_fleet() as fleet:
+        workers = [CuttingWorker("model" if stage else "plain", stage) for _ in range(2)]
+        await start_cutting(fleet, workers, ending)
+        for worker in workers:
+            worker.rejects_cut_requests = True
+        route, headers = ("/stream/x", STREAM) if stage else ("/unsafe2/x", {})
+        for _ in range(4):
+            cut_next_answers(workers)
+            ask_headers = {**_HEADERS, **headers}
+            reply = await fleet.caller().ask(route, "POST", body=_UPLOAD, headers=ask_headers)
+            assert reply.status == 503
+            # The workers count as full for a while.
+            await trio.sleep(0.5)
+        assert sum(worker.cut_count for worker in workers) >= 4
+
+
 async def test_reset_answer_of_a_prefill_is_used() -> None:
     async with open_fleet() as fleet:
         workers = cutting_engines()
--- a/standins/relay/cut_answers.py
+++ b/standins/relay/cut_answers.py
@@ -30,6 +30,8 @@
         # Beginnings of the paths of the relay's own calls whose answers break off.
         self.cut_paths: tuple[str, ...] = ()
         self.cut_count = 0
+        # Whether the answers say that the request was rejected.
+        self.rejects_cut_requests = False
 
     async def serve(self, call: RawCall, stream: trio.SocketStream) -> bool:
         """Respond to one call."""
@@ -39,7 +41,7 @@
             return await super().serve(call, stream)
         if request_id:
             self.cuts_left -= 1
-            if self.stage != "prefill":
+            if self.stage != "prefill" and not self.rejects_cut_requests:
                 self.runs.append(Run(request_id, call, trio.current_time()))
         await self._cut_answer(call, stream)
         return False
@@ -47,8 +49,12 @@
     async def _cut_answer(self, call: RawCall, stream: trio.SocketStream) -> None:
         """Send a part of an answer, and end the connection."""
         self.cut_count += 1
-        headers = self._signed_headers(call) if "attempt-id" in call.headers else {}
-        await stream.send_all(answer(200, headers, self._first_part(call), has_length=False))
+        status, headers = 200, {}
+        if "attempt-id" in call.headers:
+            headers = self._signed_headers(call)
+            if self.rejects_cut_requests:
+                status, headers = 503, self.rejections.headers(call)
+        await stream.send_all(answer(status, headers, self._first_part(call), has_length=False))
         if self.ending is CutEnding.RESET:
             reset(stream)
 
