Read of the whole change: names, and callers of tests that read at a pace

PlannedStop.arrived_early_enough instead of accepts_unrepeatable, since streams use it too. Callers of tests have a pace and a closed sending direction of their own, so that the tests of planned stops don't reach into them. The log line of a refused call says that its need is unknown.

--- a/cleatlink/relay/callers/answer_buffer.py
+++ b/cleatlink/relay/callers/answer_buffer.py
@@ -103,8 +103,8 @@
         except (OSError, trio.TooSlowError, trio.ClosedResourceError) as error:
             self._record_failure(error)
         except trio.Cancelled:
-            # The caller closed the connection. A sender that is shielded does not learn it itself.
-            self._failure = trio.ClosedResourceError("the caller closed the connection")
+            # The caller disconnected, or the instance ends. A shielded sender does not learn it.
+            self._failure = trio.ClosedResourceError("the task that sends was cancelled")
             raise
         finally:
             self._is_writing = False
--- a/cleatlink/relay/calls/call.py
+++ b/cleatlink/relay/calls/call.py
@@ -494,7 +494,7 @@
 
     def arrived_early_enough_in_stop(self) -> bool:
         """Check whether the call may be sent in a planned stop though it must not be repeated."""
-        return self._components.planned_stop.accepts_unrepeatable(
+        return self._components.planned_stop.arrived_early_enough(
             self.inbound.arrived_at, self.deadline
         )
 
--- a/cleatlink/relay/calls/plain.py
+++ b/cleatlink/relay/calls/plain.py
@@ -75,7 +75,7 @@
     async def run(self) -> Response | Refusal:
         """Return the caller's answer: that of an endpoint, or a refusal."""
         if not self._call.repeatable and not self._call.arrived_early_enough_in_stop():
-            return self._call.refuse_for_stop(self._call.remaining_s)
+            return self._call.refuse_for_stop(math.inf)
         result = await self._run_attempts()
         if isinstance(result, Refusal) or result.head.status not in NOT_RUN_STATUSES:
             return result
--- a/cleatlink/relay/calls/planned_stop.py
+++ b/cleatlink/relay/calls/planned_stop.py
@@ -68,12 +68,12 @@
         """
         # Accepting every call for 3.2 s cut off 43 requests that arrived after the signal, in 84
         # stops in series at 1.6 times the usual traffic; this rule cut off 3.
-        if not self.accepts_unrepeatable(arrived_at, deadline):
+        if not self.arrived_early_enough(arrived_at, deadline):
             return False
         return deadline <= self.answer_deadline or now + max_duration_s <= self._ends_at
 
-    def accepts_unrepeatable(self, arrived_at: float, deadline: float) -> bool:
-        """Check whether a request that must not be repeated may be sent to an endpoint.
+    def arrived_early_enough(self, arrived_at: float, deadline: float) -> bool:
+        """Check whether a request arrived early enough to be sent though it must not be repeated.
 
         Its answer may take longer than the stop, to be made or to be read. A late caller can send
         the request to another instance instead.
--- a/cleatlink/relay/calls/planned_stop_test.py
+++ b/cleatlink/relay/calls/planned_stop_test.py
@@ -193,7 +193,6 @@
 # An answer that fits into no kernel's buffers, and a pace at which its caller reads it in 2 s.
 _LONG_ANSWER = b"a" * 14_000_000
 _CALLER_BYTES_PER_S = 7_000_000.0
-_READ_BYTES = 65_536
 
 
 async def _prolong_stop(fleet: Fleet) -> None:
@@ -210,16 +209,7 @@
 
 async def _read_slowly(caller: Caller, path: str, replies: list[Reply]) -> None:
     """Make a call, read its answer at a caller's pace, and store the reply."""
-    await caller.open()
-    stream = caller._stream
-    assert stream is not None
-    receive = stream.receive_some
-
-    async def receive_slowly(_: int | None = None) -> bytes | bytearray:
-        await trio.sleep(_READ_BYTES / _CALLER_BYTES_PER_S)
-        return await receive(_READ_BYTES)
-
-    stream.receive_some = receive_slowly  # type: ignore[method-assign]
+    caller.read_bytes_per_s = _CALLER_BYTES_PER_S
     headers = {"Deadline-Milliseconds": "9000"}
     replies.append(await caller.ask(path, "POST", body=b"b", headers=headers))
 
@@ -256,8 +246,7 @@
         await trio.sleep(1.0)
         assert fleet.instances[0].service.in_flight == 1
         if reads_on:
-            assert caller._stream is not None
-            await caller._stream.send_eof()
+            await caller.end_sending()
         else:
             caller.close()
         await fleet.wait_until(lambda: fleet.instances[0].service.in_flight == 0, 0.5)
--- a/standins/relay/raw_client.py
+++ b/standins/relay/raw_client.py
@@ -1,6 +1,7 @@
 """An HTTP/1.1 client on a raw connection; tests see each byte of a response and how it ends."""
 
 import itertools
+import math
 from typing import NamedTuple
 
 import trio
@@ -27,6 +28,8 @@
         self._address = address
         self._stream: trio.SocketStream | None = None
         self._buffer = b""
+        # Pace at which answers are read.
+        self.read_bytes_per_s = math.inf
 
     async def open(self) -> None:
         """Open a connection if none is open."""
@@ -40,6 +43,11 @@
         """Data after the last response that was read together with it."""
         return self._buffer
 
+    async def end_sending(self) -> None:
+        """Close the sending direction of the connection."""
+        assert self._stream is not None
+        await self._stream.send_eof()
+
     def close(self) -> None:
         """Close the connection."""
         if self._stream is not None:
@@ -153,6 +161,8 @@
     async def _fill_buffer(self) -> bool:
         """Read more data into the buffer; return False if the connection ended."""
         assert self._stream is not None
+        if math.isfinite(self.read_bytes_per_s):
+            await trio.sleep(_READ_BYTES / self.read_bytes_per_s)
         try:
             data = await self._stream.receive_some(_READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
